Fix records, frames, configuration model and interfaces

Cause: five parts are to be built side by side and need one set of typed messages and headers first. Conclusion: no behaviour yet; the headers compile alone.

--- /dev/null
+++ b/include/radishroad/base/metrics.h
@@ -0,0 +1,38 @@
+#ifndef RADISHROAD_BASE_METRICS_H
+#define RADISHROAD_BASE_METRICS_H
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace radishroad {
+
+/// Counters, gauges and latency summaries of one process, kept with
+/// Boost.Accumulators and written in the Prometheus text format.
+/// All members may be called from any thread.
+class Metrics
+{
+public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics&) = delete;
+  Metrics& operator=(const Metrics&) = delete;
+
+  /// aName may carry labels: requests_total{outcome="answered"}.
+  void count(std::string_view aName, std::uint64_t aBy = 1);
+  void gauge(std::string_view aName, double aValue);
+  /// Adds a sample in milliseconds to a summary (quantiles 0.5, 0.99, 0.999).
+  void observeMs(std::string_view aName, double aValue);
+
+  std::uint64_t counter(std::string_view aName) const;
+  std::string toPrometheus() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/include/radishroad/base/ring.h
@@ -0,0 +1,80 @@
+#ifndef RADISHROAD_BASE_RING_H
+#define RADISHROAD_BASE_RING_H
+
+#include "radishroad/base/millis.h"
+
+#include <boost/circular_buffer.hpp>
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+namespace radishroad {
+
+/// A bounded queue between threads. Any number of producers and consumers.
+template<typename T>
+class Ring
+{
+public:
+  explicit Ring(std::size_t aCapacity)
+    : mItems(aCapacity)
+  {
+  }
+
+  /// False, with the item untouched, if the ring is full or closed.
+  bool tryPush(T&& aItem)
+  {
+    {
+      std::lock_guard<std::mutex> lock(mMutex);
+      if (mClosed || mItems.full()) {
+        return false;
+      }
+      mItems.push_back(std::move(aItem));
+    }
+    mFilled.notify_one();
+    return true;
+  }
+
+  /// Waits until an item is there, the time is up, or the ring is closed and
+  /// empty.
+  std::optional<T> pop(Millis aTimeout)
+  {
+    std::unique_lock<std::mutex> lock(mMutex);
+    mFilled.wait_for(lock, std::chrono::milliseconds(aTimeout.mCount), [this] {
+      return mClosed || !mItems.empty();
+    });
+    if (mItems.empty()) {
+      return std::nullopt;
+    }
+    std::optional<T> item(std::move(mItems.front()));
+    mItems.pop_front();
+    return item;
+  }
+
+  std::size_t size() const
+  {
+    std::lock_guard<std::mutex> lock(mMutex);
+    return mItems.size();
+  }
+
+  /// Refuses further items and wakes all consumers.
+  void close()
+  {
+    {
+      std::lock_guard<std::mutex> lock(mMutex);
+      mClosed = true;
+    }
+    mFilled.notify_all();
+  }
+
+private:
+  mutable std::mutex mMutex;
+  std::condition_variable mFilled;
+  boost::circular_buffer<T> mItems;
+  bool mClosed = false;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/include/radishroad/caller/server.h
@@ -0,0 +1,50 @@
+#ifndef RADISHROAD_CALLER_SERVER_H
+#define RADISHROAD_CALLER_SERVER_H
+
+#include "radishroad/base/error.h"
+#include "radishroad/base/metrics.h"
+#include "radishroad/base/millis.h"
+#include "radishroad/request/request.h"
+
+#include <memory>
+#include <string>
+
+namespace radishroad {
+
+/// The HTTP server for callers (Pistache). Refuses what is malformed before
+/// anything runs; hands whole requests on; writes each answer whole and on
+/// the connection it belongs to. Pipelined requests are answered in order.
+class CallerServer
+{
+public:
+  struct Options
+  {
+    /// "ip:port".
+    std::string mListenAddress;
+    unsigned mThreads = 2;
+    std::size_t mMaxHeaderBytes = 16U << 10;
+    std::size_t mMaxBodyBytes = 16U << 20;
+    Millis mHeaderTimeout{ 10000 };
+    Millis mBodyTimeout{ 30000 };
+  };
+
+  CallerServer(Options aOptions, CallerRequestFn aHandler, Metrics& aMetrics);
+  ~CallerServer();
+  CallerServer(const CallerServer&) = delete;
+  CallerServer& operator=(const CallerServer&) = delete;
+
+  Result<void> start();
+  /// Closes idle connections, answers what is under way with
+  /// "Connection: close", and returns when nothing is under way or the time
+  /// is up.
+  void drain(Millis aTimeout);
+  void stop();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/include/radishroad/ownership/expulsion.h
@@ -0,0 +1,43 @@
+#ifndef RADISHROAD_OWNERSHIP_EXPULSION_H
+#define RADISHROAD_OWNERSHIP_EXPULSION_H
+
+#include "radishroad/generated/records_generated.h"
+#include "radishroad/ownership/witness.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <vector>
+
+namespace radishroad {
+
+/// Collects consents to expel lost daemons. Pure.
+class ExpulsionProposer
+{
+public:
+  explicit ExpulsionProposer(Incarnation aSelf);
+
+  /// Starts, or keeps up, an attempt against a member whose promise to this
+  /// witness has lapsed. Returns the witnesses to ask now (paced).
+  std::vector<Incarnation> pursue(const Member& aMember, Millis aNow);
+  void onConsent(LeaseLabel aLabel, Incarnation aWitness);
+  /// The record to append once a majority has consented; then nothing more
+  /// for this label until kProposalRetry has passed.
+  std::optional<wire::ExpelT> proposal(const Member& aMember, Millis aNow);
+  void forget(LeaseLabel aLabel);
+
+private:
+  struct Attempt
+  {
+    std::set<Incarnation> mConsents;
+    Millis mNextAsk;
+    Millis mNextProposal;
+  };
+  Incarnation mSelf;
+  std::map<LeaseLabel, Attempt> mAttempts;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/include/radishroad/ownership/handoff.h
@@ -0,0 +1,30 @@
+#ifndef RADISHROAD_OWNERSHIP_HANDOFF_H
+#define RADISHROAD_OWNERSHIP_HANDOFF_H
+
+#include "radishroad/generated/records_generated.h"
+#include "radishroad/state/cell_state.h"
+
+#include <span>
+#include <vector>
+
+namespace radishroad {
+
+/// Shards that a draining owner hands off next, each with its next owner: at
+/// most aMax, spread evenly over the members that may own. Empty if there is no
+/// one to take them.
+std::vector<wire::ShardGrant>
+planEvacuation(const CellState& aState, Incarnation aSelf, std::size_t aMax);
+
+/// Shards without an owner, spread over the members that may own. For the
+/// coordinator's Assign record.
+std::vector<wire::ShardGrant>
+planInitialAssignment(const CellState& aState);
+
+/// Fewest moves that bring the counts of shards within one of each other;
+/// at most aMax of them. For members that joined.
+std::vector<wire::ShardGrant>
+planEvenSpread(const CellState& aState, std::size_t aMax);
+
+}
+
+#endif
--- /dev/null
+++ b/include/radishroad/ownership/lease_holder.h
@@ -0,0 +1,75 @@
+#ifndef RADISHROAD_OWNERSHIP_LEASE_HOLDER_H
+#define RADISHROAD_OWNERSHIP_LEASE_HOLDER_H
+
+#include "radishroad/base/millis.h"
+#include "radishroad/state/cell_state.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace radishroad {
+
+/// How long a promise binds a witness, from the send of its renewal.
+constexpr Millis kLeaseTtl{ 1000 };
+constexpr Millis kRenewInterval{ 250 };
+
+/// The holder's side of a daemon's lease. Pure: the caller sends what
+/// renewals() says and passes in promises and the time (monotonic).
+///
+/// The lease is held while promises of a majority of the witness set are
+/// unexpired. While a change of the set is in doubt, a majority of the old
+/// set and one of the new are both needed, since the append may have taken
+/// effect unknown to the holder. An empty set is held always: nobody can
+/// consent to an expulsion.
+class LeaseHolder
+{
+public:
+  struct Renewal
+  {
+    Incarnation mWitness = 0;
+    std::uint32_t mVersion = 0;
+  };
+
+  explicit LeaseHolder(Incarnation aSelf);
+
+  /// The set that the log holds, as last folded. Ends a change in doubt if
+  /// aVersion is past the one it builds on.
+  void adopt(std::uint32_t aVersion, std::span<const Incarnation> aWitnesses);
+  /// To be called before the Rewitness record is first sent.
+  void beginChange(std::span<const Incarnation> aNewWitnesses);
+  bool changeInDoubt() const;
+  std::span<const Incarnation> proposed() const;
+
+  /// aSentAt is the time at which the renewal now answered was sent.
+  void onPromise(Incarnation aWitness, std::uint32_t aVersion, Millis aSentAt);
+  /// Renewals to send now; empty until the interval has passed.
+  std::vector<Renewal> renewals(Millis aNow);
+  /// Time up to which the lease is held; not later than aNow if it is not.
+  Millis heldUntil(Millis aNow) const;
+  bool holds(Millis aNow) const;
+  /// Witnesses of the current set without a promise for the given time.
+  std::vector<Incarnation> silentWitnesses(Millis aNow, Millis aFor) const;
+
+private:
+  struct Set
+  {
+    std::uint32_t mVersion = 0;
+    std::vector<Incarnation> mWitnesses;
+    std::map<Incarnation, Millis> mPromisedUntil;
+  };
+  static Millis majorityUntil(const Set& aSet);
+
+  Incarnation mSelf;
+  bool mAdopted = false;
+  Set mCurrent;
+  std::optional<Set> mProposed;
+  std::optional<Millis> mLastRenewal;
+  std::optional<Millis> mAdoptedAt;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/include/radishroad/ownership/witness.h
@@ -0,0 +1,62 @@
+#ifndef RADISHROAD_OWNERSHIP_WITNESS_H
+#define RADISHROAD_OWNERSHIP_WITNESS_H
+
+#include "radishroad/base/millis.h"
+#include "radishroad/ownership/lease_holder.h"
+#include "radishroad/state/cell_state.h"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace radishroad {
+
+/// What a witness adds to the TTL before it takes a promise as lapsed: bounds
+/// the drift between two machines' clocks over one TTL.
+constexpr Millis kDriftMargin{ 50 };
+
+/// Names a lease: a daemon's incarnation and a version of its witness set.
+struct LeaseLabel
+{
+  Incarnation mIncarnation = 0;
+  std::uint32_t mVersion = 0;
+
+  auto operator<=>(const LeaseLabel&) const = default;
+};
+
+/// The witness's side: soft state only, lost with the process. A consent to
+/// an expulsion is for good: no promise for that label follows it, and none
+/// is given before the last promise has lapsed by this witness's clock.
+class Witness
+{
+public:
+  /// True: promise until aNow + TTL. False: consent has been given, refuse.
+  bool onRenew(LeaseLabel aLabel, Millis aNow);
+
+  struct ConsentAnswer
+  {
+    bool mGranted = false;
+    /// Time until the last promise lapses.
+    Millis mWait;
+  };
+  ConsentAnswer onConsentAsk(LeaseLabel aLabel, Millis aNow);
+
+  /// Labels whose promise has lapsed and that were not consented to yet.
+  std::vector<LeaseLabel> lapsed(Millis aNow) const;
+  /// Drops a label that no longer matters (member gone, set replaced).
+  void forget(LeaseLabel aLabel);
+  std::size_t size() const;
+
+private:
+  struct Entry
+  {
+    Millis mBoundUntil;
+    bool mConsented = false;
+  };
+  std::map<LeaseLabel, Entry> mEntries;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/include/radishroad/platform/log_follower.h
@@ -0,0 +1,51 @@
+#ifndef RADISHROAD_PLATFORM_LOG_FOLLOWER_H
+#define RADISHROAD_PLATFORM_LOG_FOLLOWER_H
+
+#include "radishroad/state/records.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+
+namespace radishroad {
+
+/// Follows one stream on a thread of its own with long polls, and hands over
+/// each batch of records in offset order without gaps. Failed reads are
+/// repeated with jittered back-off. A reader that has fallen behind what the
+/// log keeps starts again from the oldest record kept; the receiver then
+/// needs a snapshot from there.
+class LogFollower
+{
+public:
+  struct Hooks
+  {
+    /// Records in offset order; empty when a poll ended with nothing new, so
+    /// that the receiver knows the log answers.
+    std::function<void(std::span<const LogRecord>)> mOnRecords;
+    /// The log could not be read.
+    std::function<void(const Error&)> mOnError;
+    /// Reading starts again at this offset, which is past the one wanted.
+    std::function<void(std::uint64_t)> mOnGap;
+  };
+
+  LogFollower(std::string aAddress, std::string aStream, Hooks aHooks);
+  ~LogFollower();
+  LogFollower(const LogFollower&) = delete;
+  LogFollower& operator=(const LogFollower&) = delete;
+
+  /// Starts the thread, reading from aFrom.
+  void start(std::uint64_t aFrom);
+  /// Skips ahead to aNext, for records that came by way of a peer.
+  void skipTo(std::uint64_t aNext);
+  void stop();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/include/radishroad/state/cell_state.h
@@ -0,0 +1,98 @@
+#ifndef RADISHROAD_STATE_CELL_STATE_H
+#define RADISHROAD_STATE_CELL_STATE_H
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace radishroad {
+
+/// A daemon's start, unique among all starts of all daemons. 0 is nobody.
+using Incarnation = std::uint64_t;
+/// Number of a shard in its cell.
+using Shard = std::uint32_t;
+/// Rises by one with each change of a shard's owner.
+using Epoch = std::uint64_t;
+
+/// Keys of a service hash onto this many shards.
+constexpr Shard kShardCount = 256;
+
+enum class MemberStatus
+{
+  Active,
+  Left,
+  Expelled,
+};
+
+/// A daemon as the cell's records describe it.
+struct Member
+{
+  Incarnation mIncarnation = 0;
+  std::string mVm;
+  std::string mZone;
+  std::string mPeerAddress;
+  std::string mCallerAddress;
+  std::string mOperatorAddress;
+  std::vector<Incarnation> mWitnesses;
+  std::uint32_t mWitnessVersion = 0;
+  MemberStatus mStatus = MemberStatus::Active;
+  std::uint64_t mJoinOffset = 0;
+
+  bool operator==(const Member&) const = default;
+};
+
+struct Ownership
+{
+  Incarnation mOwner = 0;
+  Epoch mEpoch = 0;
+
+  bool operator==(const Ownership&) const = default;
+};
+
+/// A key with an owner of its own, split out of its shard.
+struct SplitOwnership
+{
+  Shard mShard = 0;
+  Ownership mOwnership;
+
+  bool operator==(const SplitOwnership&) const = default;
+};
+
+/// State of one cell: a pure function of its stream's records.
+struct CellState
+{
+  /// Offset of the next record to fold.
+  std::uint64_t mNextOffset = 0;
+  std::map<Incarnation, Member> mMembers;
+  std::vector<Ownership> mShards = std::vector<Ownership>(kShardCount);
+  std::map<std::uint64_t, SplitOwnership> mSplitKeys;
+  /// VMs that an operator takes out of service.
+  std::set<std::string> mDrainedVms;
+  /// Availability zones out of service, by this version of the configuration.
+  std::set<std::string> mDrainedZones;
+  std::uint64_t mZonesVersion = 0;
+  /// Ids of folded records, by offset; bounded, the oldest go first.
+  std::map<std::uint64_t, std::pair<std::uint64_t, std::uint64_t>> mSeenIds;
+
+  bool operator==(const CellState&) const = default;
+};
+
+/// Shard of a key of any service.
+Shard
+shardOf(std::uint64_t aKeyHash);
+
+/// Owner of a key: that of its split, else that of its shard.
+Ownership
+ownerOf(const CellState& aState, std::uint64_t aKeyHash);
+
+/// The member that proposes the cell's moves and snapshots: the active member
+/// that joined first. 0 if there is none. Proposals carry preconditions, so a
+/// daemon that believes itself coordinator wrongly does no harm.
+Incarnation
+coordinatorOf(const CellState& aState);
+
+}
+
+#endif
--- /dev/null
+++ b/include/radishroad/state/fold.h
@@ -0,0 +1,33 @@
+#ifndef RADISHROAD_STATE_FOLD_H
+#define RADISHROAD_STATE_FOLD_H
+
+#include "radishroad/state/cell_state.h"
+#include "radishroad/state/config_state.h"
+#include "radishroad/state/records.h"
+
+namespace radishroad {
+
+enum class FoldVerdict
+{
+  Applied,
+  /// Its precondition did not hold; the state is as before.
+  Refused,
+  /// Its id had been folded before.
+  Duplicate,
+  /// Not a record, or one of an unknown kind.
+  Corrupt,
+  /// Belongs to the other kind of stream, or is a snapshot part.
+  Ignored,
+};
+
+/// Folds one record into a cell's state. Deterministic; any daemon that folds
+/// the same records holds the same state. mNextOffset moves on in every case.
+FoldVerdict
+fold(CellState& aState, const LogRecord& aRecord);
+
+FoldVerdict
+fold(ConfigState& aState, const LogRecord& aRecord);
+
+}
+
+#endif
--- /dev/null
+++ b/include/radishroad/state/records.h
@@ -0,0 +1,57 @@
+#ifndef RADISHROAD_STATE_RECORDS_H
+#define RADISHROAD_STATE_RECORDS_H
+
+#include "radishroad/base/error.h"
+#include "radishroad/base/millis.h"
+#include "radishroad/base/random_id.h"
+#include "radishroad/generated/records_generated.h"
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace radishroad {
+
+using Bytes = std::vector<std::uint8_t>;
+
+/// One record as the log holds it.
+struct LogRecord
+{
+  std::uint64_t mOffset = 0;
+  Millis mWallTime;
+  Bytes mData;
+};
+
+/// Name of the stream that holds configurations.
+constexpr std::string_view kConfigStream = "config";
+
+/// Name of the stream of a service's cell.
+std::string
+cellStream(std::string_view aService);
+
+/// Wraps a change (any wire::...T of the Change union) with a new id.
+template<typename Change>
+wire::RecordT
+makeRecord(Change aChange, RandomId aId, Millis aWallTime)
+{
+  wire::RecordT record;
+  record.id_high = aId.mHigh;
+  record.id_low = aId.mLow;
+  record.wall_ms = aWallTime.mCount;
+  record.change.Set(std::move(aChange));
+  return record;
+}
+
+Bytes
+encodeRecord(const wire::RecordT& aRecord);
+
+/// Verifies and unpacks; ErrorCode::Corrupt for anything that is no record.
+Result<std::unique_ptr<wire::RecordT>>
+decodeRecord(std::span<const std::uint8_t> aBytes);
+
+}
+
+#endif
--- /dev/null
+++ b/include/radishroad/upstream/gate.h
@@ -0,0 +1,105 @@
+#ifndef RADISHROAD_UPSTREAM_GATE_H
+#define RADISHROAD_UPSTREAM_GATE_H
+
+#include "radishroad/base/metrics.h"
+#include "radishroad/base/millis.h"
+#include "radishroad/config/model.h"
+#include "radishroad/request/request.h"
+#include "radishroad/state/cell_state.h"
+
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace radishroad {
+
+/// What the gate learns when it asks, at the last moment before a request is
+/// written to the upstream, whether this daemon may serve the key now.
+struct ServeDecision
+{
+  /// None: serve with mEpoch. Otherwise the reason for refusing.
+  NotRunReason mRefusal = NotRunReason::None;
+  Epoch mEpoch = 0;
+  /// With mRefusal None: the request is given up and cancelled at this
+  /// monotonic time unless the lease has been prolonged (checked again then).
+  Millis mServeUntil;
+  /// With NotRunReason::LeaseLapsed: worth asking again from this time on.
+  Millis mRetryAt;
+};
+
+/// Guards the daemon's own upstream: decides how many requests run at once,
+/// paces new connections and probes, and runs requests by libcurl (multi) on
+/// one thread. Each request ends with exactly one answer. The answer is
+/// `NotRun` only if no byte of the request was handed to the upstream, or the
+/// upstream itself proved that it did not run it (a stale fence, a shed with
+/// the not-run mark).
+class Gate
+{
+public:
+  struct Options
+  {
+    /// "host:port" of the upstream.
+    std::string mUpstream;
+    std::size_t mMaxQueued = 512;
+    std::size_t mMaxBodyBytes = 20U << 20;
+    /// Health and load endpoint polled by paced probes.
+    std::string mHealthPath = "/health";
+    /// Baseline for measurements: no concurrency window, no pacing.
+    bool mUnguarded = false;
+  };
+
+  struct Hooks
+  {
+    /// May this daemon run the key now? Called on the gate's thread.
+    std::function<ServeDecision(const ForwardRequest&)> mMayServe;
+    /// The upstream came up (true) or is gone or unhealthy (false).
+    std::function<void(bool)> mOnHealth;
+    /// A request was in flight when the upstream crashed.
+    std::function<void(std::uint64_t aFingerprint, RandomId aId)> mOnCrash;
+    /// Is this fingerprint quarantined?
+    std::function<bool(std::uint64_t aFingerprint)> mIsQuarantined;
+    ClockFn mNow;
+  };
+
+  Gate(Options aOptions, Hooks aHooks, Metrics& aMetrics);
+  ~Gate();
+  Gate(const Gate&) = delete;
+  Gate& operator=(const Gate&) = delete;
+
+  void start();
+  /// Sets deadline, window bound and costs from the configuration.
+  void configure(const config::Service& aService);
+  /// Any thread. A full queue refuses at once.
+  void submit(ForwardRequest aRequest, AnswerFn aAnswer);
+  void cancel(RandomId aId);
+  /// Holds new requests of these shards back and calls aDone on the gate's
+  /// thread once none of them runs any more. Held requests stay queued until
+  /// resumeShards and are then decided by mMayServe.
+  void pauseShards(std::span<const Shard> aShards, std::function<void()> aDone);
+  void resumeShards(std::span<const Shard> aShards);
+  /// Ends after what is queued and running has been answered.
+  void stop();
+
+  struct Load
+  {
+    double mWindow = 0;
+    std::uint32_t mInFlight = 0;
+    std::uint32_t mQueued = 0;
+    bool mHealthy = false;
+    /// Requests answered by shard since the last call of takeLoad.
+    std::vector<wire::ShardLoad> mShards;
+    std::vector<wire::HotKeyT> mHotKeys;
+  };
+  /// Any thread. Resets the per-shard counts.
+  Load takeLoad();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/main/radishroadd.cpp
@@ -0,0 +1,5 @@
+int
+main()
+{
+  return 0;
+}
