--- /dev/null
+++ b/src/base/json_log.cpp
@@ -0,0 +1,169 @@
+#include "radishroad/base/json_log.h"
+
+#include "radishroad/base/millis.h"
+
+#include <boost/circular_buffer.hpp>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+namespace radishroad {
+
+namespace {
+
+constexpr std::size_t kKeptEvents = 2048;
+/// Longer lines lose their fields.
+constexpr std::size_t kLongestLine = 8192;
+
+/// What startLog sets; empty before, and then nothing goes to the output.
+struct LogOutput
+{
+  log4cplus::Initializer mInitializer;
+  log4cplus::Logger mLogger;
+  std::string mRole;
+  std::string mVm;
+  std::string mZone;
+};
+
+struct KeptEvents
+{
+  std::mutex mMutex;
+  boost::circular_buffer<std::string> mLines{ kKeptEvents };
+};
+
+std::unique_ptr<LogOutput>&
+output()
+{
+  static std::unique_ptr<LogOutput> sOutput;
+  return sOutput;
+}
+
+KeptEvents&
+keptEvents()
+{
+  static KeptEvents sEvents;
+  return sEvents;
+}
+
+const char*
+nameOf(LogLevel aLevel)
+{
+  switch (aLevel) {
+    case LogLevel::Debug:
+      return "debug";
+    case LogLevel::Info:
+      return "info";
+    case LogLevel::Warn:
+      return "warn";
+    case LogLevel::Error:
+      return "error";
+  }
+  return "error";
+}
+
+log4cplus::LogLevel
+toLog4cplus(LogLevel aLevel)
+{
+  switch (aLevel) {
+    case LogLevel::Debug:
+      return log4cplus::DEBUG_LOG_LEVEL;
+    case LogLevel::Info:
+      return log4cplus::INFO_LOG_LEVEL;
+    case LogLevel::Warn:
+      return log4cplus::WARN_LOG_LEVEL;
+    case LogLevel::Error:
+      return log4cplus::ERROR_LOG_LEVEL;
+  }
+  return log4cplus::ERROR_LOG_LEVEL;
+}
+
+std::string
+dump(const nlohmann::ordered_json& aLine)
+{
+  // Fields may hold bytes from the network that are no UTF-8.
+  return aLine.dump(
+    -1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+std::string
+makeLine(LogLevel aLevel,
+         std::string_view aEvent,
+         const nlohmann::json& aFields,
+         const LogOutput* aOutput)
+{
+  nlohmann::ordered_json line;
+  line["ms"] = wallNow().mCount;
+  line["level"] = nameOf(aLevel);
+  if (aOutput != nullptr) {
+    line["role"] = aOutput->mRole;
+    line["vm"] = aOutput->mVm;
+    line["zone"] = aOutput->mZone;
+  }
+  line["event"] = aEvent;
+  const std::string bare = dump(line);
+  for (const auto& field : aFields.items()) {
+    line.emplace(field.key(), field.value());
+  }
+  std::string text = dump(line);
+  if (text.size() <= kLongestLine) {
+    return text;
+  }
+  return bare.substr(0, bare.size() - 1) + ",\"truncated\":true}";
+}
+
+}
+
+void
+startLog(std::string_view aRole,
+         std::string_view aVm,
+         std::string_view aZone,
+         LogLevel aLowest)
+{
+  std::unique_ptr<LogOutput> created = std::make_unique<LogOutput>();
+  created->mLogger = log4cplus::Logger::getRoot();
+  created->mRole = aRole;
+  created->mVm = aVm;
+  created->mZone = aZone;
+  const bool toStandardError = false;
+  const bool flushEachLine = true;
+  log4cplus::SharedAppenderPtr appender(
+    new log4cplus::ConsoleAppender(toStandardError, flushEachLine));
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+  created->mLogger.removeAllAppenders();
+  created->mLogger.addAppender(appender);
+  created->mLogger.setLogLevel(toLog4cplus(aLowest));
+  output() = std::move(created);
+}
+
+void
+logEvent(LogLevel aLevel,
+         std::string_view aEvent,
+         const nlohmann::json& aFields)
+{
+  const LogOutput* out = output().get();
+  const log4cplus::LogLevel level = toLog4cplus(aLevel);
+  if (out != nullptr && !out->mLogger.isEnabledFor(level)) {
+    return;
+  }
+  std::string line = makeLine(aLevel, aEvent, aFields, out);
+  if (out != nullptr) {
+    out->mLogger.forcedLog(level, line);
+  }
+  KeptEvents& kept = keptEvents();
+  std::lock_guard<std::mutex> lock(kept.mMutex);
+  kept.mLines.push_back(std::move(line));
+}
+
+std::vector<std::string>
+recentEvents()
+{
+  KeptEvents& kept = keptEvents();
+  std::lock_guard<std::mutex> lock(kept.mMutex);
+  return { kept.mLines.begin(), kept.mLines.end() };
+}
+
+}
--- /dev/null
+++ b/tests/unit/metrics_test.cpp
@@ -0,0 +1,106 @@
+#include "radishroad/base/json_log.h"
+#include "radishroad/base/metrics.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <vector>
+
+using namespace radishroad;
+
+BOOST_AUTO_TEST_SUITE(base)
+
+BOOST_AUTO_TEST_CASE(counters_add_up_over_threads)
+{
+  Metrics metrics;
+  std::vector<std::thread> threads;
+  for (int it = 0; it < 4; ++it) {
+    threads.emplace_back([&metrics] {
+      for (int n = 0; n < 10000; ++n) {
+        metrics.count("requests_total");
+        metrics.observeMs("wait_ms", n);
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  BOOST_TEST(metrics.counter("requests_total") == 40000U);
+  BOOST_TEST(metrics.counter("others_total") == 0U);
+  BOOST_TEST(metrics.toPrometheus().find("wait_ms_count 40000\n") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(prometheus_text)
+{
+  Metrics metrics;
+  metrics.count("requests_total{outcome=\"answered\"}", 3);
+  metrics.count("requests_total{outcome=\"unknown\"}");
+  metrics.gauge("window", 2.5);
+  metrics.observeMs("latency_ms{hop=\"peer\"}", 4);
+  const std::string expected = "# TYPE requests_total counter\n"
+                               "requests_total{outcome=\"answered\"} 3\n"
+                               "requests_total{outcome=\"unknown\"} 1\n"
+                               "# TYPE window gauge\n"
+                               "window 2.5\n"
+                               "# TYPE latency_ms summary\n"
+                               "latency_ms{hop=\"peer\",quantile=\"0.5\"} 4\n"
+                               "latency_ms{hop=\"peer\",quantile=\"0.99\"} 4\n"
+                               "latency_ms{hop=\"peer\",quantile=\"0.999\"} 4\n"
+                               "latency_ms_sum{hop=\"peer\"} 4\n"
+                               "latency_ms_count{hop=\"peer\"} 1\n";
+  BOOST_TEST(metrics.toPrometheus() == expected);
+}
+
+BOOST_AUTO_TEST_CASE(quantiles_are_exact_in_a_window)
+{
+  Metrics metrics;
+  for (int n = 1; n <= 1000; ++n) {
+    metrics.observeMs("latency_ms", (n * 7919) % 1000 + 1);
+  }
+  const std::string text = metrics.toPrometheus();
+  BOOST_TEST(text.find("quantile=\"0.5\"} 501\n") != std::string::npos, text);
+  BOOST_TEST(text.find("quantile=\"0.99\"} 990\n") != std::string::npos, text);
+  BOOST_TEST(text.find("quantile=\"0.999\"} 999\n") != std::string::npos, text);
+}
+
+BOOST_AUTO_TEST_CASE(quantiles_follow_a_change)
+{
+  Metrics metrics;
+  for (int n = 0; n < 5000; ++n) {
+    metrics.observeMs("latency_ms", 1000);
+  }
+  for (int n = 0; n < 5000; ++n) {
+    metrics.observeMs("latency_ms", 2);
+  }
+  const std::string text = metrics.toPrometheus();
+  BOOST_TEST(text.find("quantile=\"0.99\"} 2\n") != std::string::npos, text);
+}
+
+BOOST_AUTO_TEST_CASE(events_are_kept_as_json_lines)
+{
+  logEvent(LogLevel::Info, "first", { { "n", 1 } });
+  logEvent(LogLevel::Warn, "second", { { "bytes", "\xFF" }, { "ms", 5 } });
+  const std::vector<std::string> events = recentEvents();
+  BOOST_REQUIRE(events.size() >= 2U);
+  const nlohmann::json last = nlohmann::json::parse(events.back());
+  BOOST_TEST(last.at("event") == "second");
+  BOOST_TEST(last.at("level") == "warn");
+  // The time is the log's own; a field can't replace it.
+  BOOST_TEST(last.at("ms").get<std::int64_t>() > 5);
+}
+
+BOOST_AUTO_TEST_CASE(kept_events_are_bounded)
+{
+  for (int n = 0; n < 5000; ++n) {
+    logEvent(LogLevel::Info, "many", { { "n", n } });
+  }
+  logEvent(LogLevel::Info, "long", { { "text", std::string(100000, 'x') } });
+  const std::vector<std::string> events = recentEvents();
+  BOOST_TEST(events.size() == 2048U);
+  const nlohmann::json last = nlohmann::json::parse(events.back());
+  BOOST_TEST(last.at("truncated") == true);
+  BOOST_TEST(events.back().size() < 1000U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
