Add the gate: requests to the upstream by libcurl, at most once

The daemon needs a last check before a request reaches its upstream, and an answer whose "not run" is true.

libcurl 7.88 sends a POST again by itself when a reused connection dies before the first byte of the response. Ruled out: a fresh connection for each request (costs the upstream 1 ms each), and a read callback without rewind (libcurl resends a request without a body all the same). The pre-request callback is called just before each sending, so the second call is refused there; the same callback asks mMayServe at the last moment, and whatever it has not let through is proven not run.

A body without a length or chunks, or cut short, is unknown. Given-up runs are cancelled until the upstream says that they are over, and count as running.

--- /dev/null
+++ b/include/radishroad/upstream/queued_request.h
@@ -0,0 +1,28 @@
+#ifndef RADISHROAD_UPSTREAM_QUEUED_REQUEST_H
+#define RADISHROAD_UPSTREAM_QUEUED_REQUEST_H
+
+#include "radishroad/base/millis.h"
+#include "radishroad/request/request.h"
+
+#include <cstdint>
+
+namespace radishroad {
+
+/// A request that waits for its turn at the upstream.
+struct QueuedRequest
+{
+  ForwardRequest mRequest;
+  AnswerFn mAnswer;
+  std::uint64_t mFingerprint = 0;
+  /// Monotonic; the request is given up then.
+  Millis mDeadline;
+  /// Not to be tried before, because the lease has lapsed for the moment.
+  Millis mNotBefore;
+  Millis mQueuedAt;
+  /// How often the upstream has shed it.
+  int mSheds = 0;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/upstream/exchange_runner.cpp
@@ -0,0 +1,119 @@
+#include "radishroad/upstream/exchange_runner.h"
+
+namespace radishroad {
+
+namespace {
+
+/// Idle connections kept open.
+constexpr long kMaxPooledConnections = 128;
+
+/// libcurl's global state lives as long as the process.
+CURLM*
+makeMulti()
+{
+  static const CURLcode kInitialized = curl_global_init(CURL_GLOBAL_DEFAULT);
+  return kInitialized == CURLE_OK ? curl_multi_init() : nullptr;
+}
+
+}
+
+ExchangeRunner::ExchangeRunner()
+  : mMulti(makeMulti())
+{
+  CURLM* multi = mMulti.get();
+  curl_multi_setopt(multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+  curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, kMaxPooledConnections);
+}
+
+ExchangeRunner::~ExchangeRunner()
+{
+  for (const auto& [id, entry] : mEntries) {
+    curl_multi_remove_handle(mMulti.get(), entry.mExchange->handle());
+  }
+}
+
+ExchangeRunner::ExchangeId
+ExchangeRunner::start(const UpstreamRequest& aRequest,
+                      Exchange::MaySendFn aMaySend,
+                      EndFn aEnd)
+{
+  auto exchange =
+    std::make_unique<Exchange>(aRequest, std::move(aMaySend), mConnections);
+  CURL* handle = exchange->handle();
+  const ExchangeId id = mNextId++;
+  mEntries.emplace(id, Entry{ std::move(exchange), std::move(aEnd) });
+  mIds.emplace(handle, id);
+  curl_multi_add_handle(mMulti.get(), handle);
+  return id;
+}
+
+bool
+ExchangeRunner::abort(ExchangeId aId)
+{
+  const auto it = mEntries.find(aId);
+  if (it == mEntries.end()) {
+    return false;
+  }
+  const bool sent = it->second.mExchange->sent();
+  CURL* handle = it->second.mExchange->handle();
+  curl_multi_remove_handle(mMulti.get(), handle);
+  mIds.erase(handle);
+  mEntries.erase(it);
+  return sent;
+}
+
+void
+ExchangeRunner::perform()
+{
+  int running = 0;
+  curl_multi_perform(mMulti.get(), &running);
+  int left = 0;
+  while (CURLMsg* message = curl_multi_info_read(mMulti.get(), &left)) {
+    if (message->msg == CURLMSG_DONE) {
+      finish(message->easy_handle, message->data.result);
+    }
+  }
+}
+
+void
+ExchangeRunner::finish(CURL* aHandle, CURLcode aCode)
+{
+  const auto id = mIds.find(aHandle);
+  if (id == mIds.end()) {
+    return;
+  }
+  const auto it = mEntries.find(id->second);
+  Entry entry = std::move(it->second);
+  mEntries.erase(it);
+  mIds.erase(id);
+  curl_multi_remove_handle(mMulti.get(), aHandle);
+  const ExchangeEnd end = entry.mExchange->end(aCode);
+  entry.mEnd(end, aCode, std::move(entry.mExchange->response()));
+}
+
+void
+ExchangeRunner::poll(Millis aTimeout)
+{
+  curl_multi_poll(
+    mMulti.get(), nullptr, 0, static_cast<int>(aTimeout.mCount), nullptr);
+}
+
+void
+ExchangeRunner::wake()
+{
+  curl_multi_wakeup(mMulti.get());
+}
+
+std::uint32_t
+ExchangeRunner::active() const
+{
+  return static_cast<std::uint32_t>(mEntries.size());
+}
+
+const ConnectionCounter&
+ExchangeRunner::connections() const
+{
+  return mConnections;
+}
+
+}
--- /dev/null
+++ b/src/upstream/gate.cpp
@@ -0,0 +1,131 @@
+#include "radishroad/upstream/gate.h"
+
+#include "gate_impl.h"
+#include "radishroad/policy/fingerprint.h"
+#include "radishroad/upstream/upstream_headers.h"
+
+namespace radishroad {
+
+namespace {
+
+QueuedRequest
+makeQueued(ForwardRequest aRequest, AnswerFn aAnswer, Millis aNow)
+{
+  QueuedRequest queued;
+  queued.mFingerprint = fingerprintOf(aRequest);
+  queued.mDeadline = aNow + Millis{ aRequest.time_left_ms };
+  queued.mQueuedAt = aNow;
+  queued.mRequest = std::move(aRequest);
+  queued.mAnswer = std::move(aAnswer);
+  return queued;
+}
+
+}
+
+Gate::Gate(Options aOptions, Hooks aHooks, Metrics& aMetrics)
+  : mImpl(
+      std::make_unique<Impl>(std::move(aOptions), std::move(aHooks), aMetrics))
+{
+}
+
+Gate::~Gate()
+{
+  stop();
+}
+
+void
+Gate::start()
+{
+  const std::lock_guard<std::mutex> lock(mImpl->mThreadMutex);
+  mImpl->mThread = std::thread([impl = mImpl.get()] { impl->loop(); });
+}
+
+void
+Gate::configure(const config::Service& aService)
+{
+  mImpl->post([impl = mImpl.get(), aService] {
+    impl->mService = aService;
+    impl->mHealth.setProbeCost(aService.mProbeCost);
+  });
+}
+
+void
+Gate::submit(ForwardRequest aRequest, AnswerFn aAnswer)
+{
+  Impl& impl = *mImpl;
+  const RandomId id = idOf(aRequest);
+  if (!isWellFormed(aRequest)) {
+    aAnswer(makeNotRun(id, NotRunReason::Malformed));
+    return;
+  }
+  const std::uint32_t queued = impl.mQueuedCount.fetch_add(1);
+  const bool stopping = impl.mStopping.load();
+  QueuedRequest entry =
+    makeQueued(std::move(aRequest), std::move(aAnswer), impl.mHooks.mNow());
+  if (stopping || queued >= impl.mOptions.mMaxQueued ||
+      !impl.mSubmitted.tryPush(std::move(entry))) {
+    impl.mQueuedCount.fetch_sub(1);
+    entry.mAnswer(makeNotRun(
+      id, stopping ? NotRunReason::Draining : NotRunReason::QueueFull));
+    return;
+  }
+  impl.mExchanges.wake();
+}
+
+void
+Gate::cancel(RandomId aId)
+{
+  mImpl->post([impl = mImpl.get(), aId] { impl->cancelRequest(aId); });
+}
+
+void
+Gate::pauseShards(std::span<const Shard> aShards, std::function<void()> aDone)
+{
+  std::set<Shard> shards(aShards.begin(), aShards.end());
+  mImpl->post([impl = mImpl.get(),
+               shards = std::move(shards),
+               done = std::move(aDone)]() mutable {
+    impl->mPaused.insert(shards.begin(), shards.end());
+    impl->mDrains.push_back({ std::move(shards), std::move(done) });
+  });
+}
+
+void
+Gate::resumeShards(std::span<const Shard> aShards)
+{
+  std::vector<Shard> shards(aShards.begin(), aShards.end());
+  mImpl->post([impl = mImpl.get(), shards = std::move(shards)] {
+    for (const Shard shard : shards) {
+      impl->mPaused.erase(shard);
+    }
+  });
+}
+
+void
+Gate::stop()
+{
+  Impl& impl = *mImpl;
+  impl.mStopping = true;
+  // What is pushed after this is refused; what was pushed is answered.
+  impl.mSubmitted.close();
+  impl.mExchanges.wake();
+  const std::lock_guard<std::mutex> lock(impl.mThreadMutex);
+  if (impl.mThread.joinable()) {
+    impl.mThread.join();
+  }
+  impl.refuseSubmitted();
+}
+
+Gate::Load
+Gate::takeLoad()
+{
+  Load load;
+  load.mWindow = mImpl->mWindowNow;
+  load.mInFlight = mImpl->mInFlight;
+  load.mQueued = mImpl->mQueuedCount;
+  load.mHealthy = mImpl->mHealthyNow;
+  load.mShards = mImpl->mLoad.take(load.mHotKeys);
+  return load;
+}
+
+}
--- /dev/null
+++ b/src/upstream/gate_health.cpp
@@ -0,0 +1,119 @@
+#include "gate_impl.h"
+
+namespace radishroad {
+
+namespace {
+
+constexpr Millis kProbeTimeout{ 500 };
+constexpr Millis kMaxIdle{ 30000 };
+constexpr std::size_t kMaxProbeAnswer = 4096;
+constexpr std::string_view kInstanceHeader = "X-Upstream-Instance";
+
+}
+
+void
+Gate::Impl::probe(Millis aNow)
+{
+  if (mProbing || !mHealth.probeDue(aNow)) {
+    return;
+  }
+  mProbing = true;
+  mProbeStartedAt = aNow;
+  mHealth.onProbeStarted(aNow);
+  UpstreamRequest probe;
+  probe.mUpstream = mOptions.mUpstream;
+  probe.mMethod = "GET";
+  probe.mTarget = mOptions.mHealthPath;
+  probe.mTimeout = kProbeTimeout;
+  probe.mMaxIdle = kMaxIdle;
+  probe.mMaxBodyBytes = kMaxProbeAnswer;
+  mExchanges.start(
+    probe,
+    [] { return true; },
+    [this](
+      ExchangeEnd aEnd, CURLcode aCode, const UpstreamResponse& aResponse) {
+      onProbeEnd(aEnd, aCode, aResponse);
+    });
+}
+
+void
+Gate::Impl::onProbeEnd(ExchangeEnd aEnd,
+                       CURLcode aCode,
+                       const UpstreamResponse& aResponse)
+{
+  mProbing = false;
+  if (aEnd == ExchangeEnd::Whole) {
+    const std::string_view instance = aResponse.header(kInstanceHeader);
+    const HealthChange change =
+      mHealth.onProbeAnswer(aResponse.mStatus, instance);
+    onHealthChange(change);
+    if (change == HealthChange::None) {
+      // The same instance goes on: only connections had been cut.
+      std::erase_if(mSuspects, [this](const CrashSuspect& aSuspect) {
+        return aSuspect.mAt < mProbeStartedAt;
+      });
+    }
+    return;
+  }
+  if (aEnd == ExchangeEnd::NotSent && aCode == CURLE_COULDNT_CONNECT) {
+    onHealthChange(mHealth.onRefused());
+    return;
+  }
+  onHealthChange(mHealth.onProbeTimeout());
+}
+
+void
+Gate::Impl::onHealthChange(HealthChange aChange)
+{
+  switch (aChange) {
+    case HealthChange::None:
+      return;
+    case HealthChange::CameUp:
+      mMetrics.count("gate_upstream_up_total");
+      mHooks.mOnHealth(true);
+      return;
+    case HealthChange::WentDown:
+      mMetrics.count("gate_upstream_down_total");
+      mHooks.mOnHealth(false);
+      return;
+    case HealthChange::Lost:
+      mMetrics.count("gate_upstream_down_total");
+      reportCrash();
+      mHooks.mOnHealth(false);
+      return;
+    case HealthChange::Restarted:
+      mMetrics.count("gate_upstream_restarts_total");
+      reportCrash();
+      forgetGivenUp();
+      mHooks.mOnHealth(false);
+      if (mHealth.healthy()) {
+        mHooks.mOnHealth(true);
+      }
+      return;
+  }
+}
+
+void
+Gate::Impl::suspectCrash(const Run& aRun)
+{
+  mSuspects.push_back(
+    { aRun.mQueued.mFingerprint, idOf(aRun.mQueued.mRequest), mHooks.mNow() });
+  if (mHealth.lost()) {
+    reportCrash();
+    return;
+  }
+  mHealth.probeSoon(mHooks.mNow());
+}
+
+void
+Gate::Impl::reportCrash()
+{
+  if (mHooks.mOnCrash) {
+    for (const CrashSuspect& suspect : mSuspects) {
+      mHooks.mOnCrash(suspect.mFingerprint, suspect.mId);
+    }
+  }
+  mSuspects.clear();
+}
+
+}
--- /dev/null
+++ b/src/upstream/gate_impl.h
@@ -0,0 +1,148 @@
+#ifndef RADISHROAD_SRC_UPSTREAM_GATE_IMPL_H
+#define RADISHROAD_SRC_UPSTREAM_GATE_IMPL_H
+
+#include "radishroad/base/ring.h"
+#include "radishroad/upstream/exchange_runner.h"
+#include "radishroad/upstream/gate.h"
+#include "radishroad/upstream/health_tracker.h"
+#include "radishroad/upstream/load_counter.h"
+#include "radishroad/upstream/request_queue.h"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace radishroad {
+
+/// The gate's state and the steps of its thread. Members without a note
+/// belong to that thread.
+struct Gate::Impl
+{
+  using RunId = std::uint64_t;
+
+  /// A request that was handed to libcurl.
+  struct Run
+  {
+    QueuedRequest mQueued;
+    ExchangeRunner::ExchangeId mExchange = 0;
+    Epoch mEpoch = 0;
+    Millis mServeUntil;
+    Millis mStartedAt;
+    /// It was held back when its connection stood; goes back to the queue.
+    bool mHeldBack = false;
+  };
+
+  /// A run that was given up and may still be running at the upstream.
+  struct GivenUpRun
+  {
+    RandomId mId;
+    Shard mShard = 0;
+    Millis mDeadline;
+    Millis mNextCancel;
+    bool mCancelUnderWay = false;
+  };
+
+  struct Drain
+  {
+    std::set<Shard> mShards;
+    std::function<void()> mDone;
+  };
+
+  struct CrashSuspect
+  {
+    std::uint64_t mFingerprint = 0;
+    RandomId mId;
+    Millis mAt;
+  };
+
+  Impl(Options aOptions, Hooks aHooks, Metrics& aMetrics);
+
+  // gate_loop.cpp: the thread.
+  void loop();
+  void takeSubmitted();
+  /// Takes in what other threads have handed over.
+  void takeInbox();
+  void checkRuns(Millis aNow);
+  void expireQueued(Millis aNow);
+  void refuseMoved();
+  /// Answers what was submitted to a gate that never ran.
+  void refuseSubmitted();
+  void finishDrains();
+  Millis nextWake(Millis aNow) const;
+  bool finished() const;
+  void publishGauges();
+  /// Any thread: runs the task on the gate's thread.
+  void post(std::function<void()> aTask);
+
+  // gate_run.cpp: a request's way through the upstream.
+  void dispatch(Millis aNow);
+  bool mayStart(Millis aNow) const;
+  void decide(QueuedRequest aQueued, Millis aNow);
+  void startRun(QueuedRequest aQueued, const ServeDecision& aDecision);
+  bool maySend(RunId aId);
+  void onRunEnd(RunId aId,
+                ExchangeEnd aEnd,
+                CURLcode aCode,
+                UpstreamResponse aResponse);
+  void onWhole(Run aRun, UpstreamResponse aResponse);
+  void onNotSent(Run aRun, CURLcode aCode);
+  void onLost(Run aRun, CURLcode aCode);
+  /// Aborts the transfer. aReason is for a request that was not yet written.
+  void giveUp(RunId aId, NotRunReason aReason);
+  void answer(QueuedRequest& aQueued, Answer aAnswer);
+  void refuse(QueuedRequest& aQueued, NotRunReason aReason, Epoch aEpoch = 0);
+
+  // gate_cancel.cpp: runs that were given up.
+  void cancelRequest(RandomId aId);
+  void trackGivenUp(const Run& aRun, Millis aNow);
+  void sendCancels(Millis aNow);
+  void onCancelEnd(RunId aId,
+                   ExchangeEnd aEnd,
+                   const UpstreamResponse& aAnswer);
+  void forgetGivenUp();
+
+  // gate_health.cpp: probes, restarts and crashes.
+  void probe(Millis aNow);
+  void onProbeEnd(ExchangeEnd aEnd,
+                  CURLcode aCode,
+                  const UpstreamResponse& aResponse);
+  void onHealthChange(HealthChange aChange);
+  void suspectCrash(const Run& aRun);
+  void reportCrash();
+
+  const Options mOptions;
+  const Hooks mHooks;
+  Metrics& mMetrics;
+
+  ExchangeRunner mExchanges;
+  RequestQueue mQueue;
+  std::map<RunId, Run> mRuns;
+  std::map<RunId, GivenUpRun> mGivenUp;
+  RunId mNextRun = 1;
+  std::set<Shard> mPaused;
+  std::vector<Drain> mDrains;
+  HealthTracker mHealth;
+  bool mProbing = false;
+  Millis mProbeStartedAt;
+  std::vector<CrashSuspect> mSuspects;
+  config::Service mService;
+
+  /// Any thread.
+  Ring<QueuedRequest> mSubmitted;
+  std::atomic<std::uint32_t> mQueuedCount{ 0 };
+  std::atomic<bool> mStopping{ false };
+  LoadCounter mLoad;
+  std::atomic<std::uint32_t> mInFlight{ 0 };
+  std::atomic<bool> mHealthyNow{ false };
+  std::atomic<double> mWindowNow{ 0 };
+  std::mutex mTaskMutex;
+  std::vector<std::function<void()>> mTasks;
+  std::mutex mThreadMutex;
+  std::thread mThread;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/upstream/gate_loop.cpp
@@ -0,0 +1,216 @@
+#include "gate_impl.h"
+
+#include <algorithm>
+
+namespace radishroad {
+
+namespace {
+
+/// Longest sleep of the gate's thread; bounds how late a change of ownership
+/// is noticed by waiting requests.
+constexpr Millis kMaxSleep{ 50 };
+
+}
+
+Gate::Impl::Impl(Options aOptions, Hooks aHooks, Metrics& aMetrics)
+  : mOptions(std::move(aOptions))
+  , mHooks(std::move(aHooks))
+  , mMetrics(aMetrics)
+  , mSubmitted(mOptions.mMaxQueued + 1)
+{
+}
+
+void
+Gate::Impl::loop()
+{
+  while (!finished()) {
+    const Millis now = mHooks.mNow();
+    takeInbox();
+    // Before any traffic: the thread may have been stopped for long.
+    checkRuns(now);
+    expireQueued(now);
+    sendCancels(now);
+    probe(now);
+    dispatch(now);
+    mExchanges.perform();
+    // Freed slots are taken before sleeping.
+    dispatch(mHooks.mNow());
+    finishDrains();
+    publishGauges();
+    mExchanges.poll(nextWake(mHooks.mNow()));
+  }
+  publishGauges();
+}
+
+void
+Gate::Impl::takeSubmitted()
+{
+  while (std::optional<QueuedRequest> queued = mSubmitted.pop(Millis{ 0 })) {
+    mQueue.pushBack(std::move(*queued));
+  }
+}
+
+void
+Gate::Impl::post(std::function<void()> aTask)
+{
+  {
+    const std::lock_guard<std::mutex> lock(mTaskMutex);
+    mTasks.push_back(std::move(aTask));
+  }
+  mExchanges.wake();
+}
+
+void
+Gate::Impl::takeInbox()
+{
+  // Tasks first: one that cancels a request was posted after the request.
+  std::vector<std::function<void()>> tasks;
+  {
+    const std::lock_guard<std::mutex> lock(mTaskMutex);
+    tasks.swap(mTasks);
+  }
+  takeSubmitted();
+  for (const std::function<void()>& task : tasks) {
+    task();
+  }
+}
+
+void
+Gate::Impl::checkRuns(Millis aNow)
+{
+  std::vector<RunId> expired;
+  std::vector<RunId> refused;
+  for (auto& [id, run] : mRuns) {
+    if (aNow >= run.mQueued.mDeadline) {
+      expired.push_back(id);
+      continue;
+    }
+    if (aNow < run.mServeUntil) {
+      continue;
+    }
+    const ServeDecision decision = mHooks.mMayServe(run.mQueued.mRequest);
+    const bool served =
+      decision.mRefusal == NotRunReason::None && decision.mEpoch == run.mEpoch;
+    if (served) {
+      run.mServeUntil = decision.mServeUntil;
+    } else {
+      refused.push_back(id);
+    }
+  }
+  for (const RunId id : expired) {
+    giveUp(id, NotRunReason::DeadlinePassed);
+  }
+  for (const RunId id : refused) {
+    giveUp(id, NotRunReason::LeaseLapsed);
+  }
+}
+
+void
+Gate::Impl::expireQueued(Millis aNow)
+{
+  const bool down = !mHealth.healthy();
+  std::vector<QueuedRequest> late = mQueue.removeIf(
+    [aNow](const QueuedRequest& aQueued) { return aNow >= aQueued.mDeadline; });
+  for (QueuedRequest& queued : late) {
+    refuse(queued,
+           down ? NotRunReason::UpstreamDown : NotRunReason::DeadlinePassed);
+  }
+  if (down) {
+    refuseMoved();
+  }
+}
+
+void
+Gate::Impl::refuseMoved()
+{
+  // Nothing is dispatched while the upstream is down, so requests whose shard
+  // has gone elsewhere learn it here.
+  std::vector<ServeDecision> decisions;
+  std::vector<QueuedRequest> moved =
+    mQueue.removeIf([this, &decisions](const QueuedRequest& aQueued) {
+      const ServeDecision decision = mHooks.mMayServe(aQueued.mRequest);
+      const bool stays = decision.mRefusal == NotRunReason::None ||
+                         decision.mRefusal == NotRunReason::LeaseLapsed;
+      if (!stays) {
+        decisions.push_back(decision);
+      }
+      return !stays;
+    });
+  for (std::size_t i = 0; i < moved.size(); ++i) {
+    refuse(moved[i], decisions[i].mRefusal, decisions[i].mEpoch);
+  }
+}
+
+void
+Gate::Impl::refuseSubmitted()
+{
+  takeSubmitted();
+  std::vector<QueuedRequest> left =
+    mQueue.removeIf([](const QueuedRequest&) { return true; });
+  for (QueuedRequest& queued : left) {
+    refuse(queued, NotRunReason::Draining);
+  }
+}
+
+void
+Gate::Impl::finishDrains()
+{
+  std::set<Shard> busy;
+  for (const auto& [id, run] : mRuns) {
+    busy.insert(run.mQueued.mRequest.shard);
+  }
+  for (const auto& [id, run] : mGivenUp) {
+    busy.insert(run.mShard);
+  }
+  std::vector<Drain> waiting;
+  std::vector<Drain> done;
+  for (Drain& drain : mDrains) {
+    const bool idle = std::ranges::none_of(
+      drain.mShards, [&busy](Shard aShard) { return busy.contains(aShard); });
+    (idle ? done : waiting).push_back(std::move(drain));
+  }
+  mDrains = std::move(waiting);
+  for (const Drain& drain : done) {
+    drain.mDone();
+  }
+}
+
+Millis
+Gate::Impl::nextWake(Millis aNow) const
+{
+  Millis next = mQueue.nextEvent(aNow, aNow + kMaxSleep);
+  for (const auto& [id, run] : mRuns) {
+    next = std::min({ next, run.mServeUntil, run.mQueued.mDeadline });
+  }
+  for (const auto& [id, run] : mGivenUp) {
+    if (!run.mCancelUnderWay) {
+      next = std::min(next, run.mNextCancel);
+    }
+  }
+  if (!mProbing) {
+    next = std::min(next, mHealth.nextProbe());
+  }
+  return std::max(Millis{ 0 }, next - aNow);
+}
+
+bool
+Gate::Impl::finished() const
+{
+  return mStopping && mQueuedCount == 0 && mRuns.empty() && mGivenUp.empty() &&
+         mDrains.empty();
+}
+
+void
+Gate::Impl::publishGauges()
+{
+  const std::size_t n = mRuns.size() + mGivenUp.size();
+  mInFlight = static_cast<std::uint32_t>(n);
+  mHealthyNow = mHealth.healthy();
+  mWindowNow = mService.mMaxInFlight;
+  mMetrics.gauge("gate_in_flight", static_cast<double>(n));
+  mMetrics.gauge("gate_queued", mQueuedCount.load());
+  mMetrics.gauge("gate_window", mWindowNow);
+  mMetrics.gauge("gate_connections", mExchanges.connections().open());
+}
+
+}
--- /dev/null
+++ b/src/upstream/gate_run.cpp
@@ -0,0 +1,229 @@
+#include "gate_impl.h"
+
+#include "radishroad/upstream/upstream_headers.h"
+
+namespace radishroad {
+
+namespace {
+
+/// libcurl's own timeout lies past the deadline, which the gate watches.
+constexpr Millis kTimeoutSlack{ 1000 };
+/// The upstream may close an idle connection just as a request is written to
+/// it, and then it is not known whether that ran. Requests that must not run
+/// twice therefore use connections that were busy a moment ago only.
+constexpr Millis kMaxIdle{ 30000 };
+constexpr Millis kMaxIdleNotIdempotent{ 2000 };
+/// Pause before a request that could not be connected is tried again.
+constexpr Millis kReconnectPause{ 20 };
+constexpr Millis kShedPause{ 20 };
+constexpr int kMaxSheds = 3;
+
+constexpr std::string_view kInstanceHeader = "X-Upstream-Instance";
+
+}
+
+bool
+Gate::Impl::mayStart(Millis) const
+{
+  const std::size_t busy = mRuns.size() + mGivenUp.size();
+  return mHealth.healthy() && busy < mService.mMaxInFlight;
+}
+
+void
+Gate::Impl::dispatch(Millis aNow)
+{
+  const auto mayGo = [this, aNow](const QueuedRequest& aQueued) {
+    return aNow >= aQueued.mNotBefore && aNow < aQueued.mDeadline &&
+           !mPaused.contains(aQueued.mRequest.shard);
+  };
+  while (mayStart(aNow)) {
+    std::optional<QueuedRequest> queued = mQueue.pop(mayGo);
+    if (!queued) {
+      return;
+    }
+    decide(std::move(*queued), aNow);
+  }
+}
+
+void
+Gate::Impl::decide(QueuedRequest aQueued, Millis aNow)
+{
+  if (mHooks.mIsQuarantined && mHooks.mIsQuarantined(aQueued.mFingerprint)) {
+    refuse(aQueued, NotRunReason::Quarantined);
+    return;
+  }
+  const ServeDecision decision = mHooks.mMayServe(aQueued.mRequest);
+  const bool retryLater = decision.mRefusal == NotRunReason::LeaseLapsed &&
+                          decision.mRetryAt > aNow &&
+                          decision.mRetryAt < aQueued.mDeadline;
+  if (retryLater) {
+    aQueued.mNotBefore = decision.mRetryAt;
+    mQueue.pushFront(std::move(aQueued));
+    return;
+  }
+  if (decision.mRefusal != NotRunReason::None) {
+    refuse(aQueued, decision.mRefusal, decision.mEpoch);
+    return;
+  }
+  startRun(std::move(aQueued), decision);
+}
+
+void
+Gate::Impl::startRun(QueuedRequest aQueued, const ServeDecision& aDecision)
+{
+  const Millis now = mHooks.mNow();
+  const RunId id = mNextRun++;
+  Run& run = mRuns[id];
+  run.mQueued = std::move(aQueued);
+  run.mEpoch = aDecision.mEpoch;
+  run.mServeUntil = aDecision.mServeUntil;
+  run.mStartedAt = now;
+
+  const ForwardRequest& request = run.mQueued.mRequest;
+  const Millis left = run.mQueued.mDeadline - now;
+  UpstreamRequest upstream;
+  upstream.mUpstream = mOptions.mUpstream;
+  upstream.mMethod = request.method;
+  upstream.mTarget = request.target;
+  upstream.mHeaderLines = upstreamHeaderLines(request, run.mEpoch, left);
+  upstream.mBody = request.body;
+  upstream.mTimeout = left + kTimeoutSlack;
+  upstream.mMaxIdle = request.idempotent ? kMaxIdle : kMaxIdleNotIdempotent;
+  upstream.mMaxBodyBytes = mOptions.mMaxBodyBytes;
+  run.mExchange = mExchanges.start(
+    upstream,
+    [this, id] { return maySend(id); },
+    [this, id](ExchangeEnd aEnd, CURLcode aCode, UpstreamResponse aResponse) {
+      onRunEnd(id, aEnd, aCode, std::move(aResponse));
+    });
+}
+
+bool
+Gate::Impl::maySend(RunId aId)
+{
+  Run& run = mRuns.at(aId);
+  const ForwardRequest& request = run.mQueued.mRequest;
+  const ServeDecision decision = mHooks.mMayServe(request);
+  const bool served =
+    decision.mRefusal == NotRunReason::None && decision.mEpoch == run.mEpoch;
+  const bool inTime = mHooks.mNow() < run.mQueued.mDeadline;
+  run.mHeldBack = !served || !inTime || mPaused.contains(request.shard);
+  run.mServeUntil = decision.mServeUntil;
+  return !run.mHeldBack;
+}
+
+void
+Gate::Impl::onRunEnd(RunId aId,
+                     ExchangeEnd aEnd,
+                     CURLcode aCode,
+                     UpstreamResponse aResponse)
+{
+  auto node = mRuns.extract(aId);
+  Run& run = node.mapped();
+  switch (aEnd) {
+    case ExchangeEnd::Whole:
+      onWhole(std::move(run), std::move(aResponse));
+      break;
+    case ExchangeEnd::NotSent:
+      onNotSent(std::move(run), aCode);
+      break;
+    case ExchangeEnd::Lost:
+      onLost(std::move(run), aCode);
+      break;
+  }
+}
+
+void
+Gate::Impl::onWhole(Run aRun, UpstreamResponse aResponse)
+{
+  const Millis now = mHooks.mNow();
+  onHealthChange(mHealth.onAnswer(aResponse.header(kInstanceHeader)));
+  QueuedRequest& queued = aRun.mQueued;
+  const NotRunReason reason = provenNotRun(aResponse);
+  if (reason == NotRunReason::Shed && queued.mSheds < kMaxSheds) {
+    ++queued.mSheds;
+    queued.mNotBefore = now + kShedPause;
+    mQueue.pushFront(std::move(queued));
+    return;
+  }
+  if (reason != NotRunReason::None) {
+    refuse(queued, reason);
+    return;
+  }
+  const Millis took = now - aRun.mStartedAt;
+  mLoad.add(queued.mRequest.shard, queued.mRequest.key_hash, took);
+  mMetrics.observeMs("gate_run_ms", static_cast<double>(took.mCount));
+  answer(queued, makeAnswered(queued.mRequest, std::move(aResponse)));
+}
+
+void
+Gate::Impl::onNotSent(Run aRun, CURLcode aCode)
+{
+  const Millis now = mHooks.mNow();
+  QueuedRequest& queued = aRun.mQueued;
+  if (!aRun.mHeldBack) {
+    mMetrics.count("gate_connect_failures_total");
+    if (aCode == CURLE_COULDNT_CONNECT) {
+      onHealthChange(mHealth.onRefused());
+    }
+    mHealth.probeSoon(now);
+    queued.mNotBefore = now + kReconnectPause;
+  }
+  // Proven not run, so it may wait for another try until its deadline.
+  mQueue.pushFront(std::move(queued));
+}
+
+void
+Gate::Impl::onLost(Run aRun, CURLcode aCode)
+{
+  const Millis now = mHooks.mNow();
+  const bool cut = aCode == CURLE_RECV_ERROR || aCode == CURLE_SEND_ERROR ||
+                   aCode == CURLE_GOT_NOTHING || aCode == CURLE_PARTIAL_FILE ||
+                   aCode == CURLE_ABORTED_BY_CALLBACK;
+  if (cut) {
+    suspectCrash(aRun);
+  }
+  // Only the connection may have gone while the request runs on.
+  trackGivenUp(aRun, now);
+  answer(aRun.mQueued, makeUnknown(idOf(aRun.mQueued.mRequest)));
+}
+
+void
+Gate::Impl::giveUp(RunId aId, NotRunReason aReason)
+{
+  auto node = mRuns.extract(aId);
+  if (node.empty()) {
+    return;
+  }
+  Run& run = node.mapped();
+  if (!mExchanges.abort(run.mExchange)) {
+    if (aReason == NotRunReason::LeaseLapsed) {
+      // Not run, so it is decided anew.
+      mQueue.pushFront(std::move(run.mQueued));
+      return;
+    }
+    refuse(run.mQueued, aReason);
+    return;
+  }
+  trackGivenUp(run, mHooks.mNow());
+  answer(run.mQueued, makeUnknown(idOf(run.mQueued.mRequest)));
+}
+
+void
+Gate::Impl::refuse(QueuedRequest& aQueued, NotRunReason aReason, Epoch aEpoch)
+{
+  Answer refusal = makeNotRun(idOf(aQueued.mRequest), aReason);
+  refusal.epoch = aEpoch;
+  answer(aQueued, std::move(refusal));
+}
+
+void
+Gate::Impl::answer(QueuedRequest& aQueued, Answer aAnswer)
+{
+  mQueuedCount.fetch_sub(1);
+  mMetrics.count(std::string("gate_answers_total{kind=\"") +
+                 wire::EnumNameAnswerKind(aAnswer.kind) + "\"}");
+  aQueued.mAnswer(std::move(aAnswer));
+}
+
+}
--- /dev/null
+++ b/src/upstream/upstream_headers.cpp
@@ -0,0 +1,143 @@
+#include "radishroad/upstream/upstream_headers.h"
+
+#include "radishroad/upstream/header_text.h"
+
+#include <algorithm>
+#include <array>
+
+namespace radishroad {
+
+namespace {
+
+constexpr std::string_view kOwnPrefix = "X-Radishroad-";
+constexpr std::string_view kNotRunHeader = "X-Not-Run";
+
+/// Never passed on: the caller's key, and what this daemon sets itself.
+constexpr std::array<std::string_view, 2> kWithheld{ "authorization",
+                                                     "content-length" };
+
+/// Value of `Connection`, whose names are for one connection only too.
+std::string_view
+connectionOptions(const ForwardRequest& aRequest)
+{
+  for (const auto& header : aRequest.headers) {
+    if (sameHeaderName(header->name, "connection")) {
+      return header->value;
+    }
+  }
+  return {};
+}
+
+bool
+isForwarded(std::string_view aName, std::string_view aConnectionOptions)
+{
+  const bool withheld =
+    std::ranges::any_of(kWithheld, [aName](std::string_view aOther) {
+      return sameHeaderName(aName, aOther);
+    });
+  return !withheld && !isHopByHop(aName) &&
+         !startsWithIgnoringCase(aName, kOwnPrefix) &&
+         !listContains(aConnectionOptions, aName);
+}
+
+/// In libcurl's notation, where "Name:" alone would drop the header.
+std::string
+headerLine(std::string_view aName, std::string_view aValue)
+{
+  std::string line(aName);
+  return aValue.empty() ? line + ";" : line.append(": ").append(aValue);
+}
+
+void
+addOwnHeaders(std::vector<std::string>& aLines,
+              const ForwardRequest& aRequest,
+              Epoch aEpoch,
+              Millis aTimeLeft)
+{
+  const auto add = [&aLines](std::string_view aName, std::string_view aValue) {
+    aLines.push_back(headerLine(std::string(kOwnPrefix).append(aName), aValue));
+  };
+  add("Request-Id", idOf(aRequest).toString());
+  if (!aRequest.workspace.empty()) {
+    add("Workspace", aRequest.workspace);
+  }
+  add("Key-Hash", std::to_string(aRequest.key_hash));
+  add("Shard", std::to_string(aRequest.shard));
+  add("Epoch", std::to_string(aEpoch));
+  add("Deadline-Ms", std::to_string(aTimeLeft.mCount));
+}
+
+}
+
+bool
+isWellFormed(const ForwardRequest& aRequest)
+{
+  const bool headersPlain =
+    std::ranges::all_of(aRequest.headers, [](const auto& aHeader) {
+      return isToken(aHeader->name) && isPlainLine(aHeader->value);
+    });
+  return headersPlain && isToken(aRequest.method) &&
+         isPlainTarget(aRequest.target) && isPlainLine(aRequest.workspace);
+}
+
+std::vector<std::string>
+upstreamHeaderLines(const ForwardRequest& aRequest,
+                    Epoch aEpoch,
+                    Millis aTimeLeft)
+{
+  const std::string_view options = connectionOptions(aRequest);
+  // Headers that libcurl would add by itself.
+  std::vector<std::string> lines{ "Expect:" };
+  bool hasType = false;
+  bool hasAccept = false;
+  for (const auto& header : aRequest.headers) {
+    if (!isForwarded(header->name, options)) {
+      continue;
+    }
+    hasType = hasType || sameHeaderName(header->name, "content-type");
+    hasAccept = hasAccept || sameHeaderName(header->name, "accept");
+    lines.push_back(headerLine(header->name, header->value));
+  }
+  if (!hasType) {
+    lines.emplace_back("Content-Type:");
+  }
+  if (!hasAccept) {
+    lines.emplace_back("Accept:");
+  }
+  addOwnHeaders(lines, aRequest, aEpoch, aTimeLeft);
+  return lines;
+}
+
+Answer
+makeAnswered(const ForwardRequest& aRequest, UpstreamResponse aResponse)
+{
+  Answer answer;
+  answer.id_high = aRequest.id_high;
+  answer.id_low = aRequest.id_low;
+  answer.kind = AnswerKind::Answered;
+  answer.status = static_cast<std::uint16_t>(aResponse.mStatus);
+  const std::string options(aResponse.header("connection"));
+  for (wire::HeaderT& header : aResponse.mHeaders) {
+    if (isForwarded(header.name, options)) {
+      answer.headers.push_back(
+        std::make_unique<wire::HeaderT>(std::move(header)));
+    }
+  }
+  answer.body = std::move(aResponse.mBody);
+  return answer;
+}
+
+NotRunReason
+provenNotRun(const UpstreamResponse& aResponse)
+{
+  const std::string_view mark = aResponse.header(kNotRunHeader);
+  if (aResponse.mStatus == 409 && mark == "stale-fence") {
+    return NotRunReason::NotOwner;
+  }
+  if (aResponse.mStatus == 503 && mark == "shed") {
+    return NotRunReason::Shed;
+  }
+  return NotRunReason::None;
+}
+
+}
--- /dev/null
+++ b/tests/unit/fake_upstream.cpp
@@ -0,0 +1,224 @@
+#include "fake_upstream.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <optional>
+#include <sstream>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace radishroad {
+
+namespace {
+
+constexpr std::chrono::seconds kPatience{ 10 };
+
+std::string
+lowered(std::string aText)
+{
+  std::ranges::transform(
+    aText, aText.begin(), [](unsigned char c) { return std::tolower(c); });
+  return aText;
+}
+
+/// Takes one whole request off the front of aBuffer.
+std::optional<FakeUpstream::Request>
+takeRequest(std::string& aBuffer)
+{
+  const std::size_t end = aBuffer.find("\r\n\r\n");
+  if (end == std::string::npos) {
+    return std::nullopt;
+  }
+  FakeUpstream::Request request;
+  std::istringstream head(aBuffer.substr(0, end + 2));
+  std::string version;
+  head >> request.mMethod >> request.mTarget >> version;
+  std::string line;
+  std::getline(head, line);
+  while (std::getline(head, line)) {
+    const std::size_t colon = line.find(':');
+    if (colon != std::string::npos) {
+      const std::size_t value = line.find_first_not_of(' ', colon + 1);
+      request.mHeaders[lowered(line.substr(0, colon))] =
+        line.substr(value, line.size() - value - 1);
+    }
+  }
+  const auto length = request.mHeaders.find("content-length");
+  const std::size_t n =
+    length == request.mHeaders.end() ? 0 : std::stoul(length->second);
+  if (aBuffer.size() < end + 4 + n) {
+    return std::nullopt;
+  }
+  request.mBody = aBuffer.substr(end + 4, n);
+  aBuffer.erase(0, end + 4 + n);
+  return request;
+}
+
+}
+
+FakeUpstream::FakeUpstream(Handler aHandler)
+  : mHandler(std::move(aHandler))
+{
+  mListener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  ::bind(mListener, reinterpret_cast<sockaddr*>(&address), size);
+  ::getsockname(mListener, reinterpret_cast<sockaddr*>(&address), &size);
+  ::listen(mListener, 128);
+  mPort = ntohs(address.sin_port);
+  mAcceptor = std::thread([this] { acceptLoop(); });
+}
+
+FakeUpstream::~FakeUpstream()
+{
+  close();
+  for (std::thread& worker : mWorkers) {
+    worker.join();
+  }
+  for (const int fd : mSockets) {
+    ::close(fd);
+  }
+}
+
+std::string
+FakeUpstream::address() const
+{
+  return "127.0.0.1:" + std::to_string(mPort);
+}
+
+void
+FakeUpstream::setInstance(std::string aInstance)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mInstance = std::move(aInstance);
+}
+
+void
+FakeUpstream::close()
+{
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    if (mClosed) {
+      return;
+    }
+    mClosed = true;
+    ::shutdown(mListener, SHUT_RDWR);
+    for (const int fd : mSockets) {
+      ::shutdown(fd, SHUT_RDWR);
+    }
+  }
+  mAcceptor.join();
+  ::close(mListener);
+}
+
+void
+FakeUpstream::acceptLoop()
+{
+  while (true) {
+    const int fd = ::accept(mListener, nullptr, nullptr);
+    const std::lock_guard<std::mutex> lock(mMutex);
+    if (mClosed || fd < 0) {
+      if (fd >= 0) {
+        ::close(fd);
+      }
+      return;
+    }
+    ++mConnections;
+    mSockets.push_back(fd);
+    mWorkers.emplace_back([this, fd] { serve(fd); });
+  }
+}
+
+void
+FakeUpstream::serve(int aSocket)
+{
+  std::string buffer;
+  std::array<char, 4096> chunk{};
+  int served = 0;
+  while (true) {
+    std::optional<Request> request = takeRequest(buffer);
+    if (!request) {
+      const ssize_t n = ::recv(aSocket, chunk.data(), chunk.size(), 0);
+      if (n <= 0) {
+        break;
+      }
+      buffer.append(chunk.data(), static_cast<std::size_t>(n));
+      continue;
+    }
+    request->mOnConnection = served++;
+    const Reply reply = answerTo(*request);
+    ::send(aSocket, reply.mBytes.data(), reply.mBytes.size(), MSG_NOSIGNAL);
+    if (reply.mClose) {
+      break;
+    }
+  }
+  ::shutdown(aSocket, SHUT_RDWR);
+}
+
+FakeUpstream::Reply
+FakeUpstream::answerTo(const Request& aRequest)
+{
+  if (aRequest.mTarget == "/health") {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    return status("200 OK", "X-Upstream-Instance: " + mInstance + "\r\n");
+  }
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mRequests.push_back(aRequest);
+  }
+  mChanged.notify_all();
+  if (aRequest.mMethod == "DELETE") {
+    return ok("{\"state\":\"cancelled\"}");
+  }
+  return mHandler(aRequest);
+}
+
+std::vector<FakeUpstream::Request>
+FakeUpstream::requests(const std::string& aMethod) const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  std::vector<Request> found;
+  std::ranges::copy_if(
+    mRequests, std::back_inserter(found), [&](const Request& aRequest) {
+      return aRequest.mMethod == aMethod;
+    });
+  return found;
+}
+
+bool
+FakeUpstream::waitFor(const std::string& aMethod, std::size_t aCount) const
+{
+  std::unique_lock<std::mutex> lock(mMutex);
+  return mChanged.wait_for(lock, kPatience, [&] {
+    const auto n = std::ranges::count(mRequests, aMethod, &Request::mMethod);
+    return static_cast<std::size_t>(n) >= aCount;
+  });
+}
+
+std::size_t
+FakeUpstream::connections() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mConnections;
+}
+
+FakeUpstream::Reply
+FakeUpstream::ok(const std::string& aBody)
+{
+  return { "HTTP/1.1 200 OK\r\nContent-Length: " +
+             std::to_string(aBody.size()) + "\r\n\r\n" + aBody,
+           false };
+}
+
+FakeUpstream::Reply
+FakeUpstream::status(const std::string& aStatus, const std::string& aHeaders)
+{
+  return { "HTTP/1.1 " + aStatus + "\r\nContent-Length: 0\r\n" + aHeaders +
+             "\r\n",
+           false };
+}
+
+}
