Fold cell and configuration records

The state that all daemons share is a pure function of the log's records. Each change applies only if its precondition holds, an id counts once, and what is no record is skipped by everyone alike.

Choices: a list of grants holds whole or not at all, since a part of a plan is none; the first copy of a record decides even when it is refused, since its writer may have read the refusal; heirs are chosen in the step that expels, so that a takeover costs one append. Split keys that found no heir take the next member that may own, since no record could assign them.

The seen ids are now a type of their own: a map by offset made the look-up linear in the 4096 ids kept.

--- a/include/radishroad/state/cell_state.h
+++ b/include/radishroad/state/cell_state.h
@@ -1,6 +1,8 @@
 #ifndef RADISHROAD_STATE_CELL_STATE_H
 #define RADISHROAD_STATE_CELL_STATE_H
 
+#include "radishroad/state/recent_ids.h"
+
 #include <cstdint>
 #include <map>
 #include <set>
@@ -39,6 +41,8 @@
   std::uint32_t mWitnessVersion = 0;
   MemberStatus mStatus = MemberStatus::Active;
   std::uint64_t mJoinOffset = 0;
+  /// Offset of the record by which it left or was expelled; 0 while active.
+  std::uint64_t mEndOffset = 0;
 
   bool operator==(const Member&) const = default;
 };
@@ -73,8 +77,7 @@
   /// Availability zones out of service, by this version of the configuration.
   std::set<std::string> mDrainedZones;
   std::uint64_t mZonesVersion = 0;
-  /// Ids of folded records, by offset; bounded, the oldest go first.
-  std::map<std::uint64_t, std::pair<std::uint64_t, std::uint64_t>> mSeenIds;
+  RecentIds mSeenIds;
 
   bool operator==(const CellState&) const = default;
 };
--- a/include/radishroad/state/config_state.h
+++ b/include/radishroad/state/config_state.h
@@ -1,10 +1,10 @@
 #ifndef RADISHROAD_STATE_CONFIG_STATE_H
 #define RADISHROAD_STATE_CONFIG_STATE_H
 
+#include "radishroad/state/recent_ids.h"
+
 #include <cstdint>
-#include <map>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace radishroad {
@@ -25,7 +25,7 @@
   std::uint64_t mVersion = 0;
   std::string mOperator;
   std::vector<ConfigText> mFiles;
-  std::map<std::uint64_t, std::pair<std::uint64_t, std::uint64_t>> mSeenIds;
+  RecentIds mSeenIds;
 
   bool operator==(const ConfigState&) const = default;
 };
--- a/include/radishroad/state/fold.h
+++ b/include/radishroad/state/fold.h
@@ -16,12 +16,18 @@
   Duplicate,
   /// Not a record, or one of an unknown kind.
   Corrupt,
-  /// Belongs to the other kind of stream, or is a snapshot part.
+  /// Belongs to the other kind of stream, is a snapshot part, or is not at
+  /// the offset that comes next.
   Ignored,
 };
 
 /// Folds one record into a cell's state. Deterministic; any daemon that folds
-/// the same records holds the same state. mNextOffset moves on in every case.
+/// the same records holds the same state. mNextOffset moves on in every case
+/// but one: a record at any other offset changes nothing. Below mNextOffset it
+/// has been folded; above, records are missing, and the caller has to fetch
+/// them or load a snapshot (StreamLoader).
+///
+/// A list of grants is applied whole or not at all.
 FoldVerdict
 fold(CellState& aState, const LogRecord& aRecord);
 
--- /dev/null
+++ b/include/radishroad/state/heirs.h
@@ -0,0 +1,31 @@
+#ifndef RADISHROAD_STATE_HEIRS_H
+#define RADISHROAD_STATE_HEIRS_H
+
+#include "radishroad/state/cell_state.h"
+
+#include <cstdint>
+#include <map>
+
+namespace radishroad {
+
+/// Chooses new owners, one after another, so that the members that may own
+/// end up with even counts. A split key counts as much as a shard.
+class HeirChooser
+{
+public:
+  explicit HeirChooser(const CellState& aState);
+
+  /// The member with the lowest count, other than aFrom; ties by rendezvous
+  /// hash of shard and incarnation. Its count rises by one. 0 if none.
+  Incarnation choose(Shard aShard, Incarnation aFrom);
+  /// Is there a member that may own?
+  bool any() const { return !mCounts.empty(); }
+
+private:
+  /// Shards and split keys of each member that may own.
+  std::map<Incarnation, std::uint32_t> mCounts;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/state/cell_state.cpp
@@ -0,0 +1,36 @@
+#include "radishroad/state/cell_state.h"
+
+namespace radishroad {
+
+Shard
+shardOf(std::uint64_t aKeyHash)
+{
+  return static_cast<Shard>(aKeyHash % kShardCount);
+}
+
+Ownership
+ownerOf(const CellState& aState, std::uint64_t aKeyHash)
+{
+  const auto it = aState.mSplitKeys.find(aKeyHash);
+  if (it != aState.mSplitKeys.end()) {
+    return it->second.mOwnership;
+  }
+  return aState.mShards[shardOf(aKeyHash)];
+}
+
+Incarnation
+coordinatorOf(const CellState& aState)
+{
+  const Member* first = nullptr;
+  for (const auto& [incarnation, member] : aState.mMembers) {
+    if (member.mStatus != MemberStatus::Active) {
+      continue;
+    }
+    if (first == nullptr || member.mJoinOffset < first->mJoinOffset) {
+      first = &member;
+    }
+  }
+  return first == nullptr ? 0 : first->mIncarnation;
+}
+
+}
--- /dev/null
+++ b/src/state/fold_membership.cpp
@@ -0,0 +1,235 @@
+#include "radishroad/state/fold_rules.h"
+
+#include "radishroad/state/limits.h"
+
+#include <algorithm>
+#include <set>
+#include <span>
+
+namespace radishroad::rules {
+
+namespace {
+
+bool
+isName(const std::string& aText)
+{
+  return !aText.empty() && aText.size() <= kMaxNameBytes;
+}
+
+bool
+areDistinct(std::span<const Incarnation> aList)
+{
+  const std::set<Incarnation> set(aList.begin(), aList.end());
+  return set.size() == aList.size();
+}
+
+bool
+isWitnessSet(std::span<const Incarnation> aWitnesses, Incarnation aSelf)
+{
+  return aWitnesses.size() <= kMaxWitnesses && areDistinct(aWitnesses) &&
+         std::ranges::find(aWitnesses, aSelf) == aWitnesses.end() &&
+         std::ranges::find(aWitnesses, Incarnation{ 0 }) == aWitnesses.end();
+}
+
+Member*
+findActive(CellState& aState, Incarnation aIncarnation)
+{
+  const auto it = aState.mMembers.find(aIncarnation);
+  if (it == aState.mMembers.end() ||
+      it->second.mStatus != MemberStatus::Active) {
+    return nullptr;
+  }
+  return &it->second;
+}
+
+std::size_t
+countActive(const CellState& aState)
+{
+  return std::ranges::count_if(aState.mMembers, [](const auto& aEntry) {
+    return aEntry.second.mStatus == MemberStatus::Active;
+  });
+}
+
+bool
+ownsAny(const CellState& aState, Incarnation aIncarnation)
+{
+  const bool shard =
+    std::ranges::any_of(aState.mShards, [&](const Ownership& aShard) {
+      return aShard.mOwner == aIncarnation;
+    });
+  return shard ||
+         std::ranges::any_of(aState.mSplitKeys, [&](const auto& aEntry) {
+           return aEntry.second.mOwnership.mOwner == aIncarnation;
+         });
+}
+
+/// Every consent comes from a member of the set, none counts twice, and they
+/// are more than half of it. Never true for an empty set.
+bool
+isMajority(std::span<const Incarnation> aConsents,
+           std::span<const Incarnation> aWitnesses)
+{
+  const bool known = std::ranges::all_of(aConsents, [&](Incarnation aConsent) {
+    return std::ranges::find(aWitnesses, aConsent) != aWitnesses.end();
+  });
+  return known && areDistinct(aConsents) &&
+         aConsents.size() * 2 > aWitnesses.size();
+}
+
+std::set<Incarnation>
+namedWitnesses(const CellState& aState)
+{
+  std::set<Incarnation> named;
+  for (const auto& [incarnation, member] : aState.mMembers) {
+    if (member.mStatus == MemberStatus::Active) {
+      named.insert(member.mWitnesses.begin(), member.mWitnesses.end());
+    }
+  }
+  return named;
+}
+
+/// Forgets the members that ended longest ago beyond kMaxRetiredMembers.
+void
+pruneRetired(CellState& aState)
+{
+  const std::set<Incarnation> named = namedWitnesses(aState);
+  std::vector<std::pair<std::uint64_t, Incarnation>> retired;
+  for (const auto& [incarnation, member] : aState.mMembers) {
+    if (member.mStatus != MemberStatus::Active &&
+        !named.contains(incarnation)) {
+      retired.emplace_back(member.mEndOffset, incarnation);
+    }
+  }
+  if (retired.size() <= kMaxRetiredMembers) {
+    return;
+  }
+  std::ranges::sort(retired);
+  retired.resize(retired.size() - kMaxRetiredMembers);
+  for (const auto& [offset, incarnation] : retired) {
+    aState.mMembers.erase(incarnation);
+  }
+}
+
+void
+retire(CellState& aState,
+       Member& aMember,
+       MemberStatus aStatus,
+       std::uint64_t aOffset)
+{
+  aMember.mStatus = aStatus;
+  aMember.mEndOffset = aOffset;
+  passOnOwnership(aState, aMember.mIncarnation);
+  pruneRetired(aState);
+}
+
+}
+
+bool
+apply(CellState& aState, const wire::JoinT& aChange, std::uint64_t aOffset)
+{
+  const bool valid = aChange.incarnation != 0 && isName(aChange.vm) &&
+                     isName(aChange.zone) &&
+                     aChange.peer_address.size() <= kMaxNameBytes &&
+                     aChange.caller_address.size() <= kMaxNameBytes &&
+                     aChange.operator_address.size() <= kMaxNameBytes &&
+                     isWitnessSet(aChange.witnesses, aChange.incarnation);
+  if (!valid || aState.mMembers.contains(aChange.incarnation) ||
+      countActive(aState) >= kMaxActiveMembers) {
+    return false;
+  }
+  Member member;
+  member.mIncarnation = aChange.incarnation;
+  member.mVm = aChange.vm;
+  member.mZone = aChange.zone;
+  member.mPeerAddress = aChange.peer_address;
+  member.mCallerAddress = aChange.caller_address;
+  member.mOperatorAddress = aChange.operator_address;
+  member.mWitnesses = aChange.witnesses;
+  member.mJoinOffset = aOffset;
+  aState.mMembers.emplace(aChange.incarnation, std::move(member));
+  adoptOwnerlessSplitKeys(aState);
+  return true;
+}
+
+bool
+apply(CellState& aState, const wire::RewitnessT& aChange)
+{
+  Member* member = findActive(aState, aChange.incarnation);
+  if (member == nullptr || member->mWitnessVersion != aChange.base_version ||
+      !isWitnessSet(aChange.witnesses, aChange.incarnation)) {
+    return false;
+  }
+  member->mWitnesses = aChange.witnesses;
+  ++member->mWitnessVersion;
+  return true;
+}
+
+bool
+apply(CellState& aState, const wire::ExpelT& aChange, std::uint64_t aOffset)
+{
+  Member* member = findActive(aState, aChange.incarnation);
+  if (member == nullptr || member->mWitnessVersion != aChange.witness_version ||
+      !isMajority(aChange.consents, member->mWitnesses)) {
+    return false;
+  }
+  retire(aState, *member, MemberStatus::Expelled, aOffset);
+  return true;
+}
+
+bool
+apply(CellState& aState, const wire::LeaveT& aChange, std::uint64_t aOffset)
+{
+  Member* member = findActive(aState, aChange.incarnation);
+  if (member == nullptr || ownsAny(aState, aChange.incarnation)) {
+    return false;
+  }
+  retire(aState, *member, MemberStatus::Left, aOffset);
+  return true;
+}
+
+bool
+apply(CellState& aState,
+      const wire::DeclareLostT& aChange,
+      std::uint64_t aOffset)
+{
+  Member* member = findActive(aState, aChange.incarnation);
+  if (member == nullptr || member->mVm != aChange.vm) {
+    return false;
+  }
+  retire(aState, *member, MemberStatus::Expelled, aOffset);
+  return true;
+}
+
+bool
+apply(CellState& aState, const wire::DrainT& aChange)
+{
+  if (!isName(aChange.vm)) {
+    return false;
+  }
+  if (!aChange.on) {
+    aState.mDrainedVms.erase(aChange.vm);
+    adoptOwnerlessSplitKeys(aState);
+    return true;
+  }
+  if (aState.mDrainedVms.size() >= kMaxDrainedVms) {
+    return aState.mDrainedVms.contains(aChange.vm);
+  }
+  aState.mDrainedVms.insert(aChange.vm);
+  return true;
+}
+
+bool
+apply(CellState& aState, const wire::ZonesOutT& aChange)
+{
+  if (aChange.config_version <= aState.mZonesVersion ||
+      aChange.zones.size() > kMaxDrainedZones ||
+      !std::ranges::all_of(aChange.zones, isName)) {
+    return false;
+  }
+  aState.mZonesVersion = aChange.config_version;
+  aState.mDrainedZones = { aChange.zones.begin(), aChange.zones.end() };
+  adoptOwnerlessSplitKeys(aState);
+  return true;
+}
+
+}
--- /dev/null
+++ b/tests/unit/fold_cell_test.cpp
@@ -0,0 +1,292 @@
+#include "cell_log.h"
+
+#include "radishroad/state/limits.h"
+#include "radishroad/state/placement.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+using namespace radishroad;
+using radishroad::testing::CellLog;
+
+namespace {
+
+constexpr FoldVerdict kApplied = FoldVerdict::Applied;
+constexpr FoldVerdict kRefused = FoldVerdict::Refused;
+
+}
+
+BOOST_AUTO_TEST_SUITE(fold_cell)
+
+BOOST_AUTO_TEST_CASE(join_takes_each_incarnation_once)
+{
+  CellLog log;
+  BOOST_CHECK(log.join(1, "a") == kApplied);
+  BOOST_CHECK(log.join(1, "a") == kRefused);
+  BOOST_CHECK(log.join(0, "a") == kRefused);
+  BOOST_CHECK(log.join(2, "a", { 2 }) == kRefused);
+  BOOST_CHECK(log.join(2, "a", { 1, 1 }) == kRefused);
+  BOOST_CHECK(log.join(2, "") == kRefused);
+  BOOST_CHECK(log.leave(1) == kApplied);
+  BOOST_CHECK(log.join(1, "a") == kRefused);
+  BOOST_TEST(coordinatorOf(log.mState) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_incarnation_of_a_vm_leaves_the_old_one_in_place)
+{
+  CellLog log = CellLog::withFourMembers();
+  wire::JoinT again;
+  again.vm = "vm-1";
+  again.zone = "a";
+  again.incarnation = 9;
+  BOOST_CHECK(log.append(again) == kApplied);
+  BOOST_CHECK(log.mState.mMembers[1].mStatus == MemberStatus::Active);
+  BOOST_TEST(coordinatorOf(log.mState) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(rewitness_builds_on_the_current_version)
+{
+  CellLog log = CellLog::withFourMembers();
+  BOOST_CHECK(log.rewitness(1, 0, { 2, 3 }) == kApplied);
+  BOOST_CHECK(log.rewitness(1, 0, { 2, 4 }) == kRefused);
+  BOOST_CHECK(log.rewitness(1, 1, { 1, 2, 3 }) == kRefused);
+  BOOST_CHECK(log.rewitness(8, 0, { 2, 3 }) == kRefused);
+  BOOST_TEST(log.mState.mMembers[1].mWitnessVersion == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(expel_needs_a_majority_of_the_current_set)
+{
+  CellLog log = CellLog::withFourMembers();
+  BOOST_CHECK(log.expel(1, 0, { 2 }) == kRefused);
+  BOOST_CHECK(log.expel(1, 0, { 2, 2 }) == kRefused);
+  BOOST_CHECK(log.expel(1, 0, { 2, 1 }) == kRefused);
+  BOOST_CHECK(log.expel(1, 0, { 2, 3, 9 }) == kRefused);
+  BOOST_CHECK(log.expel(1, 1, { 2, 3 }) == kRefused);
+  BOOST_CHECK(log.rewitness(1, 0, { 2, 3, 4 }) == kApplied);
+  BOOST_CHECK(log.expel(1, 0, { 2, 3 }) == kRefused);
+  BOOST_CHECK(log.expel(1, 1, { 2, 3 }) == kApplied);
+  BOOST_CHECK(log.expel(1, 1, { 2, 3 }) == kRefused);
+  BOOST_CHECK(log.join(5, "a") == kApplied);
+  BOOST_CHECK(log.expel(5, 0, {}) == kRefused);
+}
+
+BOOST_AUTO_TEST_CASE(expel_passes_shards_and_split_keys_on_evenly)
+{
+  CellLog log = CellLog::withFourMembers();
+  for (Shard shard = 0; shard < 9; ++shard) {
+    log.assign(shard, 0, 1);
+  }
+  BOOST_CHECK(log.split(1, 3, 1, 1) == kApplied);
+  BOOST_CHECK(log.expel(1, 0, { 2, 3 }) == kApplied);
+  std::map<Incarnation, int> counts;
+  for (Shard shard = 0; shard < 9; ++shard) {
+    BOOST_TEST(log.mState.mShards[shard].mEpoch == 2U);
+    ++counts[log.mState.mShards[shard].mOwner];
+  }
+  for (const Incarnation heir : { 2, 3, 4 }) {
+    BOOST_TEST(counts[heir] == 3);
+  }
+  const Ownership split = ownerOf(log.mState, 3);
+  BOOST_TEST(split.mEpoch == 3U);
+  BOOST_TEST((split.mOwner >= 2 && split.mOwner <= 4));
+}
+
+BOOST_AUTO_TEST_CASE(without_an_heir_shards_and_split_keys_wait_for_one)
+{
+  CellLog log = CellLog::withFourMembers();
+  log.assign(3, 0, 1);
+  log.split(1, 3, 1, 1);
+  for (const char* vm : { "vm-2", "vm-3", "vm-4" }) {
+    BOOST_CHECK(log.drain(vm, true) == kApplied);
+  }
+  BOOST_CHECK(log.expel(1, 0, { 2, 3 }) == kApplied);
+  BOOST_CHECK((log.mState.mShards[3] == Ownership{ 0, 2 }));
+  BOOST_CHECK((ownerOf(log.mState, 3) == Ownership{ 0, 3 }));
+  BOOST_CHECK(log.drain("vm-2", false) == kApplied);
+  BOOST_CHECK((log.mState.mShards[3] == Ownership{ 0, 2 }));
+  BOOST_CHECK((ownerOf(log.mState, 3) == Ownership{ 2, 4 }));
+  BOOST_CHECK(log.assign(3, 1, 2) == kRefused);
+  BOOST_CHECK(log.assign(3, 2, 2) == kApplied);
+}
+
+BOOST_AUTO_TEST_CASE(declare_lost_names_the_vm_and_its_incarnation)
+{
+  CellLog log = CellLog::withFourMembers();
+  log.assign(0, 0, 1);
+  wire::DeclareLostT change;
+  change.vm = "vm-2";
+  change.incarnation = 1;
+  BOOST_CHECK(log.append(change) == kRefused);
+  change.vm = "vm-1";
+  BOOST_CHECK(log.append(change) == kApplied);
+  BOOST_CHECK(log.append(change) == kRefused);
+  BOOST_CHECK(log.mState.mMembers[1].mStatus == MemberStatus::Expelled);
+  BOOST_TEST(log.mState.mShards[0].mOwner != 1U);
+}
+
+BOOST_AUTO_TEST_CASE(leave_only_without_ownership)
+{
+  CellLog log = CellLog::withFourMembers();
+  log.assign(3, 0, 1);
+  BOOST_CHECK(log.leave(1) == kRefused);
+  log.split(1, 3, 1, 1);
+  log.release(1, { { 3, 1, 2 } });
+  BOOST_CHECK(log.leave(1) == kRefused);
+  BOOST_CHECK(log.split(1, 3, 2, 2) == kApplied);
+  BOOST_CHECK(log.leave(1) == kApplied);
+  BOOST_CHECK(log.leave(1) == kRefused);
+}
+
+BOOST_AUTO_TEST_CASE(grants_hold_whole_or_not_at_all)
+{
+  CellLog log = CellLog::withFourMembers();
+  wire::AssignT both;
+  both.grants.emplace_back(0, 0, 1);
+  both.grants.emplace_back(1, 5, 1);
+  BOOST_CHECK(log.append(both) == kRefused);
+  BOOST_TEST(log.mState.mShards[0].mOwner == 0U);
+  BOOST_CHECK(log.assign(0, 0, 1) == kApplied);
+  BOOST_CHECK(log.assign(0, 1, 2) == kRefused);
+  BOOST_CHECK(log.assign(kShardCount, 0, 1) == kRefused);
+  BOOST_CHECK(log.assign(1, 0, 9) == kRefused);
+  BOOST_CHECK(log.append(wire::AssignT{}) == kRefused);
+  BOOST_CHECK(log.assign(1, 0, 1) == kApplied);
+  BOOST_CHECK(log.release(2, { { 0, 1, 3 } }) == kRefused);
+  BOOST_CHECK(log.release(1, { { 0, 0, 3 } }) == kRefused);
+  BOOST_CHECK(log.release(1, { { 0, 1, 1 } }) == kRefused);
+  BOOST_CHECK(log.release(1, { { 0, 1, 3 }, { 0, 1, 2 } }) == kRefused);
+  BOOST_CHECK(log.release(1, { { 0, 1, 3 }, { 1, 0, 3 } }) == kRefused);
+  BOOST_CHECK(log.release(1, { { 0, 1, 3 }, { 1, 1, 2 } }) == kApplied);
+  BOOST_CHECK(log.release(1, { { 0, 1, 3 } }) == kRefused);
+  BOOST_CHECK((log.mState.mShards[0] == Ownership{ 3, 2 }));
+}
+
+BOOST_AUTO_TEST_CASE(split_key_moves_apart_from_its_shard)
+{
+  CellLog log = CellLog::withFourMembers();
+  log.assign(3, 0, 1);
+  BOOST_CHECK(log.split(2, 3, 1, 2) == kRefused);
+  BOOST_CHECK(log.split(1, 3, 0, 2) == kRefused);
+  BOOST_CHECK(log.split(1, 3, 1, 2) == kApplied);
+  BOOST_CHECK(log.split(1, 3, 1, 3) == kRefused);
+  BOOST_CHECK(log.split(2, 3, 2, 2) == kRefused);
+  BOOST_CHECK(log.release(1, { { 3, 1, 4 } }) == kApplied);
+  BOOST_CHECK((ownerOf(log.mState, 3) == Ownership{ 2, 2 }));
+  BOOST_CHECK(log.split(2, 3, 2, 3) == kApplied);
+  BOOST_CHECK((ownerOf(log.mState, 3) == Ownership{ 3, 3 }));
+  BOOST_CHECK((ownerOf(log.mState, 3 + kShardCount) == Ownership{ 4, 2 }));
+}
+
+BOOST_AUTO_TEST_CASE(drained_vms_and_zones_take_nothing_new)
+{
+  CellLog log = CellLog::withFourMembers();
+  log.drain("vm-2", true);
+  BOOST_CHECK(log.assign(0, 0, 2) == kRefused);
+  log.drain("vm-2", false);
+  BOOST_CHECK(log.assign(0, 0, 2) == kApplied);
+  BOOST_CHECK(log.zonesOut(4, { "b" }) == kApplied);
+  BOOST_CHECK(log.zonesOut(4, {}) == kRefused);
+  BOOST_CHECK(log.assign(1, 0, 3) == kRefused);
+  BOOST_TEST(chooseHeir(log.mState, 0, 2) == 1U);
+  BOOST_CHECK(log.zonesOut(5, {}) == kApplied);
+  BOOST_CHECK(log.assign(1, 0, 3) == kApplied);
+}
+
+BOOST_AUTO_TEST_CASE(copies_are_dropped_even_of_a_refused_record)
+{
+  CellLog log = CellLog::withFourMembers();
+  wire::DrainT drain;
+  drain.vm = "vm-1";
+  drain.on = true;
+  const Bytes on = encodeRecord(makeRecord(drain, { 1, 1 }, Millis{}));
+  BOOST_CHECK(log.appendBytes(on) == kApplied);
+  log.drain("vm-1", false);
+  BOOST_CHECK(log.appendBytes(on) == FoldVerdict::Duplicate);
+  BOOST_TEST(log.mState.mDrainedVms.empty());
+  wire::LeaveT leave;
+  leave.incarnation = 8;
+  const Bytes refused = encodeRecord(makeRecord(leave, { 1, 2 }, Millis{}));
+  BOOST_CHECK(log.appendBytes(refused) == kRefused);
+  log.join(8, "a");
+  BOOST_CHECK(log.appendBytes(refused) == FoldVerdict::Duplicate);
+}
+
+BOOST_AUTO_TEST_CASE(only_the_next_offset_is_folded)
+{
+  CellLog log = CellLog::withFourMembers();
+  const CellState before = log.mState;
+  LogRecord record = log.mRecords.back();
+  BOOST_CHECK(fold(log.mState, record) == FoldVerdict::Ignored);
+  record.mOffset += 2;
+  BOOST_CHECK(fold(log.mState, record) == FoldVerdict::Ignored);
+  BOOST_CHECK((log.mState == before));
+}
+
+BOOST_AUTO_TEST_CASE(garbage_moves_the_offset_and_nothing_else)
+{
+  CellLog log = CellLog::withFourMembers();
+  CellState expected = log.mState;
+  Bytes unknownKind = log.mRecords[0].mData;
+  const std::vector<Bytes> garbage{ {},
+                                    { 1, 2, 3 },
+                                    Bytes(200, 0xff),
+                                    Bytes(unknownKind.begin(),
+                                          unknownKind.end() - 9) };
+  for (const Bytes& data : garbage) {
+    BOOST_CHECK(log.appendBytes(data) == FoldVerdict::Corrupt);
+    ++expected.mNextOffset;
+    BOOST_CHECK((log.mState == expected));
+  }
+  wire::RecordT nothing;
+  BOOST_CHECK(log.appendBytes(encodeRecord(nothing)) == FoldVerdict::Corrupt);
+  BOOST_CHECK(log.append(wire::PublishT{}) == FoldVerdict::Ignored);
+}
+
+BOOST_AUTO_TEST_CASE(retired_members_are_bounded_and_named_witnesses_stay)
+{
+  CellLog log;
+  log.join(1, "a", { 2 });
+  for (Incarnation it = 2; it < 2 + 2 * kMaxRetiredMembers; ++it) {
+    log.join(it, "a");
+    BOOST_CHECK(log.leave(it) == kApplied);
+  }
+  BOOST_TEST(log.mState.mMembers.size() == kMaxRetiredMembers + 2);
+  BOOST_TEST(log.mState.mMembers.contains(2));
+  BOOST_TEST(!log.mState.mMembers.contains(3));
+}
+
+BOOST_AUTO_TEST_CASE(witnesses_come_from_other_zones_first)
+{
+  std::vector<Member> members;
+  for (const auto& [incarnation, member] :
+       CellLog::withFourMembers().mState.mMembers) {
+    members.push_back(member);
+  }
+  const std::vector<Incarnation> chosen = chooseWitnesses(members, 1, "a", 3);
+  BOOST_TEST(chosen.size() == 3U);
+  BOOST_TEST((chosen[0] >= 3 && chosen[1] >= 3));
+  BOOST_TEST(chosen[2] == 2U);
+  BOOST_TEST(chooseWitnesses(members, 1, "a", 9).size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(publications_build_on_the_current_version)
+{
+  ConfigState state;
+  std::uint64_t offset = 0;
+  const auto publish = [&](std::uint64_t aBase, std::uint64_t aId) {
+    wire::PublishT change;
+    change.base_version = aBase;
+    change.operator_name = std::to_string(aId);
+    return fold(
+      state,
+      { offset++, {}, encodeRecord(makeRecord(change, { 0, aId }, Millis{})) });
+  };
+  BOOST_CHECK(publish(0, 1) == kApplied);
+  BOOST_CHECK(publish(0, 2) == kRefused);
+  BOOST_CHECK(publish(0, 1) == FoldVerdict::Duplicate);
+  BOOST_CHECK(publish(1, 3) == kApplied);
+  BOOST_TEST(state.mVersion == 2U);
+  BOOST_TEST(state.mOperator == "3");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
