--- a/include/radishroad/platform/log_appender.h
+++ b/include/radishroad/platform/log_appender.h
@@ -4,6 +4,7 @@
 #include "radishroad/base/error.h"
 #include "radishroad/base/millis.h"
 #include "radishroad/generated/records_generated.h"
+#include "radishroad/platform/backoff.h"
 
 #include <cstdint>
 #include <functional>
@@ -12,6 +13,11 @@
 
 namespace radishroad {
 
+/// Appends a second that one daemon sends at most, repeated ones included, and
+/// how many of them may come at once.
+constexpr double kAppendsPerSecond = 20;
+constexpr double kAppendBurst = 20;
+
 /// Appends records on a thread of its own, in order, from a bounded ring. An
 /// append that failed or whose answer was lost is repeated with the same
 /// record id until the time given is up; the fold drops the copies. Whether
@@ -23,15 +29,23 @@
   using DoneFn = std::function<void(Result<std::uint64_t>)>;
 
   LogAppender(std::string aAddress, std::size_t aCapacity);
+  /// aRandom is the source of the back-off's jitter.
+  LogAppender(std::string aAddress,
+              std::size_t aCapacity,
+              Backoff::RandomFn aRandom);
   ~LogAppender();
   LogAppender(const LogAppender&) = delete;
   LogAppender& operator=(const LogAppender&) = delete;
 
-  /// False if the ring is full.
+  /// False if the ring is full or stopped. aDone is called exactly once for
+  /// each record taken: with the offset; with ErrorCode::Unknown if an attempt
+  /// may have taken effect; with ErrorCode::Unavailable if none did; with
+  /// ErrorCode::TooLarge at once.
   bool submit(std::string aStream,
               const wire::RecordT& aRecord,
               Millis aGiveUpAfter,
               DoneFn aDone);
+  /// Gives up the append under way and all in the ring.
   void stop();
 
 private:
--- a/include/radishroad/platform/log_client.h
+++ b/include/radishroad/platform/log_client.h
@@ -14,8 +14,12 @@
 
 namespace radishroad {
 
-/// Client of the platform's log service, by libcurl. Not thread-safe: one for
-/// each thread. The service's protocol is in docs/log-service.md.
+/// Largest record that the log takes.
+constexpr std::size_t kMaxRecordBytes = 1U << 20;
+
+/// Client of the platform's log service, by libcurl. Not thread-safe but for
+/// abort(): one for each thread. The service's protocol is in
+/// docs/log-service.md.
 class LogClient
 {
 public:
@@ -48,6 +52,10 @@
   /// Oldest offset kept and the next to be written.
   Result<Bounds> bounds(std::string_view aStream, Millis aTimeout);
 
+  /// Any thread. Ends the call under way, and each later one, with
+  /// ErrorCode::Timeout (an append's with ErrorCode::Unknown).
+  void abort();
+
 private:
   struct Impl;
   std::unique_ptr<Impl> mImpl;
--- a/include/radishroad/platform/log_follower.h
+++ b/include/radishroad/platform/log_follower.h
@@ -1,6 +1,8 @@
 #ifndef RADISHROAD_PLATFORM_LOG_FOLLOWER_H
 #define RADISHROAD_PLATFORM_LOG_FOLLOWER_H
 
+#include "radishroad/base/millis.h"
+#include "radishroad/platform/backoff.h"
 #include "radishroad/state/records.h"
 
 #include <cstdint>
@@ -31,6 +33,11 @@
   };
 
   LogFollower(std::string aAddress, std::string aStream, Hooks aHooks);
+  /// aRandom is the source of the back-off's jitter.
+  LogFollower(std::string aAddress,
+              std::string aStream,
+              Hooks aHooks,
+              Backoff::RandomFn aRandom);
   ~LogFollower();
   LogFollower(const LogFollower&) = delete;
   LogFollower& operator=(const LogFollower&) = delete;
@@ -39,6 +46,11 @@
   void start(std::uint64_t aFrom);
   /// Skips ahead to aNext, for records that came by way of a peer.
   void skipTo(std::uint64_t aNext);
+  /// How long a poll waits for the first record (2 s at first); any thread,
+  /// from the next poll on. Bounds the time between two calls of mOnRecords.
+  void setPollWait(Millis aWait);
+  /// Ends the poll under way. No hook is called once it has returned. Not to
+  /// be called from a hook.
   void stop();
 
 private:
