--- a/include/radishroad/peer/link.h
+++ b/include/radishroad/peer/link.h
@@ -44,6 +44,8 @@
     ForwardFn mOnRequest;
     /// The peer no longer waits for this request.
     std::function<void(RandomId)> mOnCancel;
+    /// An accepted connection ended; runs on the link's thread. May be empty.
+    std::function<void(std::uint64_t aIncarnation, const Error&)> mOnClosed;
   };
 
   PeerLink(Options aOptions, Hooks aHooks);
@@ -62,7 +64,7 @@
   void cancel(const std::string& aAddress, RandomId aId);
   /// Sends a control frame; dropped without notice if the peer cannot be
   /// reached. aIncarnation is whom the frame is meant for: a peer that is
-  /// another incarnation by its Hello gets nothing.
+  /// another incarnation by its Hello gets nothing. 0 is whoever answers.
   void sendControl(const std::string& aAddress,
                    std::uint64_t aIncarnation,
                    wire::FrameBodyUnion aBody);
@@ -74,6 +76,8 @@
     std::uint64_t mControlFramesSent = 0;
   };
   Traffic traffic() const;
+  /// The address bound by start(), with its port if none was asked for.
+  std::string listenAddress() const;
 
 private:
   struct Impl;
