Add leases, witnesses, expulsion and hand-off plans

Cause: each key needs at most one owner while daemons are lost or cut off. Change: holder, witness and proposer as pure classes; plans of moves that are the same on each daemon. The holder needs half of the witness set rounded up, because an expulsion needs more than half of it: for even sets one promise fewer than a majority, with the same overlap. A witness is bound from the moment the log names it, so a daemon that dies before its first renewal is noticed too.

--- a/include/radishroad/ownership/expulsion.h
+++ b/include/radishroad/ownership/expulsion.h
@@ -12,6 +12,11 @@
 
 namespace radishroad {
 
+/// Pause between two rounds of asking the same witnesses for consent.
+constexpr Millis kConsentAskInterval{ 100 };
+/// Pause between two appends of an expulsion of the same label.
+constexpr Millis kProposalRetry{ 1000 };
+
 /// Collects consents to expel lost daemons. Pure.
 class ExpulsionProposer
 {
--- a/include/radishroad/ownership/handoff.h
+++ b/include/radishroad/ownership/handoff.h
@@ -15,6 +15,11 @@
 std::vector<wire::ShardGrant>
 planEvacuation(const CellState& aState, Incarnation aSelf, std::size_t aMax);
 
+/// Split keys that a draining owner hands on next, at most aMax; each is a
+/// record of its own.
+std::vector<wire::SplitKeyT>
+planKeyEvacuation(const CellState& aState, Incarnation aSelf, std::size_t aMax);
+
 /// Shards without an owner, spread over the members that may own. For the
 /// coordinator's Assign record.
 std::vector<wire::ShardGrant>
--- a/include/radishroad/ownership/lease_holder.h
+++ b/include/radishroad/ownership/lease_holder.h
@@ -19,11 +19,12 @@
 /// The holder's side of a daemon's lease. Pure: the caller sends what
 /// renewals() says and passes in promises and the time (monotonic).
 ///
-/// The lease is held while promises of a majority of the witness set are
-/// unexpired. While a change of the set is in doubt, a majority of the old
-/// set and one of the new are both needed, since the append may have taken
-/// effect unknown to the holder. An empty set is held always: nobody can
-/// consent to an expulsion.
+/// The lease is held while promises of half of the witness set, rounded up,
+/// are unexpired: an expulsion takes the consents of more than half, so the
+/// two always meet in a witness. For odd sets this is a majority. While a
+/// change of the set is in doubt, that many of the old set and of the new are
+/// both needed, since the append may have taken effect unknown to the holder.
+/// An empty set is held always: nobody can consent to an expulsion.
 class LeaseHolder
 {
 public:
--- a/include/radishroad/ownership/witness.h
+++ b/include/radishroad/ownership/witness.h
@@ -33,6 +33,9 @@
 public:
   /// True: promise until aNow + TTL. False: consent has been given, refuse.
   bool onRenew(LeaseLabel aLabel, Millis aNow);
+  /// The log names this witness for a label. Binds it for one TTL as a renewal
+  /// would, so that a daemon that dies before its first renewal is noticed.
+  void expect(LeaseLabel aLabel, Millis aNow);
 
   struct ConsentAnswer
   {
--- /dev/null
+++ b/src/ownership/expulsion.cpp
@@ -0,0 +1,78 @@
+#include "radishroad/ownership/expulsion.h"
+
+#include <algorithm>
+
+namespace radishroad {
+
+namespace {
+
+LeaseLabel
+labelOf(const Member& aMember)
+{
+  return { aMember.mIncarnation, aMember.mWitnessVersion };
+}
+
+}
+
+ExpulsionProposer::ExpulsionProposer(Incarnation aSelf)
+  : mSelf(aSelf)
+{
+}
+
+std::vector<Incarnation>
+ExpulsionProposer::pursue(const Member& aMember, Millis aNow)
+{
+  std::vector<Incarnation> toAsk;
+  const auto [it, added] = mAttempts.try_emplace(labelOf(aMember));
+  Attempt& attempt = it->second;
+  if (!added && aNow < attempt.mNextAsk) {
+    return toAsk;
+  }
+  attempt.mNextAsk = aNow + kConsentAskInterval;
+  for (const Incarnation witness : aMember.mWitnesses) {
+    if (!attempt.mConsents.contains(witness)) {
+      toAsk.push_back(witness);
+    }
+  }
+  return toAsk;
+}
+
+void
+ExpulsionProposer::onConsent(LeaseLabel aLabel, Incarnation aWitness)
+{
+  const auto it = mAttempts.find(aLabel);
+  if (it != mAttempts.end()) {
+    it->second.mConsents.insert(aWitness);
+  }
+}
+
+std::optional<wire::ExpelT>
+ExpulsionProposer::proposal(const Member& aMember, Millis aNow)
+{
+  const auto it = mAttempts.find(labelOf(aMember));
+  if (it == mAttempts.end() || aNow < it->second.mNextProposal) {
+    return std::nullopt;
+  }
+  wire::ExpelT expel;
+  for (const Incarnation witness : aMember.mWitnesses) {
+    if (it->second.mConsents.contains(witness)) {
+      expel.consents.push_back(witness);
+    }
+  }
+  if (expel.consents.size() * 2 <= aMember.mWitnesses.size()) {
+    return std::nullopt;
+  }
+  expel.incarnation = aMember.mIncarnation;
+  expel.witness_version = aMember.mWitnessVersion;
+  expel.proposer = mSelf;
+  it->second.mNextProposal = aNow + kProposalRetry;
+  return expel;
+}
+
+void
+ExpulsionProposer::forget(LeaseLabel aLabel)
+{
+  mAttempts.erase(aLabel);
+}
+
+}
