--- /dev/null
+++ b/include/radishroad/base/timer.h
@@ -0,0 +1,32 @@
+#ifndef RADISHROAD_BASE_TIMER_H
+#define RADISHROAD_BASE_TIMER_H
+
+#include "radishroad/base/millis.h"
+
+#include <functional>
+#include <memory>
+
+namespace radishroad {
+
+/// Runs functions after a delay, on one thread (Boost.Asio).
+class Timer
+{
+public:
+  Timer();
+  /// Stops the thread; functions still waiting are dropped.
+  ~Timer();
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+
+  /// Any thread.
+  void after(Millis aDelay, std::function<void()> aRun);
+  void stop();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+}
+
+#endif
--- a/include/radishroad/config/model.h
+++ b/include/radishroad/config/model.h
@@ -26,8 +26,11 @@
   std::string mName;
   /// The upstreams refuse requests with a stale epoch.
   bool mChecksFence = false;
-  /// Longest time that a request may take.
-  Millis mDeadline{ 1000 };
+  /// Longest time that a caller's request may take, waits included.
+  Millis mDeadline{ 3000 };
+  /// Longest time that a request may run on an upstream. After the loss of an
+  /// owner whose upstream checks no fences, the next one waits so long.
+  Millis mRunLimit{ 500 };
   /// Upper bound of the concurrency window for each upstream.
   std::uint32_t mMaxInFlight = 64;
   /// Cost of a new connection to an upstream; paces openings.
--- /dev/null
+++ b/include/radishroad/daemon/control_loop.h
@@ -0,0 +1,44 @@
+#ifndef RADISHROAD_DAEMON_CONTROL_LOOP_H
+#define RADISHROAD_DAEMON_CONTROL_LOOP_H
+
+#include "radishroad/base/millis.h"
+#include "radishroad/base/ring.h"
+
+#include <atomic>
+#include <functional>
+#include <thread>
+
+namespace radishroad {
+
+/// The control thread: runs posted tasks in order and a tick at a fixed
+/// interval. All agreed state is touched on this thread alone.
+class ControlLoop
+{
+public:
+  using Task = std::function<void()>;
+
+  ControlLoop(std::size_t aCapacity, Millis aTickInterval);
+  ~ControlLoop();
+  ControlLoop(const ControlLoop&) = delete;
+  ControlLoop& operator=(const ControlLoop&) = delete;
+
+  void start(Task aTick);
+  /// Waits while the ring is full. False once the loop has been stopped.
+  bool post(Task aTask);
+  /// Drops the task if the ring is full; for what is repeated anyway.
+  bool tryPost(Task aTask);
+  void stop();
+
+private:
+  void run();
+
+  Ring<Task> mTasks;
+  Millis mTickInterval;
+  Task mTick;
+  std::atomic<bool> mStopped{ false };
+  std::thread mThread;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/include/radishroad/daemon/daemon.h
@@ -0,0 +1,40 @@
+#ifndef RADISHROAD_DAEMON_DAEMON_H
+#define RADISHROAD_DAEMON_DAEMON_H
+
+#include "radishroad/base/error.h"
+#include "radishroad/daemon/settings.h"
+
+#include <functional>
+#include <memory>
+
+namespace radishroad {
+
+/// One incarnation of the daemon: all its threads and what joins them.
+class Daemon
+{
+public:
+  enum class RunEnd
+  {
+    /// Asked to stop, and has.
+    Stopped,
+    /// This incarnation is out of its cell; a new one may join.
+    Rejoin,
+  };
+
+  explicit Daemon(const DaemonSettings& aSettings);
+  ~Daemon();
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  /// Runs until asked to stop or out of the cell. Fails if an address cannot
+  /// be bound.
+  Result<RunEnd> run(const std::function<bool()>& aStopRequested);
+
+private:
+  struct Parts;
+  std::unique_ptr<Parts> mParts;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/include/radishroad/daemon/fleet_state.h
@@ -0,0 +1,86 @@
+#ifndef RADISHROAD_DAEMON_FLEET_STATE_H
+#define RADISHROAD_DAEMON_FLEET_STATE_H
+
+#include "radishroad/base/millis.h"
+#include "radishroad/config/model.h"
+#include "radishroad/state/cell_state.h"
+#include "radishroad/state/config_state.h"
+#include "radishroad/state/fold.h"
+#include "radishroad/state/records.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace radishroad {
+
+class ViewHolder;
+
+/// Everything that this daemon has folded: the configuration and all cells it
+/// follows. Control thread only; publishes a view after each change.
+class FleetState
+{
+public:
+  struct Hooks
+  {
+    /// A cell was folded on: its service, and the state before and after.
+    std::function<void(const std::string&, const CellState&, const CellState&)>
+      mOnCell;
+    /// A configuration is in force.
+    std::function<void(const config::Model&)> mOnConfig;
+    /// A record was folded; by its id.
+    std::function<void(RandomId, FoldVerdict)> mOnRecord;
+    /// A service's cell is to be followed from now on.
+    std::function<void(const std::string&)> mFollowCell;
+  };
+
+  FleetState(std::string aOwnService, ViewHolder& aViews, Hooks aHooks);
+
+  /// Records of one stream in offset order; those folded already are passed
+  /// over.
+  void onRecords(const std::string& aStream,
+                 std::span<const LogRecord> aRecords);
+  /// The log has answered a read of this stream that was sent at aNow.
+  void onContact(const std::string& aStream, Millis aNow);
+
+  const ConfigState& config() const { return mConfig; }
+  /// Null before the first valid configuration.
+  const config::Model* model() const { return mModel.get(); }
+  const CellState& ownCell() const;
+  const std::map<std::string, CellState>& cells() const { return mCells; }
+  /// Has the own cell been read to its end at least once?
+  bool ownCellRead() const;
+  /// Last time that the log answered for the configuration; nothing before.
+  Millis lastConfigContact() const;
+  Millis lastOwnCellContact() const;
+
+  /// Looks through all cells. Null if unknown.
+  const Member* findMember(Incarnation aIncarnation) const;
+  std::vector<Member> activeMembers() const;
+  /// Service of the cell that knows the member; empty if none does.
+  std::string serviceOf(Incarnation aIncarnation) const;
+
+private:
+  void foldConfig(std::span<const LogRecord> aRecords);
+  void foldCell(const std::string& aService,
+                std::span<const LogRecord> aRecords);
+  void applyConfig();
+  void publishView();
+
+  std::string mOwnService;
+  ViewHolder& mViews;
+  Hooks mHooks;
+  ConfigState mConfig;
+  std::shared_ptr<const config::Model> mModel;
+  std::uint64_t mModelVersion = 0;
+  std::map<std::string, CellState> mCells;
+  std::map<std::string, std::shared_ptr<const CellState>> mPublished;
+  std::map<std::string, Millis> mContacts;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/include/radishroad/daemon/fleet_view.h
@@ -0,0 +1,42 @@
+#ifndef RADISHROAD_DAEMON_FLEET_VIEW_H
+#define RADISHROAD_DAEMON_FLEET_VIEW_H
+
+#include "radishroad/config/model.h"
+#include "radishroad/state/cell_state.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace radishroad {
+
+/// What the request path reads: one consistent, immutable picture of the
+/// configuration and of all cells, made by the control thread.
+struct FleetView
+{
+  std::uint64_t mConfigVersion = 0;
+  /// Null before the first valid configuration.
+  std::shared_ptr<const config::Model> mModel;
+  /// By service.
+  std::map<std::string, std::shared_ptr<const CellState>> mCells;
+
+  const CellState* cell(const std::string& aService) const;
+};
+
+/// Holds the newest view. Any thread.
+class ViewHolder
+{
+public:
+  std::shared_ptr<const FleetView> get() const;
+  void set(std::shared_ptr<const FleetView> aView);
+
+private:
+  mutable std::mutex mMutex;
+  std::shared_ptr<const FleetView> mView = std::make_shared<FleetView>();
+};
+
+}
+
+#endif
--- /dev/null
+++ b/include/radishroad/daemon/handoff_duty.h
@@ -0,0 +1,55 @@
+#ifndef RADISHROAD_DAEMON_HANDOFF_DUTY_H
+#define RADISHROAD_DAEMON_HANDOFF_DUTY_H
+
+#include "radishroad/base/millis.h"
+#include "radishroad/generated/peer_generated.h"
+#include "radishroad/state/cell_state.h"
+
+#include <functional>
+#include <span>
+#include <vector>
+
+namespace radishroad {
+
+struct ControlContext;
+
+/// Hands shards off to their next owners: holds back new requests, waits for
+/// those that run, appends the release, and lets the held requests go on to
+/// the new owner once the release has been read back. One batch at a time.
+/// Control thread only.
+class HandoffDuty
+{
+public:
+  struct Hooks
+  {
+    /// Holds back the shards' requests; calls back on the control thread when
+    /// none of them runs any more.
+    std::function<void(std::span<const Shard>, std::function<void()>)> mPause;
+    std::function<void(std::span<const Shard>)> mResume;
+  };
+
+  HandoffDuty(ControlContext& aContext, Hooks aHooks);
+
+  /// Moves that the coordinator asks for. Those that this daemon does not own
+  /// at the epoch named are passed over.
+  void order(std::span<const wire::ShardGrant> aGrants);
+  /// aDraining: hand everything off.
+  void tick(bool aDraining);
+  bool busy() const { return !mCurrent.empty(); }
+
+private:
+  std::vector<wire::ShardGrant> nextBatch(bool aDraining);
+  void begin(std::vector<wire::ShardGrant> aGrants);
+  void release();
+  void finish();
+
+  ControlContext& mContext;
+  Hooks mHooks;
+  std::vector<wire::ShardGrant> mOrdered;
+  std::vector<wire::ShardGrant> mCurrent;
+  Millis mNextBatch;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/include/radishroad/daemon/ingress.h
@@ -0,0 +1,84 @@
+#ifndef RADISHROAD_DAEMON_INGRESS_H
+#define RADISHROAD_DAEMON_INGRESS_H
+
+#include "radishroad/base/metrics.h"
+#include "radishroad/base/millis.h"
+#include "radishroad/request/request.h"
+#include "radishroad/state/cell_state.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace radishroad {
+
+class Timer;
+class ViewHolder;
+struct FleetView;
+namespace config {
+struct Route;
+struct Service;
+}
+
+/// Takes callers' requests: finds the route, the workspace and the key's
+/// owner, and sends the request there. A request that was provably not run is
+/// sent again while its deadline allows; one with an unknown outcome only if
+/// it is idempotent. Any thread.
+class Ingress
+{
+public:
+  enum class Admission
+  {
+    Admitted,
+    /// Ask again shortly: tokens are on their way.
+    Wait,
+    Refused,
+  };
+
+  struct Hooks
+  {
+    /// Takes one token of the workspace's rate.
+    std::function<Admission(const std::string& aWorkspace)> mAdmit;
+    std::function<Millis(const std::string& aWorkspace)> mRetryAfter;
+    /// Is the configuration known to be current enough to judge a caller's
+    /// key by it?
+    std::function<bool()> mConfigFresh;
+    ForwardFn mToOwnUpstream;
+    std::function<void(const std::string& aAddress, ForwardRequest, AnswerFn)>
+      mToPeer;
+    /// May an idempotent request with an unknown outcome be sent again?
+    std::function<bool()> mMayRetry;
+    ClockFn mNow;
+  };
+
+  Ingress(Incarnation aSelf,
+          const ViewHolder& aViews,
+          Timer& aTimer,
+          Metrics& aMetrics,
+          Hooks aHooks);
+
+  void handle(CallerRequest aRequest, AnswerFn aAnswer);
+
+private:
+  struct Flight;
+  using FlightPtr = std::shared_ptr<Flight>;
+
+  NotRunReason prepare(CallerRequest& aRequest,
+                       const FleetView& aView,
+                       Flight& aFlight) const;
+  void admit(const FlightPtr& aFlight);
+  void send(const FlightPtr& aFlight);
+  void onAnswer(const FlightPtr& aFlight, Answer aAnswer);
+  void sendLater(const FlightPtr& aFlight, NotRunReason aReason);
+  void finish(const FlightPtr& aFlight, Answer aAnswer);
+
+  Incarnation mSelf;
+  const ViewHolder& mViews;
+  Timer& mTimer;
+  Metrics& mMetrics;
+  Hooks mHooks;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/include/radishroad/daemon/membership_duty.h
@@ -0,0 +1,39 @@
+#ifndef RADISHROAD_DAEMON_MEMBERSHIP_DUTY_H
+#define RADISHROAD_DAEMON_MEMBERSHIP_DUTY_H
+
+#include "radishroad/base/millis.h"
+
+namespace radishroad {
+
+struct ControlContext;
+
+/// Joins the cell once the upstream has announced itself, and leaves it once
+/// all shards have been handed off. Control thread only.
+class MembershipDuty
+{
+public:
+  explicit MembershipDuty(ControlContext& aContext);
+
+  void onUpstreamHealth(bool aHealthy);
+  void tick();
+  /// Starts to leave: the hand-off empties the daemon first.
+  void beginLeave();
+  bool leaving() const { return mLeaving; }
+  bool joined() const;
+  /// The log says that this incarnation is out: expelled or left.
+  bool out() const;
+
+private:
+  void join();
+  void leave();
+
+  ControlContext& mContext;
+  bool mUpstreamHealthy = false;
+  bool mProposing = false;
+  bool mWasMember = false;
+  bool mLeaving = false;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/include/radishroad/daemon/recorder.h
@@ -0,0 +1,76 @@
+#ifndef RADISHROAD_DAEMON_RECORDER_H
+#define RADISHROAD_DAEMON_RECORDER_H
+
+#include "radishroad/base/error.h"
+#include "radishroad/base/millis.h"
+#include "radishroad/base/random_id.h"
+#include "radishroad/generated/records_generated.h"
+#include "radishroad/state/fold.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace radishroad {
+
+/// How a proposed change ended.
+enum class ProposalEnd
+{
+  Applied,
+  Refused,
+  /// Certainly not appended, and not tried again.
+  Failed,
+};
+
+/// Appends records and learns by reading the log back whether they took
+/// effect; an append's own answer is never taken as the outcome. A record
+/// whose append is in doubt is sent again with the same id until it has been
+/// read back. Control thread only.
+class Recorder
+{
+public:
+  using DoneFn = std::function<void(ProposalEnd)>;
+  /// Sends one append; the result comes back on the control thread.
+  using SubmitFn =
+    std::function<bool(const std::string& aStream,
+                       const wire::RecordT& aRecord,
+                       std::function<void(Result<std::uint64_t>)> aResult)>;
+
+  explicit Recorder(SubmitFn aSubmit);
+
+  template<typename Change>
+  void propose(const std::string& aStream, Change aChange, DoneFn aDone)
+  {
+    wire::RecordT record;
+    record.change.Set(std::move(aChange));
+    start(aStream, std::move(record), std::move(aDone));
+  }
+
+  void onRecord(RandomId aId, FoldVerdict aVerdict);
+  /// Sends again what has been in doubt for long enough.
+  void tick(Millis aNow);
+  std::size_t pending() const { return mPending.size(); }
+
+private:
+  struct Pending
+  {
+    std::string mStream;
+    wire::RecordT mRecord;
+    DoneFn mDone;
+    bool mInDoubt = false;
+    bool mWaitingForResult = false;
+    Millis mSentAt;
+  };
+
+  void start(const std::string& aStream, wire::RecordT aRecord, DoneFn aDone);
+  void send(RandomId aId);
+  void onResult(RandomId aId, const Result<std::uint64_t>& aResult);
+  void end(RandomId aId, ProposalEnd aEnd);
+
+  SubmitFn mSubmit;
+  std::map<RandomId, Pending> mPending;
+};
+
+}
+
+#endif
--- a/include/radishroad/ownership/lease_holder.h
+++ b/include/radishroad/ownership/lease_holder.h
@@ -41,6 +41,8 @@
   void adopt(std::uint32_t aVersion, std::span<const Incarnation> aWitnesses);
   /// To be called before the Rewitness record is first sent.
   void beginChange(std::span<const Incarnation> aNewWitnesses);
+  /// The Rewitness record was certainly never appended, nor will be.
+  void abandonChange();
   bool changeInDoubt() const;
   std::span<const Incarnation> proposed() const;
 
--- a/include/radishroad/ownership/witness.h
+++ b/include/radishroad/ownership/witness.h
@@ -47,6 +47,10 @@
 
   /// Labels whose promise has lapsed and that were not consented to yet.
   std::vector<LeaseLabel> lapsed(Millis aNow) const;
+  /// Labels whose promise has lapsed, consented to or not.
+  std::vector<LeaseLabel> outstanding(Millis aNow) const;
+  /// Time up to which the last promise binds; 0 for an unknown label.
+  Millis boundUntil(LeaseLabel aLabel) const;
   /// Drops a label that no longer matters (member gone, set replaced).
   void forget(LeaseLabel aLabel);
   std::size_t size() const;
--- a/include/radishroad/platform/log_follower.h
+++ b/include/radishroad/platform/log_follower.h
@@ -25,7 +25,9 @@
   {
     /// Records in offset order; empty when a poll ended with nothing new, so
     /// that the receiver knows the log answers.
-    std::function<void(std::span<const LogRecord>)> mOnRecords;
+    /// aAskedAt is the monotonic time at which the poll was sent: what the
+    /// answer says of the log's end was true then, not when it was read.
+    std::function<void(std::span<const LogRecord>, Millis aAskedAt)> mOnRecords;
     /// The log could not be read.
     std::function<void(const Error&)> mOnError;
     /// Reading starts again at this offset, which is past the one wanted.
--- a/include/radishroad/state/cell_state.h
+++ b/include/radishroad/state/cell_state.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace radishroad {
@@ -28,6 +29,10 @@
   Expelled,
 };
 
+/// "active", "left" or "expelled".
+std::string_view
+memberStatusName(MemberStatus aStatus);
+
 /// A daemon as the cell's records describe it.
 struct Member
 {
--- a/src/config/model_builder.cpp
+++ b/src/config/model_builder.cpp
@@ -192,6 +192,8 @@
   service.mChecksFence = aFields.boolean("checks_fence", service.mChecksFence);
   service.mDeadline =
     aFields.duration("deadline", service.mDeadline, kLargestDeadline);
+  service.mRunLimit =
+    aFields.duration("run_limit", service.mRunLimit, kLargestDeadline);
   service.mMaxInFlight = static_cast<std::uint32_t>(
     aFields.whole("max_in_flight", service.mMaxInFlight, kLargestInFlight));
   service.mConnectionCost =
--- /dev/null
+++ b/src/daemon/fleet_view.cpp
@@ -0,0 +1,26 @@
+#include "radishroad/daemon/fleet_view.h"
+
+namespace radishroad {
+
+const CellState*
+FleetView::cell(const std::string& aService) const
+{
+  const auto it = mCells.find(aService);
+  return it == mCells.end() ? nullptr : it->second.get();
+}
+
+std::shared_ptr<const FleetView>
+ViewHolder::get() const
+{
+  std::lock_guard<std::mutex> lock(mMutex);
+  return mView;
+}
+
+void
+ViewHolder::set(std::shared_ptr<const FleetView> aView)
+{
+  std::lock_guard<std::mutex> lock(mMutex);
+  mView.swap(aView);
+}
+
+}
--- /dev/null
+++ b/src/daemon/ingress.cpp
@@ -0,0 +1,267 @@
+#include "radishroad/daemon/ingress.h"
+
+#include "radishroad/base/hash.h"
+#include "radishroad/base/timer.h"
+#include "radishroad/config/model.h"
+#include "radishroad/config/route_match.h"
+#include "radishroad/daemon/fleet_view.h"
+
+#include <algorithm>
+#include <boost/algorithm/string/predicate.hpp>
+
+namespace radishroad {
+
+namespace {
+
+/// Pause before a request that was not run is sent again.
+constexpr Millis kResendPause{ 15 };
+/// Pause before the workspace's tokens are looked at again.
+constexpr Millis kAdmitPause{ 5 };
+/// Longest wait for tokens that are on their way.
+constexpr Millis kMaxAdmitWait{ 250 };
+/// Time that the answer needs to travel back within the deadline.
+constexpr Millis kReturnMargin{ 5 };
+constexpr Millis kRetryAfterOutage{ 1000 };
+constexpr std::string_view kBearer = "Bearer ";
+
+std::optional<std::string_view>
+findHeader(const std::vector<wire::HeaderT>& aHeaders, std::string_view aName)
+{
+  for (const wire::HeaderT& header : aHeaders) {
+    if (boost::algorithm::iequals(header.name, aName)) {
+      return std::string_view(header.value);
+    }
+  }
+  return std::nullopt;
+}
+
+/// The workspace of the caller's key; nothing if the key is not known.
+std::optional<std::string>
+findWorkspace(const config::Model& aModel,
+              const std::vector<wire::HeaderT>& aHeaders)
+{
+  const std::optional<std::string_view> value =
+    findHeader(aHeaders, "authorization");
+  if (!value || !boost::algorithm::istarts_with(*value, kBearer)) {
+    return std::nullopt;
+  }
+  const auto it =
+    aModel.mWorkspaceOfKey.find(sha256Hex(value->substr(kBearer.size())));
+  return it == aModel.mWorkspaceOfKey.end()
+           ? std::nullopt
+           : std::optional<std::string>(it->second);
+}
+
+/// Refusals that another try may overcome: the key moves or waits.
+bool
+mayPass(NotRunReason aReason)
+{
+  return aReason == NotRunReason::NotOwner ||
+         aReason == NotRunReason::NoOwner ||
+         aReason == NotRunReason::LeaseLapsed ||
+         aReason == NotRunReason::UpstreamDown ||
+         aReason == NotRunReason::Draining;
+}
+
+}
+
+/// One caller's request on its way.
+struct Ingress::Flight
+{
+  ForwardRequest mRequest;
+  AnswerFn mAnswer;
+  Millis mReceivedAt;
+  Millis mDeadline;
+  /// Time up to which the request waits for its workspace's tokens.
+  Millis mAdmitUntil;
+  bool mOpen = false;
+  /// An attempt ended with an unknown outcome: no refusal after it may claim
+  /// that the request was not run.
+  bool mMayHaveRun = false;
+  NotRunReason mLastReason = NotRunReason::None;
+};
+
+Ingress::Ingress(Incarnation aSelf,
+                 const ViewHolder& aViews,
+                 Timer& aTimer,
+                 Metrics& aMetrics,
+                 Hooks aHooks)
+  : mSelf(aSelf)
+  , mViews(aViews)
+  , mTimer(aTimer)
+  , mMetrics(aMetrics)
+  , mHooks(std::move(aHooks))
+{
+}
+
+void
+Ingress::handle(CallerRequest aRequest, AnswerFn aAnswer)
+{
+  const std::shared_ptr<const FleetView> view = mViews.get();
+  const FlightPtr flight = std::make_shared<Flight>();
+  flight->mAnswer = std::move(aAnswer);
+  flight->mReceivedAt = aRequest.mReceivedAt;
+  flight->mRequest.id_high = aRequest.mId.mHigh;
+  flight->mRequest.id_low = aRequest.mId.mLow;
+  const NotRunReason reason = prepare(aRequest, *view, *flight);
+  if (reason != NotRunReason::None) {
+    finish(flight, makeNotRun(aRequest.mId, reason));
+    return;
+  }
+  admit(flight);
+}
+
+NotRunReason
+Ingress::prepare(CallerRequest& aRequest,
+                 const FleetView& aView,
+                 Flight& aFlight) const
+{
+  if (aView.mModel == nullptr) {
+    return NotRunReason::NoOwner;
+  }
+  const config::Model& model = *aView.mModel;
+  const std::optional<config::RouteMatch> match =
+    config::matchRoute(model,
+                       aRequest.mMethod,
+                       aRequest.mTarget,
+                       [&aRequest](std::string_view aName) {
+                         return findHeader(aRequest.mHeaders, aName);
+                       });
+  if (!match) {
+    return NotRunReason::NoRoute;
+  }
+  const config::Route& route = *match->mRoute;
+  const std::optional<std::string> workspace =
+    findWorkspace(model, aRequest.mHeaders);
+  if (!route.mOpen) {
+    if (!workspace) {
+      return NotRunReason::Unauthorized;
+    }
+    if (!mHooks.mConfigFresh()) {
+      // A key withdrawn meanwhile must not pass; better refused than wrong.
+      return NotRunReason::NoOwner;
+    }
+  }
+  ForwardRequest& request = aFlight.mRequest;
+  request.workspace = workspace.value_or("");
+  request.service = route.mService;
+  request.key_hash = hash64(match->mKey);
+  request.shard = shardOf(request.key_hash);
+  request.idempotent = route.mIdempotent;
+  request.idempotency_key =
+    findHeader(aRequest.mHeaders, "idempotency-key").value_or("");
+  request.method = std::move(aRequest.mMethod);
+  request.target = std::move(aRequest.mTarget);
+  for (wire::HeaderT& header : aRequest.mHeaders) {
+    if (!boost::algorithm::iequals(header.name, "authorization")) {
+      request.headers.push_back(
+        std::make_unique<wire::HeaderT>(std::move(header)));
+    }
+  }
+  request.body.assign(aRequest.mBody.begin(), aRequest.mBody.end());
+  aFlight.mOpen = route.mOpen && !workspace;
+  aFlight.mDeadline =
+    aFlight.mReceivedAt + model.mServices.at(route.mService).mDeadline;
+  aFlight.mAdmitUntil = aFlight.mReceivedAt + kMaxAdmitWait;
+  return NotRunReason::None;
+}
+
+void
+Ingress::admit(const FlightPtr& aFlight)
+{
+  if (aFlight->mOpen) {
+    send(aFlight);
+    return;
+  }
+  const std::string& workspace = aFlight->mRequest.workspace;
+  const Admission admission = mHooks.mAdmit(workspace);
+  if (admission == Admission::Admitted) {
+    send(aFlight);
+    return;
+  }
+  if (admission == Admission::Wait && mHooks.mNow() < aFlight->mAdmitUntil) {
+    mTimer.after(kAdmitPause, [this, aFlight] { admit(aFlight); });
+    return;
+  }
+  finish(aFlight,
+         makeNotRun(idOf(aFlight->mRequest),
+                    NotRunReason::RateLimited,
+                    mHooks.mRetryAfter(workspace)));
+}
+
+void
+Ingress::send(const FlightPtr& aFlight)
+{
+  const Millis left = aFlight->mDeadline - mHooks.mNow() - kReturnMargin;
+  if (left <= Millis{}) {
+    const NotRunReason reason = aFlight->mLastReason == NotRunReason::None
+                                  ? NotRunReason::DeadlinePassed
+                                  : aFlight->mLastReason;
+    finish(aFlight,
+           makeNotRun(idOf(aFlight->mRequest), reason, kRetryAfterOutage));
+    return;
+  }
+  const std::shared_ptr<const FleetView> view = mViews.get();
+  const CellState* cell = view->cell(aFlight->mRequest.service);
+  const Ownership ownership =
+    cell == nullptr ? Ownership{} : ownerOf(*cell, aFlight->mRequest.key_hash);
+  if (ownership.mOwner == 0) {
+    sendLater(aFlight, NotRunReason::NoOwner);
+    return;
+  }
+  ForwardRequest request = aFlight->mRequest;
+  request.time_left_ms = left.mCount;
+  request.epoch = ownership.mEpoch;
+  request.view_offset = cell->mNextOffset;
+  AnswerFn onAnswer = [this, aFlight](Answer aAnswer) {
+    this->onAnswer(aFlight, std::move(aAnswer));
+  };
+  if (ownership.mOwner == mSelf) {
+    mHooks.mToOwnUpstream(std::move(request), std::move(onAnswer));
+    return;
+  }
+  mHooks.mToPeer(cell->mMembers.at(ownership.mOwner).mPeerAddress,
+                 std::move(request),
+                 std::move(onAnswer));
+}
+
+void
+Ingress::onAnswer(const FlightPtr& aFlight, Answer aAnswer)
+{
+  if (aAnswer.kind == AnswerKind::NotRun && mayPass(aAnswer.reason)) {
+    sendLater(aFlight, aAnswer.reason);
+    return;
+  }
+  if (aAnswer.kind == AnswerKind::Unknown && aFlight->mRequest.idempotent &&
+      mHooks.mNow() < aFlight->mDeadline && mHooks.mMayRetry()) {
+    aFlight->mMayHaveRun = true;
+    mMetrics.count("radishroad_retries_total");
+    sendLater(aFlight, NotRunReason::None);
+    return;
+  }
+  finish(aFlight, std::move(aAnswer));
+}
+
+void
+Ingress::sendLater(const FlightPtr& aFlight, NotRunReason aReason)
+{
+  aFlight->mLastReason = aReason;
+  mTimer.after(kResendPause, [this, aFlight] { send(aFlight); });
+}
+
+void
+Ingress::finish(const FlightPtr& aFlight, Answer aAnswer)
+{
+  if (aFlight->mMayHaveRun && aAnswer.kind == AnswerKind::NotRun) {
+    aAnswer = makeUnknown(idOf(aFlight->mRequest));
+  }
+  mMetrics.count(std::string("radishroad_requests_total{outcome=\"") +
+                 wire::EnumNameAnswerKind(aAnswer.kind) + "\",reason=\"" +
+                 wire::EnumNameNotRunReason(aAnswer.reason) + "\"}");
+  mMetrics.observeMs(
+    "radishroad_request_ms",
+    static_cast<double>((mHooks.mNow() - aFlight->mReceivedAt).mCount));
+  aFlight->mAnswer(std::move(aAnswer));
+}
+
+}
--- /dev/null
+++ b/src/daemon/membership_duty.cpp
@@ -0,0 +1,127 @@
+#include "radishroad/daemon/membership_duty.h"
+
+#include "radishroad/base/json_log.h"
+#include "radishroad/daemon/control_context.h"
+#include "radishroad/daemon/fleet_state.h"
+#include "radishroad/daemon/recorder.h"
+#include "radishroad/daemon/settings.h"
+#include "radishroad/state/placement.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace radishroad {
+
+namespace {
+
+/// Witnesses of each daemon.
+constexpr std::size_t kWitnessCount = 3;
+
+bool
+ownsNothing(const CellState& aCell, Incarnation aSelf)
+{
+  const bool noShard = std::none_of(
+    aCell.mShards.begin(), aCell.mShards.end(), [&](const Ownership& aShard) {
+      return aShard.mOwner == aSelf;
+    });
+  return noShard &&
+         std::none_of(aCell.mSplitKeys.begin(),
+                      aCell.mSplitKeys.end(),
+                      [&](const auto& aSplit) {
+                        return aSplit.second.mOwnership.mOwner == aSelf;
+                      });
+}
+
+}
+
+MembershipDuty::MembershipDuty(ControlContext& aContext)
+  : mContext(aContext)
+{
+}
+
+void
+MembershipDuty::onUpstreamHealth(bool aHealthy)
+{
+  if (aHealthy != mUpstreamHealthy) {
+    logEvent(LogLevel::Info, "upstream_health", { { "healthy", aHealthy } });
+  }
+  mUpstreamHealthy = aHealthy;
+}
+
+bool
+MembershipDuty::joined() const
+{
+  return mContext.self() != nullptr;
+}
+
+bool
+MembershipDuty::out() const
+{
+  return mWasMember && !joined();
+}
+
+void
+MembershipDuty::beginLeave()
+{
+  mLeaving = true;
+}
+
+void
+MembershipDuty::tick()
+{
+  if (joined()) {
+    mWasMember = true;
+    if (mLeaving && !mProposing &&
+        ownsNothing(mContext.mFleet.ownCell(), mContext.mSelf)) {
+      leave();
+    }
+    return;
+  }
+  if (!mWasMember && !mLeaving && !mProposing && mUpstreamHealthy &&
+      mContext.mFleet.ownCellRead()) {
+    join();
+  }
+}
+
+void
+MembershipDuty::join()
+{
+  const DaemonSettings& settings = mContext.mSettings;
+  const std::vector<Member> others = mContext.mFleet.activeMembers();
+  wire::JoinT change;
+  change.vm = settings.mVm;
+  change.zone = settings.mZone;
+  change.service = settings.mService;
+  change.incarnation = mContext.mSelf;
+  change.peer_address = settings.mAdvertisePeerAddress;
+  change.caller_address = settings.mCallerAddress;
+  change.operator_address = settings.mOperatorAddress;
+  change.witnesses =
+    chooseWitnesses(others, mContext.mSelf, settings.mZone, kWitnessCount);
+  mProposing = true;
+  mContext.mRecorder.propose(
+    mContext.ownStream(), std::move(change), [this](ProposalEnd aEnd) {
+      mProposing = false;
+      logEvent(LogLevel::Info,
+               "join",
+               { { "applied", aEnd == ProposalEnd::Applied },
+                 { "incarnation", std::to_string(mContext.mSelf) } });
+    });
+}
+
+void
+MembershipDuty::leave()
+{
+  wire::LeaveT change;
+  change.incarnation = mContext.mSelf;
+  mProposing = true;
+  mContext.mRecorder.propose(
+    mContext.ownStream(), std::move(change), [this](ProposalEnd aEnd) {
+      mProposing = false;
+      logEvent(LogLevel::Info,
+               "leave",
+               { { "applied", aEnd == ProposalEnd::Applied } });
+    });
+}
+
+}
--- /dev/null
+++ b/src/daemon/parts.cpp
@@ -0,0 +1,205 @@
+#include "parts.h"
+
+#include "radishroad/base/json_log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace radishroad {
+
+namespace {
+
+constexpr std::size_t kControlRingCapacity = 8192;
+constexpr Millis kTickInterval{ 20 };
+constexpr std::size_t kAppendRingCapacity = 256;
+/// Time for which the appender repeats one append before it gives the matter
+/// back.
+constexpr Millis kAppendTimeout{ 2000 };
+/// The configuration is judged current if the log was read so recently.
+constexpr Millis kConfigFreshness{ 5000 };
+
+}
+
+Daemon::Parts::Parts(const DaemonSettings& aSettings)
+  : mSettings(aSettings)
+  , mSelf(makeIncarnation())
+  , mAuthority(mViews, mSettings.mService, mSelf)
+  , mLoop(kControlRingCapacity, kTickInterval)
+  , mAppender(mSettings.mLogAddress, kAppendRingCapacity)
+  , mFleet(mSettings.mService, mViews, fleetHooks())
+  , mRecorder([this](const std::string& aStream,
+                     const wire::RecordT& aRecord,
+                     std::function<void(Result<std::uint64_t>)> aResult) {
+    return submitAppend(aStream, aRecord, std::move(aResult));
+  })
+  , mGate(std::make_unique<Gate>(
+      Gate::Options{ .mUpstream = mSettings.mUpstreamAddress },
+      gateHooks(),
+      mMetrics))
+  , mLink(std::make_unique<PeerLink>(
+      PeerLink::Options{ .mListenAddress = mSettings.mPeerAddress,
+                         .mIncarnation = mSelf,
+                         .mVm = mSettings.mVm },
+      linkHooks()))
+  , mContext{ mSelf,
+              mSettings,
+              mFleet,
+              mRecorder,
+              [this](Incarnation aTo, wire::FrameBodyUnion aBody) {
+                sendControl(aTo, std::move(aBody));
+              },
+              monotonicNow }
+  , mMembership(mContext)
+  , mLease(
+      mContext,
+      [this](Millis aUntil) { mAuthority.setLeaseUntil(aUntil); },
+      [](Incarnation, const auto&) {})
+  , mHandoff(mContext, handoffHooks())
+  , mCoordinator(mContext,
+                 [this](std::span<const wire::ShardGrant> aGrants) {
+                   mHandoff.order(aGrants);
+                 })
+  , mIngress(mSelf, mViews, mTimer, mMetrics, ingressHooks())
+  , mCallers(
+      { .mListenAddress = mSettings.mCallerAddress,
+        .mThreads = mSettings.callerThreads() },
+      [this](CallerRequest aRequest, AnswerFn aAnswer) {
+        mIngress.handle(std::move(aRequest), std::move(aAnswer));
+      },
+      mMetrics)
+  , mAdmin(mSettings.mOperatorAddress,
+           { .mReady = [this] { return ready(); },
+             .mState = [this] { return describe(); } },
+           mMetrics)
+{
+}
+
+Result<void>
+Daemon::Parts::start()
+{
+  const Result<void> link = mLink->start();
+  if (!link) {
+    return link;
+  }
+  const Result<void> admin = mAdmin.start();
+  if (!admin) {
+    return admin;
+  }
+  mLoop.start([this] { tick(); });
+  mLoop.post([this] {
+    follow(std::string(kConfigStream));
+    follow(cellStream(mSettings.mService));
+  });
+  mGate->start();
+  return mCallers.start();
+}
+
+void
+Daemon::Parts::stop()
+{
+  mCallers.stop();
+  mAdmin.stop();
+  mGate->stop();
+  // Followers post to the loop and the loop adds followers: the loop goes
+  // first, which makes its posters give up.
+  mLoop.stop();
+  for (const auto& [stream, follower] : mFollowers) {
+    follower->stop();
+  }
+  mLink->stop();
+  mAppender.stop();
+  mTimer.stop();
+}
+
+void
+Daemon::Parts::tick()
+{
+  if (mLeaveRequested) {
+    mMembership.beginLeave();
+  }
+  mMembership.tick();
+  mLease.tick();
+  mHandoff.tick(draining());
+  mCoordinator.tick();
+  mRecorder.tick(monotonicNow());
+  mConfigContact = mFleet.lastConfigContact().mCount;
+  mLeft = mMembership.leaving() && !mMembership.joined();
+  mOut = mMembership.out() && !mMembership.leaving();
+}
+
+bool
+Daemon::Parts::drained()
+{
+  return mLeft;
+}
+
+bool
+Daemon::Parts::draining() const
+{
+  const CellState& cell = mFleet.ownCell();
+  return mMembership.leaving() || cell.mDrainedVms.contains(mSettings.mVm) ||
+         cell.mDrainedZones.contains(mSettings.mZone);
+}
+
+bool
+Daemon::Parts::ready() const
+{
+  const std::shared_ptr<const FleetView> view = mViews.get();
+  return view->mModel != nullptr && !mOut && configFresh() &&
+         mAuthority.leaseUntil() > monotonicNow();
+}
+
+bool
+Daemon::Parts::configFresh() const
+{
+  const Millis now = monotonicNow();
+  // A lease that is held says that a majority of the witnesses answered within
+  // its TTL, and they would have told of a newer configuration.
+  return now - Millis{ mConfigContact } < kConfigFreshness ||
+         mAuthority.leaseUntil() > now;
+}
+
+void
+Daemon::Parts::follow(const std::string& aStream)
+{
+  LogFollower::Hooks hooks;
+  hooks.mOnRecords = [this, aStream](std::span<const LogRecord> aRecords,
+                                     Millis aAskedAt) {
+    std::vector<LogRecord> records(aRecords.begin(), aRecords.end());
+    mLoop.post([this, aStream, aAskedAt, records = std::move(records)] {
+      mFleet.onRecords(aStream, records);
+      mFleet.onContact(aStream, aAskedAt);
+    });
+  };
+  hooks.mOnError = [this, aStream](const Error& aError) {
+    mMetrics.count("radishroad_log_read_errors_total");
+    logEvent(LogLevel::Warn,
+             "log_read_failed",
+             { { "stream", aStream }, { "error", aError.mMessage } });
+  };
+  hooks.mOnGap = [aStream](std::uint64_t aOffset) {
+    logEvent(LogLevel::Error,
+             "log_gap",
+             { { "stream", aStream }, { "offset", aOffset } });
+  };
+  std::unique_ptr<LogFollower> follower = std::make_unique<LogFollower>(
+    mSettings.mLogAddress, aStream, std::move(hooks));
+  follower->start(0);
+  mFollowers[aStream] = std::move(follower);
+}
+
+bool
+Daemon::Parts::submitAppend(const std::string& aStream,
+                            const wire::RecordT& aRecord,
+                            std::function<void(Result<std::uint64_t>)> aResult)
+{
+  mMetrics.count("radishroad_log_appends_total");
+  return mAppender.submit(
+    aStream,
+    aRecord,
+    kAppendTimeout,
+    [this, result = std::move(aResult)](Result<std::uint64_t> aOffset) {
+      mLoop.post([result, aOffset] { result(aOffset); });
+    });
+}
+
+}
--- /dev/null
+++ b/src/daemon/parts.h
@@ -0,0 +1,95 @@
+#ifndef RADISHROAD_SRC_DAEMON_PARTS_H
+#define RADISHROAD_SRC_DAEMON_PARTS_H
+
+#include "radishroad/base/metrics.h"
+#include "radishroad/base/timer.h"
+#include "radishroad/caller/server.h"
+#include "radishroad/daemon/control_context.h"
+#include "radishroad/daemon/control_loop.h"
+#include "radishroad/daemon/coordinator_duty.h"
+#include "radishroad/daemon/daemon.h"
+#include "radishroad/daemon/fleet_state.h"
+#include "radishroad/daemon/fleet_view.h"
+#include "radishroad/daemon/handoff_duty.h"
+#include "radishroad/daemon/ingress.h"
+#include "radishroad/daemon/lease_duty.h"
+#include "radishroad/daemon/membership_duty.h"
+#include "radishroad/daemon/recorder.h"
+#include "radishroad/daemon/serve_authority.h"
+#include "radishroad/operator/admin_server.h"
+#include "radishroad/peer/link.h"
+#include "radishroad/platform/log_appender.h"
+#include "radishroad/platform/log_follower.h"
+#include "radishroad/upstream/gate.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+namespace radishroad {
+
+/// The daemon's threads and the state between them. Order of members is order
+/// of construction: what is used by others comes first.
+struct Daemon::Parts
+{
+  explicit Parts(const DaemonSettings& aSettings);
+
+  Result<void> start();
+  void stop();
+  /// True once there is nothing left that a planned stop would cut.
+  bool drained();
+  bool ready() const;
+  nlohmann::json describe();
+
+  const DaemonSettings mSettings;
+  const Incarnation mSelf;
+  Metrics mMetrics;
+  Timer mTimer;
+  ViewHolder mViews;
+  ServeAuthority mAuthority;
+  std::atomic<std::int64_t> mConfigContact{ 0 };
+  std::atomic<bool> mOut{ false };
+  std::atomic<bool> mLeaveRequested{ false };
+  std::atomic<bool> mLeft{ false };
+
+  ControlLoop mLoop;
+  LogAppender mAppender;
+  FleetState mFleet;
+  Recorder mRecorder;
+  std::unique_ptr<Gate> mGate;
+  std::unique_ptr<PeerLink> mLink;
+  ControlContext mContext;
+  MembershipDuty mMembership;
+  LeaseDuty mLease;
+  HandoffDuty mHandoff;
+  CoordinatorDuty mCoordinator;
+  Ingress mIngress;
+  CallerServer mCallers;
+  AdminServer mAdmin;
+  std::map<std::string, std::unique_ptr<LogFollower>> mFollowers;
+
+private:
+  FleetState::Hooks fleetHooks();
+  Gate::Hooks gateHooks();
+  PeerLink::Hooks linkHooks();
+  HandoffDuty::Hooks handoffHooks();
+  Ingress::Hooks ingressHooks();
+  void follow(const std::string& aStream);
+  void tick();
+  void onCell(const std::string& aService,
+              const CellState& aBefore,
+              const CellState& aAfter);
+  void onControlFrame(Incarnation aFrom, const wire::FrameBodyUnion& aBody);
+  void sendControl(Incarnation aTo, wire::FrameBodyUnion aBody);
+  bool submitAppend(const std::string& aStream,
+                    const wire::RecordT& aRecord,
+                    std::function<void(Result<std::uint64_t>)> aResult);
+  bool draining() const;
+  bool configFresh() const;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/daemon/parts_hooks.cpp
@@ -0,0 +1,159 @@
+#include "radishroad/base/json_log.h"
+
+#include "parts.h"
+
+#include <nlohmann/json.hpp>
+
+namespace radishroad {
+
+FleetState::Hooks
+Daemon::Parts::fleetHooks()
+{
+  FleetState::Hooks hooks;
+  hooks.mOnCell = [this](const std::string& aService,
+                         const CellState& aBefore,
+                         const CellState& aAfter) {
+    onCell(aService, aBefore, aAfter);
+  };
+  hooks.mOnConfig = [this](const config::Model& aModel) {
+    const auto it = aModel.mServices.find(mSettings.mService);
+    if (it != aModel.mServices.end()) {
+      mGate->configure(it->second);
+    }
+  };
+  hooks.mOnRecord = [this](RandomId aId, FoldVerdict aVerdict) {
+    mRecorder.onRecord(aId, aVerdict);
+  };
+  hooks.mFollowCell = [this](const std::string& aService) {
+    follow(cellStream(aService));
+  };
+  return hooks;
+}
+
+Gate::Hooks
+Daemon::Parts::gateHooks()
+{
+  Gate::Hooks hooks;
+  hooks.mMayServe = [this](const ForwardRequest& aRequest) {
+    return mAuthority.decide(aRequest, monotonicNow());
+  };
+  hooks.mOnHealth = [this](bool aHealthy) {
+    mLoop.post([this, aHealthy] { mMembership.onUpstreamHealth(aHealthy); });
+  };
+  hooks.mOnCrash = [](std::uint64_t, RandomId) {};
+  hooks.mIsQuarantined = [](std::uint64_t) { return false; };
+  hooks.mNow = monotonicNow;
+  return hooks;
+}
+
+PeerLink::Hooks
+Daemon::Parts::linkHooks()
+{
+  PeerLink::Hooks hooks;
+  hooks.mOnControl = [this](Incarnation aFrom, wire::FrameBodyUnion aBody) {
+    std::shared_ptr<wire::FrameBodyUnion> body =
+      std::make_shared<wire::FrameBodyUnion>(std::move(aBody));
+    mLoop.tryPost([this, aFrom, body] { onControlFrame(aFrom, *body); });
+  };
+  hooks.mOnRequest = [this](ForwardRequest aRequest, AnswerFn aAnswer) {
+    mGate->submit(std::move(aRequest), std::move(aAnswer));
+  };
+  hooks.mOnCancel = [this](RandomId aId) { mGate->cancel(aId); };
+  return hooks;
+}
+
+HandoffDuty::Hooks
+Daemon::Parts::handoffHooks()
+{
+  HandoffDuty::Hooks hooks;
+  hooks.mPause = [this](std::span<const Shard> aShards,
+                        std::function<void()> aDone) {
+    mGate->pauseShards(aShards,
+                       [this, done = std::move(aDone)] { mLoop.post(done); });
+  };
+  hooks.mResume = [this](std::span<const Shard> aShards) {
+    mGate->resumeShards(aShards);
+  };
+  return hooks;
+}
+
+Ingress::Hooks
+Daemon::Parts::ingressHooks()
+{
+  Ingress::Hooks hooks;
+  hooks.mAdmit = [](const std::string&) {
+    return Ingress::Admission::Admitted;
+  };
+  hooks.mRetryAfter = [](const std::string&) { return Millis{}; };
+  hooks.mConfigFresh = [this] { return configFresh(); };
+  hooks.mToOwnUpstream = [this](ForwardRequest aRequest, AnswerFn aAnswer) {
+    mGate->submit(std::move(aRequest), std::move(aAnswer));
+  };
+  hooks.mToPeer = [this](const std::string& aAddress,
+                         ForwardRequest aRequest,
+                         AnswerFn aAnswer) {
+    mLink->forward(aAddress, std::move(aRequest), std::move(aAnswer));
+  };
+  hooks.mMayRetry = [] { return false; };
+  hooks.mNow = monotonicNow;
+  return hooks;
+}
+
+void
+Daemon::Parts::onCell(const std::string& aService,
+                      const CellState& aBefore,
+                      const CellState& aAfter)
+{
+  if (aService == mSettings.mService) {
+    mLease.onOwnCell();
+  }
+  for (const auto& [incarnation, member] : aAfter.mMembers) {
+    const auto it = aBefore.mMembers.find(incarnation);
+    const bool changed =
+      it == aBefore.mMembers.end() || it->second.mStatus != member.mStatus;
+    if (changed) {
+      logEvent(LogLevel::Info,
+               "member",
+               { { "service", aService },
+                 { "member_vm", member.mVm },
+                 { "incarnation", std::to_string(incarnation) },
+                 { "status", memberStatusName(member.mStatus) } });
+    }
+  }
+}
+
+void
+Daemon::Parts::sendControl(Incarnation aTo, wire::FrameBodyUnion aBody)
+{
+  const Member* member = mFleet.findMember(aTo);
+  if (member != nullptr && member->mStatus == MemberStatus::Active) {
+    mLink->sendControl(member->mPeerAddress, aTo, std::move(aBody));
+  }
+}
+
+void
+Daemon::Parts::onControlFrame(Incarnation aFrom,
+                              const wire::FrameBodyUnion& aBody)
+{
+  switch (aBody.type) {
+    case wire::FrameBody::Renew:
+      mLease.onRenew(aFrom, *aBody.AsRenew());
+      break;
+    case wire::FrameBody::Promise:
+      mLease.onPromise(*aBody.AsPromise());
+      break;
+    case wire::FrameBody::ConsentAsk:
+      mLease.onConsentAsk(*aBody.AsConsentAsk());
+      break;
+    case wire::FrameBody::Consent:
+      mLease.onConsent(*aBody.AsConsent());
+      break;
+    case wire::FrameBody::MoveOrder:
+      mHandoff.order(aBody.AsMoveOrder()->grants);
+      break;
+    default:
+      break;
+  }
+}
+
+}
--- /dev/null
+++ b/src/daemon/settings.cpp
@@ -0,0 +1,293 @@
+#include "radishroad/daemon/settings.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <charconv>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <popt.h>
+#include <vector>
+
+namespace radishroad {
+
+namespace {
+
+enum class Kind
+{
+  Name,
+  Address,
+  OptionalAddress,
+  Level,
+  Threads,
+};
+
+/// One setting: its flag, where it is kept, and how it is checked.
+struct Field
+{
+  const char* mFlag;
+  const char* mVariable;
+  std::string DaemonSettings::*mTarget;
+  Kind mKind;
+  const char* mHelp;
+};
+
+constexpr std::array<Field, 11> kFields{ {
+  { "vm", "RADISHROAD_VM", &DaemonSettings::mVm, Kind::Name, "name of the VM" },
+  { "zone",
+    "RADISHROAD_ZONE",
+    &DaemonSettings::mZone,
+    Kind::Name,
+    "availability zone of the VM" },
+  { "service",
+    "RADISHROAD_SERVICE",
+    &DaemonSettings::mService,
+    Kind::Name,
+    "service of the upstream beside this daemon" },
+  { "caller-address",
+    "RADISHROAD_CALLER_ADDRESS",
+    &DaemonSettings::mCallerAddress,
+    Kind::Address,
+    "IP:PORT that serves callers" },
+  { "peer-address",
+    "RADISHROAD_PEER_ADDRESS",
+    &DaemonSettings::mPeerAddress,
+    Kind::Address,
+    "IP:PORT that serves the other daemons" },
+  { "advertise-peer-address",
+    "RADISHROAD_ADVERTISE_PEER_ADDRESS",
+    &DaemonSettings::mAdvertisePeerAddress,
+    Kind::OptionalAddress,
+    "IP:PORT at which the other daemons reach this one (peer-address)" },
+  { "operator-address",
+    "RADISHROAD_OPERATOR_ADDRESS",
+    &DaemonSettings::mOperatorAddress,
+    Kind::Address,
+    "IP:PORT that serves operators" },
+  { "upstream-address",
+    "RADISHROAD_UPSTREAM_ADDRESS",
+    &DaemonSettings::mUpstreamAddress,
+    Kind::Address,
+    "IP:PORT of the upstream" },
+  { "log-address",
+    "RADISHROAD_LOG_ADDRESS",
+    &DaemonSettings::mLogAddress,
+    Kind::Address,
+    "IP:PORT of the platform's log service" },
+  { "log-level",
+    "RADISHROAD_LOG_LEVEL",
+    &DaemonSettings::mLogLevel,
+    Kind::Level,
+    "debug, info, warn or error (info)" },
+  { "caller-threads",
+    "RADISHROAD_CALLER_THREADS",
+    &DaemonSettings::mCallerThreads,
+    Kind::Threads,
+    "threads that read callers' requests, 1 to 64 (2)" },
+} };
+
+constexpr std::size_t kMaxNameLength = 64;
+constexpr unsigned kMaxThreads = 64;
+
+bool
+isName(const std::string& aText)
+{
+  constexpr std::string_view kAllowed =
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
+  return !aText.empty() && aText.size() <= kMaxNameLength &&
+         aText.find_first_not_of(kAllowed) == std::string::npos;
+}
+
+bool
+isLevel(const std::string& aText)
+{
+  return aText == "debug" || aText == "info" || aText == "warn" ||
+         aText == "error";
+}
+
+unsigned
+toUnsigned(const std::string& aText)
+{
+  unsigned value = 0;
+  const char* end = aText.data() + aText.size();
+  const std::from_chars_result result =
+    std::from_chars(aText.data(), end, value);
+  return result.ec == std::errc() && result.ptr == end ? value : 0;
+}
+
+bool
+isThreads(const std::string& aText)
+{
+  const unsigned n = toUnsigned(aText);
+  return n >= 1 && n <= kMaxThreads;
+}
+
+/// What the kind accepts, or empty if the text is accepted.
+std::string
+expectedOf(Kind aKind, const std::string& aText)
+{
+  switch (aKind) {
+    case Kind::Name:
+      return isName(aText) ? "" : "1 to 64 letters, digits, '-', '_' or '.'";
+    case Kind::Address:
+      return isSocketAddress(aText) ? "" : "IP:PORT, such as 10.0.0.7:8080";
+    case Kind::OptionalAddress:
+      return aText.empty() ? "" : expectedOf(Kind::Address, aText);
+    case Kind::Level:
+      return isLevel(aText) ? "" : "debug, info, warn or error";
+    case Kind::Threads:
+      return isThreads(aText) ? "" : "a number from 1 to 64";
+  }
+  return "";
+}
+
+void
+checkField(const Field& aField,
+           const std::string& aText,
+           const std::string& aSource,
+           Findings& aFindings)
+{
+  const std::string expected = expectedOf(aField.mKind, aText);
+  if (expected.empty()) {
+    return;
+  }
+  const std::string problem =
+    aText.empty() ? "not set" : "'" + aText + "' is not accepted";
+  aFindings.push_back({ aSource, 0, problem, expected });
+}
+
+constexpr int kCheckOption = 1000;
+
+struct PoptFree
+{
+  void operator()(poptContext aContext) const { poptFreeContext(aContext); }
+};
+using PoptContext =
+  std::unique_ptr<std::remove_pointer_t<poptContext>, PoptFree>;
+
+std::vector<poptOption>
+makeOptions()
+{
+  std::vector<poptOption> options;
+  int value = 1;
+  for (const Field& field : kFields) {
+    options.push_back({ field.mFlag,
+                        '\0',
+                        POPT_ARG_STRING,
+                        nullptr,
+                        value,
+                        field.mHelp,
+                        "VALUE" });
+    ++value;
+  }
+  options.push_back({ "check",
+                      '\0',
+                      POPT_ARG_NONE,
+                      nullptr,
+                      kCheckOption,
+                      "check the settings and exit",
+                      nullptr });
+  const std::array<poptOption, 2> tail{ { POPT_AUTOHELP POPT_TABLEEND } };
+  options.insert(options.end(), tail.begin(), tail.end());
+  return options;
+}
+
+void
+readEnvironment(const EnvironmentFn& aGetEnv,
+                DaemonSettings& aSettings,
+                std::array<std::string, kFields.size()>& aSources)
+{
+  for (std::size_t n = 0; n < kFields.size(); ++n) {
+    const Field& field = kFields.at(n);
+    aSources.at(n) = std::string("--") + field.mFlag;
+    const std::optional<std::string> text = aGetEnv(field.mVariable);
+    if (text) {
+      aSettings.*field.mTarget = *text;
+      aSources.at(n) = field.mVariable;
+    }
+  }
+}
+
+}
+
+LogLevel
+DaemonSettings::logLevel() const
+{
+  if (mLogLevel == "debug") {
+    return LogLevel::Debug;
+  }
+  if (mLogLevel == "warn") {
+    return LogLevel::Warn;
+  }
+  return mLogLevel == "error" ? LogLevel::Error : LogLevel::Info;
+}
+
+unsigned
+DaemonSettings::callerThreads() const
+{
+  return toUnsigned(mCallerThreads);
+}
+
+bool
+isSocketAddress(const std::string& aText)
+{
+  const std::size_t colon = aText.rfind(':');
+  if (colon == std::string::npos) {
+    return false;
+  }
+  in_addr address{};
+  if (inet_pton(AF_INET, aText.substr(0, colon).c_str(), &address) != 1) {
+    return false;
+  }
+  constexpr unsigned kMaxPort = 65535;
+  const unsigned port = toUnsigned(aText.substr(colon + 1));
+  return port >= 1 && port <= kMaxPort;
+}
+
+tl::expected<DaemonCommand, Findings>
+readSettings(int aCount, const char** aArguments, const EnvironmentFn& aGetEnv)
+{
+  DaemonCommand command;
+  Findings findings;
+  std::array<std::string, kFields.size()> sources;
+  readEnvironment(aGetEnv, command.mSettings, sources);
+
+  const std::vector<poptOption> options = makeOptions();
+  const PoptContext context(
+    poptGetContext("radishroadd", aCount, aArguments, options.data(), 0));
+  int code = 0;
+  while ((code = poptGetNextOpt(context.get())) > 0) {
+    if (code == kCheckOption) {
+      command.mCheckOnly = true;
+      continue;
+    }
+    const std::size_t n = static_cast<std::size_t>(code) - 1;
+    const std::unique_ptr<char, decltype(&std::free)> text(
+      poptGetOptArg(context.get()), &std::free);
+    command.mSettings.*kFields.at(n).mTarget = text.get();
+    sources.at(n) = std::string("--") + kFields.at(n).mFlag;
+  }
+  if (code < -1) {
+    findings.push_back({ poptBadOption(context.get(), 0),
+                         0,
+                         poptStrerror(code),
+                         "a flag that --help lists" });
+  }
+  if (const char* extra = poptGetArg(context.get()); extra != nullptr) {
+    findings.push_back({ extra, 0, "unknown argument", "flags only" });
+  }
+  for (std::size_t n = 0; n < kFields.size(); ++n) {
+    const Field& field = kFields.at(n);
+    checkField(
+      field, command.mSettings.*field.mTarget, sources.at(n), findings);
+  }
+  if (!findings.empty()) {
+    return tl::unexpected<Findings>(findings);
+  }
+  if (command.mSettings.mAdvertisePeerAddress.empty()) {
+    command.mSettings.mAdvertisePeerAddress = command.mSettings.mPeerAddress;
+  }
+  return command;
+}
+
+}
--- a/src/main/radishroadd.cpp
+++ b/src/main/radishroadd.cpp
@@ -1,5 +1,85 @@
+#include "radishroad/base/json_log.h"
+#include "radishroad/daemon/daemon.h"
+#include "radishroad/daemon/settings.h"
+
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+#include <curl/curl.h>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace {
+
+using namespace radishroad;
+
+/// Exit status for settings that are not accepted.
+constexpr int kExitUsage = 2;
+/// Exit status for an address that cannot be bound.
+constexpr int kExitCannotStart = 3;
+
+std::atomic<bool> sStopRequested{ false };
+
+void
+onStopSignal(int)
+{
+  sStopRequested = true;
+}
+
+void
+installSignals()
+{
+  std::signal(SIGTERM, onStopSignal);
+  std::signal(SIGINT, onStopSignal);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+std::optional<std::string>
+readEnvironment(const std::string& aName)
+{
+  const char* text = std::getenv(aName.c_str());
+  return text == nullptr ? std::nullopt : std::optional<std::string>(text);
+}
+
+int
+runDaemon(const DaemonSettings& aSettings)
+{
+  while (true) {
+    Daemon daemon(aSettings);
+    const Result<Daemon::RunEnd> end =
+      daemon.run([] { return sStopRequested.load(); });
+    if (!end) {
+      logEvent(
+        LogLevel::Error, "cannot_start", { { "error", end.error().mMessage } });
+      return kExitCannotStart;
+    }
+    if (*end == Daemon::RunEnd::Stopped) {
+      return EXIT_SUCCESS;
+    }
+  }
+}
+
+}
+
 int
-main()
+main(int aCount, char** aArguments)
 {
-  return 0;
+  const tl::expected<DaemonCommand, Findings> command =
+    readSettings(aCount, const_cast<const char**>(aArguments), readEnvironment);
+  if (!command) {
+    for (const Finding& finding : command.error()) {
+      std::cerr << "radishroadd: " << finding.toString() << '\n';
+    }
+    return kExitUsage;
+  }
+  if (command->mCheckOnly) {
+    std::cout << "settings accepted\n";
+    return EXIT_SUCCESS;
+  }
+  const DaemonSettings& settings = command->mSettings;
+  startLog("daemon", settings.mVm, settings.mZone, settings.logLevel());
+  curl_global_init(CURL_GLOBAL_ALL);
+  installSignals();
+  return runDaemon(settings);
 }
--- a/src/ownership/lease_holder.cpp
+++ b/src/ownership/lease_holder.cpp
@@ -62,6 +62,12 @@
   mLastRenewal.reset();
 }
 
+void
+LeaseHolder::abandonChange()
+{
+  mProposed.reset();
+}
+
 bool
 LeaseHolder::changeInDoubt() const
 {
--- a/src/ownership/witness.cpp
+++ b/src/ownership/witness.cpp
@@ -9,7 +9,7 @@
 /// A promise given now binds until here; longer than the holder counts on,
 /// since the holder counts from the earlier send of its renewal.
 Millis
-boundUntil(Millis aNow)
+promiseEnd(Millis aNow)
 {
   return aNow + kLeaseTtl + kDriftMargin;
 }
@@ -23,14 +23,14 @@
   if (entry.mConsented) {
     return false;
   }
-  entry.mBoundUntil = std::max(entry.mBoundUntil, boundUntil(aNow));
+  entry.mBoundUntil = std::max(entry.mBoundUntil, promiseEnd(aNow));
   return true;
 }
 
 void
 Witness::expect(LeaseLabel aLabel, Millis aNow)
 {
-  mEntries.try_emplace(aLabel, Entry{ boundUntil(aNow), false });
+  mEntries.try_emplace(aLabel, Entry{ promiseEnd(aNow), false });
 }
 
 Witness::ConsentAnswer
@@ -56,6 +56,25 @@
   return labels;
 }
 
+std::vector<LeaseLabel>
+Witness::outstanding(Millis aNow) const
+{
+  std::vector<LeaseLabel> labels;
+  for (const auto& [label, entry] : mEntries) {
+    if (entry.mBoundUntil <= aNow) {
+      labels.push_back(label);
+    }
+  }
+  return labels;
+}
+
+Millis
+Witness::boundUntil(LeaseLabel aLabel) const
+{
+  const auto it = mEntries.find(aLabel);
+  return it == mEntries.end() ? Millis{} : it->second.mBoundUntil;
+}
+
 void
 Witness::forget(LeaseLabel aLabel)
 {
--- a/src/platform/log_follower.cpp
+++ b/src/platform/log_follower.cpp
@@ -68,6 +68,7 @@
   void pollOnce()
   {
     const Position from = position();
+    const Millis askedAt = monotonicNow();
     const Result<std::vector<LogRecord>> records =
       mClient.read(mStream, from.mNext, from.mWait, from.mWait + kPollMargin);
     if (stopped()) {
@@ -75,7 +76,7 @@
     }
     if (records) {
       mBackoff.reset();
-      deliver(*records);
+      deliver(*records, askedAt);
     } else if (records.error().mCode == ErrorCode::Expired) {
       restartFromOldest(from.mNext);
     } else {
@@ -84,13 +85,13 @@
   }
 
   /// Drops what skipTo has passed since the poll began.
-  void deliver(std::span<const LogRecord> aRecords)
+  void deliver(std::span<const LogRecord> aRecords, Millis aAskedAt)
   {
     const std::uint64_t next = position().mNext;
     while (!aRecords.empty() && aRecords.front().mOffset < next) {
       aRecords = aRecords.subspan(1);
     }
-    mHooks.mOnRecords(aRecords);
+    mHooks.mOnRecords(aRecords, aAskedAt);
     if (!aRecords.empty()) {
       skipTo(aRecords.back().mOffset + 1);
     }
--- a/src/state/cell_state.cpp
+++ b/src/state/cell_state.cpp
@@ -2,6 +2,20 @@
 
 namespace radishroad {
 
+std::string_view
+memberStatusName(MemberStatus aStatus)
+{
+  switch (aStatus) {
+    case MemberStatus::Active:
+      return "active";
+    case MemberStatus::Left:
+      return "left";
+    case MemberStatus::Expelled:
+      return "expelled";
+  }
+  return "unknown";
+}
+
 Shard
 shardOf(std::uint64_t aKeyHash)
 {
