--- /dev/null
+++ b/include/radishroad/caller/connection.h
@@ -0,0 +1,104 @@
+#ifndef RADISHROAD_CALLER_CONNECTION_H
+#define RADISHROAD_CALLER_CONNECTION_H
+
+#include "radishroad/caller/request_reader.h"
+#include "radishroad/caller/response.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace radishroad {
+
+class AnswerMailbox;
+class ServerContext;
+
+/// One caller's connection. Requests are run one at a time, in order, and an
+/// answer is written only to the request that it belongs to. Lives on one
+/// transport thread; only its weak pointer goes to other threads.
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+  /// Asks for (true) or gives up (false) a call of onWritable.
+  using WantWriteFn = std::function<void(bool)>;
+
+  /// Borrows the socket, which outlives the connection's last call.
+  Connection(int aSocket,
+             ServerContext& aContext,
+             std::shared_ptr<AnswerMailbox> aMailbox,
+             WantWriteFn aWantWrite);
+  ~Connection();
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  void onBytes(std::string_view aBytes, Millis aNow);
+  void onAnswer(std::uint64_t aSequence, Answer aAnswer, Millis aNow);
+  void onWritable(Millis aNow);
+  /// Checks the time limits. Call every now and then.
+  void onTick(Millis aNow);
+
+private:
+  enum class Output
+  {
+    None,
+    /// Some of a response is still to be written.
+    Pending,
+    /// The last response is out and the sending side is shut.
+    Ended,
+  };
+
+  void readRequests(Millis aNow);
+  /// There is room for one more request in the queue.
+  bool canQueue() const;
+  void boundHeldInput();
+  void runNext(Millis aNow);
+  void runFront(ReadRequest& aFront);
+  bool isLastAnswer(const ReadRequest& aFront) const;
+  void write(Response aResponse, bool aIsLast, Millis aNow);
+  void flush(Millis aNow);
+  /// Sends what the socket takes; false if it takes no more for now.
+  bool sendSome();
+  void finishOutput(Millis aNow);
+  void sendContinue();
+  void endSending(Millis aNow);
+  void abort();
+  bool isBusy() const;
+  void noteBusy();
+  bool hasTimedOut(Millis aNow) const;
+  void refuseSlowCaller(Millis aNow);
+
+  const int mSocket;
+  ServerContext& mContext;
+  const std::shared_ptr<AnswerMailbox> mMailbox;
+  const WantWriteFn mWantWrite;
+
+  RequestReader mReader;
+  std::deque<RequestReader::Outcome> mQueue;
+  /// Bodies of the requests in the queue.
+  std::size_t mQueuedBytes = 0;
+  /// The front of the queue has been handed on and is not yet answered.
+  bool mRunning = false;
+  /// Number of the request that runs or runs next.
+  std::uint64_t mSequence = 0;
+  /// The first byte of what is under way came when the server was closing.
+  bool mBeganInClosing = false;
+  /// What still comes in is thrown away.
+  bool mDiscardInput = false;
+
+  Output mOutput = Output::None;
+  Response mResponse;
+  std::size_t mSent = 0;
+  bool mIsLastResponse = false;
+
+  bool mCountedBusy = false;
+  RequestReader::Phase mLastPhase = RequestReader::Phase::Idle;
+  /// When the present phase of reading began, or the output last moved on.
+  Millis mPhaseSince;
+  Millis mOutputSince;
+};
+
+}
+
+#endif
--- a/include/radishroad/caller/server.h
+++ b/include/radishroad/caller/server.h
@@ -6,6 +6,7 @@
 #include "radishroad/base/millis.h"
 #include "radishroad/request/request.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -26,6 +27,11 @@
     std::size_t mMaxBodyBytes = 16U << 20;
     Millis mHeaderTimeout{ 10000 };
     Millis mBodyTimeout{ 30000 };
+    /// A connection without a request is closed after this time.
+    Millis mIdleTimeout{ 300000 };
+    /// While draining, requests on open connections are served this long, and
+    /// each answer ends its connection; idle ones are closed afterwards.
+    Millis mDrainGrace{ 500 };
   };
 
   CallerServer(Options aOptions, CallerRequestFn aHandler, Metrics& aMetrics);
@@ -34,9 +40,11 @@
   CallerServer& operator=(const CallerServer&) = delete;
 
   Result<void> start();
-  /// Closes idle connections, answers what is under way with
-  /// "Connection: close", and returns when nothing is under way or the time
-  /// is up.
+  /// The port listened on; 0 before start.
+  std::uint16_t port() const;
+  /// Answers what is under way with "Connection: close", closes idle
+  /// connections after a grace, then refuses new requests as not run. Returns
+  /// when nothing is under way or the time is up.
   void drain(Millis aTimeout);
   void stop();
 
--- a/include/radishroad/operator/admin_server.h
+++ b/include/radishroad/operator/admin_server.h
@@ -4,6 +4,7 @@
 #include "radishroad/base/error.h"
 #include "radishroad/base/metrics.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
@@ -31,6 +32,8 @@
   AdminServer& operator=(const AdminServer&) = delete;
 
   Result<void> start();
+  /// The port listened on; 0 before start.
+  std::uint16_t port() const;
   void stop();
 
 private:
--- /dev/null
+++ b/src/caller/connection.cpp
@@ -0,0 +1,387 @@
+#include "radishroad/caller/connection.h"
+
+#include "radishroad/base/json_log.h"
+#include "radishroad/caller/answer_mailbox.h"
+#include "radishroad/caller/pending_answer.h"
+#include "radishroad/caller/server_context.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+namespace radishroad {
+
+using namespace radishroad::literals;
+
+namespace {
+
+/// Requests of one connection that wait or run.
+constexpr std::size_t kMaxPipelined = 16;
+/// Further requests wait unread once those in the queue hold this much.
+constexpr std::size_t kMaxQueuedBytes = 1U << 20;
+/// A caller that sends more than this beyond a full queue loses the rest.
+constexpr std::size_t kMaxHeldBytes = 256U << 10;
+/// A caller that got its last answer has this long to close.
+constexpr Millis kLingerTime = 2_s;
+/// An answer that the caller does not take is given up after this time.
+constexpr Millis kWriteTimeout = 30_s;
+
+}
+
+Connection::Connection(int aSocket,
+                       ServerContext& aContext,
+                       std::shared_ptr<AnswerMailbox> aMailbox,
+                       WantWriteFn aWantWrite)
+  : mSocket(aSocket)
+  , mContext(aContext)
+  , mMailbox(std::move(aMailbox))
+  , mWantWrite(std::move(aWantWrite))
+  , mReader(
+      { aContext.mOptions.mMaxHeaderBytes, aContext.mOptions.mMaxBodyBytes })
+  , mPhaseSince(monotonicNow())
+{
+  mContext.connectionOpened();
+}
+
+Connection::~Connection()
+{
+  if (mCountedBusy) {
+    mContext.connectionIdle();
+  }
+  mContext.connectionClosed();
+}
+
+void
+Connection::onBytes(std::string_view aBytes, Millis aNow)
+{
+  if (mDiscardInput) {
+    return;
+  }
+  if (!isBusy()) {
+    mBeganInClosing = mContext.phase() == ServerContext::Phase::Closing;
+  }
+  mReader.feed(aBytes);
+  readRequests(aNow);
+  runNext(aNow);
+  noteBusy();
+}
+
+void
+Connection::readRequests(Millis aNow)
+{
+  while (!mDiscardInput && canQueue()) {
+    std::optional<RequestReader::Outcome> outcome = mReader.next(aNow);
+    if (!outcome) {
+      break;
+    }
+    mDiscardInput = !*outcome || !(*outcome)->mKeepAlive;
+    mQueuedBytes += *outcome ? (*outcome)->mRequest.mBody.size() : 0;
+    mQueue.push_back(std::move(*outcome));
+    mPhaseSince = aNow;
+  }
+  boundHeldInput();
+  const RequestReader::Phase phase = mReader.phase();
+  if (phase != mLastPhase) {
+    mPhaseSince = aNow;
+    mLastPhase = phase;
+  }
+  const bool alone = mQueue.empty() && mOutput == Output::None;
+  if (mReader.takeContinueWanted() && alone) {
+    sendContinue();
+  }
+}
+
+bool
+Connection::canQueue() const
+{
+  return mQueue.size() < kMaxPipelined && mQueuedBytes < kMaxQueuedBytes;
+}
+
+void
+Connection::boundHeldInput()
+{
+  if (!canQueue() && mReader.heldBytes() > kMaxHeldBytes) {
+    mDiscardInput = true;
+  }
+}
+
+void
+Connection::runNext(Millis aNow)
+{
+  if (mRunning || mQueue.empty() || mOutput != Output::None) {
+    return;
+  }
+  RequestReader::Outcome& front = mQueue.front();
+  if (!front) {
+    mContext.mMetrics.count("caller_refused_total{reason=\"" +
+                            front.error().mReason + "\"}");
+    Response response = makeRefusal(front.error(), makeRandomId(), false);
+    write(std::move(response), true, aNow);
+    return;
+  }
+  runFront(*front);
+}
+
+void
+Connection::runFront(ReadRequest& aFront)
+{
+  mRunning = true;
+  const RandomId id = aFront.mRequest.mId;
+  const std::shared_ptr<PendingAnswer> pending =
+    std::make_shared<PendingAnswer>(mMailbox, weak_from_this(), mSequence, id);
+  if (mBeganInClosing) {
+    mQueuedBytes -= aFront.mRequest.mBody.size();
+    pending->answer(makeNotRun(id, NotRunReason::Draining, 1_s));
+    return;
+  }
+  CallerRequest request = std::move(aFront.mRequest);
+  // Kept for the answer.
+  aFront.mRequest.mId = id;
+  aFront.mRequest.mReceivedAt = request.mReceivedAt;
+  mQueuedBytes -= request.mBody.size();
+  try {
+    mContext.mHandler(std::move(request), [pending](Answer aAnswer) {
+      pending->answer(std::move(aAnswer));
+    });
+  } catch (const std::exception& error) {
+    // What was handed on may run: the caller is told "unknown".
+    logEvent(LogLevel::Error,
+             "caller_handler_failed",
+             { { "request_id", id.toString() }, { "error", error.what() } });
+  }
+}
+
+void
+Connection::onAnswer(std::uint64_t aSequence, Answer aAnswer, Millis aNow)
+{
+  if (!mRunning || aSequence != mSequence) {
+    return;
+  }
+  mRunning = false;
+  ++mSequence;
+  const ReadRequest front = std::move(*mQueue.front());
+  mQueue.pop_front();
+  const std::string outcome(outcomeName(aAnswer.kind));
+  mContext.mMetrics.count("caller_requests_total{outcome=\"" + outcome + "\"}");
+  const Millis taken = aNow - front.mRequest.mReceivedAt;
+  mContext.mMetrics.observeMs("caller_latency_ms",
+                              static_cast<double>(taken.mCount));
+  const bool isLast = isLastAnswer(front);
+  write(makeResponse(std::move(aAnswer),
+                     front.mRequest.mId,
+                     { .mKeepAlive = !isLast, .mIsHead = front.mIsHead }),
+        isLast,
+        aNow);
+  noteBusy();
+}
+
+bool
+Connection::isLastAnswer(const ReadRequest& aFront) const
+{
+  if (!aFront.mKeepAlive) {
+    return true;
+  }
+  const bool moreToAnswer =
+    !mQueue.empty() || mReader.phase() != RequestReader::Phase::Idle;
+  if (mDiscardInput) {
+    return mQueue.empty();
+  }
+  return mContext.phase() != ServerContext::Phase::Serving && !moreToAnswer;
+}
+
+void
+Connection::write(Response aResponse, bool aIsLast, Millis aNow)
+{
+  mResponse = std::move(aResponse);
+  mSent = 0;
+  mOutput = Output::Pending;
+  mIsLastResponse = aIsLast;
+  mOutputSince = aNow;
+  if (aIsLast) {
+    mDiscardInput = true;
+  }
+  flush(aNow);
+}
+
+bool
+Connection::sendSome()
+{
+  const std::size_t headLeft =
+    mResponse.mHead.size() - std::min(mSent, mResponse.mHead.size());
+  const std::size_t bodySent = mSent - (mResponse.mHead.size() - headLeft);
+  std::array<iovec, 2> parts{
+    { { mResponse.mHead.data() + mResponse.mHead.size() - headLeft, headLeft },
+      { mResponse.mBody.data() + bodySent, mResponse.mBody.size() - bodySent } }
+  };
+  msghdr message{};
+  message.msg_iov = parts.data();
+  message.msg_iovlen = parts.size();
+  const ssize_t n = ::sendmsg(mSocket, &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+  if (n >= 0) {
+    mSent += static_cast<std::size_t>(n);
+    return true;
+  }
+  if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+    abort();
+  }
+  return false;
+}
+
+void
+Connection::flush(Millis aNow)
+{
+  const std::size_t size = mResponse.mHead.size() + mResponse.mBody.size();
+  const std::size_t before = mSent;
+  while (mSent < size && sendSome()) {
+  }
+  if (mSent > before) {
+    mOutputSince = aNow;
+  }
+  if (mSent < size) {
+    mWantWrite(true);
+    return;
+  }
+  finishOutput(aNow);
+}
+
+void
+Connection::finishOutput(Millis aNow)
+{
+  mResponse = {};
+  mPhaseSince = aNow;
+  if (mIsLastResponse) {
+    endSending(aNow);
+    return;
+  }
+  mOutput = Output::None;
+  readRequests(aNow);
+  runNext(aNow);
+}
+
+void
+Connection::onWritable(Millis aNow)
+{
+  if (mOutput != Output::Pending) {
+    return;
+  }
+  flush(aNow);
+  if (mOutput != Output::Pending) {
+    mWantWrite(false);
+  }
+  noteBusy();
+}
+
+void
+Connection::sendContinue()
+{
+  // Lost if the socket is full, which it is not before a first answer; the
+  // caller then sends its body after a while all the same.
+  constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  static_cast<void>(::send(
+    mSocket, kContinue.data(), kContinue.size(), MSG_NOSIGNAL | MSG_DONTWAIT));
+}
+
+void
+Connection::endSending(Millis aNow)
+{
+  // Closing at once would make the kernel reset the connection if the caller
+  // still sends, and the caller could lose the answer.
+  mOutput = Output::Ended;
+  mOutputSince = aNow;
+  mDiscardInput = true;
+  mQueue.clear();
+  ::shutdown(mSocket, SHUT_WR);
+}
+
+void
+Connection::abort()
+{
+  // The transport sees the end of the stream and drops the connection.
+  mDiscardInput = true;
+  ::shutdown(mSocket, SHUT_RDWR);
+}
+
+bool
+Connection::isBusy() const
+{
+  if (mOutput == Output::Ended) {
+    return false;
+  }
+  const RequestReader::Phase phase = mReader.phase();
+  const bool reading =
+    phase == RequestReader::Phase::Head || phase == RequestReader::Phase::Body;
+  return mRunning || !mQueue.empty() || mOutput == Output::Pending ||
+         (reading && !mDiscardInput);
+}
+
+void
+Connection::noteBusy()
+{
+  const bool busy = isBusy();
+  if (busy == mCountedBusy) {
+    return;
+  }
+  mCountedBusy = busy;
+  if (busy) {
+    mContext.connectionBusy();
+  } else {
+    mContext.connectionIdle();
+  }
+}
+
+bool
+Connection::hasTimedOut(Millis aNow) const
+{
+  const CallerServer::Options& options = mContext.mOptions;
+  const Millis waited = aNow - mPhaseSince;
+  switch (mReader.phase()) {
+    case RequestReader::Phase::Head:
+      return waited > options.mHeaderTimeout;
+    case RequestReader::Phase::Body:
+      return waited > options.mBodyTimeout;
+    default:
+      return false;
+  }
+}
+
+void
+Connection::refuseSlowCaller(Millis aNow)
+{
+  mDiscardInput = true;
+  mQueue.emplace_back(tl::unexpected<Refusal>(
+    Refusal{ 408, "request-timeout", "the request did not arrive in time" }));
+  runNext(aNow);
+  noteBusy();
+}
+
+void
+Connection::onTick(Millis aNow)
+{
+  if (mOutput == Output::Ended) {
+    if (aNow - mOutputSince > kLingerTime) {
+      abort();
+    }
+    return;
+  }
+  if (mOutput == Output::Pending) {
+    if (aNow - mOutputSince > kWriteTimeout) {
+      abort();
+    }
+    return;
+  }
+  if (isBusy()) {
+    if (!mDiscardInput && !mRunning && mQueue.empty() && hasTimedOut(aNow)) {
+      refuseSlowCaller(aNow);
+    }
+    return;
+  }
+  const bool closing = mContext.phase() == ServerContext::Phase::Closing;
+  if (closing || aNow - mPhaseSince > mContext.mOptions.mIdleTimeout) {
+    endSending(aNow);
+  }
+}
+
+}
--- /dev/null
+++ b/src/caller/response.cpp
@@ -0,0 +1,288 @@
+#include "radishroad/caller/response.h"
+
+#include "radishroad/caller/header_filter.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/http/status.hpp>
+#include <nlohmann/json.hpp>
+
+namespace radishroad {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr unsigned kNoContent = 204;
+constexpr unsigned kNotModified = 304;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
+constexpr std::int64_t kMillisPerSecond = 1000;
+
+struct ReasonText
+{
+  NotRunReason mReason;
+  std::string_view mName;
+  unsigned mStatus;
+  std::string_view mMessage;
+};
+
+constexpr std::array<ReasonText, 16> kReasons{ {
+  { NotRunReason::None, "none", 503, "the request was not run" },
+  { NotRunReason::NotOwner, "not-owner", 503, "the key's owner has changed" },
+  { NotRunReason::NoOwner, "no-owner", 503, "the key has no owner just now" },
+  { NotRunReason::LeaseLapsed,
+    "lease-lapsed",
+    503,
+    "the key's owner may not serve just now" },
+  { NotRunReason::QueueFull, "queue-full", 503, "too many requests wait" },
+  { NotRunReason::DeadlinePassed,
+    "deadline-passed",
+    504,
+    "the deadline passed before the request could run" },
+  { NotRunReason::Shed, "shed", 503, "the upstream sheds load" },
+  { NotRunReason::UpstreamDown,
+    "upstream-down",
+    503,
+    "the upstream is not reachable" },
+  { NotRunReason::Draining, "draining", 503, "this process is stopping" },
+  { NotRunReason::Quarantined,
+    "quarantined",
+    422,
+    "copies of this request have crashed upstreams" },
+  { NotRunReason::Unauthorized,
+    "unauthorized",
+    401,
+    "no valid key came with the request" },
+  { NotRunReason::RateLimited,
+    "rate-limited",
+    429,
+    "the workspace is over its rate" },
+  { NotRunReason::NoRoute, "no-route", 404, "no route matches" },
+  { NotRunReason::Cancelled, "cancelled", 503, "the request was cancelled" },
+  { NotRunReason::Malformed, "malformed", 400, "the request is malformed" },
+  { NotRunReason::DuplicateInFlight,
+    "duplicate-in-flight",
+    409,
+    "a request with the same idempotency key is under way" },
+} };
+
+const ReasonText&
+textOf(NotRunReason aReason)
+{
+  const auto it = std::find_if(
+    kReasons.begin(), kReasons.end(), [aReason](const ReasonText& aText) {
+      return aText.mReason == aReason;
+    });
+  return it == kReasons.end() ? kReasons.front() : *it;
+}
+
+/// Builds the head of a response field by field.
+class HeadBuilder
+{
+public:
+  explicit HeadBuilder(unsigned aStatus)
+  {
+    const boost::beast::string_view phrase =
+      http::obsolete_reason(http::int_to_status(aStatus));
+    mText = "HTTP/1.1 " + std::to_string(aStatus) + " ";
+    mText.append(phrase.data(), phrase.size());
+    mText += "\r\n";
+  }
+
+  void add(std::string_view aName, std::string_view aValue)
+  {
+    mText.append(aName).append(": ").append(aValue).append("\r\n");
+  }
+
+  std::string finish(RandomId aId, std::string_view aOutcome, bool aKeepAlive)
+  {
+    add("X-Radishroad-Request-Id", aId.toString());
+    add("X-Radishroad-Outcome", aOutcome);
+    add("Connection", aKeepAlive ? "keep-alive" : "close");
+    mText += "\r\n";
+    return std::move(mText);
+  }
+
+private:
+  std::string mText;
+};
+
+/// A field that would break the response's framing never goes out.
+bool
+isSafe(const wire::HeaderT& aHeader)
+{
+  constexpr std::string_view kBreaks("\r\n\0", 3);
+  return !aHeader.name.empty() &&
+         aHeader.name.find_first_of(std::string_view("\r\n\0: \t", 6)) ==
+           std::string::npos &&
+         aHeader.value.find_first_of(kBreaks) == std::string::npos;
+}
+
+bool
+isStatusWithoutBody(unsigned aStatus)
+{
+  return aStatus == kNoContent || aStatus == kNotModified;
+}
+
+/// The length that the upstream gave in its answer to HEAD.
+std::string_view
+lengthOf(const Answer& aAnswer)
+{
+  for (const auto& header : aAnswer.headers) {
+    if (equalsIgnoringCase(header->name, "Content-Length")) {
+      return header->value;
+    }
+  }
+  return {};
+}
+
+void
+addLength(HeadBuilder& aHead,
+          const Answer& aAnswer,
+          unsigned aStatus,
+          bool aIsHead)
+{
+  if (aIsHead || aStatus == kNotModified) {
+    const std::string_view length = lengthOf(aAnswer);
+    const bool digits =
+      !length.empty() &&
+      length.find_first_not_of("0123456789") == std::string_view::npos;
+    if (digits) {
+      aHead.add("Content-Length", length);
+    }
+    return;
+  }
+  if (aStatus != kNoContent) {
+    aHead.add("Content-Length", std::to_string(aAnswer.body.size()));
+  }
+}
+
+Response
+passOn(Answer aAnswer, RandomId aId, ResponseFraming aFraming)
+{
+  HeadBuilder head(aAnswer.status);
+  HeaderFilter filter;
+  for (const auto& header : aAnswer.headers) {
+    if (equalsIgnoringCase(header->name, "Connection")) {
+      filter.addConnection(header->value);
+    }
+  }
+  for (const auto& header : aAnswer.headers) {
+    if (isSafe(*header) && filter.passes(header->name)) {
+      head.add(header->name, header->value);
+    }
+  }
+  addLength(head, aAnswer, aAnswer.status, aFraming.mIsHead);
+  Response response;
+  response.mHead =
+    head.finish(aId, outcomeName(AnswerKind::Answered), aFraming.mKeepAlive);
+  if (!aFraming.mIsHead && !isStatusWithoutBody(aAnswer.status)) {
+    response.mBody = std::move(aAnswer.body);
+  }
+  return response;
+}
+
+struct RefusalText
+{
+  unsigned mStatus;
+  std::string_view mReason;
+  std::string_view mOutcome;
+  std::string_view mMessage;
+  Millis mRetryAfter;
+};
+
+Response
+writeRefusal(const RefusalText& aText, RandomId aId, ResponseFraming aFraming)
+{
+  const nlohmann::ordered_json json = { { "reason", aText.mReason },
+                                        { "outcome", aText.mOutcome },
+                                        { "message", aText.mMessage },
+                                        { "request_id", aId.toString() } };
+  const std::string body = json.dump() + "\n";
+  HeadBuilder head(aText.mStatus);
+  head.add("Content-Type", "application/json");
+  head.add("Content-Length", std::to_string(body.size()));
+  if (aText.mStatus == 401) {
+    head.add("WWW-Authenticate", "Bearer");
+  }
+  if (aText.mRetryAfter.mCount > 0) {
+    const std::int64_t seconds =
+      (aText.mRetryAfter.mCount + kMillisPerSecond - 1) / kMillisPerSecond;
+    head.add("Retry-After", std::to_string(seconds));
+  }
+  Response response;
+  response.mHead = head.finish(aId, aText.mOutcome, aFraming.mKeepAlive);
+  if (!aFraming.mIsHead) {
+    response.mBody.assign(body.begin(), body.end());
+  }
+  return response;
+}
+
+}
+
+std::string_view
+reasonName(NotRunReason aReason)
+{
+  return textOf(aReason).mName;
+}
+
+std::string_view
+outcomeName(AnswerKind aKind)
+{
+  switch (aKind) {
+    case AnswerKind::Answered:
+      return "answered";
+    case AnswerKind::NotRun:
+      return "not-run";
+    default:
+      return "unknown";
+  }
+}
+
+unsigned
+statusOf(AnswerKind aKind, NotRunReason aReason)
+{
+  if (aKind == AnswerKind::NotRun) {
+    return textOf(aReason).mStatus;
+  }
+  return aReason == NotRunReason::DeadlinePassed ? 504 : 502;
+}
+
+Response
+makeResponse(Answer aAnswer, RandomId aId, ResponseFraming aFraming)
+{
+  const bool passable =
+    aAnswer.status >= kFirstFinalStatus && aAnswer.status <= kLastStatus;
+  if (aAnswer.kind == AnswerKind::Answered && passable) {
+    return passOn(std::move(aAnswer), aId, aFraming);
+  }
+  RefusalText text{ statusOf(aAnswer.kind, aAnswer.reason),
+                    reasonName(aAnswer.reason),
+                    outcomeName(aAnswer.kind),
+                    textOf(aAnswer.reason).mMessage,
+                    Millis{ aAnswer.retry_after_ms } };
+  if (aAnswer.kind != AnswerKind::NotRun) {
+    // An answer that cannot be passed on was run, but to what effect?
+    text.mOutcome = outcomeName(AnswerKind::Unknown);
+    text.mReason = aAnswer.reason == NotRunReason::None
+                     ? std::string_view("unknown")
+                     : text.mReason;
+    text.mMessage = "it is not known whether the request was run";
+  }
+  return writeRefusal(text, aId, aFraming);
+}
+
+Response
+makeRefusal(const Refusal& aRefusal, RandomId aId, bool aIsHead)
+{
+  return writeRefusal({ aRefusal.mStatus,
+                        aRefusal.mReason,
+                        outcomeName(AnswerKind::NotRun),
+                        aRefusal.mMessage,
+                        {} },
+                      aId,
+                      { .mKeepAlive = false, .mIsHead = aIsHead });
+}
+
+}
--- /dev/null
+++ b/src/caller/server.cpp
@@ -0,0 +1,106 @@
+#include "radishroad/caller/server.h"
+
+#include "radishroad/caller/server_context.h"
+#include "radishroad/caller/transport.h"
+
+#include <algorithm>
+#include <pistache/listener.h>
+
+namespace radishroad {
+
+namespace {
+
+constexpr int kBacklog = 1024;
+/// After a drain, idle connections have this long to close.
+constexpr Millis kCloseTime{ 500 };
+
+}
+
+struct CallerServer::Impl
+{
+  Impl(Options aOptions, CallerRequestFn aHandler, Metrics& aMetrics)
+    : mContext(std::make_shared<ServerContext>(std::move(aOptions),
+                                               std::move(aHandler),
+                                               aMetrics))
+  {
+  }
+
+  std::shared_ptr<ServerContext> mContext;
+  std::unique_ptr<Pistache::Tcp::Listener> mListener;
+};
+
+CallerServer::CallerServer(Options aOptions,
+                           CallerRequestFn aHandler,
+                           Metrics& aMetrics)
+  : mImpl(std::make_unique<Impl>(std::move(aOptions),
+                                 std::move(aHandler),
+                                 aMetrics))
+{
+}
+
+CallerServer::~CallerServer()
+{
+  stop();
+}
+
+Result<void>
+CallerServer::start()
+{
+  const std::shared_ptr<ServerContext> context = mImpl->mContext;
+  const Options& options = context->mOptions;
+  const auto makeTransport = [context] {
+    return std::make_shared<CallerTransport>(context);
+  };
+  try {
+    const Pistache::Address address(options.mListenAddress);
+    mImpl->mListener = std::make_unique<Pistache::Tcp::Listener>(address);
+    mImpl->mListener->init(options.mThreads,
+                           Pistache::Flags<Pistache::Tcp::Options>(
+                             Pistache::Tcp::Options::NoDelay |
+                             Pistache::Tcp::Options::ReuseAddr |
+                             Pistache::Tcp::Options::CloseOnExec),
+                           "caller",
+                           kBacklog);
+    mImpl->mListener->setTransportFactory(makeTransport);
+    mImpl->mListener->bind();
+    mImpl->mListener->runThreaded();
+  } catch (const std::exception& error) {
+    mImpl->mListener.reset();
+    return fail(ErrorCode::Unavailable,
+                "cannot listen on " + options.mListenAddress + ": " +
+                  error.what());
+  }
+  return {};
+}
+
+std::uint16_t
+CallerServer::port() const
+{
+  return mImpl->mListener
+           ? static_cast<std::uint16_t>(mImpl->mListener->getPort())
+           : 0;
+}
+
+void
+CallerServer::drain(Millis aTimeout)
+{
+  ServerContext& context = *mImpl->mContext;
+  const Millis end = monotonicNow() + aTimeout;
+  const Millis grace = std::min(context.mOptions.mDrainGrace, aTimeout / 2);
+  context.setPhase(ServerContext::Phase::Draining);
+  context.waitClosed(grace);
+  context.setPhase(ServerContext::Phase::Closing);
+  context.waitIdle(std::max(end - monotonicNow(), Millis{ 0 }));
+  // Callers see a clean end of their idle connections before the process
+  // goes.
+  const Millis left = std::max(end - monotonicNow(), Millis{ 0 });
+  context.waitClosed(std::min(left, kCloseTime));
+}
+
+void
+CallerServer::stop()
+{
+  mImpl->mListener.reset();
+}
+
+}
--- /dev/null
+++ b/src/operator/admin_server.cpp
@@ -0,0 +1,142 @@
+#include "radishroad/operator/admin_server.h"
+
+#include "radishroad/base/json_log.h"
+#include "radishroad/caller/server.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace radishroad {
+
+namespace {
+
+constexpr std::size_t kMaxRequestBytes = 64U << 10;
+constexpr std::string_view kJson = "application/json";
+constexpr std::string_view kJsonLines = "application/x-ndjson";
+constexpr std::string_view kPrometheusText = "text/plain; version=0.0.4";
+
+Answer
+makePage(unsigned aStatus, std::string_view aType, std::string_view aText)
+{
+  Answer answer;
+  answer.kind = AnswerKind::Answered;
+  answer.status = static_cast<std::uint16_t>(aStatus);
+  std::unique_ptr<wire::HeaderT> type = std::make_unique<wire::HeaderT>();
+  type->name = "Content-Type";
+  type->value = aType;
+  answer.headers.push_back(std::move(type));
+  answer.body.assign(aText.begin(), aText.end());
+  return answer;
+}
+
+Answer
+makeJsonPage(unsigned aStatus, const nlohmann::json& aJson)
+{
+  const std::string text =
+    aJson.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return makePage(aStatus, kJson, text + "\n");
+}
+
+std::string
+joinLines(const std::vector<std::string>& aLines)
+{
+  std::string text;
+  for (const std::string& line : aLines) {
+    text += line;
+    text += '\n';
+  }
+  return text;
+}
+
+}
+
+struct AdminServer::Impl
+{
+  Impl(std::string aListenAddress, Hooks aHooks, const Metrics& aMetrics)
+    : mHooks(std::move(aHooks))
+    , mShown(aMetrics)
+    , mServer(
+        makeOptions(std::move(aListenAddress)),
+        [this](const CallerRequest& aRequest, const AnswerFn& aAnswer) {
+          aAnswer(handle(aRequest));
+        },
+        mOwn)
+  {
+  }
+
+  static CallerServer::Options makeOptions(std::string aListenAddress)
+  {
+    CallerServer::Options options;
+    options.mListenAddress = std::move(aListenAddress);
+    options.mThreads = 1;
+    options.mMaxBodyBytes = kMaxRequestBytes;
+    return options;
+  }
+
+  Answer handle(const CallerRequest& aRequest) const
+  {
+    if (aRequest.mMethod != "GET" && aRequest.mMethod != "HEAD") {
+      return makeJsonPage(405, { { "error", "only GET is known" } });
+    }
+    return page(aRequest.mTarget.substr(0, aRequest.mTarget.find('?')));
+  }
+
+  Answer page(std::string_view aPath) const
+  {
+    if (aPath == "/health") {
+      return makeJsonPage(200, { { "status", "ok" } });
+    }
+    if (aPath == "/ready") {
+      const bool ready = mHooks.mReady();
+      return makeJsonPage(ready ? 200 : 503, { { "ready", ready } });
+    }
+    if (aPath == "/state") {
+      return makeJsonPage(200, mHooks.mState());
+    }
+    if (aPath == "/metrics") {
+      return makePage(200, kPrometheusText, mShown.toPrometheus());
+    }
+    if (aPath == "/events") {
+      return makePage(200, kJsonLines, joinLines(recentEvents()));
+    }
+    return makeJsonPage(
+      404, { { "error", "known: /health /ready /state /metrics /events" } });
+  }
+
+  const Hooks mHooks;
+  const Metrics& mShown;
+  /// Of this server itself; kept apart from those of the callers' server.
+  Metrics mOwn;
+  CallerServer mServer;
+};
+
+AdminServer::AdminServer(std::string aListenAddress,
+                         Hooks aHooks,
+                         const Metrics& aMetrics)
+  : mImpl(std::make_unique<Impl>(std::move(aListenAddress),
+                                 std::move(aHooks),
+                                 aMetrics))
+{
+}
+
+AdminServer::~AdminServer() = default;
+
+Result<void>
+AdminServer::start()
+{
+  return mImpl->mServer.start();
+}
+
+std::uint16_t
+AdminServer::port() const
+{
+  return mImpl->mServer.port();
+}
+
+void
+AdminServer::stop()
+{
+  mImpl->mServer.stop();
+}
+
+}
--- /dev/null
+++ b/tests/unit/caller_server_test.cpp
@@ -0,0 +1,540 @@
+#include "radishroad/base/ring.h"
+#include "radishroad/caller/response.h"
+#include "radishroad/caller/server.h"
+#include "support/raw_client.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <vector>
+
+using namespace radishroad;
+using namespace radishroad::literals;
+using radishroad::test::RawClient;
+using radishroad::test::RawResponse;
+
+namespace {
+
+constexpr Millis kLongEnough = 10_s;
+
+struct Received
+{
+  CallerRequest mRequest;
+  AnswerFn mAnswer;
+};
+
+void
+addHeader(Answer& aAnswer, std::string aName, std::string aValue)
+{
+  auto header = std::make_unique<wire::HeaderT>();
+  header->name = std::move(aName);
+  header->value = std::move(aValue);
+  aAnswer.headers.push_back(std::move(header));
+}
+
+Answer
+answerWith(std::string_view aBody, std::uint16_t aStatus = 200)
+{
+  Answer answer;
+  answer.kind = AnswerKind::Answered;
+  answer.status = aStatus;
+  answer.body.assign(aBody.begin(), aBody.end());
+  return answer;
+}
+
+/// A server whose requests the test takes and answers from its own thread.
+class Fixture
+{
+public:
+  Fixture()
+    : Fixture(CallerServer::Options{})
+  {
+  }
+
+  explicit Fixture(CallerServer::Options aOptions)
+    : mRing(256)
+    , mServer(
+        withAddress(std::move(aOptions)),
+        [this](CallerRequest aRequest, AnswerFn aAnswer) {
+          mRing.tryPush({ std::move(aRequest), std::move(aAnswer) });
+        },
+        mMetrics)
+  {
+    BOOST_REQUIRE(mServer.start().has_value());
+  }
+
+  static CallerServer::Options withAddress(CallerServer::Options aOptions)
+  {
+    aOptions.mListenAddress = "127.0.0.1:0";
+    return aOptions;
+  }
+
+  std::uint16_t port() const { return mServer.port(); }
+
+  Received take()
+  {
+    std::optional<Received> received = mRing.pop(kLongEnough);
+    BOOST_REQUIRE(received.has_value());
+    return std::move(*received);
+  }
+
+  bool nothingRan() { return mRing.size() == 0; }
+
+  Metrics mMetrics;
+  Ring<Received> mRing;
+  CallerServer mServer;
+};
+
+std::string
+get(const std::string& aTarget, const std::string& aFields = "")
+{
+  return "GET " + aTarget + " HTTP/1.1\r\nHost: h\r\n" + aFields + "\r\n";
+}
+
+std::string
+patterned(std::size_t aSize)
+{
+  std::string text(aSize, '\0');
+  for (std::size_t it = 0; it < aSize; ++it) {
+    text[it] = static_cast<char>(it * 2654435761U >> 13U);
+  }
+  return text;
+}
+
+/// The request is refused with the status, nothing runs, and the connection
+/// ends.
+void
+checkRefused(Fixture& aFixture, const std::string& aBytes, int aStatus)
+{
+  RawClient client(aFixture.port());
+  client.send(aBytes);
+  const std::optional<RawResponse> response = client.receive();
+  BOOST_REQUIRE_MESSAGE(response.has_value(), aBytes.substr(0, 200));
+  BOOST_TEST(response->mStatus == aStatus, aBytes.substr(0, 200));
+  BOOST_TEST(response->field("Connection") == "close");
+  BOOST_TEST(response->field("X-Radishroad-Outcome") == "not-run");
+  const nlohmann::json json = nlohmann::json::parse(response->mBody);
+  BOOST_TEST(json.at("outcome") == "not-run");
+  BOOST_TEST(json.at("request_id") ==
+             response->field("X-Radishroad-Request-Id"));
+  BOOST_TEST(client.receiveEnd());
+  BOOST_TEST(aFixture.nothingRan());
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(caller_server)
+
+BOOST_AUTO_TEST_CASE(answer_comes_back_on_its_connection)
+{
+  Fixture fixture;
+  RawClient client(fixture.port());
+  client.send(get("/catalog/k/page?a=b", "X-Radishroad-Epoch: 7\r\n"));
+  Received received = fixture.take();
+  BOOST_TEST(received.mRequest.mTarget == "/catalog/k/page?a=b");
+  BOOST_TEST(received.mRequest.mHeaders.size() == 1U);
+  Answer answer = answerWith("page", 201);
+  addHeader(answer, "Content-Type", "text/x-odd; a=\"b\"");
+  addHeader(answer, "Set-Cookie", "a=1");
+  addHeader(answer, "Set-Cookie", "b=2");
+  addHeader(answer, "Connection", "X-Hop");
+  addHeader(answer, "X-Hop", "1");
+  addHeader(answer, "Transfer-Encoding", "chunked");
+  addHeader(answer, "X-Radishroad-Outcome", "forged");
+  addHeader(answer, "X-Split", "a\r\nX-Evil: 1");
+  received.mAnswer(std::move(answer));
+  const std::optional<RawResponse> response = client.receive();
+  BOOST_REQUIRE(response.has_value());
+  BOOST_TEST(response->mStatus == 201);
+  BOOST_TEST(response->mBody == "page");
+  BOOST_TEST(response->field("Content-Type") == "text/x-odd; a=\"b\"");
+  BOOST_TEST(response->mHead.find("Set-Cookie: a=1\r\nSet-Cookie: b=2\r\n") !=
+             std::string::npos);
+  for (const char* gone : { "X-Hop", "chunked", "forged", "X-Evil" }) {
+    BOOST_TEST(response->mHead.find(gone) == std::string::npos, gone);
+  }
+  BOOST_TEST(response->field("X-Radishroad-Outcome") == "answered");
+  BOOST_TEST(response->field("X-Radishroad-Request-Id") ==
+             received.mRequest.mId.toString());
+  BOOST_TEST(response->field("Connection") == "keep-alive");
+}
+
+BOOST_AUTO_TEST_CASE(bad_bytes_are_refused_before_anything_runs)
+{
+  CallerServer::Options options;
+  options.mMaxHeaderBytes = 4096;
+  options.mMaxBodyBytes = 1000;
+  Fixture fixture(options);
+  checkRefused(fixture, get("/a", "Content-Length: abc\r\n"), 400);
+  checkRefused(
+    fixture, get("/a", "Content-Length: 1\r\nContent-Length: 2\r\n"), 400);
+  checkRefused(fixture,
+               get("/a", "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n"),
+               400);
+  checkRefused(fixture, "hello, is anyone there?\r\n", 400);
+  checkRefused(fixture, std::string("\x16\x03\x01\x02\x00", 5), 400);
+  checkRefused(fixture, get("/a/%2e%2e/b"), 400);
+  checkRefused(fixture, get("/a/../b"), 400);
+  checkRefused(fixture, get("/a%2fb"), 400);
+  checkRefused(fixture, get("/a%5cb"), 400);
+  checkRefused(fixture, get("/a%00b"), 400);
+  checkRefused(fixture, get("/a", "Content-Length: 1001\r\n"), 413);
+  checkRefused(fixture, get("/" + std::string(5000, 'a')), 414);
+  checkRefused(
+    fixture, get("/a", "X: " + std::string(5000, 'a') + "\r\n"), 431);
+  // A body that comes although it was refused does not cost the answer.
+  checkRefused(fixture,
+               get("/a", "Content-Length: 4000000\r\n") +
+                 std::string(4000000, 'x'),
+               413);
+}
+
+BOOST_AUTO_TEST_CASE(pipelined_requests_are_answered_in_order)
+{
+  Fixture fixture;
+  RawClient client(fixture.port());
+  std::string bytes;
+  constexpr int kRequests = 40;
+  for (int it = 0; it < kRequests; ++it) {
+    bytes += get("/" + std::to_string(it));
+  }
+  client.send(bytes);
+  for (int it = 0; it < kRequests; ++it) {
+    Received received = fixture.take();
+    BOOST_TEST(received.mRequest.mTarget == "/" + std::to_string(it));
+    // One at a time: the next one runs only after this answer.
+    BOOST_TEST(fixture.nothingRan());
+    received.mAnswer(answerWith(received.mRequest.mTarget));
+  }
+  for (int it = 0; it < kRequests; ++it) {
+    const std::optional<RawResponse> response = client.receive();
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response->mBody == "/" + std::to_string(it));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(refusal_waits_for_the_answers_before_it)
+{
+  Fixture fixture;
+  RawClient client(fixture.port());
+  client.send(get("/first") + get("/a/../b") + get("/never"));
+  fixture.take().mAnswer(answerWith("first"));
+  BOOST_TEST(client.receive().value().mBody == "first");
+  BOOST_TEST(client.receive().value().mStatus == 400);
+  BOOST_TEST(client.receiveEnd());
+  BOOST_TEST(fixture.nothingRan());
+}
+
+BOOST_AUTO_TEST_CASE(overfull_pipeline_ends_after_a_true_answer)
+{
+  Fixture fixture;
+  RawClient client(fixture.port());
+  std::thread sender([&client] {
+    for (int it = 0; it < 20000; ++it) {
+      if (!client.send(get("/" + std::to_string(it)))) {
+        break;
+      }
+    }
+  });
+  int answered = 0;
+  Received first = fixture.take();
+  sender.join();
+  first.mAnswer(answerWith("/0"));
+  while (std::optional<RawResponse> response = client.receive()) {
+    BOOST_TEST(response->mBody == "/" + std::to_string(answered));
+    ++answered;
+    if (response->field("Connection") == "close") {
+      break;
+    }
+    fixture.take().mAnswer(answerWith("/" + std::to_string(answered)));
+  }
+  BOOST_TEST(answered >= 16);
+  BOOST_TEST(answered < 20000);
+  BOOST_TEST(client.receiveEnd());
+}
+
+BOOST_AUTO_TEST_CASE(bodies_pass_unchanged)
+{
+  CallerServer::Options options;
+  options.mMaxBodyBytes = 16U << 20;
+  Fixture fixture(options);
+  RawClient client(fixture.port());
+  for (const std::size_t size : { std::size_t{ 0 },
+                                  std::size_t{ 1 },
+                                  std::size_t{ 1 } << 20U,
+                                  std::size_t{ 16 } << 20U }) {
+    const std::string body = patterned(size);
+    std::thread sender([&client, &body] {
+      client.send("POST /a HTTP/1.1\r\nContent-Length: " +
+                  std::to_string(body.size()) + "\r\n\r\n" + body);
+    });
+    Received received = fixture.take();
+    sender.join();
+    BOOST_TEST((received.mRequest.mBody == body), size);
+    received.mAnswer(answerWith(received.mRequest.mBody));
+    const std::optional<RawResponse> response = client.receive();
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST((response->mBody == body), size);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(answers_go_only_to_their_own_connection)
+{
+  Fixture fixture;
+  // The first caller goes; its descriptor is free for the next one.
+  std::optional<Received> late;
+  {
+    RawClient gone(fixture.port());
+    gone.send(get("/gone"));
+    late = fixture.take();
+  }
+  for (int it = 0; it < 20; ++it) {
+    RawClient client(fixture.port());
+    client.send(get("/here"));
+    Received received = fixture.take();
+    if (late) {
+      late->mAnswer(answerWith("gone"));
+      late.reset();
+    }
+    received.mAnswer(answerWith("here"));
+    received.mAnswer(answerWith("twice"));
+    BOOST_TEST(client.receive().value().mBody == "here");
+    client.send(get("/again"));
+    fixture.take().mAnswer(answerWith("again"));
+    BOOST_TEST(client.receive().value().mBody == "again");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(many_callers_at_once)
+{
+  Fixture fixture;
+  std::vector<std::thread> callers;
+  std::atomic<int> right{ 0 };
+  constexpr int kCallers = 16;
+  constexpr int kRequests = 50;
+  for (int caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&fixture, &right, caller] {
+      RawClient client(fixture.port());
+      for (int it = 0; it < kRequests; ++it) {
+        const std::string target =
+          "/" + std::to_string(caller) + "/" + std::to_string(it);
+        client.send(get(target));
+        const std::optional<RawResponse> response = client.receive();
+        right += response && response->mBody == target ? 1 : 0;
+      }
+    });
+  }
+  std::vector<std::thread> workers;
+  std::atomic<int> taken{ 0 };
+  for (int worker = 0; worker < 3; ++worker) {
+    workers.emplace_back([&fixture, &taken] {
+      while (taken.fetch_add(1) < kCallers * kRequests) {
+        std::optional<Received> received = fixture.mRing.pop(kLongEnough);
+        if (received) {
+          received->mAnswer(answerWith(received->mRequest.mTarget));
+        }
+      }
+    });
+  }
+  for (std::thread& thread : callers) {
+    thread.join();
+  }
+  for (std::thread& thread : workers) {
+    thread.join();
+  }
+  BOOST_TEST(right.load() == kCallers * kRequests);
+}
+
+BOOST_AUTO_TEST_CASE(head_has_the_length_but_no_body)
+{
+  Fixture fixture;
+  RawClient client(fixture.port());
+  client.send("HEAD /a HTTP/1.1\r\n\r\n");
+  Answer answer = answerWith("");
+  addHeader(answer, "Content-Length", "123");
+  fixture.take().mAnswer(std::move(answer));
+  const std::optional<RawResponse> response = client.receive(true);
+  BOOST_REQUIRE(response.has_value());
+  BOOST_TEST(response->field("Content-Length") == "123");
+  client.send("HEAD /a HTTP/1.1\r\n\r\n");
+  Received received = fixture.take();
+  received.mAnswer(makeNotRun(received.mRequest.mId, NotRunReason::NoRoute));
+  BOOST_TEST(client.receive(true).value().mStatus == 404);
+  client.send(get("/b"));
+  fixture.take().mAnswer(answerWith("b"));
+  BOOST_TEST(client.receive().value().mBody == "b");
+}
+
+BOOST_AUTO_TEST_CASE(statuses_without_a_body)
+{
+  Fixture fixture;
+  RawClient client(fixture.port());
+  client.send(get("/a"));
+  fixture.take().mAnswer(answerWith("", 204));
+  const std::optional<RawResponse> response = client.receive();
+  BOOST_REQUIRE(response.has_value());
+  BOOST_TEST(response->mStatus == 204);
+  BOOST_TEST(response->field("Content-Length").empty());
+}
+
+BOOST_AUTO_TEST_CASE(refusals_say_whether_the_request_ran)
+{
+  Fixture fixture;
+  RawClient client(fixture.port());
+  client.send(get("/a"));
+  Received first = fixture.take();
+  first.mAnswer(
+    makeNotRun(first.mRequest.mId, NotRunReason::RateLimited, 1200_ms));
+  std::optional<RawResponse> response = client.receive();
+  BOOST_REQUIRE(response.has_value());
+  BOOST_TEST(response->mStatus == 429);
+  BOOST_TEST(response->field("Retry-After") == "2");
+  BOOST_TEST(response->field("X-Radishroad-Outcome") == "not-run");
+  BOOST_TEST(nlohmann::json::parse(response->mBody).at("reason") ==
+             "rate-limited");
+  client.send(get("/b"));
+  Received second = fixture.take();
+  second.mAnswer(makeUnknown(second.mRequest.mId));
+  response = client.receive();
+  BOOST_REQUIRE(response.has_value());
+  BOOST_TEST(response->mStatus == 502);
+  BOOST_TEST(nlohmann::json::parse(response->mBody).at("outcome") == "unknown");
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_answer_becomes_unknown)
+{
+  Fixture fixture;
+  RawClient client(fixture.port());
+  client.send(get("/a"));
+  fixture.take();
+  const std::optional<RawResponse> response = client.receive();
+  BOOST_REQUIRE(response.has_value());
+  BOOST_TEST(response->field("X-Radishroad-Outcome") == "unknown");
+}
+
+BOOST_AUTO_TEST_CASE(reasons_have_distinct_names)
+{
+  std::set<std::string_view> names;
+  for (const NotRunReason reason : wire::EnumValuesNotRunReason()) {
+    names.insert(reasonName(reason));
+    BOOST_TEST(statusOf(AnswerKind::NotRun, reason) >= 400U);
+  }
+  BOOST_TEST(names.size() == std::size(wire::EnumValuesNotRunReason()));
+}
+
+BOOST_AUTO_TEST_CASE(caller_that_stops_half_way)
+{
+  CallerServer::Options options;
+  options.mHeaderTimeout = 100_ms;
+  options.mBodyTimeout = 100_ms;
+  Fixture fixture(options);
+  checkRefused(fixture, "GET /a HTTP/1.1\r\nHos", 408);
+  checkRefused(
+    fixture, "POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nhel", 408);
+  RawClient gone(fixture.port());
+  gone.send("POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nhel");
+  gone.close();
+  BOOST_TEST(fixture.nothingRan());
+}
+
+BOOST_AUTO_TEST_CASE(idle_connections_end)
+{
+  CallerServer::Options options;
+  options.mIdleTimeout = 50_ms;
+  Fixture fixture(options);
+  RawClient client(fixture.port());
+  BOOST_TEST(client.receiveEnd());
+}
+
+BOOST_AUTO_TEST_CASE(continue_is_sent_when_awaited)
+{
+  Fixture fixture;
+  RawClient client(fixture.port());
+  client.send("POST /a HTTP/1.1\r\nContent-Length: 5\r\n"
+              "Expect: 100-continue\r\n\r\n");
+  BOOST_TEST(client.receive().value().mStatus == 100);
+  client.send("hello");
+  Received received = fixture.take();
+  BOOST_TEST(received.mRequest.mBody == "hello");
+  received.mAnswer(answerWith("done"));
+  BOOST_TEST(client.receive().value().mBody == "done");
+}
+
+BOOST_AUTO_TEST_CASE(drain_cuts_no_request)
+{
+  Fixture fixture;
+  RawClient idle(fixture.port());
+  RawClient running(fixture.port());
+  RawClient sending(fixture.port());
+  running.send(get("/running") + get("/pipelined"));
+  Received first = fixture.take();
+  sending.send("POST /sending HTTP/1.1\r\nContent-Length: 5\r\n\r\nhel");
+  std::atomic<bool> drained{ false };
+  std::thread drainer([&fixture, &drained] {
+    fixture.mServer.drain(kLongEnough);
+    drained = true;
+  });
+  // Ends only once the server closes what is idle and refuses what is new.
+  BOOST_TEST(idle.receiveEnd());
+  BOOST_TEST(!drained.load());
+  RawClient late(fixture.port());
+  late.send(get("/late"));
+  BOOST_TEST(late.receive().value().field("X-Radishroad-Outcome") == "not-run");
+  BOOST_TEST(late.receiveEnd());
+  sending.send("lo");
+  Received sent = fixture.take();
+  BOOST_TEST(sent.mRequest.mBody == "hello");
+  sent.mAnswer(answerWith("sent"));
+  std::optional<RawResponse> response = sending.receive();
+  BOOST_REQUIRE(response.has_value());
+  BOOST_TEST(response->mBody == "sent");
+  BOOST_TEST(response->field("Connection") == "close");
+  first.mAnswer(answerWith("running"));
+  BOOST_TEST(running.receive().value().mBody == "running");
+  BOOST_TEST(!drained.load());
+  fixture.take().mAnswer(answerWith("pipelined"));
+  response = running.receive();
+  BOOST_REQUIRE(response.has_value());
+  BOOST_TEST(response->mBody == "pipelined");
+  BOOST_TEST(response->field("Connection") == "close");
+  drainer.join();
+  BOOST_TEST(fixture.nothingRan());
+}
+
+BOOST_AUTO_TEST_CASE(drain_serves_open_connections_for_a_while)
+{
+  CallerServer::Options options;
+  options.mDrainGrace = 5_s;
+  Fixture fixture(options);
+  RawClient client(fixture.port());
+  client.send(get("/a"));
+  fixture.take().mAnswer(answerWith("a"));
+  BOOST_TEST(client.receive().value().mBody == "a");
+  std::thread drainer([&fixture] { fixture.mServer.drain(kLongEnough); });
+  std::string connection = "keep-alive";
+  while (connection == "keep-alive") {
+    client.send(get("/b"));
+    fixture.take().mAnswer(answerWith("b"));
+    connection = client.receive().value().field("Connection");
+  }
+  BOOST_TEST(client.receiveEnd());
+  client.close();
+  drainer.join();
+}
+
+BOOST_AUTO_TEST_CASE(address_in_use_is_an_error)
+{
+  Fixture fixture;
+  CallerServer::Options options;
+  options.mListenAddress = "127.0.0.1:" + std::to_string(fixture.port());
+  Metrics metrics;
+  CallerServer second(
+    options, [](CallerRequest, AnswerFn) {}, metrics);
+  BOOST_TEST(!second.start().has_value());
+  options.mListenAddress = "no address";
+  CallerServer third(
+    options, [](CallerRequest, AnswerFn) {}, metrics);
+  BOOST_TEST(!third.start().has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/support/raw_client.h
@@ -0,0 +1,129 @@
+#ifndef RADISHROAD_TESTS_SUPPORT_RAW_CLIENT_H
+#define RADISHROAD_TESTS_SUPPORT_RAW_CLIENT_H
+
+#include <array>
+#include <cstdint>
+#include <cstdlib>
+#include <map>
+#include <netinet/in.h>
+#include <optional>
+#include <poll.h>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace radishroad::test {
+
+/// One HTTP response as it came over the wire.
+struct RawResponse
+{
+  int mStatus = 0;
+  std::string mHead;
+  std::string mBody;
+
+  /// Value of the first field of this name (exact case); empty if missing.
+  std::string field(std::string_view aName) const
+  {
+    const std::string begin = "\r\n" + std::string(aName) + ": ";
+    const std::size_t at = mHead.find(begin);
+    if (at == std::string::npos) {
+      return {};
+    }
+    const std::size_t from = at + begin.size();
+    return mHead.substr(from, mHead.find("\r\n", from) - from);
+  }
+};
+
+/// A blocking loopback connection that sends any bytes. Each wait is bounded.
+class RawClient
+{
+public:
+  explicit RawClient(std::uint16_t aPort)
+    : mSocket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(aPort);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (::connect(mSocket,
+                  reinterpret_cast<const sockaddr*>(&address),
+                  sizeof(address)) != 0) {
+      ::close(mSocket);
+      throw std::runtime_error("connect failed");
+    }
+  }
+  ~RawClient() { ::close(mSocket); }
+  RawClient(const RawClient&) = delete;
+  RawClient& operator=(const RawClient&) = delete;
+
+  /// Sends all; false if the server has closed.
+  bool send(std::string_view aBytes)
+  {
+    while (!aBytes.empty()) {
+      const ssize_t n =
+        ::send(mSocket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+      if (n <= 0) {
+        return false;
+      }
+      aBytes.remove_prefix(static_cast<std::size_t>(n));
+    }
+    return true;
+  }
+
+  /// The next whole response; nothing if the stream ends or stalls first.
+  std::optional<RawResponse> receive(bool aIsHead = false)
+  {
+    std::size_t end = 0;
+    while ((end = mInput.find("\r\n\r\n")) == std::string::npos) {
+      if (!receiveSome()) {
+        return std::nullopt;
+      }
+    }
+    RawResponse response;
+    response.mHead = mInput.substr(0, end + 2);
+    response.mStatus = std::atoi(response.mHead.c_str() + 9);
+    mInput.erase(0, end + 4);
+    const std::string length = response.field("Content-Length");
+    const std::size_t size = aIsHead || length.empty() ? 0 : std::stoul(length);
+    while (mInput.size() < size) {
+      if (!receiveSome()) {
+        return std::nullopt;
+      }
+    }
+    response.mBody = mInput.substr(0, size);
+    mInput.erase(0, size);
+    return response;
+  }
+
+  /// Waits for the server's end of the stream; false if bytes come instead.
+  bool receiveEnd() { return mInput.empty() && !receiveSome() && mEnded; }
+
+  void close() { ::shutdown(mSocket, SHUT_RDWR); }
+
+private:
+  bool receiveSome()
+  {
+    constexpr int kTimeoutMs = 10000;
+    pollfd ready{ mSocket, POLLIN, 0 };
+    if (::poll(&ready, 1, kTimeoutMs) != 1) {
+      return false;
+    }
+    std::array<char, 65536> buf{};
+    const ssize_t n = ::recv(mSocket, buf.data(), buf.size(), 0);
+    mEnded = n <= 0;
+    if (n > 0) {
+      mInput.append(buf.data(), static_cast<std::size_t>(n));
+    }
+    return n > 0;
+  }
+
+  int mSocket;
+  std::string mInput;
+  bool mEnded = false;
+};
+
+}
+
+#endif
