--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -60,12 +60,13 @@
   }
   const std::uint32_t queued = impl.mQueuedCount.fetch_add(1);
   const bool stopping = impl.mStopping.load();
+  const AnswerFn refuse = aAnswer;
   QueuedRequest entry =
     makeQueued(std::move(aRequest), std::move(aAnswer), impl.mHooks.mNow());
   if (stopping || queued >= impl.mOptions.mMaxQueued ||
       !impl.mSubmitted.tryPush(std::move(entry))) {
     impl.mQueuedCount.fetch_sub(1);
-    entry.mAnswer(makeNotRun(
+    refuse(makeNotRun(
       id, stopping ? NotRunReason::Draining : NotRunReason::QueueFull));
     return;
   }
