--- a/include/radishroad/platform/log_client.h
+++ b/include/radishroad/platform/log_client.h
@@ -43,6 +43,9 @@
                                       Millis aWait,
                                       Millis aTimeout);
 
+  /// Oldest offset kept, as the last successful read told; 0 before.
+  std::uint64_t oldestSeen() const;
+
   struct Bounds
   {
     std::uint64_t mOldest = 0;
--- a/include/radishroad/platform/log_follower.h
+++ b/include/radishroad/platform/log_follower.h
@@ -46,6 +46,8 @@
   void start(std::uint64_t aFrom);
   /// Skips ahead to aNext, for records that came by way of a peer.
   void skipTo(std::uint64_t aNext);
+  /// Oldest offset that the log keeps, as last seen; any thread. 0 before.
+  std::uint64_t oldestKept() const;
   /// How long a poll waits for the first record (2 s at first); any thread,
   /// from the next poll on. Bounds the time between two calls of mOnRecords.
   void setPollWait(Millis aWait);
--- a/include/radishroad/state/snapshot.h
+++ b/include/radishroad/state/snapshot.h
@@ -13,7 +13,16 @@
 
 namespace radishroad {
 
+/// Size of the data in one chunk record: below the log's bound of 1 MiB, and
+/// small enough that a chunk does not hold up other appends.
+constexpr std::size_t kSnapshotChunkBytes = 256U << 10;
+constexpr std::size_t kMaxSnapshotChunks = 4096;
+constexpr std::size_t kMaxSnapshotBytes = 64U << 20;
+/// Incomplete snapshots that a reader holds; the oldest goes first.
+constexpr std::size_t kMaxPendingSnapshots = 8;
+
 /// Splits a state into chunk records of at most aChunkBytes of data each.
+/// Empty for a state that has folded nothing.
 std::vector<wire::SnapshotChunkT>
 makeSnapshot(const CellState& aState, std::size_t aChunkBytes);
 
@@ -34,8 +43,13 @@
   struct Parts
   {
     std::uint32_t mCount = 0;
+    std::size_t mBytes = 0;
     std::map<std::uint32_t, std::vector<std::uint8_t>> mData;
   };
+  static std::optional<State> join(const Parts& aParts,
+                                   const wire::SnapshotChunkT& aChunk);
+  void dropOldest();
+
   /// By offset and checksum.
   std::map<std::pair<std::uint64_t, std::uint64_t>, Parts> mPending;
 };
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -3,4 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 flatc --cpp --gen-object-api --scoped-enums --filename-suffix _generated \
-  -o include/radishroad/generated schema/records.fbs schema/peer.fbs
+  -o include/radishroad/generated schema/records.fbs schema/peer.fbs \
+  schema/snapshot.fbs
--- a/src/platform/log_client.cpp
+++ b/src/platform/log_client.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cstdlib>
 #include <curl/curl.h>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -45,13 +46,26 @@
   return n;
 }
 
+constexpr const char* kOldestHeader = "X-Oldest-Offset";
+
 struct HttpAnswer
 {
   CURLcode mCode = CURLE_OK;
   long mStatus = 0;
   std::string mBody;
+  /// Of the header X-Oldest-Offset; 0 without one.
+  std::uint64_t mOldest = 0;
 };
 
+std::uint64_t
+readOldestHeader(CURL* aEasy)
+{
+  curl_header* header = nullptr;
+  const CURLHcode code =
+    curl_easy_header(aEasy, kOldestHeader, 0, CURLH_HEADER, -1, &header);
+  return code == CURLHE_OK ? std::strtoull(header->value, nullptr, 10) : 0;
+}
+
 std::string
 describe(const HttpAnswer& aAnswer)
 {
@@ -166,6 +180,7 @@
     curl_multi_add_handle(mMulti, mEasy);
     aAnswer.mCode = drive();
     curl_easy_getinfo(mEasy, CURLINFO_RESPONSE_CODE, &aAnswer.mStatus);
+    aAnswer.mOldest = readOldestHeader(mEasy);
     curl_multi_remove_handle(mMulti, mEasy);
   }
 
@@ -195,6 +210,7 @@
   }
 
   std::string mBase;
+  std::uint64_t mOldestSeen = 0;
   std::atomic<bool> mAborted{ false };
   CURL* mEasy = nullptr;
   CURLM* mMulti = nullptr;
@@ -243,9 +259,16 @@
   if (answer.mCode != CURLE_OK || answer.mStatus != kStatusOk) {
     return tl::unexpected<Error>(readError(answer));
   }
+  mImpl->mOldestSeen = answer.mOldest;
   return parseReadBody(answer.mBody, aFrom);
 }
 
+std::uint64_t
+LogClient::oldestSeen() const
+{
+  return mImpl->mOldestSeen;
+}
+
 Result<LogClient::Bounds>
 LogClient::bounds(std::string_view aStream, Millis aTimeout)
 {
--- a/src/platform/log_follower.cpp
+++ b/src/platform/log_follower.cpp
@@ -3,6 +3,7 @@
 #include "radishroad/platform/log_client.h"
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -75,6 +76,7 @@
     }
     if (records) {
       mBackoff.reset();
+      mOldestKept = mClient.oldestSeen();
       deliver(*records);
     } else if (records.error().mCode == ErrorCode::Expired) {
       restartFromOldest(from.mNext);
@@ -145,6 +147,7 @@
   std::uint64_t mNext = 0;
   Millis mWait = kPollWait;
   bool mStopped = false;
+  std::atomic<std::uint64_t> mOldestKept{ 0 };
   std::thread mThread;
 };
 
@@ -187,6 +190,12 @@
   mImpl->skipTo(aNext);
 }
 
+std::uint64_t
+LogFollower::oldestKept() const
+{
+  return mImpl->mOldestKept;
+}
+
 void
 LogFollower::setPollWait(Millis aWait)
 {
--- /dev/null
+++ b/tests/unit/snapshot_test.cpp
@@ -0,0 +1,170 @@
+#include "cell_log.h"
+
+#include "radishroad/state/snapshot_codec.h"
+#include "radishroad/state/snapshot_policy.h"
+#include "radishroad/state/stream_loader.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+using namespace radishroad;
+using namespace radishroad::literals;
+using radishroad::testing::CellLog;
+
+namespace {
+
+CellLog
+makeBusyLog()
+{
+  CellLog log = CellLog::withFourMembers();
+  for (Shard shard = 0; shard < 20; ++shard) {
+    log.assign(shard, 0, 1 + shard % 4);
+  }
+  log.split(1, 4, 1, 3);
+  log.drain("vm-4", true);
+  log.zonesOut(3, { "c" });
+  log.expel(2, 0, { 1, 3 });
+  return log;
+}
+
+std::span<const LogRecord>
+from(const CellLog& aLog, std::size_t aFirst)
+{
+  return std::span(aLog.mRecords).subspan(aFirst);
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(snapshot)
+
+BOOST_AUTO_TEST_CASE(a_state_survives_chunks_in_any_order)
+{
+  const CellState state = makeBusyLog().mState;
+  std::vector<wire::SnapshotChunkT> chunks = makeSnapshot(state, 100);
+  BOOST_TEST(chunks.size() > 10U);
+  std::reverse(chunks.begin(), chunks.end());
+  SnapshotReader<CellState> reader;
+  std::optional<CellState> read;
+  for (const wire::SnapshotChunkT& chunk : chunks) {
+    BOOST_TEST(!read.has_value());
+    read = reader.add(chunk);
+    reader.add(chunks.front());
+  }
+  BOOST_REQUIRE(read.has_value());
+  BOOST_CHECK((*read == state));
+  BOOST_CHECK((makeSnapshot(CellState{}, 100).empty()));
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_survives)
+{
+  ConfigState state;
+  state.mNextOffset = 9;
+  state.mVersion = 4;
+  state.mOperator = "op";
+  state.mFiles = { { "10-a.yaml", "x: 1" }, { "20-b.yaml", "" } };
+  state.mSeenIds.add({ 1, 2 });
+  SnapshotReader<ConfigState> reader;
+  const std::vector<wire::SnapshotChunkT> chunks = makeSnapshot(state, 1 << 20);
+  BOOST_REQUIRE(chunks.size() == 1U);
+  BOOST_CHECK((reader.add(chunks[0]) == state));
+  SnapshotReader<CellState> other;
+  BOOST_CHECK((!other.add(chunks[0])));
+}
+
+BOOST_AUTO_TEST_CASE(torn_and_damaged_snapshots_yield_nothing)
+{
+  const CellState state = makeBusyLog().mState;
+  const std::vector<wire::SnapshotChunkT> chunks = makeSnapshot(state, 1000);
+  SnapshotReader<CellState> torn;
+  for (std::size_t i = 1; i < chunks.size(); ++i) {
+    BOOST_CHECK((!torn.add(chunks[i])));
+  }
+  SnapshotReader<CellState> damaged;
+  for (wire::SnapshotChunkT chunk : chunks) {
+    chunk.data[0] ^= 1;
+    BOOST_CHECK((!damaged.add(chunk)));
+  }
+  wire::SnapshotChunkT stray = chunks[0];
+  stray.index = stray.count;
+  BOOST_CHECK((!torn.add(stray)));
+  // Many torn ones push the oldest out; a whole one is still found.
+  for (std::uint64_t i = 0; i < 3 * kMaxPendingSnapshots; ++i) {
+    wire::SnapshotChunkT part = chunks[0];
+    part.checksum = i;
+    torn.add(part);
+  }
+  std::optional<CellState> whole;
+  for (std::size_t i = 0; i < chunks.size() && !whole; ++i) {
+    whole = torn.add(chunks[i]);
+  }
+  BOOST_CHECK((whole == state));
+}
+
+BOOST_AUTO_TEST_CASE(a_loader_starts_from_the_first_snapshot_that_reaches)
+{
+  CellLog log = makeBusyLog();
+  const std::vector<wire::SnapshotChunkT> early =
+    makeSnapshot(log.mState, 4000);
+  log.assign(30, 0, 1);
+  for (const wire::SnapshotChunkT& chunk : early) {
+    log.append(chunk);
+  }
+  const std::size_t afterEarly = log.mRecords.size();
+  log.assign(31, 0, 1);
+  StreamLoader<CellState> loader;
+  loader.onGap(5);
+  BOOST_TEST(!loader.whole());
+  loader.add(from(log, 5).first(afterEarly - 6));
+  BOOST_TEST(!loader.whole());
+  loader.add(from(log, 7));
+  BOOST_TEST(loader.whole());
+  BOOST_CHECK((loader.state() == log.mState));
+  BOOST_TEST(loader.lastSnapshot()->mAsOf == early[0].as_of);
+
+  StreamLoader<CellState> late;
+  late.add(from(log, early[0].as_of + 2));
+  BOOST_TEST(!late.whole());
+  for (const wire::SnapshotChunkT& chunk : makeSnapshot(log.mState, 4000)) {
+    log.append(chunk);
+  }
+  late.add(from(log, early[0].as_of + 2));
+  BOOST_TEST(late.whole());
+  BOOST_CHECK((late.state() == log.mState));
+}
+
+BOOST_AUTO_TEST_CASE(after_a_gap_the_loader_never_goes_back)
+{
+  CellLog log = makeBusyLog();
+  StreamLoader<CellState> loader;
+  loader.add(log.mRecords);
+  const CellState before = loader.state();
+  wire::SnapshotChunkT old = makeSnapshot(before, 1 << 20)[0];
+  log.assign(30, 0, 1);
+  log.assign(31, 0, 1);
+  log.append(old);
+  loader.add(from(log, log.mRecords.size() - 2));
+  BOOST_TEST(!loader.whole());
+  BOOST_CHECK((loader.state() == before));
+  log.append(makeSnapshot(log.mState, 1 << 20)[0]);
+  loader.add(from(log, log.mRecords.size() - 1));
+  BOOST_TEST(loader.whole());
+  BOOST_CHECK((loader.state() == log.mState));
+}
+
+BOOST_AUTO_TEST_CASE(a_snapshot_is_due_by_number_age_and_expiry)
+{
+  const Millis now = 1000000_ms;
+  BOOST_TEST(!snapshotDue({}, now));
+  BOOST_TEST(!snapshotDue({ 100, 0, {}, {} }, now));
+  BOOST_TEST(snapshotDue({ kSnapshotEveryRecords, 0, {}, {} }, now));
+  BOOST_TEST(snapshotDue({ 100, 1, {}, {} }, now));
+  BOOST_TEST(!snapshotDue({ 5000, 0, 4500, now }, now));
+  BOOST_TEST(snapshotDue({ 5000, 4600, 4500, now }, now));
+  // The log keeps 1000 records: a quarter of them may follow.
+  BOOST_TEST(!snapshotDue({ 5000, 4000, 4800, now }, now));
+  BOOST_TEST(snapshotDue({ 5000, 4000, 4700, now }, now));
+  BOOST_TEST(!snapshotDue({ 5000, 4990, 4995, now }, now));
+  BOOST_TEST(snapshotDue({ 5000, 0, 4999, now }, now + kSnapshotEvery));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
