Add a stand-in of the log service

rr-logd keeps streams in memory, answers long polls from parked replies and a timer, and takes faults over POST /control/faults.

Seen with curl: offsets, a poll woken by an append, 410 below the oldest kept record, a lost answer, an outage that ends polls.

--- /dev/null
+++ b/tools/rr-logd.cpp
@@ -0,0 +1,70 @@
+/// Stand-in of the platform's log service, for tests. See docs/log-service.md.
+
+#include "common/http_endpoint.h"
+#include "common/journal.h"
+#include "rr-logd/log_service.h"
+
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <popt.h>
+
+namespace {
+
+struct Settings
+{
+  char* mAddress = nullptr;
+  char* mJournal = nullptr;
+  int mKeep = 0;
+};
+
+/// Exit code for wrong arguments.
+constexpr int kUsageError = 2;
+
+bool
+parse(int aCount, const char** aValues, Settings& aSettings)
+{
+  const poptOption table[] = {
+    { "address", 0, POPT_ARG_STRING, &aSettings.mAddress, 0, "IP:PORT", "A" },
+    { "journal", 0, POPT_ARG_STRING, &aSettings.mJournal, 0, "file", "FILE" },
+    { "keep", 0, POPT_ARG_INT, &aSettings.mKeep, 0, "records kept", "N" },
+    POPT_AUTOHELP POPT_TABLEEND
+  };
+  poptContext context = poptGetContext(nullptr, aCount, aValues, table, 0);
+  const int ec = poptGetNextOpt(context);
+  if (ec < -1) {
+    std::fprintf(stderr,
+                 "%s: %s\n",
+                 poptBadOption(context, POPT_BADOPTION_NOALIAS),
+                 poptStrerror(ec));
+  }
+  poptFreeContext(context);
+  return ec == -1 && aSettings.mAddress != nullptr;
+}
+
+}
+
+int
+main(int aCount, char** aValues)
+{
+  namespace tools = radishroad::tools;
+  Settings settings;
+  if (!parse(aCount, const_cast<const char**>(aValues), settings)) {
+    std::fprintf(stderr, "rr-logd: --address IP:PORT is needed\n");
+    return kUsageError;
+  }
+  tools::blockStopSignals();
+  tools::Journal journal(settings.mJournal ? settings.mJournal : "");
+  tools::LogService service(static_cast<std::size_t>(settings.mKeep), journal);
+  tools::HttpEndpoint endpoint(
+    settings.mAddress,
+    [&service](const Pistache::Http::Request& aRequest,
+               const tools::Reply& aReply) {
+      service.handle(aRequest, aReply);
+    });
+  endpoint.start();
+  journal.write({ { "event", "start" } });
+  tools::waitForStopSignal();
+  journal.write({ { "event", "stop" } });
+  endpoint.stop();
+  return 0;
+}
--- /dev/null
+++ b/tools/rr-logd/log_store.h
@@ -0,0 +1,53 @@
+#ifndef RADISHROAD_TOOLS_RR_LOGD_LOG_STORE_H
+#define RADISHROAD_TOOLS_RR_LOGD_LOG_STORE_H
+
+#include "radishroad/base/millis.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace radishroad::tools {
+
+/// The streams of the log stand-in, in memory. Not thread-safe.
+class LogStore
+{
+public:
+  /// Keeps the newest aKeep records of each stream; 0 keeps all.
+  explicit LogStore(std::size_t aKeep);
+
+  struct Bounds
+  {
+    std::uint64_t mOldest = 0;
+    std::uint64_t mNext = 0;
+  };
+
+  std::uint64_t append(const std::string& aStream,
+                       std::string_view aData,
+                       Millis aNow);
+  Bounds bounds(const std::string& aStream) const;
+  /// Encoded records from aFrom on, as docs/log-service.md says: at least one
+  /// if there is any, else as many as fit aMaxBytes. Nothing if aFrom is below
+  /// the oldest kept.
+  std::optional<std::string> read(const std::string& aStream,
+                                  std::uint64_t aFrom,
+                                  std::size_t aMaxBytes) const;
+
+private:
+  struct Stream
+  {
+    std::uint64_t mOldest = 0;
+    /// Each record as it is read, with its header.
+    std::deque<std::string> mRecords;
+  };
+
+  std::size_t mKeep;
+  std::map<std::string, Stream> mStreams;
+};
+
+}
+
+#endif
