Add a stand-in of an upstream

Seen with curl: fence refusal 409 with its mark, shed with its mark, cancel of a running request, deadline, cut body, exit code 134 on a crash, bodies of 0 bytes and 16 MiB.

--- /dev/null
+++ b/tools/rr-upstream/job.cpp
@@ -0,0 +1,64 @@
+#include "rr-upstream/job.h"
+
+#include "common/http_endpoint.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace radishroad::tools {
+
+namespace {
+
+std::uint64_t
+headerNumber(const Pistache::Http::Request& aRequest, const std::string& aName)
+{
+  const std::string text = headerOf(aRequest, aName);
+  std::uint64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+}
+
+Job
+makeJob(const Pistache::Http::Request& aRequest,
+        const Reply& aReply,
+        Millis aServiceTime)
+{
+  Job job(aReply);
+  job.mId = headerOf(aRequest, "X-Radishroad-Request-Id");
+  job.mWorkspace = headerOf(aRequest, "X-Radishroad-Workspace");
+  job.mKey = headerOf(aRequest, "X-Radishroad-Key-Hash");
+  job.mShard = headerNumber(aRequest, "X-Radishroad-Shard");
+  job.mEpoch = headerNumber(aRequest, "X-Radishroad-Epoch");
+  job.mMethod = Pistache::Http::methodString(aRequest.method());
+  job.mTarget = aRequest.resource() + aRequest.query().as_str();
+  job.mBody = aRequest.body();
+  job.mTag = headerOf(aRequest, "X-Load-Tag");
+  job.mCallerKeySeen = !headerOf(aRequest, "Authorization").empty();
+  job.mCrashes = !headerOf(aRequest, "X-Test-Crash").empty();
+  job.mCut = queryNumber(aRequest, "cut", 0) != 0;
+  job.mAnswerBytes = queryNumber(aRequest, "bytes", -1);
+  job.mServiceTime.mCount = queryNumber(aRequest, "ms", aServiceTime.mCount);
+  const std::uint64_t timeLeft =
+    headerNumber(aRequest, "X-Radishroad-Deadline-Ms");
+  if (timeLeft > 0) {
+    job.mDeadline =
+      monotonicNow() + Millis{ static_cast<std::int64_t>(timeLeft) };
+  }
+  return job;
+}
+
+nlohmann::json
+describe(const Job& aJob, const std::string& aEvent, const std::string& aVm)
+{
+  return {
+    { "event", aEvent },        { "vm", aVm },
+    { "id", aJob.mId },         { "workspace", aJob.mWorkspace },
+    { "key", aJob.mKey },       { "shard", aJob.mShard },
+    { "epoch", aJob.mEpoch },   { "method", aJob.mMethod },
+    { "target", aJob.mTarget }, { "caller_key_seen", aJob.mCallerKeySeen }
+  };
+}
+
+}
--- /dev/null
+++ b/tools/rr-upstream/upstream_service.cpp
@@ -0,0 +1,357 @@
+#include "rr-upstream/upstream_service.h"
+
+#include "common/http_endpoint.h"
+#include "radishroad/base/random_id.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace radishroad::tools {
+
+namespace {
+
+constexpr Millis kLoadLag{ 2000 };
+constexpr Millis kDownTime{ 1000 };
+constexpr int kOverloadFactor = 2;
+constexpr std::size_t kFinishedKept = 100000;
+constexpr int kCrashExitCode = 134;
+constexpr std::string_view kRequestsPath = "/requests/";
+
+std::string
+fillBody(const std::string& aPattern, std::size_t aBytes)
+{
+  const std::string pattern = aPattern.empty() ? "radishroad" : aPattern;
+  std::string body;
+  body.reserve(aBytes + pattern.size());
+  while (body.size() < aBytes) {
+    body += pattern;
+  }
+  body.resize(aBytes);
+  return body;
+}
+
+}
+
+UpstreamService::UpstreamService(UpstreamOptions aOptions, Journal& aJournal)
+  : mOptions(std::move(aOptions))
+  , mJournal(aJournal)
+  , mInstance(makeRandomId().toString())
+  , mColdUntil(monotonicNow() + mOptions.mColdTime)
+{
+  log("start");
+}
+
+void
+UpstreamService::handle(const Pistache::Http::Request& aRequest,
+                        const Reply& aReply)
+{
+  const std::string& path = aRequest.resource();
+  const bool isDelete = aRequest.method() == Pistache::Http::Method::Delete;
+  aReply.header("X-Upstream-Instance", mInstance);
+  aReply.header("X-Upstream-Vm", mOptions.mVm);
+  std::lock_guard<std::mutex> lock(mMutex);
+  if (path == "/control/faults") {
+    setFaults(aRequest.body(), aReply);
+  } else if (path == "/health") {
+    probe(aReply);
+  } else if (path == "/load") {
+    answerLoad(aReply);
+  } else if (isDelete && path.starts_with(kRequestsPath)) {
+    cancel(path.substr(kRequestsPath.size()), aReply);
+  } else {
+    const auto job =
+      std::make_shared<Job>(makeJob(aRequest, aReply, mOptions.mServiceTime));
+    const Millis delay = connectionDelay(aReply);
+    if (delay.mCount == 0) {
+      admit(job);
+      return;
+    }
+    mTimers.after(delay, [this, job] {
+      std::lock_guard<std::mutex> guard(mMutex);
+      admit(job);
+    });
+  }
+}
+
+void
+UpstreamService::setFaults(const std::string& aBody, const Reply& aReply)
+{
+  const nlohmann::json fields =
+    nlohmann::json::parse(aBody, nullptr, /* allow_exceptions */ false);
+  if (!fields.is_object()) {
+    aReply.send(400, R"({"error":"expected a JSON object"})");
+    return;
+  }
+  mFaults.mShed = fields.value("shed", mFaults.mShed);
+  mFaults.mUnhealthy = fields.value("unhealthy", mFaults.mUnhealthy);
+  mFaults.mSlow.mCount = fields.value("slow_ms", mFaults.mSlow.mCount);
+  const std::int64_t coldMs = fields.value("cold_ms", std::int64_t{ 0 });
+  if (coldMs > 0) {
+    mColdUntil = monotonicNow() + Millis{ coldMs };
+    log("cold");
+  }
+  aReply.send(200, "{}");
+}
+
+void
+UpstreamService::probe(const Reply& aReply)
+{
+  log("probe");
+  if (mOptions.mProbeTime.mCount == 0) {
+    answerHealth(aReply);
+    return;
+  }
+  // A probe takes a slot's time, as a request does.
+  ++mRunning;
+  mTimers.after(mOptions.mProbeTime, [this, aReply] {
+    std::lock_guard<std::mutex> lock(mMutex);
+    --mRunning;
+    answerHealth(aReply);
+    startWaiting();
+  });
+}
+
+void
+UpstreamService::answerHealth(const Reply& aReply)
+{
+  const bool down = mFaults.mUnhealthy || monotonicNow() < mDownUntil;
+  const nlohmann::json body = { { "status", down ? "down" : "ok" },
+                                { "instance", mInstance } };
+  aReply.send(down ? 503 : 200, body.dump());
+}
+
+void
+UpstreamService::answerLoad(const Reply& aReply)
+{
+  const LoadSample load = reportedLoad();
+  const nlohmann::json body = { { "in_flight", load.mInFlight },
+                                { "slots", mOptions.mSlots },
+                                { "queued", load.mQueued } };
+  aReply.send(200, body.dump());
+}
+
+UpstreamService::LoadSample
+UpstreamService::reportedLoad()
+{
+  const LoadSample current{ mRunning, mWaiting.size() };
+  if (mOptions.mLoadReport == LoadReport::True) {
+    return current;
+  }
+  if (mOptions.mLoadReport == LoadReport::Lie) {
+    return {};
+  }
+  const LoadSample lagged = mLaggedLoad;
+  if (monotonicNow() - mLaggedAt > kLoadLag) {
+    mLaggedLoad = current;
+    mLaggedAt = monotonicNow();
+  }
+  return lagged;
+}
+
+void
+UpstreamService::cancel(const std::string& aId, const Reply& aReply)
+{
+  const auto it = mLive.find(aId);
+  if (it == mLive.end()) {
+    const bool finished = mFinished.contains(aId);
+    aReply.send(
+      200, finished ? R"({"state":"finished"})" : R"({"state":"unknown"})");
+    return;
+  }
+  const JobPtr job = it->second;
+  if (job->mState == Job::State::Running) {
+    end(job, "cancelled");
+  } else {
+    std::erase(mWaiting, job);
+    job->mState = Job::State::Ended;
+    mLive.erase(it);
+  }
+  job->mReply.send(503, R"({"error":"cancelled"})");
+  aReply.send(200, R"({"state":"cancelled"})");
+  startWaiting();
+}
+
+Millis
+UpstreamService::connectionDelay(const Reply& aReply)
+{
+  if (!mConnections.insert(aReply.connection()).second) {
+    return {};
+  }
+  log("connect");
+  const Millis now = monotonicNow();
+  mConnectFreeAt = std::max(now, mConnectFreeAt) + mOptions.mConnectTime;
+  return mConnectFreeAt - now;
+}
+
+void
+UpstreamService::admit(const JobPtr& aJob)
+{
+  if (mOptions.mChecksFence && !mFence.admit(aJob->mShard, aJob->mEpoch)) {
+    refuse(*aJob, 409, "refused_fence", "stale-fence");
+    return;
+  }
+  if (fellOver()) {
+    refuse(*aJob, 503, "refused_down", "");
+    return;
+  }
+  const bool full =
+    mWaiting.size() >= static_cast<std::size_t>(mOptions.mQueue);
+  if (mFaults.mShed || (mRunning >= slots() && full)) {
+    refuse(*aJob, 503, "shed", "shed");
+    return;
+  }
+  mLive[aJob->mId] = aJob;
+  if (mRunning < slots()) {
+    start(aJob);
+  } else {
+    mWaiting.push_back(aJob);
+  }
+}
+
+bool
+UpstreamService::fellOver()
+{
+  const Millis now = monotonicNow();
+  if (now < mDownUntil) {
+    return true;
+  }
+  const int inside = mRunning + static_cast<int>(mWaiting.size());
+  if (!isCold() || inside < mOptions.mColdSlots * kOverloadFactor) {
+    return false;
+  }
+  log("fell_over");
+  if (mOptions.mExitWhenOverloaded) {
+    ::_exit(1);
+  }
+  mDownUntil = now + kDownTime;
+  return true;
+}
+
+void
+UpstreamService::start(const JobPtr& aJob)
+{
+  if (mOptions.mChecksFence && !mFence.admit(aJob->mShard, aJob->mEpoch)) {
+    mLive.erase(aJob->mId);
+    aJob->mState = Job::State::Ended;
+    refuse(*aJob, 409, "refused_fence", "stale-fence");
+    return;
+  }
+  ++mRunning;
+  aJob->mState = Job::State::Running;
+  mJournal.write(describe(*aJob, "run_start", mOptions.mVm));
+  if (aJob->mCrashes) {
+    mJournal.write(describe(*aJob, "crash", mOptions.mVm));
+    ::_exit(kCrashExitCode);
+  }
+  Millis time = aJob->mServiceTime + mFaults.mSlow;
+  if (aJob->mDeadline.mCount > 0) {
+    time = std::min(time, aJob->mDeadline - monotonicNow());
+  }
+  mTimers.after(time, [this, aJob] {
+    std::lock_guard<std::mutex> lock(mMutex);
+    finish(aJob);
+  });
+}
+
+void
+UpstreamService::finish(const JobPtr& aJob)
+{
+  if (aJob->mState != Job::State::Running) {
+    return;
+  }
+  const bool late =
+    aJob->mDeadline.mCount > 0 && monotonicNow() >= aJob->mDeadline;
+  end(aJob, late ? "deadline" : "done");
+  if (late) {
+    aJob->mReply.send(504, R"({"error":"deadline passed"})");
+  } else {
+    answer(*aJob);
+  }
+  startWaiting();
+}
+
+void
+UpstreamService::end(const JobPtr& aJob, const std::string& aOutcome)
+{
+  aJob->mState = Job::State::Ended;
+  --mRunning;
+  mLive.erase(aJob->mId);
+  if (mFinished.insert(aJob->mId).second) {
+    mFinishedOrder.push_back(aJob->mId);
+  }
+  if (mFinishedOrder.size() > kFinishedKept) {
+    mFinished.erase(mFinishedOrder.front());
+    mFinishedOrder.pop_front();
+  }
+  nlohmann::json event = describe(*aJob, "run_end", mOptions.mVm);
+  event["outcome"] = aOutcome;
+  mJournal.write(std::move(event));
+}
+
+void
+UpstreamService::startWaiting()
+{
+  while (!mWaiting.empty() && mRunning < slots()) {
+    const JobPtr job = mWaiting.front();
+    mWaiting.pop_front();
+    start(job);
+  }
+}
+
+void
+UpstreamService::answer(const Job& aJob)
+{
+  if (aJob.mCut) {
+    aJob.mReply.sendRaw("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\ncut");
+    return;
+  }
+  if (!aJob.mTag.empty()) {
+    aJob.mReply.header("X-Load-Tag", aJob.mTag);
+  }
+  if (aJob.mAnswerBytes >= 0) {
+    const auto bytes = static_cast<std::size_t>(aJob.mAnswerBytes);
+    aJob.mReply.send(200, fillBody(aJob.mId, bytes), "text/plain");
+  } else if (!aJob.mBody.empty()) {
+    aJob.mReply.send(200, aJob.mBody, "application/octet-stream");
+  } else {
+    const nlohmann::json body = { { "vm", mOptions.mVm },
+                                  { "id", aJob.mId },
+                                  { "target", aJob.mTarget } };
+    aJob.mReply.send(200, body.dump());
+  }
+}
+
+void
+UpstreamService::refuse(const Job& aJob,
+                        int aStatus,
+                        const std::string& aEvent,
+                        const std::string& aMark)
+{
+  mJournal.write(describe(aJob, aEvent, mOptions.mVm));
+  if (!aMark.empty()) {
+    aJob.mReply.header("X-Not-Run", aMark);
+  }
+  aJob.mReply.send(aStatus, nlohmann::json{ { "error", aEvent } }.dump());
+}
+
+void
+UpstreamService::log(const std::string& aEvent)
+{
+  mJournal.write(
+    { { "event", aEvent }, { "vm", mOptions.mVm }, { "instance", mInstance } });
+}
+
+bool
+UpstreamService::isCold() const
+{
+  return monotonicNow() < mColdUntil;
+}
+
+int
+UpstreamService::slots() const
+{
+  return isCold() ? mOptions.mColdSlots : mOptions.mSlots;
+}
+
+}
