Add a harness for tests on real processes, and its judges

The harness starts a log service, upstreams and daemons on loopback addresses taken from the test's process id, so that tests run side by side. The judges read the stand-ins' journals and what callers received; each has a test that shows it a broken history first.

--- /dev/null
+++ b/tests/process/support/child_process.cpp
@@ -0,0 +1,134 @@
+#include "support/child_process.h"
+
+#include "support/wait.h"
+
+#include <csignal>
+#include <cstring>
+#include <fcntl.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace radishroad::test {
+
+namespace {
+
+constexpr int kSignalExitBase = 128;
+constexpr int kFileMode = 0644;
+
+/// File actions of a spawn: output and errors into one file.
+class OutputTo
+{
+public:
+  explicit OutputTo(const std::filesystem::path& aFile)
+  {
+    posix_spawn_file_actions_init(&mActions);
+    posix_spawn_file_actions_addopen(&mActions,
+                                     STDOUT_FILENO,
+                                     aFile.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND,
+                                     kFileMode);
+    posix_spawn_file_actions_adddup2(&mActions, STDOUT_FILENO, STDERR_FILENO);
+  }
+  ~OutputTo() { posix_spawn_file_actions_destroy(&mActions); }
+  OutputTo(const OutputTo&) = delete;
+  OutputTo& operator=(const OutputTo&) = delete;
+
+  const posix_spawn_file_actions_t* get() const { return &mActions; }
+
+private:
+  posix_spawn_file_actions_t mActions{};
+};
+
+}
+
+ChildProcess::ChildProcess(const std::vector<std::string>& aCommand,
+                           const std::filesystem::path& aOutput)
+{
+  std::vector<char*> arguments;
+  for (const std::string& word : aCommand) {
+    arguments.push_back(const_cast<char*>(word.c_str()));
+  }
+  arguments.push_back(nullptr);
+  const OutputTo output(aOutput);
+  const int ec = posix_spawn(&mPid,
+                             aCommand.front().c_str(),
+                             output.get(),
+                             nullptr,
+                             arguments.data(),
+                             environ);
+  if (ec != 0) {
+    throw std::runtime_error(aCommand.front() + ": " + std::strerror(ec));
+  }
+}
+
+ChildProcess::~ChildProcess()
+{
+  kill();
+}
+
+pid_t
+ChildProcess::pid() const
+{
+  return mPid;
+}
+
+void
+ChildProcess::signal(int aSignal) const
+{
+  if (!mExitCode) {
+    ::kill(mPid, aSignal);
+  }
+}
+
+bool
+ChildProcess::isRunning()
+{
+  reap(false);
+  return !mExitCode;
+}
+
+std::optional<int>
+ChildProcess::waitForExit(Millis aTime)
+{
+  waitFor([this] { return !isRunning(); }, aTime);
+  return mExitCode;
+}
+
+void
+ChildProcess::kill()
+{
+  if (isRunning()) {
+    ::kill(mPid, SIGKILL);
+    reap(true);
+  }
+}
+
+void
+ChildProcess::reap(bool aBlock)
+{
+  if (mExitCode) {
+    return;
+  }
+  int status = 0;
+  if (::waitpid(mPid, &status, aBlock ? 0 : WNOHANG) != mPid) {
+    return;
+  }
+  mExitCode = WIFSIGNALED(status) ? kSignalExitBase + WTERMSIG(status)
+                                  : WEXITSTATUS(status);
+}
+
+int
+runToEnd(const std::vector<std::string>& aCommand,
+         const std::filesystem::path& aOutput,
+         Millis aTime)
+{
+  ChildProcess process(aCommand, aOutput);
+  const std::optional<int> ec = process.waitForExit(aTime);
+  return ec ? *ec : kSignalExitBase + SIGKILL;
+}
+
+}
--- /dev/null
+++ b/tests/process/support/fleet.cpp
@@ -0,0 +1,438 @@
+#include "support/fleet.h"
+
+#include "radishroad/config/folder.h"
+#include "radishroad/platform/log_client.h"
+#include "radishroad/state/cell_state.h"
+#include "radishroad/state/records.h"
+#include "support/http_call.h"
+#include "support/wait.h"
+
+#include <algorithm>
+#include <csignal>
+#include <stdexcept>
+
+namespace radishroad::test {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr int kLogHost = 1;
+constexpr int kFirstVmHost = 2;
+/// Host number of a VM's relay listeners, above its own.
+constexpr int kRelayOffset = 100;
+constexpr int kRelayControlHost = 250;
+constexpr Millis kStartTime{ 10000 };
+constexpr Millis kSettleTime{ 20000 };
+constexpr Millis kAppendTime{ 2000 };
+const fs::path kBuildFolder = RADISHROAD_BUILD_DIR;
+
+std::string
+program(const std::string& aName)
+{
+  const bool isDaemon = aName == "radishroadd" || aName == "radishroad";
+  return (kBuildFolder / (isDaemon ? "src/main" : "tools") / aName).string();
+}
+
+std::string
+at(const std::string& aIp, int aPort)
+{
+  return aIp + ":" + std::to_string(aPort);
+}
+
+constexpr int kCallerPort = 8080;
+constexpr int kOperatorPort = 8090;
+constexpr int kPeerPort = 7400;
+constexpr int kUpstreamPort = 9000;
+constexpr int kLogPort = 9500;
+constexpr int kControlPort = 9600;
+
+}
+
+Fleet::Fleet(Options aOptions)
+  : mOptions(std::move(aOptions))
+  , mFolder(kBuildFolder / "test-runs" / mOptions.mName)
+{
+  fs::remove_all(mFolder);
+  fs::create_directories(mFolder);
+  int host = kFirstVmHost;
+  for (const VmSpec& spec : mOptions.mVms) {
+    Vm vm;
+    vm.mSpec = spec;
+    vm.mHost = host++;
+    mVms.push_back(std::move(vm));
+  }
+}
+
+Fleet::~Fleet()
+{
+  for (Vm& vm : mVms) {
+    vm.mDaemon.reset();
+    vm.mUpstream.reset();
+  }
+}
+
+void
+Fleet::bringUp(const fs::path& aConfigFolder)
+{
+  startLog();
+  if (mOptions.mRelays) {
+    startRelay();
+  }
+  for (const Vm& vm : mVms) {
+    start(vm.mSpec.mName, Role::Upstream);
+    start(vm.mSpec.mName, Role::Daemon);
+  }
+  if (!publishFolder(aConfigFolder, 0)) {
+    throw std::runtime_error("the configuration was not published");
+  }
+  if (!waitFor([this] { return isSettled(); }, kSettleTime)) {
+    throw std::runtime_error("the fleet did not settle");
+  }
+}
+
+void
+Fleet::startLog()
+{
+  std::vector<std::string> command = { program("rr-logd"),
+                                       "--address",
+                                       logAddress(),
+                                       "--journal",
+                                       mFolder / "log.journal" };
+  command.insert(command.end(),
+                 mOptions.mLogArguments.begin(),
+                 mOptions.mLogArguments.end());
+  mLog = std::make_unique<ChildProcess>(command, mFolder / "log.out");
+  const std::string url = "http://" + logAddress() + "/v1/streams/config";
+  if (!waitFor([&url] { return get(url).mStatus == 200; }, kStartTime)) {
+    throw std::runtime_error("the log service did not start");
+  }
+}
+
+void
+Fleet::startRelay()
+{
+  const std::string control =
+    at(mAddresses.ip(kRelayControlHost), kControlPort);
+  std::vector<std::string> command = { program("rr-relay"),
+                                       "--control",
+                                       control };
+  for (const Vm& vm : mVms) {
+    const std::string relayIp = mAddresses.ip(vm.mHost + kRelayOffset);
+    const std::string& name = vm.mSpec.mName;
+    command.push_back("--link");
+    command.push_back("peer-" + name + "=" + at(relayIp, kPeerPort) + "," +
+                      at(mAddresses.ip(vm.mHost), kPeerPort));
+    command.push_back("--link");
+    command.push_back("log-" + name + "=" + at(relayIp, kLogPort) + "," +
+                      logAddress());
+  }
+  mRelay = std::make_unique<ChildProcess>(command, mFolder / "relay.out");
+  const std::string url = "http://" + control + "/links";
+  if (!waitFor([&url] { return get(url).mStatus == 200; }, kStartTime)) {
+    throw std::runtime_error("the relay did not start");
+  }
+}
+
+std::vector<std::string>
+Fleet::daemonCommand(const Vm& aVm) const
+{
+  const std::string ip = mAddresses.ip(aVm.mHost);
+  const std::string relayIp = mAddresses.ip(aVm.mHost + kRelayOffset);
+  std::vector<std::string> command = { program("radishroadd"),
+                                       "--vm",
+                                       aVm.mSpec.mName,
+                                       "--zone",
+                                       aVm.mSpec.mZone,
+                                       "--service",
+                                       aVm.mSpec.mService,
+                                       "--caller-address",
+                                       at(ip, kCallerPort),
+                                       "--peer-address",
+                                       at(ip, kPeerPort),
+                                       "--operator-address",
+                                       at(ip, kOperatorPort),
+                                       "--upstream-address",
+                                       at(ip, kUpstreamPort),
+                                       "--log-address",
+                                       mOptions.mRelays ? at(relayIp, kLogPort)
+                                                        : logAddress() };
+  if (mOptions.mRelays) {
+    command.push_back("--advertise-peer-address");
+    command.push_back(at(relayIp, kPeerPort));
+  }
+  command.insert(command.end(),
+                 mOptions.mDaemonArguments.begin(),
+                 mOptions.mDaemonArguments.end());
+  return command;
+}
+
+std::vector<std::string>
+Fleet::upstreamCommand(const Vm& aVm) const
+{
+  std::vector<std::string> command = {
+    program("rr-upstream"),
+    "--address",
+    at(mAddresses.ip(aVm.mHost), kUpstreamPort),
+    "--vm",
+    aVm.mSpec.mName,
+    "--journal",
+    mFolder / (aVm.mSpec.mName + ".journal")
+  };
+  // As in examples/guild: catalog's upstreams check fences.
+  if (aVm.mSpec.mService == "catalog") {
+    command.emplace_back("--check-fence");
+  }
+  command.insert(command.end(),
+                 mOptions.mUpstreamArguments.begin(),
+                 mOptions.mUpstreamArguments.end());
+  return command;
+}
+
+void
+Fleet::start(const std::string& aVm, Role aRole)
+{
+  Vm& vm = find(aVm);
+  if (aRole == Role::Upstream) {
+    const fs::path output = mFolder / (aVm + ".upstream.out");
+    vm.mUpstream = std::make_unique<ChildProcess>(upstreamCommand(vm), output);
+    return;
+  }
+  const std::string number = std::to_string(++vm.mStarts);
+  const fs::path output = mFolder / (aVm + ".daemon." + number + ".out");
+  vm.mDaemon = std::make_unique<ChildProcess>(daemonCommand(vm), output);
+}
+
+ChildProcess*
+Fleet::process(const std::string& aVm, Role aRole)
+{
+  Vm& vm = find(aVm);
+  return aRole == Role::Daemon ? vm.mDaemon.get() : vm.mUpstream.get();
+}
+
+void
+Fleet::signal(const std::string& aVm, Role aRole, int aSignal)
+{
+  process(aVm, aRole)->signal(aSignal);
+}
+
+void
+Fleet::kill(const std::string& aVm, Role aRole)
+{
+  process(aVm, aRole)->kill();
+}
+
+bool
+Fleet::publish(const std::vector<ConfigText>& aFiles,
+               std::uint64_t aBaseVersion,
+               const std::string& aOperator)
+{
+  wire::PublishT publication;
+  publication.base_version = aBaseVersion;
+  publication.operator_name = aOperator;
+  for (const ConfigText& text : aFiles) {
+    auto file = std::make_unique<wire::ConfigFileT>();
+    file->name = text.mName;
+    file->text = text.mText;
+    publication.files.push_back(std::move(file));
+  }
+  const Bytes bytes =
+    encodeRecord(makeRecord(std::move(publication), makeRandomId(), wallNow()));
+  LogClient client(logAddress());
+  return client.append(kConfigStream, bytes, kAppendTime).has_value();
+}
+
+bool
+Fleet::publishFolder(const fs::path& aFolder, std::uint64_t aBaseVersion)
+{
+  const tl::expected<std::vector<ConfigText>, Findings> files =
+    config::readFolder(aFolder);
+  return files && publish(*files, aBaseVersion);
+}
+
+void
+Fleet::setLogFaults(const nlohmann::json& aFaults)
+{
+  post("http://" + logAddress() + "/control/faults", aFaults.dump());
+}
+
+void
+Fleet::setUpstreamFaults(const std::string& aVm, const nlohmann::json& aFaults)
+{
+  post("http://" + at(ip(aVm), kUpstreamPort) + "/control/faults",
+       aFaults.dump());
+}
+
+void
+Fleet::setLink(const nlohmann::json& aRule)
+{
+  post("http://" + at(mAddresses.ip(kRelayControlHost), kControlPort) +
+         "/links",
+       aRule.dump());
+}
+
+const Fleet::Vm&
+Fleet::find(const std::string& aVm) const
+{
+  for (const Vm& vm : mVms) {
+    if (vm.mSpec.mName == aVm) {
+      return vm;
+    }
+  }
+  throw std::runtime_error("no VM " + aVm);
+}
+
+Fleet::Vm&
+Fleet::find(const std::string& aVm)
+{
+  return const_cast<Vm&>(std::as_const(*this).find(aVm));
+}
+
+std::string
+Fleet::ip(const std::string& aVm) const
+{
+  return mAddresses.ip(find(aVm).mHost);
+}
+
+std::string
+Fleet::caller(const std::string& aVm) const
+{
+  return at(ip(aVm), kCallerPort);
+}
+
+std::string
+Fleet::operatorAddress(const std::string& aVm) const
+{
+  return at(ip(aVm), kOperatorPort);
+}
+
+std::string
+Fleet::logAddress() const
+{
+  return at(mAddresses.ip(kLogHost), kLogPort);
+}
+
+std::vector<std::string>
+Fleet::callers(const std::set<std::string>& aBut) const
+{
+  std::vector<std::string> addresses;
+  for (const Vm& vm : mVms) {
+    if (!aBut.contains(vm.mSpec.mName)) {
+      addresses.push_back(caller(vm.mSpec.mName));
+    }
+  }
+  return addresses;
+}
+
+std::vector<std::string>
+Fleet::vmsOf(const std::string& aService) const
+{
+  std::vector<std::string> names;
+  for (const Vm& vm : mVms) {
+    if (vm.mSpec.mService == aService) {
+      names.push_back(vm.mSpec.mName);
+    }
+  }
+  return names;
+}
+
+nlohmann::json
+Fleet::state(const std::string& aVm) const
+{
+  return getJson("http://" + operatorAddress(aVm) + "/state");
+}
+
+bool
+Fleet::isReady(const std::string& aVm) const
+{
+  return get("http://" + operatorAddress(aVm) + "/ready").mStatus == 200;
+}
+
+bool
+Fleet::knowsAllOwners(const nlohmann::json& aState,
+                      const std::string& aService) const
+{
+  const nlohmann::json cells = aState.value("cells", nlohmann::json::object());
+  if (!cells.contains(aService)) {
+    return false;
+  }
+  const nlohmann::json& cell = cells[aService];
+  std::set<std::string> active;
+  for (const nlohmann::json& member : cell["members"]) {
+    if (member.value("status", "") == "active") {
+      active.insert(member["incarnation"].get<std::string>());
+    }
+  }
+  std::size_t owned = 0;
+  for (const auto& [incarnation, count] : cell["shards"].items()) {
+    owned += active.contains(incarnation) ? count.get<std::size_t>() : 0;
+  }
+  return owned == kShardCount;
+}
+
+bool
+Fleet::isSettled(const std::set<std::string>& aBut) const
+{
+  std::set<std::string> services;
+  for (const Vm& vm : mVms) {
+    services.insert(vm.mSpec.mService);
+  }
+  return std::all_of(mVms.begin(), mVms.end(), [&](const Vm& aVm) {
+    const std::string& name = aVm.mSpec.mName;
+    if (aBut.contains(name)) {
+      return true;
+    }
+    const nlohmann::json known = state(name);
+    return known.is_object() && isReady(name) &&
+           std::all_of(
+             services.begin(), services.end(), [&](const std::string& aName) {
+               return knowsAllOwners(known, aName);
+             });
+  });
+}
+
+std::vector<Run>
+Fleet::runs() const
+{
+  std::vector<Run> all;
+  for (const Vm& vm : mVms) {
+    const fs::path journal = mFolder / (vm.mSpec.mName + ".journal");
+    std::vector<Run> runs = readRuns(journal, vm.mSpec.mService);
+    all.insert(all.end(), runs.begin(), runs.end());
+  }
+  return all;
+}
+
+std::vector<nlohmann::json>
+Fleet::logJournal() const
+{
+  return readJournal(mFolder / "log.journal");
+}
+
+const fs::path&
+Fleet::folder() const
+{
+  return mFolder;
+}
+
+std::vector<VmSpec>
+guildVms(int aCatalog, int aLibrary)
+{
+  const std::vector<std::string> zones = { "nashua",
+                                           "worcester",
+                                           "burlington" };
+  std::vector<VmSpec> vms;
+  for (int i = 0; i < aCatalog; ++i) {
+    vms.push_back({ "catalog-" + std::to_string(i + 1),
+                    zones[static_cast<std::size_t>(i) % zones.size()],
+                    "catalog" });
+  }
+  for (int i = 0; i < aLibrary; ++i) {
+    vms.push_back({ "library-" + std::to_string(i + 1),
+                    zones[static_cast<std::size_t>(i) % zones.size()],
+                    "library" });
+  }
+  return vms;
+}
+
+}
--- /dev/null
+++ b/tests/process/support/runs.h
@@ -0,0 +1,41 @@
+#ifndef RADISHROAD_TESTS_PROCESS_SUPPORT_RUNS_H
+#define RADISHROAD_TESTS_PROCESS_SUPPORT_RUNS_H
+
+#include <cstdint>
+#include <filesystem>
+#include <nlohmann/json.hpp>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace radishroad::test {
+
+/// One run of a request on an upstream, as its journal tells.
+struct Run
+{
+  std::string mId;
+  std::string mVm;
+  std::string mService;
+  std::string mWorkspace;
+  std::string mKey;
+  std::string mMethod;
+  std::string mTarget;
+  std::uint64_t mEpoch = 0;
+  std::int64_t mStartMs = 0;
+  /// The start if the upstream was lost while it ran.
+  std::int64_t mEndMs = 0;
+  std::string mOutcome;
+  bool mCallerKeySeen = false;
+};
+
+/// The lines of a journal that are whole.
+std::vector<nlohmann::json>
+readJournal(const std::filesystem::path& aFile);
+
+/// The runs in an upstream's journal, in order of their start.
+std::vector<Run>
+readRuns(const std::filesystem::path& aFile, const std::string& aService);
+
+}
+
+#endif
--- /dev/null
+++ b/tests/process/support/wait.h
@@ -0,0 +1,29 @@
+#ifndef RADISHROAD_TESTS_PROCESS_SUPPORT_WAIT_H
+#define RADISHROAD_TESTS_PROCESS_SUPPORT_WAIT_H
+
+#include "radishroad/base/millis.h"
+
+#include <chrono>
+#include <functional>
+#include <thread>
+
+namespace radishroad::test {
+
+/// Waits until the condition holds; false if it does not within the time.
+inline bool
+waitFor(const std::function<bool()>& aCondition, Millis aTime)
+{
+  constexpr std::chrono::milliseconds kPollInterval(10);
+  const Millis deadline = monotonicNow() + aTime;
+  while (!aCondition()) {
+    if (monotonicNow() >= deadline) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return true;
+}
+
+}
+
+#endif
