--- a/tests/process/support/traffic.cpp
+++ b/tests/process/support/traffic.cpp
@@ -14,8 +14,10 @@
   , mStart(std::chrono::steady_clock::now())
 {
   mThread = std::thread([this] {
-    LoadEngine engine(
-      { .mMaxConnections = 256, .mExactTimes = false, .mKeepBodies = true });
+    LoadEngine engine({ .mMaxConnections = 256,
+                        .mBoundConnections = false,
+                        .mExactTimes = false,
+                        .mKeepBodies = true });
     engine.run(
       [this] { return next(); },
       [this](LoadResult aResult) { mResults.push_back(std::move(aResult)); });
--- a/tools/common/load_engine.cpp
+++ b/tools/common/load_engine.cpp
@@ -78,6 +78,11 @@
     curl_multi_setopt(mMulti,
                       CURLMOPT_MAXCONNECTS,
                       static_cast<long>(aOptions.mMaxConnections));
+    if (aOptions.mBoundConnections) {
+      curl_multi_setopt(mMulti,
+                        CURLMOPT_MAX_TOTAL_CONNECTIONS,
+                        static_cast<long>(aOptions.mMaxConnections));
+    }
   }
 
   ~Impl()
--- /dev/null
+++ b/tools/rr-load/arguments.cpp
@@ -0,0 +1,109 @@
+#include "rr-load/arguments.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <popt.h>
+
+namespace radishroad::tools {
+
+namespace {
+
+/// Options that may be given more than once, or that hold a text.
+enum TextOption
+{
+  TargetOption = 1,
+  PathOption,
+  MethodOption,
+  QueryOption,
+  CallerKeyOption,
+};
+
+void
+setText(LoadOptions& aOptions, int aOption, const char* aText)
+{
+  switch (aOption) {
+    case TargetOption:
+      aOptions.mTargets.emplace_back(aText);
+      break;
+    case PathOption:
+      aOptions.mPath = aText;
+      break;
+    case MethodOption:
+      aOptions.mMethod = aText;
+      break;
+    case QueryOption:
+      aOptions.mQuery = aText;
+      break;
+    case CallerKeyOption:
+      aOptions.mCallerKeys.emplace_back(aText);
+      break;
+    default:
+      break;
+  }
+}
+
+bool
+isSane(const LoadOptions& aOptions)
+{
+  return !aOptions.mTargets.empty() && aOptions.mRate > 0 &&
+         aOptions.mSeconds > 0 && aOptions.mKeys > 0 && aOptions.mThreads > 0 &&
+         aOptions.mConnections > 0;
+}
+
+}
+
+std::optional<LoadOptions>
+parseArguments(int aCount, const char** aValues)
+{
+  LoadOptions out;
+  long seed = 1;
+  int poisson = 0;
+  constexpr int kText = POPT_ARG_STRING;
+  constexpr int kNumber = POPT_ARG_INT | POPT_ARGFLAG_SHOW_DEFAULT;
+  constexpr int kReal = POPT_ARG_DOUBLE | POPT_ARGFLAG_SHOW_DEFAULT;
+  const poptOption table[] = {
+    { "target", 0, kText, nullptr, TargetOption, "where to send", "IP:PORT" },
+    { "path", 0, kText, nullptr, PathOption, "path with {key}", "PATH" },
+    { "method", 0, kText, nullptr, MethodOption, "method", "NAME" },
+    { "query", 0, kText, nullptr, QueryOption, "added to queries", "A=B" },
+    { "caller-key", 0, kText, nullptr, CallerKeyOption, "sent key", "KEY" },
+    { "rate", 0, kNumber, &out.mRate, 0, "requests a second", "N" },
+    { "seconds", 0, kNumber, &out.mSeconds, 0, "time measured", "N" },
+    { "warm-up", 0, kNumber, &out.mWarmUpSeconds, 0, "seconds before", "N" },
+    { "keys", 0, kNumber, &out.mKeys, 0, "number of keys", "N" },
+    { "key-zipf", 0, kReal, &out.mKeyZipf, 0, "exponent over keys", "S" },
+    { "workspace-zipf", 0, kReal, &out.mWorkspaceZipf, 0, "same", "S" },
+    { "threads", 0, kNumber, &out.mThreads, 0, "sending threads", "N" },
+    { "connections", 0, kNumber, &out.mConnections, 0, "at most", "N" },
+    { "hold", 0, kNumber, &out.mHeldConnections, 0, "idle connections", "N" },
+    { "timeout-ms", 0, kNumber, &out.mTimeoutMs, 0, "for each request", "N" },
+    { "body-bytes", 0, kNumber, &out.mBodyBytes, 0, "sent body", "N" },
+    { "poisson", 0, POPT_ARG_NONE, &poisson, 0, "random gaps", nullptr },
+    { "seed", 0, POPT_ARG_LONG, &seed, 0, "of all random choices", "N" },
+    POPT_AUTOHELP POPT_TABLEEND
+  };
+  poptContext context = poptGetContext(nullptr, aCount, aValues, table, 0);
+  int option = poptGetNextOpt(context);
+  while (option > 0) {
+    char* text = poptGetOptArg(context);
+    setText(out, option, text);
+    std::free(text);
+    option = poptGetNextOpt(context);
+  }
+  if (option < -1) {
+    std::fprintf(stderr,
+                 "%s: %s\n",
+                 poptBadOption(context, POPT_BADOPTION_NOALIAS),
+                 poptStrerror(option));
+  }
+  poptFreeContext(context);
+  out.mSeed = static_cast<std::uint64_t>(seed);
+  out.mPoisson = poisson != 0;
+  if (option != -1 || !isSane(out)) {
+    std::fprintf(stderr, "rr-load: --target and numbers above 0 are needed\n");
+    return std::nullopt;
+  }
+  return out;
+}
+
+}
