--- /dev/null
+++ b/tests/process/support/scenario.cpp
@@ -0,0 +1,163 @@
+#include "support/scenario.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <thread>
+
+namespace radishroad::test {
+
+namespace {
+
+constexpr int kKeyCount = 12;
+
+std::vector<std::string>
+pathsOfKeys(const std::string& aBefore, const std::string& aAfter)
+{
+  std::vector<std::string> paths;
+  for (int i = 1; i <= kKeyCount; ++i) {
+    paths.push_back(aBefore + "template-" + std::to_string(i) + aAfter);
+  }
+  return paths;
+}
+
+Fleet::Options
+fleetOptions(const Scenario::Options& aOptions)
+{
+  Fleet::Options options;
+  options.mName = aOptions.mName;
+  options.mVms = guildVms(aOptions.mCatalog, aOptions.mLibrary);
+  options.mRelays = aOptions.mRelays;
+  options.mDaemonArguments = aOptions.mDaemonArguments;
+  options.mUpstreamArguments = aOptions.mUpstreamArguments;
+  return options;
+}
+
+}
+
+Scenario::Scenario(Options aOptions)
+  : mSeed(aOptions.mSeed)
+  , mRandom(aOptions.mSeed)
+  , mFleet(fleetOptions(aOptions))
+{
+  mFleet.bringUp(guildFolder());
+}
+
+std::filesystem::path
+Scenario::guildFolder()
+{
+  return std::filesystem::path(RADISHROAD_SOURCE_DIR) / "examples" / "guild";
+}
+
+Fleet&
+Scenario::fleet()
+{
+  return mFleet;
+}
+
+void
+Scenario::startTraffic(const std::set<std::string>& aBut,
+                       const std::string& aQuery)
+{
+  Traffic::Options options;
+  options.mIngresses = mFleet.callers(aBut);
+  options.mGets = guildGets();
+  options.mPosts = guildPosts();
+  options.mSeed = mSeed;
+  options.mQuery = aQuery;
+  options.mTimeout = Millis{ 8000 };
+  mTraffic = std::make_unique<Traffic>(options);
+}
+
+Evidence
+Scenario::stopTraffic()
+{
+  Evidence evidence;
+  evidence.mResults = mTraffic->stop();
+  evidence.mRuns = mFleet.runs();
+  const std::map<std::string, std::int64_t> times =
+    unavailableTime(evidence.mResults);
+  std::int64_t worst = 0;
+  for (const auto& [key, time] : times) {
+    worst = std::max(worst, time);
+  }
+  const auto answered = std::count_if(
+    evidence.mResults.begin(),
+    evidence.mResults.end(),
+    [](const tools::LoadResult& aResult) { return aResult.mStatus == 200; });
+  BOOST_TEST_MESSAGE("seed " << mSeed << ": " << evidence.mResults.size()
+                             << " sent, " << answered << " answered, "
+                             << evidence.mRuns.size()
+                             << " runs, longest wait for a key " << worst
+                             << " ms, appends " << mFleet.logJournal().size());
+  return evidence;
+}
+
+std::uint64_t
+Scenario::draw()
+{
+  return mRandom();
+}
+
+void
+Scenario::runOn(Millis aLeast, Millis aMost)
+{
+  const auto span = static_cast<std::uint64_t>((aMost - aLeast).mCount) + 1;
+  const auto extra = static_cast<std::int64_t>(draw() % span);
+  std::this_thread::sleep_for(std::chrono::milliseconds(aLeast.mCount + extra));
+}
+
+std::string
+Scenario::drawVm(const std::string& aService)
+{
+  const std::vector<std::string> vms = mFleet.vmsOf(aService);
+  return vms[draw() % vms.size()];
+}
+
+std::vector<std::string>
+guildGets()
+{
+  std::vector<std::string> paths = pathsOfKeys("/catalog/", "/page");
+  const std::vector<std::string> library = pathsOfKeys("/library/", "");
+  paths.insert(paths.end(), library.begin(), library.end());
+  return paths;
+}
+
+std::vector<std::string>
+guildPosts()
+{
+  return pathsOfKeys("/catalog/", "/purchase");
+}
+
+void
+expectNone(const Faults& aFaults)
+{
+  constexpr std::size_t kShown = 5;
+  for (std::size_t i = 0; i < std::min(aFaults.size(), kShown); ++i) {
+    BOOST_ERROR(aFaults[i]);
+  }
+  BOOST_TEST(aFaults.size() == 0U);
+}
+
+void
+checkAlways(const Evidence& aEvidence)
+{
+  BOOST_TEST(!aEvidence.mRuns.empty());
+  expectNone(judgeOneOwner(aEvidence.mRuns));
+  expectNone(judgeEpochs(aEvidence.mRuns));
+  expectNone(judgeAtMostOnce(aEvidence.mRuns));
+  expectNone(judgeNotRun(aEvidence.mResults, aEvidence.mRuns));
+  expectNone(judgeAnswers(aEvidence.mResults, aEvidence.mRuns));
+  expectNone(judgeCallerKeys(aEvidence.mRuns));
+}
+
+void
+checkUnavailable(const Evidence& aEvidence, Millis aMost)
+{
+  for (const auto& [key, time] : unavailableTime(aEvidence.mResults)) {
+    BOOST_TEST(time <= aMost.mCount,
+               key << " was not answered for " << time << " ms");
+  }
+}
+
+}
--- /dev/null
+++ b/tests/process/support/scenario.h
@@ -0,0 +1,88 @@
+#ifndef RADISHROAD_TESTS_PROCESS_SUPPORT_SCENARIO_H
+#define RADISHROAD_TESTS_PROCESS_SUPPORT_SCENARIO_H
+
+#include "support/fleet.h"
+#include "support/judge.h"
+#include "support/traffic.h"
+
+#include <filesystem>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace radishroad::test {
+
+/// What a test judges.
+struct Evidence
+{
+  std::vector<tools::LoadResult> mResults;
+  std::vector<Run> mRuns;
+};
+
+/// The Guild's fleet with its example configuration, under traffic.
+class Scenario
+{
+public:
+  struct Options
+  {
+    Options(std::string aName, std::uint64_t aSeed)
+      : mName(std::move(aName))
+      , mSeed(aSeed)
+    {
+    }
+
+    std::string mName;
+    std::uint64_t mSeed;
+    int mCatalog = 4;
+    int mLibrary = 3;
+    bool mRelays = false;
+    std::vector<std::string> mDaemonArguments;
+    std::vector<std::string> mUpstreamArguments;
+  };
+
+  explicit Scenario(Options aOptions);
+
+  Fleet& fleet();
+  /// Sends requests for all keys through the daemons but those left out.
+  void startTraffic(const std::set<std::string>& aBut = {},
+                    const std::string& aQuery = "");
+  Evidence stopTraffic();
+  /// Lets the traffic run for a time drawn from the seed.
+  void runOn(Millis aLeast, Millis aMost);
+  /// A VM of the service, drawn from the seed.
+  std::string drawVm(const std::string& aService);
+  std::uint64_t draw();
+
+  static std::filesystem::path guildFolder();
+
+private:
+  std::uint64_t mSeed;
+  std::mt19937_64 mRandom;
+  Fleet mFleet;
+  std::unique_ptr<Traffic> mTraffic;
+};
+
+/// Paths of requests that are idempotent, and of such that are not.
+std::vector<std::string>
+guildGets();
+std::vector<std::string>
+guildPosts();
+
+/// Fails the test for each fault, showing the first few.
+void
+expectNone(const Faults& aFaults);
+
+/// What must hold whatever fails: one owner, rising epochs, at most once, true
+/// refusals, whole answers to their own requests, no caller's key passed on.
+void
+checkAlways(const Evidence& aEvidence);
+
+/// Every key was answered again within the time.
+void
+checkUnavailable(const Evidence& aEvidence, Millis aMost);
+
+}
+
+#endif
--- /dev/null
+++ b/tests/process/whole_path_test.cpp
@@ -0,0 +1,78 @@
+#include "support/http_call.h"
+#include "support/scenario.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace radishroad::test {
+
+using namespace radishroad::literals;
+
+namespace {
+
+LoadRequest
+request(const std::string& aAddress, const std::string& aTarget)
+{
+  LoadRequest request;
+  request.mTag = 7;
+  request.mUrl = "http://" + aAddress + aTarget;
+  request.mHeaders = { "Authorization: Bearer guild-key-1" };
+  request.mTimeout = 10_s;
+  return request;
+}
+
+/// Answers of this size pass unchanged: the body repeats the request's id.
+void
+checkBody(const Fleet& aFleet, const std::string& aVia, std::size_t aBytes)
+{
+  const std::string target =
+    "/catalog/template-1/page?bytes=" + std::to_string(aBytes);
+  const LoadResult result = call(request(aFleet.caller(aVia), target));
+  BOOST_TEST(result.mStatus == 200);
+  BOOST_REQUIRE(result.mBody.size() == aBytes);
+  BOOST_REQUIRE(!result.mRequestId.empty());
+  for (std::size_t i = 0; i < aBytes; ++i) {
+    if (result.mBody[i] != result.mRequestId[i % result.mRequestId.size()]) {
+      BOOST_ERROR("byte " << i << " of " << aBytes << " differs");
+      return;
+    }
+  }
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(whole_path)
+
+BOOST_AUTO_TEST_CASE(every_request_is_answered)
+{
+  Scenario scenario({ "whole_path", 1 });
+  scenario.startTraffic();
+  scenario.runOn(3_s, 3_s);
+  const Evidence evidence = scenario.stopTraffic();
+  checkAlways(evidence);
+  expectNone(judgeAllAnswered(evidence.mResults));
+  std::set<std::string> vms;
+  for (const Run& run : evidence.mRuns) {
+    vms.insert(run.mVm);
+  }
+  BOOST_TEST(vms.size() >= 5U);
+}
+
+BOOST_AUTO_TEST_CASE(bodies_pass_whole_or_not_at_all)
+{
+  Scenario scenario({ "bodies", 2 });
+  const Fleet& fleet = scenario.fleet();
+  constexpr std::size_t kMebibyte = 1U << 20;
+  for (const std::string& via : fleet.vmsOf("catalog")) {
+    for (const std::size_t bytes :
+         { std::size_t{ 0 }, std::size_t{ 1 }, kMebibyte, 16 * kMebibyte }) {
+      checkBody(fleet, via, bytes);
+    }
+    const LoadResult cut =
+      call(request(fleet.caller(via), "/catalog/template-1/page?cut=1"));
+    BOOST_TEST(cut.mStatus != 200);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
