--- a/include/radishroad/ownership/witness.h
+++ b/include/radishroad/ownership/witness.h
@@ -33,6 +33,9 @@
 public:
   /// True: promise until aNow + TTL. False: consent has been given, refuse.
   bool onRenew(LeaseLabel aLabel, Millis aNow);
+  /// The log names this witness for a label. Binds it for one TTL as a renewal
+  /// would, so that a daemon that dies before its first renewal is noticed.
+  void expect(LeaseLabel aLabel, Millis aNow);
 
   struct ConsentAnswer
   {
@@ -44,6 +47,10 @@
 
   /// Labels whose promise has lapsed and that were not consented to yet.
   std::vector<LeaseLabel> lapsed(Millis aNow) const;
+  /// Labels whose promise has lapsed, consented to or not.
+  std::vector<LeaseLabel> outstanding(Millis aNow) const;
+  /// Time up to which the last promise binds; 0 for an unknown label.
+  Millis boundUntil(LeaseLabel aLabel) const;
   /// Drops a label that no longer matters (member gone, set replaced).
   void forget(LeaseLabel aLabel);
   std::size_t size() const;
