--- a/include/radishroad/caller/answer_mailbox.h
+++ b/include/radishroad/caller/answer_mailbox.h
@@ -11,12 +11,12 @@
 
 namespace radishroad {
 
-class Connection;
+class CallerConnection;
 
 /// An answer on its way to the thread of its connection.
 struct PostedAnswer
 {
-  std::weak_ptr<Connection> mConnection;
+  std::weak_ptr<CallerConnection> mConnection;
   /// Which of the connection's requests it answers.
   std::uint64_t mSequence = 0;
   Answer mAnswer;
--- a/include/radishroad/caller/connection.h
+++ b/include/radishroad/caller/connection.h
@@ -18,20 +18,20 @@
 /// One caller's connection. Requests are run one at a time, in order, and an
 /// answer is written only to the request that it belongs to. Lives on one
 /// transport thread; only its weak pointer goes to other threads.
-class Connection : public std::enable_shared_from_this<Connection>
+class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
   /// Asks for (true) or gives up (false) a call of onWritable.
   using WantWriteFn = std::function<void(bool)>;
 
   /// Borrows the socket, which outlives the connection's last call.
-  Connection(int aSocket,
-             ServerContext& aContext,
-             std::shared_ptr<AnswerMailbox> aMailbox,
-             WantWriteFn aWantWrite);
-  ~Connection();
-  Connection(const Connection&) = delete;
-  Connection& operator=(const Connection&) = delete;
+  CallerConnection(int aSocket,
+                   ServerContext& aContext,
+                   std::shared_ptr<AnswerMailbox> aMailbox,
+                   WantWriteFn aWantWrite);
+  ~CallerConnection();
+  CallerConnection(const CallerConnection&) = delete;
+  CallerConnection& operator=(const CallerConnection&) = delete;
 
   void onBytes(std::string_view aBytes, Millis aNow);
   void onAnswer(std::uint64_t aSequence, Answer aAnswer, Millis aNow);
--- a/include/radishroad/caller/pending_answer.h
+++ b/include/radishroad/caller/pending_answer.h
@@ -10,7 +10,7 @@
 namespace radishroad {
 
 class AnswerMailbox;
-class Connection;
+class CallerConnection;
 
 /// The way back of one request's answer. Any thread. The first answer counts;
 /// if none is given, the destructor answers "unknown", so that a caller never
@@ -19,7 +19,7 @@
 {
 public:
   PendingAnswer(std::shared_ptr<AnswerMailbox> aMailbox,
-                std::weak_ptr<Connection> aConnection,
+                std::weak_ptr<CallerConnection> aConnection,
                 std::uint64_t aSequence,
                 RandomId aId);
   ~PendingAnswer();
@@ -30,7 +30,7 @@
 
 private:
   const std::shared_ptr<AnswerMailbox> mMailbox;
-  std::weak_ptr<Connection> mConnection;
+  std::weak_ptr<CallerConnection> mConnection;
   const std::uint64_t mSequence;
   const RandomId mId;
   std::atomic<bool> mAnswered{ false };
--- a/include/radishroad/caller/transport.h
+++ b/include/radishroad/caller/transport.h
@@ -14,7 +14,7 @@
 namespace radishroad {
 
 class AnswerMailbox;
-class Connection;
+class CallerConnection;
 class ServerContext;
 
 /// Pistache's transport for one worker thread, with answers and timers of our
@@ -52,7 +52,7 @@
   const std::shared_ptr<ServerContext> mContext;
   const std::shared_ptr<AnswerMailbox> mMailbox;
   int mTimer = -1;
-  std::unordered_map<int, std::shared_ptr<Connection>> mConnections;
+  std::unordered_map<int, std::shared_ptr<CallerConnection>> mConnections;
   /// Tags of the base class's own queues, as seen in events.
   std::set<std::uint64_t> mBaseQueues;
 };
--- a/src/caller/connection.cpp
+++ b/src/caller/connection.cpp
@@ -31,10 +31,10 @@
 
 }
 
-Connection::Connection(int aSocket,
-                       ServerContext& aContext,
-                       std::shared_ptr<AnswerMailbox> aMailbox,
-                       WantWriteFn aWantWrite)
+CallerConnection::CallerConnection(int aSocket,
+                                   ServerContext& aContext,
+                                   std::shared_ptr<AnswerMailbox> aMailbox,
+                                   WantWriteFn aWantWrite)
   : mSocket(aSocket)
   , mContext(aContext)
   , mMailbox(std::move(aMailbox))
@@ -46,7 +46,7 @@
   mContext.connectionOpened();
 }
 
-Connection::~Connection()
+CallerConnection::~CallerConnection()
 {
   if (mCountedBusy) {
     mContext.connectionIdle();
@@ -55,7 +55,7 @@
 }
 
 void
-Connection::onBytes(std::string_view aBytes, Millis aNow)
+CallerConnection::onBytes(std::string_view aBytes, Millis aNow)
 {
   if (mDiscardInput) {
     return;
@@ -70,7 +70,7 @@
 }
 
 void
-Connection::readRequests(Millis aNow)
+CallerConnection::readRequests(Millis aNow)
 {
   while (!mDiscardInput && canQueue()) {
     std::optional<RequestReader::Outcome> outcome = mReader.next(aNow);
@@ -95,13 +95,13 @@
 }
 
 bool
-Connection::canQueue() const
+CallerConnection::canQueue() const
 {
   return mQueue.size() < kMaxPipelined && mQueuedBytes < kMaxQueuedBytes;
 }
 
 void
-Connection::boundHeldInput()
+CallerConnection::boundHeldInput()
 {
   if (!canQueue() && mReader.heldBytes() > kMaxHeldBytes) {
     mDiscardInput = true;
@@ -109,7 +109,7 @@
 }
 
 void
-Connection::runNext(Millis aNow)
+CallerConnection::runNext(Millis aNow)
 {
   if (mRunning || mQueue.empty() || mOutput != Output::None) {
     return;
@@ -126,7 +126,7 @@
 }
 
 void
-Connection::runFront(ReadRequest& aFront)
+CallerConnection::runFront(ReadRequest& aFront)
 {
   mRunning = true;
   const RandomId id = aFront.mRequest.mId;
@@ -155,7 +155,7 @@
 }
 
 void
-Connection::onAnswer(std::uint64_t aSequence, Answer aAnswer, Millis aNow)
+CallerConnection::onAnswer(std::uint64_t aSequence, Answer aAnswer, Millis aNow)
 {
   if (!mRunning || aSequence != mSequence) {
     return;
@@ -179,7 +179,7 @@
 }
 
 bool
-Connection::isLastAnswer(const ReadRequest& aFront) const
+CallerConnection::isLastAnswer(const ReadRequest& aFront) const
 {
   if (!aFront.mKeepAlive) {
     return true;
@@ -193,7 +193,7 @@
 }
 
 void
-Connection::write(Response aResponse, bool aIsLast, Millis aNow)
+CallerConnection::write(Response aResponse, bool aIsLast, Millis aNow)
 {
   mResponse = std::move(aResponse);
   mSent = 0;
@@ -207,7 +207,7 @@
 }
 
 bool
-Connection::sendSome()
+CallerConnection::sendSome()
 {
   const std::size_t headLeft =
     mResponse.mHead.size() - std::min(mSent, mResponse.mHead.size());
@@ -231,7 +231,7 @@
 }
 
 void
-Connection::flush(Millis aNow)
+CallerConnection::flush(Millis aNow)
 {
   const std::size_t size = mResponse.mHead.size() + mResponse.mBody.size();
   const std::size_t before = mSent;
@@ -248,7 +248,7 @@
 }
 
 void
-Connection::finishOutput(Millis aNow)
+CallerConnection::finishOutput(Millis aNow)
 {
   mResponse = {};
   mPhaseSince = aNow;
@@ -262,7 +262,7 @@
 }
 
 void
-Connection::onWritable(Millis aNow)
+CallerConnection::onWritable(Millis aNow)
 {
   if (mOutput != Output::Pending) {
     return;
@@ -275,7 +275,7 @@
 }
 
 void
-Connection::sendContinue()
+CallerConnection::sendContinue()
 {
   // Lost if the socket is full, which it is not before a first answer; the
   // caller then sends its body after a while all the same.
@@ -285,7 +285,7 @@
 }
 
 void
-Connection::endSending(Millis aNow)
+CallerConnection::endSending(Millis aNow)
 {
   // Closing at once would make the kernel reset the connection if the caller
   // still sends, and the caller could lose the answer.
@@ -297,7 +297,7 @@
 }
 
 void
-Connection::abort()
+CallerConnection::abort()
 {
   // The transport sees the end of the stream and drops the connection.
   mDiscardInput = true;
@@ -305,7 +305,7 @@
 }
 
 bool
-Connection::isBusy() const
+CallerConnection::isBusy() const
 {
   if (mOutput == Output::Ended) {
     return false;
@@ -318,7 +318,7 @@
 }
 
 void
-Connection::noteBusy()
+CallerConnection::noteBusy()
 {
   const bool busy = isBusy();
   if (busy == mCountedBusy) {
@@ -333,7 +333,7 @@
 }
 
 bool
-Connection::hasTimedOut(Millis aNow) const
+CallerConnection::hasTimedOut(Millis aNow) const
 {
   const CallerServer::Options& options = mContext.mOptions;
   const Millis waited = aNow - mPhaseSince;
@@ -348,7 +348,7 @@
 }
 
 void
-Connection::refuseSlowCaller(Millis aNow)
+CallerConnection::refuseSlowCaller(Millis aNow)
 {
   mDiscardInput = true;
   mQueue.emplace_back(tl::unexpected<Refusal>(
@@ -358,7 +358,7 @@
 }
 
 void
-Connection::onTick(Millis aNow)
+CallerConnection::onTick(Millis aNow)
 {
   if (mOutput == Output::Ended) {
     if (aNow - mOutputSince > kLingerTime) {
--- a/src/caller/pending_answer.cpp
+++ b/src/caller/pending_answer.cpp
@@ -5,7 +5,7 @@
 namespace radishroad {
 
 PendingAnswer::PendingAnswer(std::shared_ptr<AnswerMailbox> aMailbox,
-                             std::weak_ptr<Connection> aConnection,
+                             std::weak_ptr<CallerConnection> aConnection,
                              std::uint64_t aSequence,
                              RandomId aId)
   : mMailbox(std::move(aMailbox))
--- a/src/caller/transport.cpp
+++ b/src/caller/transport.cpp
@@ -153,7 +153,7 @@
 CallerTransport::deliverAnswers(Millis aNow)
 {
   for (PostedAnswer& posted : mMailbox->take()) {
-    if (const std::shared_ptr<Connection> connection =
+    if (const std::shared_ptr<CallerConnection> connection =
           posted.mConnection.lock()) {
       connection->onAnswer(posted.mSequence, std::move(posted.mAnswer), aNow);
     }
@@ -178,7 +178,7 @@
 {
   // A descriptor cannot belong to a queue any more once it is a socket.
   mBaseQueues.erase(static_cast<std::uint64_t>(aSocket));
-  mConnections[aSocket] = std::make_shared<Connection>(
+  mConnections[aSocket] = std::make_shared<CallerConnection>(
     aSocket, *mContext, mMailbox, [this, aSocket](bool aWanted) {
       wantWrite(aSocket, aWanted);
     });
