--- /dev/null
+++ b/tests/unit/record_cache_test.cpp
@@ -0,0 +1,66 @@
+#include "radishroad/state/record_cache.h"
+#include "radishroad/state/relay.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace radishroad;
+
+namespace {
+
+std::vector<LogRecord>
+records(std::uint64_t aFrom, std::size_t aCount)
+{
+  std::vector<LogRecord> list;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    list.push_back({ aFrom + i, Millis{ 5 }, Bytes(10, 'x') });
+  }
+  return list;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(record_cache)
+
+BOOST_AUTO_TEST_CASE(gaps_are_refused_and_overlaps_passed_over)
+{
+  RecordCache cache;
+  BOOST_TEST(cache.add(records(100, 5)));
+  BOOST_TEST(!cache.add(records(106, 1)));
+  BOOST_TEST(cache.add(records(103, 4)));
+  BOOST_TEST(cache.next() == 107U);
+  BOOST_TEST(cache.size() == 7U);
+  std::vector<LogRecord> torn = records(107, 3);
+  torn.erase(torn.begin() + 1);
+  BOOST_TEST(!cache.add(torn));
+  BOOST_TEST(cache.next() == 107U);
+  cache.clear();
+  BOOST_TEST(cache.add(records(300, 1)));
+}
+
+BOOST_AUTO_TEST_CASE(reads_are_bounded_and_only_of_what_is_held)
+{
+  RecordCache cache(6, 1000);
+  BOOST_TEST(cache.get(0, 1000).empty());
+  cache.add(records(0, 10));
+  BOOST_TEST(cache.get(3, 1000).empty());
+  BOOST_TEST(cache.get(10, 1000).empty());
+  BOOST_TEST(cache.get(4, 1000).size() == 6U);
+  BOOST_TEST(cache.get(5, 25).size() == 2U);
+  BOOST_TEST(cache.get(5, 1).size() == 1U);
+  BOOST_TEST(cache.get(5, 25).front().mOffset == 5U);
+  RecordCache small(100, 35);
+  small.add(records(0, 10));
+  BOOST_TEST(small.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(a_relay_frame_carries_records_unchanged)
+{
+  const std::vector<LogRecord> sent = records(7, 3);
+  const std::vector<LogRecord> got = relayedRecords(makeRelay("cell-x", sent));
+  BOOST_REQUIRE(got.size() == 3U);
+  BOOST_TEST(got[2].mOffset == 9U);
+  BOOST_TEST(got[2].mWallTime.mCount == 5);
+  BOOST_CHECK((got[2].mData == sent[2].mData));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
