--- /dev/null
+++ b/fuzz/mutator.h
@@ -0,0 +1,113 @@
+#ifndef RADISHROAD_FUZZ_MUTATOR_H
+#define RADISHROAD_FUZZ_MUTATOR_H
+
+#include "radishroad/state/records.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <random>
+#include <span>
+#include <vector>
+
+namespace radishroad::fuzz {
+
+/// Damages valid inputs in ways that a seed determines.
+class Mutator
+{
+public:
+  explicit Mutator(std::uint64_t aSeed)
+    : mRandom(aSeed)
+  {
+  }
+
+  std::uint64_t draw(std::uint64_t aBound)
+  {
+    return std::uniform_int_distribution<std::uint64_t>(0, aBound - 1)(mRandom);
+  }
+
+  /// Half of the inputs stay as they are, so that state builds up.
+  Bytes mutate(Bytes aBytes)
+  {
+    if (draw(2) == 0) {
+      return aBytes;
+    }
+    for (std::uint64_t i = draw(kMaxChanges); i > 0; --i) {
+      change(aBytes);
+    }
+    return aBytes;
+  }
+
+private:
+  static constexpr std::uint64_t kMaxChanges = 4;
+  static constexpr std::uint64_t kKinds = 5;
+  static constexpr std::uint64_t kByteValues = 256;
+
+  void change(Bytes& aBytes)
+  {
+    if (aBytes.empty()) {
+      aBytes.push_back(0);
+    }
+    const std::size_t at = draw(aBytes.size());
+    switch (draw(kKinds)) {
+      case 0:
+        aBytes[at] ^= static_cast<std::uint8_t>(1U << draw(8));
+        break;
+      case 1:
+        aBytes[at] = static_cast<std::uint8_t>(draw(kByteValues));
+        break;
+      case 2:
+        aBytes.resize(at);
+        break;
+      case 3:
+        aBytes.insert(aBytes.begin() + static_cast<std::ptrdiff_t>(at),
+                      static_cast<std::uint8_t>(draw(kByteValues)));
+        break;
+      default:
+        std::copy_n(aBytes.begin(),
+                    std::min(at, aBytes.size() - at),
+                    aBytes.begin() + static_cast<std::ptrdiff_t>(at));
+        break;
+    }
+  }
+
+  std::mt19937_64 mRandom;
+};
+
+/// Ends the program with a message if a condition does not hold.
+inline void
+require(bool aHolds, const char* aWhat, std::uint64_t aRound)
+{
+  if (!aHolds) {
+    std::fprintf(stderr,
+                 "round %llu: %s\n",
+                 static_cast<unsigned long long>(aRound),
+                 aWhat);
+    std::exit(1);
+  }
+}
+
+struct Arguments
+{
+  std::uint64_t mSeed = 1;
+  std::uint64_t mRounds = 20000;
+};
+
+/// argv: SEED ROUNDS.
+inline Arguments
+parseArguments(std::span<char*> aArguments)
+{
+  Arguments arguments;
+  if (aArguments.size() > 1) {
+    arguments.mSeed = std::strtoull(aArguments[1], nullptr, 10);
+  }
+  if (aArguments.size() > 2) {
+    arguments.mRounds = std::strtoull(aArguments[2], nullptr, 10);
+  }
+  return arguments;
+}
+
+}
+
+#endif
--- a/src/state/fold_ownership.cpp
+++ b/src/state/fold_ownership.cpp
@@ -128,8 +128,11 @@
     std::ranges::any_of(aState.mSplitKeys, [](const auto& aEntry) {
       return aEntry.second.mOwnership.mOwner == 0;
     });
+  if (!any) {
+    return;
+  }
   HeirChooser heirs(aState);
-  if (!any || !heirs.any()) {
+  if (!heirs.any()) {
     return;
   }
   for (auto& [key, split] : aState.mSplitKeys) {
