Test the log client against a faulty log

A log in the test answers 503, hangs, drops answers after the append took effect and forgets old records. Seen: an outage appends nothing and says so; a lost answer is unknown and repeated with its id, and the fold drops the copies; a gap restarts at the oldest offset kept; stop() ends a 60 s poll in less than 1 s; 1000 clients that failed together spread evenly over the back-off's range; 40 appends keep to 20 at once and 20 a second.

--- /dev/null
+++ b/tests/unit/log_client_test.cpp
@@ -0,0 +1,368 @@
+#include "faulty_log.h"
+
+#include "radishroad/platform/append_limit.h"
+#include "radishroad/platform/backoff.h"
+#include "radishroad/platform/log_appender.h"
+#include "radishroad/platform/log_client.h"
+#include "radishroad/platform/log_follower.h"
+#include "radishroad/platform/read_body.h"
+#include "radishroad/state/fold.h"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <set>
+
+using namespace radishroad;
+using namespace radishroad::literals;
+using radishroad::testing::FaultyLog;
+
+namespace {
+
+constexpr std::string_view kStream = "cell-catalog";
+constexpr std::chrono::seconds kPatience{ 20 };
+
+/// What a follower handed over or an appender ended with.
+class Journal
+{
+public:
+  void note(const std::function<void()>& aChange)
+  {
+    std::lock_guard<std::mutex> lock(mMutex);
+    aChange();
+    mChanged.notify_all();
+  }
+
+  bool wait(const std::function<bool()>& aCondition)
+  {
+    std::unique_lock<std::mutex> lock(mMutex);
+    return mChanged.wait_for(lock, kPatience, aCondition);
+  }
+
+  LogFollower::Hooks followerHooks()
+  {
+    return {
+      [this](std::span<const LogRecord> aRecords) {
+        note([&] {
+          mPolls += 1;
+          mRecords.insert(mRecords.end(), aRecords.begin(), aRecords.end());
+        });
+      },
+      [this](const Error&) { note([this] { mErrors += 1; }); },
+      [this](std::uint64_t aFrom) { note([&] { mGaps.push_back(aFrom); }); }
+    };
+  }
+
+  LogAppender::DoneFn doneFn()
+  {
+    return [this](Result<std::uint64_t> aOffset) {
+      note([&] { mDone.push_back(std::move(aOffset)); });
+    };
+  }
+
+  std::vector<LogRecord> mRecords;
+  std::vector<std::uint64_t> mGaps;
+  std::vector<Result<std::uint64_t>> mDone;
+  int mPolls = 0;
+  int mErrors = 0;
+
+private:
+  std::mutex mMutex;
+  std::condition_variable mChanged;
+};
+
+wire::RecordT
+drainRecord(std::uint64_t aId)
+{
+  wire::DrainT change;
+  change.vm = "vm-" + std::to_string(aId);
+  change.on = true;
+  return makeRecord(change, { 1, aId }, Millis{});
+}
+
+double
+halfway()
+{
+  return 0.5;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(log_client)
+
+BOOST_AUTO_TEST_CASE(appends_and_reads)
+{
+  FaultyLog log;
+  LogClient client(log.address());
+  BOOST_TEST(client.append(kStream, Bytes{ 1, 2 }, 5_s).value() == 0U);
+  BOOST_TEST(client.append(kStream, Bytes{}, 5_s).value() == 1U);
+  const std::vector<LogRecord> records =
+    client.read(kStream, 0, 0_ms, 5_s).value();
+  BOOST_REQUIRE(records.size() == 2U);
+  BOOST_CHECK((records[0].mData == Bytes{ 1, 2 }));
+  BOOST_TEST(records[1].mOffset == 1U);
+  BOOST_TEST(records[1].mWallTime.mCount == 77);
+  BOOST_TEST(client.read(kStream, 2, 10_ms, 5_s).value().empty());
+  BOOST_TEST(client.bounds(kStream, 5_s).value().mNext == 2U);
+  const Bytes large(kMaxRecordBytes + 1);
+  BOOST_CHECK(client.append(kStream, large, 5_s).error().mCode ==
+              ErrorCode::TooLarge);
+}
+
+BOOST_AUTO_TEST_CASE(an_outage_appends_nothing_and_a_lost_answer_is_unknown)
+{
+  FaultyLog log;
+  LogClient client(log.address());
+  log.setFaults({ true, false, 0 });
+  BOOST_CHECK(client.append(kStream, Bytes{ 1 }, 5_s).error().mCode ==
+              ErrorCode::Unavailable);
+  BOOST_CHECK(client.read(kStream, 0, 0_ms, 5_s).error().mCode ==
+              ErrorCode::Unavailable);
+  BOOST_TEST(log.records().empty());
+  log.setFaults({ false, false, 1 });
+  BOOST_CHECK(client.append(kStream, Bytes{ 1 }, 5_s).error().mCode ==
+              ErrorCode::Unknown);
+  BOOST_TEST(log.records().size() == 1U);
+  BOOST_TEST(log.appends() == 2U);
+  log.setFaults({ false, true, 0 });
+  BOOST_CHECK(client.append(kStream, Bytes{ 1 }, 50_ms).error().mCode ==
+              ErrorCode::Unknown);
+  BOOST_CHECK(client.read(kStream, 0, 0_ms, 50_ms).error().mCode ==
+              ErrorCode::Timeout);
+}
+
+BOOST_AUTO_TEST_CASE(without_a_listener_nothing_was_sent)
+{
+  std::string address;
+  {
+    FaultyLog log;
+    address = log.address();
+  }
+  LogClient client(address);
+  BOOST_CHECK(client.append(kStream, Bytes{ 1 }, 5_s).error().mCode ==
+              ErrorCode::Unavailable);
+}
+
+BOOST_AUTO_TEST_CASE(expired_offsets_are_told_apart)
+{
+  FaultyLog log;
+  for (int i = 0; i < 5; ++i) {
+    log.put({ 1 });
+  }
+  log.expireBelow(3);
+  LogClient client(log.address());
+  BOOST_CHECK(client.read(kStream, 2, 0_ms, 5_s).error().mCode ==
+              ErrorCode::Expired);
+  BOOST_TEST(client.read(kStream, 3, 0_ms, 5_s).value().size() == 2U);
+  BOOST_TEST(client.oldestSeen() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(damaged_read_bodies_are_refused)
+{
+  std::string body(21, '\0');
+  body[16] = 1;
+  BOOST_TEST(parseReadBody(body, 0).value().size() == 1U);
+  BOOST_TEST(!parseReadBody(body, 1).has_value());
+  BOOST_TEST(!parseReadBody(body.substr(0, 20), 0).has_value());
+  BOOST_TEST(!parseReadBody(body.substr(0, 9), 0).has_value());
+  BOOST_TEST(!parseReadBody(body + body, 0).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(the_follower_rides_out_an_outage_without_gaps)
+{
+  FaultyLog log;
+  Journal journal;
+  log.put({ 0 });
+  LogFollower follower(
+    log.address(), std::string(kStream), journal.followerHooks(), halfway);
+  follower.setPollWait(20_ms);
+  follower.start(0);
+  BOOST_TEST(journal.wait([&] { return journal.mPolls >= 2; }));
+  log.setFaults({ true, false, 0 });
+  BOOST_TEST(journal.wait([&] { return journal.mErrors >= 3; }));
+  log.put({ 1 });
+  log.setFaults({});
+  BOOST_TEST(journal.wait([&] { return journal.mRecords.size() == 2; }));
+  follower.stop();
+  for (std::size_t i = 0; i < journal.mRecords.size(); ++i) {
+    BOOST_TEST(journal.mRecords[i].mOffset == i);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(the_follower_restarts_past_a_gap)
+{
+  FaultyLog log;
+  Journal journal;
+  for (int i = 0; i < 6; ++i) {
+    log.put({ 1 });
+  }
+  log.expireBelow(4);
+  LogFollower follower(
+    log.address(), std::string(kStream), journal.followerHooks());
+  follower.start(1);
+  BOOST_TEST(journal.wait([&] { return journal.mRecords.size() == 2; }));
+  follower.stop();
+  BOOST_CHECK((journal.mGaps == std::vector<std::uint64_t>{ 4 }));
+  BOOST_TEST(journal.mRecords[0].mOffset == 4U);
+  BOOST_TEST(follower.oldestKept() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(the_follower_skips_what_came_from_a_peer)
+{
+  FaultyLog log;
+  Journal journal;
+  log.setFaults({ false, true, 0 });
+  LogFollower follower(
+    log.address(), std::string(kStream), journal.followerHooks());
+  follower.start(0);
+  while (log.reads() == 0) {
+    std::this_thread::yield();
+  }
+  follower.skipTo(3);
+  for (int i = 0; i < 5; ++i) {
+    log.put({ 1 });
+  }
+  log.setFaults({});
+  BOOST_TEST(journal.wait([&] { return journal.mRecords.size() == 2; }));
+  follower.stop();
+  BOOST_TEST(journal.mRecords[0].mOffset == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(stop_ends_a_long_poll_at_once)
+{
+  FaultyLog log;
+  Journal journal;
+  LogFollower follower(
+    log.address(), std::string(kStream), journal.followerHooks());
+  follower.setPollWait(60_s);
+  follower.start(0);
+  while (log.reads() == 0) {
+    std::this_thread::yield();
+  }
+  const Millis start = monotonicNow();
+  follower.stop();
+  BOOST_TEST((monotonicNow() - start < 1_s));
+  BOOST_TEST(journal.mPolls == 0);
+}
+
+BOOST_AUTO_TEST_CASE(the_appender_repeats_a_lost_append_with_its_id)
+{
+  FaultyLog log;
+  Journal journal;
+  log.setFaults({ false, false, 2 });
+  LogAppender appender(log.address(), 8, halfway);
+  BOOST_TEST(appender.submit(
+    std::string(kStream), drainRecord(1), 20_s, journal.doneFn()));
+  BOOST_TEST(journal.wait([&] { return journal.mDone.size() == 1; }));
+  BOOST_TEST(journal.mDone[0].value() == 2U);
+  CellState state;
+  std::vector<FoldVerdict> verdicts;
+  for (const Bytes& data : log.records()) {
+    verdicts.push_back(fold(state, { state.mNextOffset, {}, data }));
+  }
+  BOOST_CHECK((verdicts == std::vector<FoldVerdict>{ FoldVerdict::Applied,
+                                                     FoldVerdict::Duplicate,
+                                                     FoldVerdict::Duplicate }));
+}
+
+BOOST_AUTO_TEST_CASE(the_appender_waits_out_an_outage_in_order)
+{
+  FaultyLog log;
+  Journal journal;
+  log.setFaults({ true, false, 0 });
+  LogAppender appender(log.address(), 2, halfway);
+  appender.submit(std::string(kStream), drainRecord(1), 20_s, journal.doneFn());
+  appender.submit(std::string(kStream), drainRecord(2), 20_s, journal.doneFn());
+  while (log.appends() < 3) {
+    std::this_thread::yield();
+  }
+  log.setFaults({});
+  BOOST_TEST(journal.wait([&] { return journal.mDone.size() == 2; }));
+  BOOST_TEST(journal.mDone[0].value() == 0U);
+  BOOST_TEST(journal.mDone[1].value() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(the_appender_tells_never_sent_from_unknown)
+{
+  FaultyLog log;
+  Journal journal;
+  log.setFaults({ true, false, 0 });
+  LogAppender appender(log.address(), 1, halfway);
+  appender.submit(
+    std::string(kStream), drainRecord(1), 100_ms, journal.doneFn());
+  BOOST_TEST(journal.wait([&] { return journal.mDone.size() == 1; }));
+  BOOST_CHECK(journal.mDone[0].error().mCode == ErrorCode::Unavailable);
+  log.setFaults({ false, true, 0 });
+  const std::size_t before = log.appends();
+  appender.submit(std::string(kStream), drainRecord(2), 60_s, journal.doneFn());
+  while (log.appends() == before) {
+    std::this_thread::yield();
+  }
+  appender.submit(std::string(kStream), drainRecord(3), 60_s, journal.doneFn());
+  BOOST_TEST(!appender.submit(
+    std::string(kStream), drainRecord(4), 60_s, journal.doneFn()));
+  appender.stop();
+  BOOST_REQUIRE(journal.mDone.size() == 3U);
+  BOOST_CHECK(journal.mDone[1].error().mCode == ErrorCode::Unknown);
+  BOOST_CHECK(journal.mDone[2].error().mCode == ErrorCode::Unavailable);
+  BOOST_TEST(!appender.submit(
+    std::string(kStream), drainRecord(5), 60_s, journal.doneFn()));
+}
+
+BOOST_AUTO_TEST_CASE(the_appender_keeps_to_its_ceiling)
+{
+  constexpr std::size_t kRecords = 40;
+  FaultyLog log;
+  Journal journal;
+  const Millis start = monotonicNow();
+  LogAppender appender(log.address(), kRecords, halfway);
+  for (std::uint64_t id = 1; id <= kRecords; ++id) {
+    appender.submit(
+      std::string(kStream), drainRecord(id), 60_s, journal.doneFn());
+  }
+  BOOST_TEST(journal.wait([&] { return journal.mDone.size() == kRecords; }));
+  const double seconds =
+    static_cast<double>((monotonicNow() - start).mCount) / 1000;
+  BOOST_TEST(log.appends() == kRecords);
+  BOOST_TEST(kRecords <= kAppendBurst + kAppendsPerSecond * (seconds + 0.01));
+}
+
+BOOST_AUTO_TEST_CASE(the_ceiling_holds_for_any_demand)
+{
+  AppendLimit limit(20, 20, 0_ms);
+  std::size_t taken = 0;
+  for (Millis now; now < 60_s; now += 1_ms) {
+    taken += limit.take(now) == Millis{} ? 1 : 0;
+  }
+  BOOST_TEST(taken <= 20 + 20 * 60U);
+  BOOST_TEST(taken >= 20 * 60U);
+  BOOST_TEST((limit.take(60_s) <= 50_ms));
+}
+
+BOOST_AUTO_TEST_CASE(clients_that_failed_together_come_back_apart)
+{
+  constexpr int kClients = 1000;
+  std::uint64_t word = 1;
+  const Backoff::RandomFn random = [&word] {
+    word = word * 6364136223846793005U + 1442695040888963407U;
+    return static_cast<double>(word >> 11U) / 9007199254740992.0;
+  };
+  std::set<std::int64_t> delays;
+  for (int i = 0; i < kClients; ++i) {
+    Backoff backoff(100_ms, 2000_ms, random);
+    BOOST_TEST((backoff.next() <= 100_ms));
+    Millis last;
+    for (int attempt = 0; attempt < 8; ++attempt) {
+      last = backoff.next();
+    }
+    BOOST_TEST((last >= 1000_ms && last <= 2000_ms));
+    delays.insert(last.mCount / 100);
+    backoff.reset();
+    BOOST_TEST((backoff.next() <= 100_ms));
+  }
+  BOOST_TEST(delays.size() == 10U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
