--- a/fuzz/fuzz_records.cpp
+++ b/fuzz/fuzz_records.cpp
@@ -30,7 +30,6 @@
     const Incarnation member = pickActive(aState);
     const Shard shard = static_cast<Shard>(mMutator.draw(kShards));
     const Ownership& owned = aState.mShards[shard];
-    const wire::ShardGrant grant(shard, owned.mEpoch, member);
     if (member == 0 || mActive.size() < kFewMembers) {
       return join(++mLastJoined);
     }
@@ -56,9 +55,9 @@
       case 9:
         return split(owned, shard, member);
       case 10:
-        return assign(grant);
+        return assign(pickGrants(aState, shard, member));
       default:
-        return release(owned.mOwner, grant);
+        return release(owned.mOwner, pickGrants(aState, shard, member));
     }
   }
 
@@ -74,6 +73,20 @@
     return mActive.empty() ? 0 : mActive[mMutator.draw(mActive.size())];
   }
 
+  /// A valid grant, and often a second one that may not be.
+  std::vector<wire::ShardGrant> pickGrants(const CellState& aState,
+                                           Shard aShard,
+                                           Incarnation aTo)
+  {
+    std::vector<wire::ShardGrant> grants;
+    grants.emplace_back(aShard, aState.mShards[aShard].mEpoch, aTo);
+    if (mMutator.draw(2) == 0) {
+      const Shard other = static_cast<Shard>(mMutator.draw(kShards));
+      grants.emplace_back(other, aState.mShards[other].mEpoch, aTo);
+    }
+    return grants;
+  }
+
   template<typename Change>
   Bytes encode(Change aChange)
   {
@@ -176,18 +189,18 @@
     return encode(change);
   }
 
-  Bytes assign(const wire::ShardGrant& aGrant)
+  Bytes assign(std::vector<wire::ShardGrant> aGrants)
   {
     wire::AssignT change;
-    change.grants.push_back(aGrant);
+    change.grants = std::move(aGrants);
     return encode(change);
   }
 
-  Bytes release(Incarnation aOwner, const wire::ShardGrant& aGrant)
+  Bytes release(Incarnation aOwner, std::vector<wire::ShardGrant> aGrants)
   {
     wire::ReleaseT change;
     change.incarnation = aOwner;
-    change.grants.push_back(aGrant);
+    change.grants = std::move(aGrants);
     return encode(change);
   }
 
