--- a/include/radishroad/daemon/fleet_state.h
+++ b/include/radishroad/daemon/fleet_state.h
@@ -6,7 +6,9 @@
 #include "radishroad/state/cell_state.h"
 #include "radishroad/state/config_state.h"
 #include "radishroad/state/fold.h"
+#include "radishroad/state/record_cache.h"
 #include "radishroad/state/records.h"
+#include "radishroad/state/stream_loader.h"
 
 #include <functional>
 #include <map>
@@ -46,11 +48,22 @@
   /// The log has answered a read of this stream that was sent at aNow.
   void onContact(const std::string& aStream, Millis aNow);
 
-  const ConfigState& config() const { return mConfig; }
+  /// Records below aOldest are no longer kept by the log.
+  void onGap(const std::string& aStream, std::uint64_t aOldest);
+  /// Records of a stream from aFrom on, as far as this daemon holds them.
+  std::vector<LogRecord> recordsFrom(const std::string& aStream,
+                                     std::uint64_t aFrom) const;
+  /// Offset of the next record that this daemon needs of the stream.
+  std::uint64_t nextOffset(const std::string& aStream) const;
+
+  const StreamLoader<ConfigState>& configLoader() const { return mConfig; }
+  const StreamLoader<CellState>& ownCellLoader() const;
+  const ConfigState& config() const { return mConfig.state(); }
   /// Null before the first valid configuration.
   const config::Model* model() const { return mModel.get(); }
   const CellState& ownCell() const;
-  const std::map<std::string, CellState>& cells() const { return mCells; }
+  /// States by service.
+  std::map<std::string, const CellState*> cells() const;
   /// Has the own cell been read to its end at least once?
   bool ownCellRead() const;
   /// Last time that the log answered for the configuration; nothing before.
@@ -64,19 +77,29 @@
   std::string serviceOf(Incarnation aIncarnation) const;
 
 private:
+  using Verdicts = std::vector<std::pair<RandomId, FoldVerdict>>;
+
   void foldConfig(std::span<const LogRecord> aRecords);
   void foldCell(const std::string& aService,
                 std::span<const LogRecord> aRecords);
+  void noteVerdict(const std::string& aStream,
+                   const LogRecord& aRecord,
+                   FoldVerdict aVerdict);
+  void reportVerdicts();
+  StreamLoader<CellState>& addCell(const std::string& aService);
   void applyConfig();
   void publishView();
 
   std::string mOwnService;
   ViewHolder& mViews;
   Hooks mHooks;
-  ConfigState mConfig;
+  StreamLoader<ConfigState> mConfig;
   std::shared_ptr<const config::Model> mModel;
   std::uint64_t mModelVersion = 0;
-  std::map<std::string, CellState> mCells;
+  std::map<std::string, StreamLoader<CellState>> mCells;
+  std::map<std::string, RecordCache> mCaches;
+  /// Of the batch being folded.
+  Verdicts mVerdicts;
   std::map<std::string, std::shared_ptr<const CellState>> mPublished;
   std::map<std::string, Millis> mContacts;
 };
--- a/include/radishroad/daemon/ingress.h
+++ b/include/radishroad/daemon/ingress.h
@@ -3,6 +3,7 @@
 
 #include "radishroad/base/metrics.h"
 #include "radishroad/base/millis.h"
+#include "radishroad/policy/token_wallet.h"
 #include "radishroad/request/request.h"
 #include "radishroad/state/cell_state.h"
 
@@ -27,18 +28,14 @@
 class Ingress
 {
 public:
-  enum class Admission
-  {
-    Admitted,
-    /// Ask again shortly: tokens are on their way.
-    Wait,
-    Refused,
-  };
-
   struct Hooks
   {
-    /// Takes one token of the workspace's rate.
-    std::function<Admission(const std::string& aWorkspace)> mAdmit;
+    /// Takes one token of the workspace's rate; aHeld if the request was told
+    /// to wait before.
+    std::function<TakeVerdict(const std::string& aWorkspace, bool aHeld)>
+      mTakeToken;
+    /// A request that was told to wait waits no longer.
+    std::function<void(const std::string& aWorkspace)> mDropHeld;
     std::function<Millis(const std::string& aWorkspace)> mRetryAfter;
     /// Is the configuration known to be current enough to judge a caller's
     /// key by it?
--- a/include/radishroad/daemon/membership_duty.h
+++ b/include/radishroad/daemon/membership_duty.h
@@ -16,7 +16,8 @@
 
   void onUpstreamHealth(bool aHealthy);
   void tick();
-  /// Starts to leave: the hand-off empties the daemon first.
+  /// Starts to leave: the hand-off empties the daemon first. A daemon whose
+  /// upstream is gone does so by itself.
   void beginLeave();
   bool leaving() const { return mLeaving; }
   bool joined() const;
@@ -25,6 +26,9 @@
 
 private:
   void join();
+  void watchUpstream();
+  void stepLeave();
+  void announceLeave();
   void leave();
 
   ControlContext& mContext;
@@ -32,6 +36,7 @@
   bool mProposing = false;
   bool mWasMember = false;
   bool mLeaving = false;
+  Millis mUnhealthySince;
 };
 
 }
--- /dev/null
+++ b/include/radishroad/daemon/relay_duty.h
@@ -0,0 +1,48 @@
+#ifndef RADISHROAD_DAEMON_RELAY_DUTY_H
+#define RADISHROAD_DAEMON_RELAY_DUTY_H
+
+#include "radishroad/base/millis.h"
+#include "radishroad/generated/peer_generated.h"
+#include "radishroad/state/cell_state.h"
+#include "radishroad/state/records.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace radishroad {
+
+struct ControlContext;
+
+/// Keeps a daemon that is cut off from the log current: peers name their
+/// stream positions with each renewal and promise, and give the records that
+/// this daemon lacks. Records are the log's own, so they may come from anyone.
+/// Control thread only.
+class RelayDuty
+{
+public:
+  /// Takes records of a stream, as if read from the log.
+  using RecordsFn =
+    std::function<void(const std::string&, std::span<const LogRecord>)>;
+
+  RelayDuty(ControlContext& aContext, RecordsFn aOnRecords);
+
+  void onPositions(
+    Incarnation aFrom,
+    const std::vector<std::unique_ptr<wire::StreamPositionT>>& aPositions);
+  void onFetch(Incarnation aFrom, const wire::FetchRecordsT& aFetch);
+  void onRelayed(const wire::RelayRecordsT& aRecords);
+
+private:
+  ControlContext& mContext;
+  RecordsFn mOnRecords;
+  /// By stream: no further fetch before this time.
+  std::map<std::string, Millis> mNextFetch;
+};
+
+}
+
+#endif
--- a/include/radishroad/state/cell_state.h
+++ b/include/radishroad/state/cell_state.h
@@ -45,6 +45,8 @@
   std::vector<Incarnation> mWitnesses;
   std::uint32_t mWitnessVersion = 0;
   MemberStatus mStatus = MemberStatus::Active;
+  /// Still active, but to be given nothing more.
+  bool mLeaving = false;
   std::uint64_t mJoinOffset = 0;
   /// Offset of the record by which it left or was expelled; 0 while active.
   std::uint64_t mEndOffset = 0;
--- a/include/radishroad/state/fold_rules.h
+++ b/include/radishroad/state/fold_rules.h
@@ -22,6 +22,9 @@
 bool
 apply(CellState& aState, const wire::ExpelT& aChange, std::uint64_t aOffset);
 
+bool
+apply(CellState& aState, const wire::BeginLeaveT& aChange);
+
 bool
 apply(CellState& aState, const wire::LeaveT& aChange, std::uint64_t aOffset);
 
--- a/src/daemon/fleet_state.cpp
+++ b/src/daemon/fleet_state.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Bytes of records given to a peer at once.
+constexpr std::size_t kMaxRelayBytes = 256U << 10;
+
 /// Id of a record; nothing for bytes that are no record.
 std::optional<RandomId>
 recordId(const LogRecord& aRecord)
@@ -38,8 +41,22 @@
   : mOwnService(std::move(aOwnService))
   , mViews(aViews)
   , mHooks(std::move(aHooks))
+  , mConfig({ [this](const LogRecord& aRecord, FoldVerdict aVerdict) {
+    noteVerdict(std::string(kConfigStream), aRecord, aVerdict);
+  } })
+{
+  addCell(mOwnService);
+}
+
+StreamLoader<CellState>&
+FleetState::addCell(const std::string& aService)
 {
-  mCells[mOwnService] = {};
+  StreamLoader<CellState>::Hooks hooks;
+  hooks.mOnFolded = [this, stream = cellStream(aService)](
+                      const LogRecord& aRecord, FoldVerdict aVerdict) {
+    noteVerdict(stream, aRecord, aVerdict);
+  };
+  return mCells.try_emplace(aService, std::move(hooks)).first->second;
 }
 
 void
@@ -49,11 +66,16 @@
   if (aRecords.empty()) {
     return;
   }
+  RecordCache& cache = mCaches[aStream];
+  if (!cache.add(aRecords)) {
+    cache.clear();
+    cache.add(aRecords);
+  }
   if (aStream == kConfigStream) {
     foldConfig(aRecords);
     return;
   }
-  for (const auto& [service, state] : mCells) {
+  for (const auto& [service, loader] : mCells) {
     if (cellStream(service) == aStream) {
       foldCell(service, aRecords);
       return;
@@ -67,16 +89,68 @@
   mContacts[aStream] = aNow;
 }
 
+void
+FleetState::onGap(const std::string& aStream, std::uint64_t aOldest)
+{
+  if (aStream == kConfigStream) {
+    mConfig.onGap(aOldest);
+    return;
+  }
+  for (auto& [service, loader] : mCells) {
+    if (cellStream(service) == aStream) {
+      loader.onGap(aOldest);
+    }
+  }
+}
+
+std::vector<LogRecord>
+FleetState::recordsFrom(const std::string& aStream, std::uint64_t aFrom) const
+{
+  const auto it = mCaches.find(aStream);
+  return it == mCaches.end() ? std::vector<LogRecord>()
+                             : it->second.get(aFrom, kMaxRelayBytes);
+}
+
+std::uint64_t
+FleetState::nextOffset(const std::string& aStream) const
+{
+  if (aStream == kConfigStream) {
+    return mConfig.state().mNextOffset;
+  }
+  for (const auto& [service, loader] : mCells) {
+    if (cellStream(service) == aStream) {
+      return loader.state().mNextOffset;
+    }
+  }
+  return 0;
+}
+
+const StreamLoader<CellState>&
+FleetState::ownCellLoader() const
+{
+  return mCells.at(mOwnService);
+}
+
 const CellState&
 FleetState::ownCell() const
 {
-  return mCells.at(mOwnService);
+  return ownCellLoader().state();
+}
+
+std::map<std::string, const CellState*>
+FleetState::cells() const
+{
+  std::map<std::string, const CellState*> states;
+  for (const auto& [service, loader] : mCells) {
+    states[service] = &loader.state();
+  }
+  return states;
 }
 
 bool
 FleetState::ownCellRead() const
 {
-  return mContacts.contains(cellStream(mOwnService));
+  return mContacts.contains(cellStream(mOwnService)) && ownCellLoader().whole();
 }
 
 Millis
@@ -96,9 +170,9 @@
 const Member*
 FleetState::findMember(Incarnation aIncarnation) const
 {
-  for (const auto& [service, cell] : mCells) {
-    const auto it = cell.mMembers.find(aIncarnation);
-    if (it != cell.mMembers.end()) {
+  for (const auto& [service, loader] : mCells) {
+    const auto it = loader.state().mMembers.find(aIncarnation);
+    if (it != loader.state().mMembers.end()) {
       return &it->second;
     }
   }
@@ -108,8 +182,8 @@
 std::string
 FleetState::serviceOf(Incarnation aIncarnation) const
 {
-  for (const auto& [service, cell] : mCells) {
-    if (cell.mMembers.contains(aIncarnation)) {
+  for (const auto& [service, loader] : mCells) {
+    if (loader.state().mMembers.contains(aIncarnation)) {
       return service;
     }
   }
@@ -120,8 +194,8 @@
 FleetState::activeMembers() const
 {
   std::vector<Member> members;
-  for (const auto& [service, cell] : mCells) {
-    for (const auto& [incarnation, member] : cell.mMembers) {
+  for (const auto& [service, loader] : mCells) {
+    for (const auto& [incarnation, member] : loader.state().mMembers) {
       if (member.mStatus == MemberStatus::Active) {
         members.push_back(member);
       }
@@ -133,50 +207,49 @@
 void
 FleetState::foldConfig(std::span<const LogRecord> aRecords)
 {
-  for (const LogRecord& record : aRecords) {
-    if (record.mOffset != mConfig.mNextOffset) {
-      continue;
-    }
-    const FoldVerdict verdict = fold(mConfig, record);
-    if (verdict == FoldVerdict::Corrupt) {
-      logCorrupt(std::string(kConfigStream), record.mOffset);
-    }
-    if (const std::optional<RandomId> id = recordId(record)) {
-      mHooks.mOnRecord(*id, verdict);
-    }
-  }
-  if (mConfig.mVersion > mModelVersion) {
+  mConfig.add(aRecords);
+  if (mConfig.state().mVersion > mModelVersion) {
     applyConfig();
   }
+  reportVerdicts();
 }
 
 void
 FleetState::foldCell(const std::string& aService,
                      std::span<const LogRecord> aRecords)
 {
-  CellState& cell = mCells[aService];
-  const CellState before = cell;
-  std::vector<std::pair<RandomId, FoldVerdict>> verdicts;
-  for (const LogRecord& record : aRecords) {
-    if (record.mOffset != cell.mNextOffset) {
-      continue;
-    }
-    const FoldVerdict verdict = fold(cell, record);
-    if (verdict == FoldVerdict::Corrupt) {
-      logCorrupt(cellStream(aService), record.mOffset);
-    }
-    if (const std::optional<RandomId> id = recordId(record)) {
-      verdicts.emplace_back(*id, verdict);
-    }
+  StreamLoader<CellState>& loader = mCells.at(aService);
+  const CellState before = loader.state();
+  loader.add(aRecords);
+  const CellState& after = loader.state();
+  if (after.mNextOffset != before.mNextOffset) {
+    // Waits after a takeover must be in place before the view shows the new
+    // owner to the request path.
+    mHooks.mOnCell(aService, before, after);
+    mPublished[aService] = std::make_shared<const CellState>(after);
+    publishView();
   }
-  if (cell.mNextOffset == before.mNextOffset) {
-    return;
+  reportVerdicts();
+}
+
+void
+FleetState::noteVerdict(const std::string& aStream,
+                        const LogRecord& aRecord,
+                        FoldVerdict aVerdict)
+{
+  if (aVerdict == FoldVerdict::Corrupt) {
+    logCorrupt(aStream, aRecord.mOffset);
   }
-  // Waits after a takeover must be in place before the view shows the new
-  // owner to the request path.
-  mHooks.mOnCell(aService, before, cell);
-  mPublished[aService] = std::make_shared<const CellState>(cell);
-  publishView();
+  if (const std::optional<RandomId> id = recordId(aRecord)) {
+    mVerdicts.emplace_back(*id, aVerdict);
+  }
+}
+
+void
+FleetState::reportVerdicts()
+{
+  Verdicts verdicts;
+  verdicts.swap(mVerdicts);
   for (const auto& [id, verdict] : verdicts) {
     mHooks.mOnRecord(id, verdict);
   }
@@ -185,23 +258,23 @@
 void
 FleetState::applyConfig()
 {
-  mModelVersion = mConfig.mVersion;
-  tl::expected<config::Model, Findings> model = config::parse(mConfig.mFiles);
+  mModelVersion = mConfig.state().mVersion;
+  tl::expected<config::Model, Findings> model =
+    config::parse(mConfig.state().mFiles);
   if (!model) {
     // The publisher checks first; what got past it stays out of force here,
     // and the one before stays in force.
     logEvent(LogLevel::Error,
              "config_refused",
-             { { "version", mConfig.mVersion },
+             { { "version", mModelVersion },
                { "finding", model.error().front().toString() } });
     return;
   }
   mModel = std::make_shared<const config::Model>(std::move(*model));
-  logEvent(
-    LogLevel::Info, "config_in_force", { { "version", mConfig.mVersion } });
+  logEvent(LogLevel::Info, "config_in_force", { { "version", mModelVersion } });
   for (const auto& [service, settings] : mModel->mServices) {
     if (!mCells.contains(service)) {
-      mCells[service] = {};
+      addCell(service);
       mHooks.mFollowCell(service);
     }
   }
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -18,7 +18,7 @@
 /// Pause before the workspace's tokens are looked at again.
 constexpr Millis kAdmitPause{ 5 };
 /// Longest wait for tokens that are on their way.
-constexpr Millis kMaxAdmitWait{ 250 };
+constexpr Millis kMaxAdmitWait{ 2000 };
 /// Time that the answer needs to travel back within the deadline.
 constexpr Millis kReturnMargin{ 5 };
 constexpr Millis kRetryAfterOutage{ 1000 };
@@ -75,6 +75,8 @@
   /// Time up to which the request waits for its workspace's tokens.
   Millis mAdmitUntil;
   bool mOpen = false;
+  /// Told to wait for tokens.
+  bool mHeldForToken = false;
   /// An attempt ended with an unknown outcome: no refusal after it may claim
   /// that the request was not run.
   bool mMayHaveRun = false;
@@ -174,14 +176,19 @@
     return;
   }
   const std::string& workspace = aFlight->mRequest.workspace;
-  const Admission admission = mHooks.mAdmit(workspace);
-  if (admission == Admission::Admitted) {
+  const TakeVerdict verdict =
+    mHooks.mTakeToken(workspace, aFlight->mHeldForToken);
+  if (verdict == TakeVerdict::Taken) {
     send(aFlight);
     return;
   }
-  if (admission == Admission::Wait && mHooks.mNow() < aFlight->mAdmitUntil) {
-    mTimer.after(kAdmitPause, [this, aFlight] { admit(aFlight); });
-    return;
+  if (verdict == TakeVerdict::WaitForGrant) {
+    if (mHooks.mNow() < aFlight->mAdmitUntil) {
+      aFlight->mHeldForToken = true;
+      mTimer.after(kAdmitPause, [this, aFlight] { admit(aFlight); });
+      return;
+    }
+    mHooks.mDropHeld(workspace);
   }
   finish(aFlight,
          makeNotRun(idOf(aFlight->mRequest),
--- a/src/daemon/lease_duty.cpp
+++ b/src/daemon/lease_duty.cpp
@@ -273,7 +273,7 @@
   };
   add(std::string(kConfigStream), mContext.mFleet.config().mNextOffset);
   for (const auto& [service, cell] : mContext.mFleet.cells()) {
-    add(cellStream(service), cell.mNextOffset);
+    add(cellStream(service), cell->mNextOffset);
   }
   return list;
 }
--- a/src/daemon/membership_duty.cpp
+++ b/src/daemon/membership_duty.cpp
@@ -16,6 +16,8 @@
 
 /// Witnesses of each daemon.
 constexpr std::size_t kWitnessCount = 3;
+/// An upstream that does not answer for so long is gone.
+constexpr Millis kUpstreamLostAfter{ 700 };
 
 bool
 ownsNothing(const CellState& aCell, Incarnation aSelf)
@@ -71,9 +73,9 @@
 {
   if (joined()) {
     mWasMember = true;
-    if (mLeaving && !mProposing &&
-        ownsNothing(mContext.mFleet.ownCell(), mContext.mSelf)) {
-      leave();
+    watchUpstream();
+    if (mLeaving && !mProposing) {
+      stepLeave();
     }
     return;
   }
@@ -109,6 +111,43 @@
     });
 }
 
+void
+MembershipDuty::watchUpstream()
+{
+  const Millis now = mContext.mNow();
+  if (mUpstreamHealthy) {
+    mUnhealthySince = now;
+    return;
+  }
+  if (!mLeaving && now - mUnhealthySince > kUpstreamLostAfter) {
+    logEvent(LogLevel::Warn, "upstream_lost", nlohmann::json::object());
+    beginLeave();
+  }
+}
+
+void
+MembershipDuty::stepLeave()
+{
+  if (!mContext.self()->mLeaving) {
+    announceLeave();
+    return;
+  }
+  if (ownsNothing(mContext.mFleet.ownCell(), mContext.mSelf)) {
+    leave();
+  }
+}
+
+void
+MembershipDuty::announceLeave()
+{
+  wire::BeginLeaveT change;
+  change.incarnation = mContext.mSelf;
+  mProposing = true;
+  mContext.mRecorder.propose(mContext.ownStream(),
+                             std::move(change),
+                             [this](ProposalEnd) { mProposing = false; });
+}
+
 void
 MembershipDuty::leave()
 {
--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -1,6 +1,7 @@
 #include "parts.h"
 
 #include "radishroad/base/json_log.h"
+#include "radishroad/ownership/handoff.h"
 
 #include <nlohmann/json.hpp>
 
@@ -52,12 +53,25 @@
   , mLease(
       mContext,
       [this](Millis aUntil) { mAuthority.setLeaseUntil(aUntil); },
-      [](Incarnation, const auto&) {})
+      [this](Incarnation aFrom, const auto& aPositions) {
+        mRelay.onPositions(aFrom, aPositions);
+      })
   , mHandoff(mContext, handoffHooks())
   , mCoordinator(mContext,
                  [this](std::span<const wire::ShardGrant> aGrants) {
                    mHandoff.order(aGrants);
                  })
+  , mRate(mContext, mAuthority)
+  , mRelay(
+      mContext,
+      [this](const std::string& aStream, std::span<const LogRecord> aRecords) {
+        mFleet.onRecords(aStream, aRecords);
+        mFollowers.at(aStream)->skipTo(mFleet.nextOffset(aStream));
+      })
+  , mSnapshots(mContext,
+               [this](const std::string& aStream) {
+                 return mFollowers.at(aStream)->oldestKept();
+               })
   , mIngress(mSelf, mViews, mTimer, mMetrics, ingressHooks())
   , mCallers(
       { .mListenAddress = mSettings.mCallerAddress,
@@ -120,10 +134,12 @@
   mLease.tick();
   mHandoff.tick(draining());
   mCoordinator.tick();
+  mRate.tick();
+  mSnapshots.tick();
   mRecorder.tick(monotonicNow());
   mConfigContact = mFleet.lastConfigContact().mCount;
-  mLeft = mMembership.leaving() && !mMembership.joined();
-  mOut = mMembership.out() && !mMembership.leaving();
+  mLeft = mMembership.leaving() && (!mMembership.joined() || nobodyTakesOver());
+  mOut = mMembership.out() && !mLeaveRequested;
 }
 
 bool
@@ -140,6 +156,12 @@
          cell.mDrainedZones.contains(mSettings.mZone);
 }
 
+bool
+Daemon::Parts::nobodyTakesOver() const
+{
+  return !mHandoff.busy() && planEvacuation(mFleet.ownCell(), mSelf, 1).empty();
+}
+
 bool
 Daemon::Parts::ready() const
 {
@@ -176,8 +198,9 @@
              "log_read_failed",
              { { "stream", aStream }, { "error", aError.mMessage } });
   };
-  hooks.mOnGap = [aStream](std::uint64_t aOffset) {
-    logEvent(LogLevel::Error,
+  hooks.mOnGap = [this, aStream](std::uint64_t aOffset) {
+    mLoop.post([this, aStream, aOffset] { mFleet.onGap(aStream, aOffset); });
+    logEvent(LogLevel::Warn,
              "log_gap",
              { { "stream", aStream }, { "offset", aOffset } });
   };
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -14,8 +14,11 @@
 #include "radishroad/daemon/ingress.h"
 #include "radishroad/daemon/lease_duty.h"
 #include "radishroad/daemon/membership_duty.h"
+#include "radishroad/daemon/rate_duty.h"
 #include "radishroad/daemon/recorder.h"
+#include "radishroad/daemon/relay_duty.h"
 #include "radishroad/daemon/serve_authority.h"
+#include "radishroad/daemon/snapshot_duty.h"
 #include "radishroad/operator/admin_server.h"
 #include "radishroad/peer/link.h"
 #include "radishroad/platform/log_appender.h"
@@ -65,6 +68,9 @@
   LeaseDuty mLease;
   HandoffDuty mHandoff;
   CoordinatorDuty mCoordinator;
+  RateDuty mRate;
+  RelayDuty mRelay;
+  SnapshotDuty mSnapshots;
   Ingress mIngress;
   CallerServer mCallers;
   AdminServer mAdmin;
@@ -87,6 +93,7 @@
                     const wire::RecordT& aRecord,
                     std::function<void(Result<std::uint64_t>)> aResult);
   bool draining() const;
+  bool nobodyTakesOver() const;
   bool configFresh() const;
 };
 
--- a/src/daemon/parts_describe.cpp
+++ b/src/daemon/parts_describe.cpp
@@ -53,7 +53,7 @@
     const Millis now = monotonicNow();
     nlohmann::json cells = nlohmann::json::object();
     for (const auto& [service, cell] : mFleet.cells()) {
-      cells[service] = describeCell(cell);
+      cells[service] = describeCell(*cell);
     }
     const Millis left = mAuthority.leaseUntil() - now;
     promise->set_value(
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -20,6 +20,7 @@
     if (it != aModel.mServices.end()) {
       mGate->configure(it->second);
     }
+    mRate.onConfig(aModel);
   };
   hooks.mOnRecord = [this](RandomId aId, FoldVerdict aVerdict) {
     mRecorder.onRecord(aId, aVerdict);
@@ -81,10 +82,19 @@
 Daemon::Parts::ingressHooks()
 {
   Ingress::Hooks hooks;
-  hooks.mAdmit = [](const std::string&) {
-    return Ingress::Admission::Admitted;
+  hooks.mTakeToken = [this](const std::string& aWorkspace, bool aHeld) {
+    const TakeVerdict verdict = mRate.take(aWorkspace, aHeld);
+    if (verdict == TakeVerdict::WaitForGrant && !aHeld) {
+      mLoop.tryPost([this] { mRate.tick(); });
+    }
+    return verdict;
+  };
+  hooks.mDropHeld = [this](const std::string& aWorkspace) {
+    mRate.dropHeld(aWorkspace);
+  };
+  hooks.mRetryAfter = [this](const std::string& aWorkspace) {
+    return mRate.retryAfter(aWorkspace);
   };
-  hooks.mRetryAfter = [](const std::string&) { return Millis{}; };
   hooks.mConfigFresh = [this] { return configFresh(); };
   hooks.mToOwnUpstream = [this](ForwardRequest aRequest, AnswerFn aAnswer) {
     mGate->submit(std::move(aRequest), std::move(aAnswer));
@@ -151,6 +161,18 @@
     case wire::FrameBody::MoveOrder:
       mHandoff.order(aBody.AsMoveOrder()->grants);
       break;
+    case wire::FrameBody::TokenAsk:
+      mRate.onAsk(*aBody.AsTokenAsk());
+      break;
+    case wire::FrameBody::TokenGrant:
+      mRate.onGrant(*aBody.AsTokenGrant());
+      break;
+    case wire::FrameBody::FetchRecords:
+      mRelay.onFetch(aFrom, *aBody.AsFetchRecords());
+      break;
+    case wire::FrameBody::RelayRecords:
+      mRelay.onRelayed(*aBody.AsRelayRecords());
+      break;
     default:
       break;
   }
--- /dev/null
+++ b/src/daemon/rate_duty.cpp
@@ -0,0 +1,172 @@
+#include "radishroad/daemon/rate_duty.h"
+
+#include "radishroad/base/hash.h"
+#include "radishroad/daemon/control_context.h"
+#include "radishroad/daemon/fleet_state.h"
+#include "radishroad/daemon/serve_authority.h"
+#include "radishroad/daemon/settings.h"
+
+namespace radishroad {
+
+namespace {
+
+/// The key that stands for a workspace's bucket. The prefix keeps it apart
+/// from callers' keys in all but hash collisions, which do no harm.
+std::uint64_t
+bucketKey(const std::string& aWorkspace)
+{
+  return hash64("workspace-bucket/" + aWorkspace);
+}
+
+/// The service whose cell owns the bucket, by rendezvous hash.
+std::string
+bucketService(const config::Model& aModel, const std::string& aWorkspace)
+{
+  std::string best;
+  std::uint64_t bestHash = 0;
+  for (const auto& [name, service] : aModel.mServices) {
+    const std::uint64_t hash = hashPair(bucketKey(aWorkspace), hash64(name));
+    if (best.empty() || hash > bestHash) {
+      best = name;
+      bestHash = hash;
+    }
+  }
+  return best;
+}
+
+}
+
+RateDuty::RateDuty(ControlContext& aContext, const ServeAuthority& aAuthority)
+  : mContext(aContext)
+  , mAuthority(aAuthority)
+  , mWallet(aContext.mSelf)
+{
+}
+
+TakeVerdict
+RateDuty::take(const std::string& aWorkspace, bool aHeld)
+{
+  const Millis now = mContext.mNow();
+  std::lock_guard<std::mutex> lock(mMutex);
+  return aHeld ? mWallet.takeHeld(aWorkspace, now)
+               : mWallet.take(aWorkspace, now);
+}
+
+void
+RateDuty::dropHeld(const std::string& aWorkspace)
+{
+  std::lock_guard<std::mutex> lock(mMutex);
+  mWallet.dropHeld(aWorkspace);
+}
+
+Millis
+RateDuty::retryAfter(const std::string& aWorkspace) const
+{
+  std::lock_guard<std::mutex> lock(mMutex);
+  return mWallet.retryAfter(aWorkspace, mContext.mNow());
+}
+
+void
+RateDuty::onConfig(const config::Model& aModel)
+{
+  mWorkspaces = aModel.mWorkspaces;
+  const Millis now = mContext.mNow();
+  std::erase_if(mBuckets, [this](const auto& aEntry) {
+    return !mWorkspaces.contains(aEntry.first);
+  });
+  for (auto& [name, bucket] : mBuckets) {
+    const config::Workspace& workspace = mWorkspaces.at(name);
+    bucket.mTokens.configure(workspace.mRatePerSecond, workspace.mBurst, now);
+  }
+}
+
+Ownership
+RateDuty::bucketOwner(const std::string& aWorkspace) const
+{
+  const config::Model* model = mContext.mFleet.model();
+  if (model == nullptr) {
+    return {};
+  }
+  const std::map<std::string, const CellState*> cells = mContext.mFleet.cells();
+  const auto it = cells.find(bucketService(*model, aWorkspace));
+  return it == cells.end() ? Ownership{}
+                           : ownerOf(*it->second, bucketKey(aWorkspace));
+}
+
+RateDuty::Bucket*
+RateDuty::ownBucket(const std::string& aWorkspace)
+{
+  const Ownership ownership = bucketOwner(aWorkspace);
+  const Millis now = mContext.mNow();
+  const auto workspace = mWorkspaces.find(aWorkspace);
+  const bool serves = ownership.mOwner == mContext.mSelf &&
+                      mAuthority.servesKey(bucketKey(aWorkspace), now);
+  if (!serves || workspace == mWorkspaces.end()) {
+    return nullptr;
+  }
+  const auto it = mBuckets.find(aWorkspace);
+  if (it != mBuckets.end() && it->second.mEpoch == ownership.mEpoch) {
+    return &it->second;
+  }
+  // A bucket of an earlier epoch may have had another owner since.
+  const config::Workspace& settings = workspace->second;
+  Bucket bucket{ ownership.mEpoch,
+                 WorkspaceBucket(
+                   settings.mRatePerSecond, settings.mBurst, now) };
+  return &mBuckets.insert_or_assign(aWorkspace, std::move(bucket))
+            .first->second;
+}
+
+void
+RateDuty::onAsk(const wire::TokenAskT& aAsk)
+{
+  Bucket* bucket = ownBucket(aAsk.workspace);
+  if (bucket == nullptr) {
+    return;
+  }
+  wire::TokenGrantT grant = bucket->mTokens.grant(aAsk, mContext.mNow());
+  if (aAsk.asker == mContext.mSelf) {
+    onGrant(grant);
+    return;
+  }
+  mContext.mSend(aAsk.asker, makeBody(std::move(grant)));
+}
+
+void
+RateDuty::onGrant(const wire::TokenGrantT& aGrant)
+{
+  const auto it = mSentAsks.find(aGrant.workspace);
+  if (it == mSentAsks.end() || it->second.mSequence != aGrant.sequence) {
+    return;
+  }
+  std::lock_guard<std::mutex> lock(mMutex);
+  mWallet.onGrant(aGrant, it->second.mSentAt, mContext.mNow());
+}
+
+void
+RateDuty::tick()
+{
+  const Millis now = mContext.mNow();
+  std::vector<wire::TokenAskT> asks;
+  {
+    std::lock_guard<std::mutex> lock(mMutex);
+    asks = mWallet.asks(now);
+  }
+  for (wire::TokenAskT& ask : asks) {
+    sendAsk(std::move(ask), now);
+  }
+}
+
+void
+RateDuty::sendAsk(wire::TokenAskT aAsk, Millis aNow)
+{
+  mSentAsks[aAsk.workspace] = { aAsk.sequence, aNow };
+  const Incarnation owner = bucketOwner(aAsk.workspace).mOwner;
+  if (owner == mContext.mSelf) {
+    onAsk(aAsk);
+  } else if (owner != 0) {
+    mContext.mSend(owner, makeBody(std::move(aAsk)));
+  }
+}
+
+}
--- a/src/daemon/recorder.cpp
+++ b/src/daemon/recorder.cpp
@@ -67,7 +67,8 @@
 void
 Recorder::onRecord(RandomId aId, FoldVerdict aVerdict)
 {
-  if (aVerdict == FoldVerdict::Applied) {
+  if (aVerdict == FoldVerdict::Applied || aVerdict == FoldVerdict::Ignored) {
+    // Parts of snapshots change no state, but are there.
     end(aId, ProposalEnd::Applied);
   } else if (aVerdict == FoldVerdict::Refused) {
     end(aId, ProposalEnd::Refused);
--- /dev/null
+++ b/src/daemon/relay_duty.cpp
@@ -0,0 +1,81 @@
+#include "radishroad/daemon/relay_duty.h"
+
+#include "radishroad/daemon/control_context.h"
+#include "radishroad/daemon/fleet_state.h"
+
+namespace radishroad {
+
+namespace {
+
+/// A peer that is ahead is asked only if the log has not caught this daemon
+/// up for so long: an ordinary poll is quicker than that.
+constexpr Millis kFetchPause{ 100 };
+
+}
+
+RelayDuty::RelayDuty(ControlContext& aContext, RecordsFn aOnRecords)
+  : mContext(aContext)
+  , mOnRecords(std::move(aOnRecords))
+{
+}
+
+void
+RelayDuty::onPositions(
+  Incarnation aFrom,
+  const std::vector<std::unique_ptr<wire::StreamPositionT>>& aPositions)
+{
+  const Millis now = mContext.mNow();
+  for (const std::unique_ptr<wire::StreamPositionT>& position : aPositions) {
+    const std::string& stream = position->stream;
+    const std::uint64_t next = mContext.mFleet.nextOffset(stream);
+    if (position->next_offset <= next) {
+      mNextFetch.erase(stream);
+      continue;
+    }
+    const auto [it, first] = mNextFetch.try_emplace(stream, now + kFetchPause);
+    if (first || now < it->second) {
+      continue;
+    }
+    it->second = now + kFetchPause;
+    wire::FetchRecordsT fetch;
+    fetch.stream = stream;
+    fetch.from_offset = next;
+    mContext.mSend(aFrom, makeBody(std::move(fetch)));
+  }
+}
+
+void
+RelayDuty::onFetch(Incarnation aFrom, const wire::FetchRecordsT& aFetch)
+{
+  wire::RelayRecordsT relay;
+  relay.stream = aFetch.stream;
+  for (LogRecord& record :
+       mContext.mFleet.recordsFrom(aFetch.stream, aFetch.from_offset)) {
+    std::unique_ptr<wire::RelayedRecordT> relayed =
+      std::make_unique<wire::RelayedRecordT>();
+    relayed->offset = record.mOffset;
+    relayed->wall_ms = record.mWallTime.mCount;
+    relayed->data = std::move(record.mData);
+    relay.records.push_back(std::move(relayed));
+  }
+  if (!relay.records.empty()) {
+    mContext.mSend(aFrom, makeBody(std::move(relay)));
+  }
+}
+
+void
+RelayDuty::onRelayed(const wire::RelayRecordsT& aRecords)
+{
+  std::vector<LogRecord> records;
+  for (const std::unique_ptr<wire::RelayedRecordT>& relayed :
+       aRecords.records) {
+    records.push_back(
+      { relayed->offset, Millis{ relayed->wall_ms }, relayed->data });
+  }
+  if (!records.empty() &&
+      records.front().mOffset <= mContext.mFleet.nextOffset(aRecords.stream)) {
+    mOnRecords(aRecords.stream, records);
+  }
+}
+
+}
--- /dev/null
+++ b/src/daemon/snapshot_duty.cpp
@@ -0,0 +1,91 @@
+#include "radishroad/daemon/snapshot_duty.h"
+
+#include "radishroad/base/json_log.h"
+#include "radishroad/config/model.h"
+#include "radishroad/daemon/control_context.h"
+#include "radishroad/daemon/fleet_state.h"
+#include "radishroad/daemon/recorder.h"
+#include "radishroad/daemon/settings.h"
+#include "radishroad/state/snapshot.h"
+#include "radishroad/state/snapshot_policy.h"
+
+#include <nlohmann/json.hpp>
+
+namespace radishroad {
+
+namespace {
+
+constexpr Millis kLookInterval{ 1000 };
+constexpr std::size_t kChunkBytes = 256U << 10;
+
+}
+
+SnapshotDuty::SnapshotDuty(ControlContext& aContext, OldestFn aOldestKept)
+  : mContext(aContext)
+  , mOldestKept(std::move(aOldestKept))
+{
+}
+
+void
+SnapshotDuty::tick()
+{
+  const Millis now = mContext.mNow();
+  if (now < mNextLook || mPendingChunks > 0 || !coordinates()) {
+    return;
+  }
+  mNextLook = now + kLookInterval;
+  snapshotIfDue(mContext.ownStream(), mContext.mFleet.ownCellLoader());
+  if (keepsConfig()) {
+    snapshotIfDue(std::string(kConfigStream), mContext.mFleet.configLoader());
+  }
+}
+
+bool
+SnapshotDuty::coordinates() const
+{
+  return mContext.self() != nullptr &&
+         coordinatorOf(mContext.mFleet.ownCell()) == mContext.mSelf;
+}
+
+bool
+SnapshotDuty::keepsConfig() const
+{
+  const config::Model* model = mContext.mFleet.model();
+  return model != nullptr && !model->mServices.empty() &&
+         model->mServices.begin()->first == mContext.mSettings.mService;
+}
+
+template<typename Loader>
+void
+SnapshotDuty::snapshotIfDue(const std::string& aStream, const Loader& aLoader)
+{
+  if (!aLoader.whole()) {
+    return;
+  }
+  SnapshotSituation situation;
+  situation.mNextOffset = aLoader.state().mNextOffset;
+  situation.mOldestKept = mOldestKept(aStream);
+  if (aLoader.lastSnapshot()) {
+    situation.mLastAsOf = aLoader.lastSnapshot()->mAsOf;
+    situation.mLastWallTime = aLoader.lastSnapshot()->mWallTime;
+  }
+  if (snapshotDue(situation, wallNow())) {
+    append(aStream, makeSnapshot(aLoader.state(), kChunkBytes));
+  }
+}
+
+void
+SnapshotDuty::append(const std::string& aStream,
+                     std::vector<wire::SnapshotChunkT> aChunks)
+{
+  logEvent(LogLevel::Info,
+           "snapshot",
+           { { "stream", aStream }, { "chunks", aChunks.size() } });
+  mPendingChunks += aChunks.size();
+  for (wire::SnapshotChunkT& chunk : aChunks) {
+    mContext.mRecorder.propose(
+      aStream, std::move(chunk), [this](ProposalEnd) { --mPendingChunks; });
+  }
+}
+
+}
--- a/src/state/fold_cell.cpp
+++ b/src/state/fold_cell.cpp
@@ -17,6 +17,8 @@
       return rules::apply(aState, *aChange.AsRewitness());
     case wire::Change::Expel:
       return rules::apply(aState, *aChange.AsExpel(), aOffset);
+    case wire::Change::BeginLeave:
+      return rules::apply(aState, *aChange.AsBeginLeave());
     case wire::Change::Leave:
       return rules::apply(aState, *aChange.AsLeave(), aOffset);
     case wire::Change::Drain:
--- a/src/state/fold_membership.cpp
+++ b/src/state/fold_membership.cpp
@@ -176,6 +176,17 @@
   return true;
 }
 
+bool
+apply(CellState& aState, const wire::BeginLeaveT& aChange)
+{
+  Member* member = findActive(aState, aChange.incarnation);
+  if (member == nullptr || member->mLeaving) {
+    return false;
+  }
+  member->mLeaving = true;
+  return true;
+}
+
 bool
 apply(CellState& aState, const wire::LeaveT& aChange, std::uint64_t aOffset)
 {
--- a/src/state/placement.cpp
+++ b/src/state/placement.cpp
@@ -34,7 +34,7 @@
     return false;
   }
   const Member& member = it->second;
-  return member.mStatus == MemberStatus::Active &&
+  return member.mStatus == MemberStatus::Active && !member.mLeaving &&
          !aState.mDrainedVms.contains(member.mVm) &&
          !aState.mDrainedZones.contains(member.mZone);
 }
--- a/tests/unit/log_client_test.cpp
+++ b/tests/unit/log_client_test.cpp
@@ -44,7 +44,7 @@
   LogFollower::Hooks followerHooks()
   {
     return {
-      [this](std::span<const LogRecord> aRecords) {
+      [this](std::span<const LogRecord> aRecords, Millis) {
         note([&] {
           mPolls += 1;
           mRecords.insert(mRecords.end(), aRecords.begin(), aRecords.end());
