Give nothing more to a superseded incarnation

Cause: after a VM was restarted, its old incarnation stays an active member until it is expelled, and until then it was an heir, a witness to choose and, if it joined first, the coordinator, although its process is gone.

A Join now marks older members on the same VM. They keep what they own, since only consents prove that they have stopped, and may hand it off. Ruled out: expelling them by the Join, which would end a lease without a majority.

--- a/fuzz/fuzz_records.cpp
+++ b/fuzz/fuzz_records.cpp
@@ -13,9 +13,17 @@
 namespace {
 
 constexpr std::size_t kFewMembers = 6;
+constexpr Incarnation kVms = 32;
 constexpr Shard kShards = 4;
 constexpr std::uint64_t kSnapshotRounds = 64;
 
+/// Incarnations share VMs, as after a restart.
+std::string
+vmOf(Incarnation aMember)
+{
+  return "vm-" + std::to_string(aMember % kVms);
+}
+
 /// Draws valid records that build on a state.
 class RecordSource
 {
@@ -97,7 +105,7 @@
   Bytes join(Incarnation aMember)
   {
     wire::JoinT change;
-    change.vm = "vm-" + std::to_string(aMember);
+    change.vm = vmOf(aMember);
     change.zone = aMember % 2 == 0 ? "a" : "b";
     change.incarnation = aMember;
     change.witnesses = { aMember + 1, aMember + 2, aMember + 3 };
@@ -137,7 +145,7 @@
   Bytes drain(Incarnation aMember)
   {
     wire::DrainT change;
-    change.vm = "vm-" + std::to_string(aMember);
+    change.vm = vmOf(aMember);
     change.on = mMutator.draw(3) == 0;
     return encode(change);
   }
@@ -173,7 +181,7 @@
   Bytes declareLost(Incarnation aMember)
   {
     wire::DeclareLostT change;
-    change.vm = "vm-" + std::to_string(aMember);
+    change.vm = vmOf(aMember);
     change.incarnation = aMember;
     return encode(change);
   }
--- a/include/radishroad/state/cell_state.h
+++ b/include/radishroad/state/cell_state.h
@@ -43,6 +43,9 @@
   std::uint64_t mJoinOffset = 0;
   /// Offset of the record by which it left or was expelled; 0 while active.
   std::uint64_t mEndOffset = 0;
+  /// A newer incarnation of its VM has joined, so that it is most likely lost:
+  /// it keeps what it owns until it is expelled, but is given nothing more.
+  bool mSuperseded = false;
 
   bool operator==(const Member&) const = default;
 };
@@ -91,8 +94,9 @@
 ownerOf(const CellState& aState, std::uint64_t aKeyHash);
 
 /// The member that proposes the cell's moves and snapshots: the active member
-/// that joined first. 0 if there is none. Proposals carry preconditions, so a
-/// daemon that believes itself coordinator wrongly does no harm.
+/// that joined first, but for superseded ones. 0 if there is none. Proposals
+/// carry preconditions, so a daemon that believes itself coordinator wrongly
+/// does no harm.
 Incarnation
 coordinatorOf(const CellState& aState);
 
--- a/include/radishroad/state/placement.h
+++ b/include/radishroad/state/placement.h
@@ -8,8 +8,8 @@
 
 namespace radishroad {
 
-/// True if the member may be given shards: active, and neither its VM nor its
-/// availability zone is drained.
+/// True if the member may be given shards: active, not superseded, and neither
+/// its VM nor its availability zone is drained.
 bool
 mayOwn(const CellState& aState, Incarnation aIncarnation);
 
@@ -19,7 +19,8 @@
 chooseHeir(const CellState& aState, Shard aShard, Incarnation aFrom);
 
 /// Up to aCount members of aCandidates as witnesses for aIncarnation: other
-/// availability zones first, then by rendezvous hash.
+/// availability zones first, then by rendezvous hash. Members that are not
+/// active or are superseded are passed over.
 std::vector<Incarnation>
 chooseWitnesses(std::span<const Member> aCandidates,
                 Incarnation aIncarnation,
--- a/src/state/cell_state.cpp
+++ b/src/state/cell_state.cpp
@@ -23,7 +23,7 @@
 {
   const Member* first = nullptr;
   for (const auto& [incarnation, member] : aState.mMembers) {
-    if (member.mStatus != MemberStatus::Active) {
+    if (member.mStatus != MemberStatus::Active || member.mSuperseded) {
       continue;
     }
     if (first == nullptr || member.mJoinOffset < first->mJoinOffset) {
--- a/src/state/fold_membership.cpp
+++ b/src/state/fold_membership.cpp
@@ -110,6 +110,16 @@
   }
 }
 
+void
+supersede(CellState& aState, const std::string& aVm)
+{
+  for (auto& [incarnation, member] : aState.mMembers) {
+    if (member.mVm == aVm) {
+      member.mSuperseded = true;
+    }
+  }
+}
+
 void
 retire(CellState& aState,
        Member& aMember,
@@ -146,6 +156,7 @@
   member.mOperatorAddress = aChange.operator_address;
   member.mWitnesses = aChange.witnesses;
   member.mJoinOffset = aOffset;
+  supersede(aState, aChange.vm);
   aState.mMembers.emplace(aChange.incarnation, std::move(member));
   adoptOwnerlessSplitKeys(aState);
   return true;
--- a/src/state/placement.cpp
+++ b/src/state/placement.cpp
@@ -34,7 +34,7 @@
     return false;
   }
   const Member& member = it->second;
-  return member.mStatus == MemberStatus::Active &&
+  return member.mStatus == MemberStatus::Active && !member.mSuperseded &&
          !aState.mDrainedVms.contains(member.mVm) &&
          !aState.mDrainedZones.contains(member.mZone);
 }
@@ -54,7 +54,7 @@
   std::vector<Candidate> ranked;
   for (const Member& member : aCandidates) {
     if (member.mIncarnation == aIncarnation ||
-        member.mStatus != MemberStatus::Active) {
+        member.mStatus != MemberStatus::Active || member.mSuperseded) {
       continue;
     }
     ranked.push_back({ member.mZone == aZone,
--- a/src/state/snapshot_codec.cpp
+++ b/src/state/snapshot_codec.cpp
@@ -75,6 +75,7 @@
   entry->status = static_cast<std::uint8_t>(aMember.mStatus);
   entry->join_offset = aMember.mJoinOffset;
   entry->end_offset = aMember.mEndOffset;
+  entry->superseded = aMember.mSuperseded;
   return entry;
 }
 
@@ -93,6 +94,7 @@
   member.mStatus = static_cast<MemberStatus>(aEntry.status);
   member.mJoinOffset = aEntry.join_offset;
   member.mEndOffset = aEntry.end_offset;
+  member.mSuperseded = aEntry.superseded;
   return member;
 }
 
--- a/tests/unit/fold_cell_test.cpp
+++ b/tests/unit/fold_cell_test.cpp
@@ -32,16 +32,21 @@
   BOOST_TEST(coordinatorOf(log.mState) == 0U);
 }
 
-BOOST_AUTO_TEST_CASE(a_new_incarnation_of_a_vm_leaves_the_old_one_in_place)
+BOOST_AUTO_TEST_CASE(a_superseded_incarnation_keeps_what_it_owns_and_no_more)
 {
   CellLog log = CellLog::withFourMembers();
+  log.assign(0, 0, 1);
   wire::JoinT again;
   again.vm = "vm-1";
   again.zone = "a";
   again.incarnation = 9;
   BOOST_CHECK(log.append(again) == kApplied);
   BOOST_CHECK(log.mState.mMembers[1].mStatus == MemberStatus::Active);
-  BOOST_TEST(coordinatorOf(log.mState) == 1U);
+  BOOST_TEST(log.mState.mShards[0].mOwner == 1U);
+  BOOST_CHECK(log.assign(1, 0, 1) == kRefused);
+  BOOST_CHECK(log.assign(1, 0, 9) == kApplied);
+  BOOST_TEST(coordinatorOf(log.mState) == 2U);
+  BOOST_CHECK(log.release(1, { { 0, 1, 9 } }) == kApplied);
 }
 
 BOOST_AUTO_TEST_CASE(rewitness_builds_on_the_current_version)
