--- a/src/state/snapshot_codec.cpp
+++ b/src/state/snapshot_codec.cpp
@@ -76,6 +76,7 @@
   entry->join_offset = aMember.mJoinOffset;
   entry->end_offset = aMember.mEndOffset;
   entry->leaving = aMember.mLeaving;
+  entry->superseded = aMember.mSuperseded;
   return entry;
 }
 
@@ -95,6 +96,7 @@
   member.mJoinOffset = aEntry.join_offset;
   member.mEndOffset = aEntry.end_offset;
   member.mLeaving = aEntry.leaving;
+  member.mSuperseded = aEntry.superseded;
   return member;
 }
 
