--- a/include/radishroad/ownership/expulsion.h
+++ b/include/radishroad/ownership/expulsion.h
@@ -15,7 +15,7 @@
 /// Pause between two rounds of asking the same witnesses for consent.
 constexpr Millis kConsentAskInterval{ 100 };
 /// Pause between two appends of an expulsion of the same label.
-constexpr Millis kProposalRetry{ 1000 };
+constexpr Millis kProposalRetry{ 500 };
 
 /// Collects consents to expel lost daemons. Pure.
 class ExpulsionProposer
@@ -27,6 +27,8 @@
   /// witness has lapsed. Returns the witnesses to ask now (paced).
   std::vector<Incarnation> pursue(const Member& aMember, Millis aNow);
   void onConsent(LeaseLabel aLabel, Incarnation aWitness);
+  /// A witness is bound for aWait more; none is asked again before.
+  void onRefusal(LeaseLabel aLabel, Millis aWait, Millis aNow);
   /// The record to append once a majority has consented; then nothing more
   /// for this label until kProposalRetry has passed.
   std::optional<wire::ExpelT> proposal(const Member& aMember, Millis aNow);
--- a/include/radishroad/ownership/lease_holder.h
+++ b/include/radishroad/ownership/lease_holder.h
@@ -39,6 +39,16 @@
   /// The set that the log holds, as last folded. Ends a change in doubt if
   /// aVersion is past the one it builds on.
   void adopt(std::uint32_t aVersion, std::span<const Incarnation> aWitnesses);
+  /// Collects promises of a set for the next version ahead of a change, so
+  /// that the lease does not lapse while the change is in doubt. An empty set
+  /// ends this.
+  void prepareChange(std::span<const Incarnation> aNewWitnesses);
+  std::span<const Incarnation> prepared() const;
+  /// Whether the prepared set would hold the lease, and each of its members
+  /// that is new has answered.
+  bool preparedHolds(Millis aNow) const;
+  /// Members of the prepared set that are new and have not answered.
+  std::vector<Incarnation> unansweredPrepared(Millis aNow) const;
   /// To be called before the Rewitness record is first sent.
   void beginChange(std::span<const Incarnation> aNewWitnesses);
   bool changeInDoubt() const;
@@ -61,11 +71,16 @@
     std::vector<Incarnation> mWitnesses;
     std::map<Incarnation, Millis> mPromisedUntil;
   };
+  static Set makeSet(std::uint32_t aVersion,
+                     std::span<const Incarnation> aWitnesses);
+  static void takePromises(Set& aTo, const Set& aFrom);
   static Millis majorityUntil(const Set& aSet);
+  Set* findSet(std::uint32_t aVersion);
 
   Incarnation mSelf;
   bool mAdopted = false;
   Set mCurrent;
+  std::optional<Set> mPrepared;
   std::optional<Set> mProposed;
   std::optional<Millis> mLastRenewal;
   std::optional<Millis> mAdoptedAt;
--- a/include/radishroad/ownership/witness.h
+++ b/include/radishroad/ownership/witness.h
@@ -7,6 +7,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -47,8 +48,13 @@
 
   /// Labels whose promise has lapsed and that were not consented to yet.
   std::vector<LeaseLabel> lapsed(Millis aNow) const;
-  /// Drops a label that no longer matters (member gone, set replaced).
+  /// Labels whose promise has lapsed or that were consented to, in order.
+  std::vector<LeaseLabel> suspects(Millis aNow) const;
+  /// Drops a label whose set the log has replaced, or whose member is gone. The
+  /// caller must then refuse renewals of a member that is gone: the consents
+  /// that expelled it are forgotten with it.
   void forget(LeaseLabel aLabel);
+  void forgetIf(const std::function<bool(LeaseLabel)>& aIsStale);
   std::size_t size() const;
 
 private:
--- a/src/ownership/expulsion.cpp
+++ b/src/ownership/expulsion.cpp
@@ -46,6 +46,15 @@
   }
 }
 
+void
+ExpulsionProposer::onRefusal(LeaseLabel aLabel, Millis aWait, Millis aNow)
+{
+  const auto it = mAttempts.find(aLabel);
+  if (it != mAttempts.end()) {
+    it->second.mNextAsk = aNow + std::clamp(aWait, Millis{ 1 }, kLeaseTtl);
+  }
+}
+
 std::optional<wire::ExpelT>
 ExpulsionProposer::proposal(const Member& aMember, Millis aNow)
 {
--- a/src/ownership/lease_holder.cpp
+++ b/src/ownership/lease_holder.cpp
@@ -23,6 +23,32 @@
 {
 }
 
+LeaseHolder::Set
+LeaseHolder::makeSet(std::uint32_t aVersion,
+                     std::span<const Incarnation> aWitnesses)
+{
+  Set set;
+  set.mVersion = aVersion;
+  set.mWitnesses.assign(aWitnesses.begin(), aWitnesses.end());
+  return set;
+}
+
+/// A promise names the version, not the set, so those collected for a version
+/// bind the same witnesses whichever set it turns out to have.
+void
+LeaseHolder::takePromises(Set& aTo, const Set& aFrom)
+{
+  if (aTo.mVersion != aFrom.mVersion) {
+    return;
+  }
+  for (const auto& [witness, until] : aFrom.mPromisedUntil) {
+    if (contains(aTo.mWitnesses, witness)) {
+      Millis& promised = aTo.mPromisedUntil[witness];
+      promised = std::max(promised, until);
+    }
+  }
+}
+
 void
 LeaseHolder::adopt(std::uint32_t aVersion,
                    std::span<const Incarnation> aWitnesses)
@@ -30,20 +56,16 @@
   if (mAdopted && aVersion <= mCurrent.mVersion) {
     return;
   }
-  Set adopted;
-  adopted.mVersion = aVersion;
-  adopted.mWitnesses.assign(aWitnesses.begin(), aWitnesses.end());
-  // A promise names the version, not the set, so those already collected for
-  // the version that was proposed bind the same witnesses now.
-  if (mProposed && mProposed->mVersion == aVersion) {
-    for (const auto& [witness, until] : mProposed->mPromisedUntil) {
-      if (contains(aWitnesses, witness)) {
-        adopted.mPromisedUntil[witness] = until;
-      }
-    }
+  Set adopted = makeSet(aVersion, aWitnesses);
+  if (mProposed) {
+    takePromises(adopted, *mProposed);
+  }
+  if (mPrepared) {
+    takePromises(adopted, *mPrepared);
   }
   mCurrent = std::move(adopted);
   mProposed.reset();
+  mPrepared.reset();
   mAdopted = true;
   mLastRenewal.reset();
   mAdoptedAt.reset();
@@ -55,13 +77,81 @@
   if (!mAdopted || mProposed) {
     return;
   }
-  Set proposed;
-  proposed.mVersion = mCurrent.mVersion + 1;
-  proposed.mWitnesses.assign(aNewWitnesses.begin(), aNewWitnesses.end());
-  mProposed = std::move(proposed);
+  mProposed = makeSet(mCurrent.mVersion + 1, aNewWitnesses);
+  if (mPrepared) {
+    takePromises(*mProposed, *mPrepared);
+    mPrepared.reset();
+  }
+  mLastRenewal.reset();
+}
+
+void
+LeaseHolder::prepareChange(std::span<const Incarnation> aNewWitnesses)
+{
+  if (aNewWitnesses.empty()) {
+    mPrepared.reset();
+    return;
+  }
+  if (!mAdopted || mProposed) {
+    return;
+  }
+  Set prepared = makeSet(mCurrent.mVersion + 1, aNewWitnesses);
+  if (mPrepared) {
+    takePromises(prepared, *mPrepared);
+  }
+  mPrepared = std::move(prepared);
   mLastRenewal.reset();
 }
 
+std::span<const Incarnation>
+LeaseHolder::prepared() const
+{
+  if (!mPrepared) {
+    return {};
+  }
+  return mPrepared->mWitnesses;
+}
+
+bool
+LeaseHolder::preparedHolds(Millis aNow) const
+{
+  return mPrepared && majorityUntil(*mPrepared) > aNow &&
+         unansweredPrepared(aNow).empty();
+}
+
+std::vector<Incarnation>
+LeaseHolder::unansweredPrepared(Millis aNow) const
+{
+  std::vector<Incarnation> unanswered;
+  if (!mPrepared) {
+    return unanswered;
+  }
+  for (const Incarnation witness : mPrepared->mWitnesses) {
+    const auto it = mPrepared->mPromisedUntil.find(witness);
+    const bool answered =
+      it != mPrepared->mPromisedUntil.end() && it->second > aNow;
+    if (!answered && !contains(mCurrent.mWitnesses, witness)) {
+      unanswered.push_back(witness);
+    }
+  }
+  return unanswered;
+}
+
+LeaseHolder::Set*
+LeaseHolder::findSet(std::uint32_t aVersion)
+{
+  if (mAdopted && mCurrent.mVersion == aVersion) {
+    return &mCurrent;
+  }
+  if (mProposed && mProposed->mVersion == aVersion) {
+    return &*mProposed;
+  }
+  if (mPrepared && mPrepared->mVersion == aVersion) {
+    return &*mPrepared;
+  }
+  return nullptr;
+}
+
 bool
 LeaseHolder::changeInDoubt() const
 {
@@ -82,12 +172,7 @@
                        std::uint32_t aVersion,
                        Millis aSentAt)
 {
-  Set* set = nullptr;
-  if (mAdopted && mCurrent.mVersion == aVersion) {
-    set = &mCurrent;
-  } else if (mProposed && mProposed->mVersion == aVersion) {
-    set = &*mProposed;
-  }
+  Set* set = findSet(aVersion);
   // A daemon is no witness of its own.
   if (aWitness == mSelf || set == nullptr ||
       !contains(set->mWitnesses, aWitness)) {
@@ -111,13 +196,16 @@
   if (!mAdoptedAt) {
     mAdoptedAt = aNow;
   }
-  for (const Incarnation witness : mCurrent.mWitnesses) {
-    due.push_back({ witness, mCurrent.mVersion });
-  }
-  if (mProposed) {
-    for (const Incarnation witness : mProposed->mWitnesses) {
-      due.push_back({ witness, mProposed->mVersion });
+  const auto add = [&due](const Set& aSet) {
+    for (const Incarnation witness : aSet.mWitnesses) {
+      due.push_back({ witness, aSet.mVersion });
     }
+  };
+  add(mCurrent);
+  if (mProposed) {
+    add(*mProposed);
+  } else if (mPrepared) {
+    add(*mPrepared);
   }
   return due;
 }
--- a/src/ownership/witness.cpp
+++ b/src/ownership/witness.cpp
@@ -56,12 +56,32 @@
   return labels;
 }
 
+std::vector<LeaseLabel>
+Witness::suspects(Millis aNow) const
+{
+  std::vector<LeaseLabel> labels;
+  for (const auto& [label, entry] : mEntries) {
+    if (entry.mConsented || entry.mBoundUntil <= aNow) {
+      labels.push_back(label);
+    }
+  }
+  return labels;
+}
+
 void
 Witness::forget(LeaseLabel aLabel)
 {
   mEntries.erase(aLabel);
 }
 
+void
+Witness::forgetIf(const std::function<bool(LeaseLabel)>& aIsStale)
+{
+  std::erase_if(mEntries, [&aIsStale](const auto& aEntry) {
+    return aIsStale(aEntry.first);
+  });
+}
+
 std::size_t
 Witness::size() const
 {
