--- a/tests/unit/ownership_model.cpp
+++ b/tests/unit/ownership_model.cpp
@@ -26,6 +26,20 @@
   return members;
 }
 
+/// What is under way arrives soon once faults have ended.
+template<typename Event>
+void
+hasten(Schedule<Event>& aSchedule, Millis aLatest)
+{
+  Schedule<Event> hastened;
+  for (; !aSchedule.empty(); aSchedule.pop()) {
+    Event event = aSchedule.top();
+    event.mAt = std::min(event.mAt, aLatest);
+    hastened.push(std::move(event));
+  }
+  aSchedule = std::move(hastened);
+}
+
 bool
 isActive(const CellState& aState, Incarnation aIncarnation)
 {
@@ -132,6 +146,8 @@
     mFrozenUntil.fill({});
     mLogCut.fill(false);
     mCut = {};
+    hasten(mMessages, mNow + Millis{ 40 });
+    hasten(mAppends, mNow + Millis{ 40 });
     return;
   }
   const bool split = chance(0.15);
