--- a/include/radishroad/daemon/fleet_state.h
+++ b/include/radishroad/daemon/fleet_state.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -28,7 +29,8 @@
 public:
   struct Hooks
   {
-    /// A cell was folded on: its service, and the state before and after.
+    /// A record of a cell was folded, or a snapshot taken over: the cell's
+    /// service, and the state before and after.
     std::function<void(const std::string&, const CellState&, const CellState&)>
       mOnCell;
     /// A configuration is in force.
@@ -45,8 +47,12 @@
   /// over.
   void onRecords(const std::string& aStream,
                  std::span<const LogRecord> aRecords);
-  /// The log has answered a read of this stream that was sent at aNow.
-  void onContact(const std::string& aStream, Millis aNow);
+  /// The log has answered a read of this stream that was sent at aAskedAt.
+  void onContact(const std::string& aStream, Millis aAskedAt);
+  /// A read of this stream has failed.
+  void onNoContact(const std::string& aStream);
+  /// Did the last read of the own cell's stream succeed?
+  bool logAnswers() const;
 
   /// Records below aOldest are no longer kept by the log.
   void onGap(const std::string& aStream, std::uint64_t aOldest);
@@ -102,6 +108,7 @@
   Verdicts mVerdicts;
   std::map<std::string, std::shared_ptr<const CellState>> mPublished;
   std::map<std::string, Millis> mContacts;
+  std::set<std::string> mFailingStreams;
 };
 
 }
--- a/src/daemon/fleet_state.cpp
+++ b/src/daemon/fleet_state.cpp
@@ -84,9 +84,23 @@
 }
 
 void
-FleetState::onContact(const std::string& aStream, Millis aNow)
+FleetState::onContact(const std::string& aStream, Millis aAskedAt)
 {
-  mContacts[aStream] = aNow;
+  mContacts[aStream] = aAskedAt;
+  mFailingStreams.erase(aStream);
+}
+
+void
+FleetState::onNoContact(const std::string& aStream)
+{
+  mFailingStreams.insert(aStream);
+}
+
+bool
+FleetState::logAnswers() const
+{
+  const std::string stream = cellStream(mOwnService);
+  return mContacts.contains(stream) && !mFailingStreams.contains(stream);
 }
 
 void
@@ -219,14 +233,18 @@
                      std::span<const LogRecord> aRecords)
 {
   StreamLoader<CellState>& loader = mCells.at(aService);
-  const CellState before = loader.state();
-  loader.add(aRecords);
-  const CellState& after = loader.state();
-  if (after.mNextOffset != before.mNextOffset) {
+  const std::uint64_t nextBefore = loader.state().mNextOffset;
+  for (const LogRecord& record : aRecords) {
+    const CellState before = loader.state();
+    loader.add({ &record, 1 });
     // Waits after a takeover must be in place before the view shows the new
-    // owner to the request path.
-    mHooks.mOnCell(aService, before, after);
-    mPublished[aService] = std::make_shared<const CellState>(after);
+    // owner to the request path; they are exact only record by record.
+    if (loader.state().mNextOffset != before.mNextOffset) {
+      mHooks.mOnCell(aService, before, loader.state());
+    }
+  }
+  if (loader.state().mNextOffset != nextBefore) {
+    mPublished[aService] = std::make_shared<const CellState>(loader.state());
     publishView();
   }
   reportVerdicts();
--- a/src/daemon/membership_duty.cpp
+++ b/src/daemon/membership_duty.cpp
@@ -89,7 +89,12 @@
 MembershipDuty::join()
 {
   const DaemonSettings& settings = mContext.mSettings;
-  const std::vector<Member> others = mContext.mFleet.activeMembers();
+  std::vector<Member> others;
+  for (const auto& [incarnation, member] : mContext.mFleet.ownCell().mMembers) {
+    if (member.mStatus == MemberStatus::Active) {
+      others.push_back(member);
+    }
+  }
   wire::JoinT change;
   change.vm = settings.mVm;
   change.zone = settings.mZone;
--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -127,6 +127,7 @@
 void
 Daemon::Parts::tick()
 {
+  mGuard.prune(monotonicNow());
   if (mLeaveRequested) {
     mMembership.beginLeave();
   }
@@ -194,6 +195,7 @@
   };
   hooks.mOnError = [this, aStream](const Error& aError) {
     mMetrics.count("radishroad_log_read_errors_total");
+    mLoop.post([this, aStream] { mFleet.onNoContact(aStream); });
     logEvent(LogLevel::Warn,
              "log_read_failed",
              { { "stream", aStream }, { "error", aError.mMessage } });
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -20,6 +20,7 @@
 #include "radishroad/daemon/serve_authority.h"
 #include "radishroad/daemon/snapshot_duty.h"
 #include "radishroad/operator/admin_server.h"
+#include "radishroad/ownership/takeover_guard.h"
 #include "radishroad/peer/link.h"
 #include "radishroad/platform/log_appender.h"
 #include "radishroad/platform/log_follower.h"
@@ -75,6 +76,8 @@
   CallerServer mCallers;
   AdminServer mAdmin;
   std::map<std::string, std::unique_ptr<LogFollower>> mFollowers;
+  TakeoverGuard mGuard;
+  bool mGuardStarted = false;
 
 private:
   FleetState::Hooks fleetHooks();
@@ -87,6 +90,7 @@
   void onCell(const std::string& aService,
               const CellState& aBefore,
               const CellState& aAfter);
+  void guardTakeovers(const CellState& aBefore, const CellState& aAfter);
   void onControlFrame(Incarnation aFrom, const wire::FrameBodyUnion& aBody);
   void sendControl(Incarnation aTo, wire::FrameBodyUnion aBody);
   bool submitAppend(const std::string& aStream,
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -1,11 +1,19 @@
 #include "radishroad/base/json_log.h"
 
 #include "parts.h"
+#include "radishroad/ownership/ownership_change.h"
 
 #include <nlohmann/json.hpp>
 
 namespace radishroad {
 
+namespace {
+
+/// What a run may take beyond its limit until the upstream has ended it.
+constexpr Millis kRunLimitMargin{ 100 };
+
+}
+
 FleetState::Hooks
 Daemon::Parts::fleetHooks()
 {
@@ -116,6 +124,7 @@
 {
   if (aService == mSettings.mService) {
     mLease.onOwnCell();
+    guardTakeovers(aBefore, aAfter);
   }
   for (const auto& [incarnation, member] : aAfter.mMembers) {
     const auto it = aBefore.mMembers.find(incarnation);
@@ -132,6 +141,30 @@
   }
 }
 
+void
+Daemon::Parts::guardTakeovers(const CellState& aBefore, const CellState& aAfter)
+{
+  const config::Model* model = mFleet.model();
+  const bool known =
+    model != nullptr && model->mServices.contains(mSettings.mService);
+  // Before the configuration is known, the longest wait is taken.
+  const config::Service service =
+    known ? model->mServices.at(mSettings.mService) : config::Service{};
+  if (service.mChecksFence) {
+    return;
+  }
+  const Millis now = monotonicNow();
+  const Millis wait = service.mRunLimit + kRunLimitMargin;
+  if (!mGuardStarted) {
+    mGuardStarted = true;
+    mGuard.begin(aBefore, now, wait);
+  }
+  for (const OwnershipChange& change : ownershipChanges(aBefore, aAfter)) {
+    mGuard.onOwnershipChange(change, now, wait);
+    mAuthority.setWait(change.mShard, mGuard.serveFrom(change.mShard));
+  }
+}
+
 void
 Daemon::Parts::sendControl(Incarnation aTo, wire::FrameBodyUnion aBody)
 {
--- a/src/ownership/witness.cpp
+++ b/src/ownership/witness.cpp
@@ -9,7 +9,7 @@
 /// A promise given now binds until here; longer than the holder counts on,
 /// since the holder counts from the earlier send of its renewal.
 Millis
-promiseEnd(Millis aNow)
+boundUntil(Millis aNow)
 {
   return aNow + kLeaseTtl + kDriftMargin;
 }
@@ -23,14 +23,14 @@
   if (entry.mConsented) {
     return false;
   }
-  entry.mBoundUntil = std::max(entry.mBoundUntil, promiseEnd(aNow));
+  entry.mBoundUntil = std::max(entry.mBoundUntil, boundUntil(aNow));
   return true;
 }
 
 void
 Witness::expect(LeaseLabel aLabel, Millis aNow)
 {
-  mEntries.try_emplace(aLabel, Entry{ promiseEnd(aNow), false });
+  mEntries.try_emplace(aLabel, Entry{ boundUntil(aNow), false });
 }
 
 Witness::ConsentAnswer
@@ -57,28 +57,29 @@
 }
 
 std::vector<LeaseLabel>
-Witness::outstanding(Millis aNow) const
+Witness::suspects(Millis aNow) const
 {
   std::vector<LeaseLabel> labels;
   for (const auto& [label, entry] : mEntries) {
-    if (entry.mBoundUntil <= aNow) {
+    if (entry.mConsented || entry.mBoundUntil <= aNow) {
       labels.push_back(label);
     }
   }
   return labels;
 }
 
-Millis
-Witness::boundUntil(LeaseLabel aLabel) const
+void
+Witness::forget(LeaseLabel aLabel)
 {
-  const auto it = mEntries.find(aLabel);
-  return it == mEntries.end() ? Millis{} : it->second.mBoundUntil;
+  mEntries.erase(aLabel);
 }
 
 void
-Witness::forget(LeaseLabel aLabel)
+Witness::forgetIf(const std::function<bool(LeaseLabel)>& aIsStale)
 {
-  mEntries.erase(aLabel);
+  std::erase_if(mEntries, [&aIsStale](const auto& aEntry) {
+    return aIsStale(aEntry.first);
+  });
 }
 
 std::size_t
