--- /dev/null
+++ b/src/operator/event_merge.cpp
@@ -0,0 +1,133 @@
+#include "radishroad/operator/event_merge.h"
+
+#include "radishroad/base/hash.h"
+#include "radishroad/base/millis.h"
+#include "radishroad/state/cell_state.h"
+
+#include <algorithm>
+#include <array>
+#include <ctime>
+#include <set>
+
+namespace radishroad {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr std::int64_t kMillisPerSecond = 1000;
+constexpr std::array<std::string_view, 6> kShownFirst{ "ms", "level", "role",
+                                                       "vm", "zone",  "event" };
+
+bool
+isEvent(const Json& aJson)
+{
+  return aJson.is_object() && aJson.contains("ms") &&
+         aJson["ms"].is_number_integer() && aJson.contains("event") &&
+         aJson["event"].is_string();
+}
+
+/// A field as text, whether it is a string or a number; empty if absent.
+std::string
+textOf(const Json& aEvent, std::string_view aName)
+{
+  const auto it = aEvent.find(aName);
+  if (it == aEvent.end()) {
+    return {};
+  }
+  return it->is_string() ? it->get<std::string>() : it->dump();
+}
+
+bool
+concernsKey(const Json& aEvent, const std::string& aKey)
+{
+  const std::uint64_t hash = hash64(aKey);
+  return textOf(aEvent, "key") == aKey ||
+         textOf(aEvent, "key_hash") == std::to_string(hash) ||
+         textOf(aEvent, "shard") == std::to_string(shardOf(hash));
+}
+
+bool
+passes(const Json& aEvent, const EventFilter& aFilter)
+{
+  const auto matches = [&aEvent](std::string_view aName,
+                                 const std::string& aWanted) {
+    return aWanted.empty() || textOf(aEvent, aName) == aWanted;
+  };
+  const bool vm =
+    matches("vm", aFilter.mVm) || textOf(aEvent, "member_vm") == aFilter.mVm;
+  return vm && matches("event", aFilter.mEvent) &&
+         matches("request_id", aFilter.mRequestId) &&
+         (aFilter.mKey.empty() || concernsKey(aEvent, aFilter.mKey));
+}
+
+std::string_view
+takeLine(std::string_view& aText)
+{
+  const std::size_t end = aText.find('\n');
+  const std::string_view line = aText.substr(0, end);
+  aText.remove_prefix(end == std::string_view::npos ? aText.size() : end + 1);
+  return line;
+}
+
+std::string
+timeToText(std::int64_t aMillis)
+{
+  const std::time_t seconds = aMillis / kMillisPerSecond;
+  std::tm parts{};
+  ::gmtime_r(&seconds, &parts);
+  std::array<char, 32> date{};
+  std::strftime(date.data(), date.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+  const std::string fraction =
+    std::to_string(kMillisPerSecond + aMillis % kMillisPerSecond).substr(1);
+  return std::string(date.data()) + "." + fraction + "Z";
+}
+
+}
+
+std::vector<Json>
+mergeEvents(std::span<const std::string> aSources, const EventFilter& aFilter)
+{
+  std::vector<Json> events;
+  std::set<std::string_view> seen;
+  for (const std::string& source : aSources) {
+    std::string_view rest = source;
+    std::set<std::string_view> here;
+    while (!rest.empty()) {
+      const std::string_view line = takeLine(rest);
+      if (seen.contains(line)) {
+        continue;
+      }
+      Json event = Json::parse(line, nullptr, false);
+      if (isEvent(event) && passes(event, aFilter)) {
+        events.push_back(std::move(event));
+        here.insert(line);
+      }
+    }
+    seen.merge(here);
+  }
+  std::stable_sort(
+    events.begin(), events.end(), [](const Json& aLeft, const Json& aRight) {
+      return aLeft["ms"].get<std::int64_t>() < aRight["ms"].get<std::int64_t>();
+    });
+  return events;
+}
+
+std::string
+eventToText(const Json& aEvent)
+{
+  std::string text = timeToText(aEvent["ms"].get<std::int64_t>());
+  const std::string vm = textOf(aEvent, "vm");
+  text += " " + (vm.empty() ? "-" : vm) + " " + textOf(aEvent, "event");
+  for (const auto& field : aEvent.items()) {
+    const bool shown =
+      std::find(kShownFirst.begin(), kShownFirst.end(), field.key()) !=
+      kShownFirst.end();
+    if (!shown) {
+      text += " " + field.key() + "=" + textOf(aEvent, field.key());
+    }
+  }
+  return text;
+}
+
+}
--- /dev/null
+++ b/src/operator/fleet_commands.cpp
@@ -0,0 +1,234 @@
+#include "radishroad/operator/fleet_commands.h"
+
+#include "radishroad/operator/event_merge.h"
+#include "radishroad/operator/fleet_query.h"
+#include "radishroad/operator/owner_table.h"
+#include "radishroad/operator/text_table.h"
+
+#include <fstream>
+#include <iterator>
+
+namespace radishroad {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+/// Members by the log, or by one daemon if the log does not answer.
+struct FoundMembers
+{
+  std::vector<FleetMember> mMembers;
+  /// 0 if only a daemon could tell.
+  std::uint64_t mConfigVersion = 0;
+  std::string mOperator;
+  bool mLogAnswers = false;
+};
+
+Result<FoundMembers>
+findMembers(const Arguments& aArguments, const Surroundings& aSurroundings)
+{
+  Error error{ ErrorCode::Unavailable, "neither log nor daemon is given" };
+  if (!aArguments.mLogAddress.empty()) {
+    const Result<FleetRecords> records = readFleet(aSurroundings);
+    if (records) {
+      return FoundMembers{ activeMembers(*records),
+                           records->mConfig.mVersion,
+                           records->mConfig.mOperator,
+                           true };
+    }
+    error = records.error();
+  }
+  if (!aArguments.mDaemon.empty()) {
+    Result<std::vector<FleetMember>> members =
+      membersKnownBy(aSurroundings, aArguments.mDaemon);
+    if (members) {
+      return FoundMembers{ std::move(*members), 0, "", false };
+    }
+    error = members.error();
+  }
+  return tl::unexpected<Error>(error);
+}
+
+bool
+isReady(const FleetMember& aMember)
+{
+  return aMember.mState && aMember.mState->value("ready", false);
+}
+
+/// A field of a daemon's /state as text; "-" if it is not there.
+std::string
+shown(const FleetMember& aMember, const char* aField)
+{
+  if (!aMember.mState || !aMember.mState->contains(aField)) {
+    return "-";
+  }
+  return aMember.mState->at(aField).dump();
+}
+
+bool
+holdsLease(const FleetMember& aMember)
+{
+  if (!aMember.mState) {
+    return false;
+  }
+  const auto it = aMember.mState->find("lease");
+  return it != aMember.mState->end() && it->is_object() &&
+         it->value("holds", false);
+}
+
+Json
+statusToJson(const FleetMember& aMember)
+{
+  Json json = { { "service", aMember.mService },
+                { "vm", aMember.mMember.mVm },
+                { "zone", aMember.mMember.mZone },
+                { "incarnation", std::to_string(aMember.mMember.mIncarnation) },
+                { "answers", aMember.mState.has_value() },
+                { "ready", isReady(aMember) },
+                { "holds_lease", holdsLease(aMember) } };
+  if (aMember.mState) {
+    json["config_version"] =
+      aMember.mState->value("config_version", std::uint64_t{ 0 });
+  } else {
+    json["problem"] = aMember.mState.error().mMessage;
+  }
+  return json;
+}
+
+TextTable::Row
+statusToRow(const FleetMember& aMember)
+{
+  const std::string health =
+    aMember.mState ? (isReady(aMember) ? "ready" : "not ready")
+                   : "no answer: " + aMember.mState.error().mMessage;
+  return { aMember.mService,
+           aMember.mMember.mVm,
+           aMember.mMember.mZone,
+           shown(aMember, "config_version"),
+           holdsLease(aMember) ? "held" : "-",
+           health };
+}
+
+std::optional<std::string>
+readFile(const std::string& aName)
+{
+  std::ifstream in(aName, std::ios::binary);
+  if (!in) {
+    return std::nullopt;
+  }
+  return std::string(std::istreambuf_iterator<char>(in), {});
+}
+
+}
+
+CommandResult
+status(const Arguments& aArguments, const Surroundings& aSurroundings)
+{
+  Result<FoundMembers> found = findMembers(aArguments, aSurroundings);
+  if (!found) {
+    return makeFailure(found.error());
+  }
+  fetchStates(aSurroundings, found->mMembers);
+  CommandResult result;
+  result.mJson = { { "log_answers", found->mLogAnswers },
+                   { "config_version", found->mConfigVersion },
+                   { "operator", found->mOperator },
+                   { "members", Json::array() } };
+  result.mText = found->mLogAnswers
+                   ? "configuration: version " +
+                       std::to_string(found->mConfigVersion) + " by " +
+                       found->mOperator + "\n"
+                   : "the log does not answer; shown is what " +
+                       aArguments.mDaemon + " knows\n";
+  TextTable table({ "service", "vm", "zone", "config", "lease", "state" });
+  bool allReady = true;
+  for (const FleetMember& member : found->mMembers) {
+    allReady = allReady && isReady(member);
+    table.add(statusToRow(member));
+    result.mJson["members"].push_back(statusToJson(member));
+  }
+  result.mText += table.toText();
+  result.mCode = allReady ? ExitCode::Ok : ExitCode::Negative;
+  return result;
+}
+
+CommandResult
+owners(const Arguments& aArguments, const Surroundings& aSurroundings)
+{
+  const Result<FleetRecords> records = readFleet(aSurroundings);
+  if (!records) {
+    return makeFailure(records.error());
+  }
+  const std::string& wanted = aArguments.mService;
+  if (!wanted.empty() && !records->mCells.contains(wanted)) {
+    return makeFailure(ExitCode::Negative, "there is no service " + wanted);
+  }
+  CommandResult result;
+  result.mJson = { { "services", Json::object() } };
+  for (const auto& [service, cell] : records->mCells) {
+    if (!wanted.empty() && service != wanted) {
+      continue;
+    }
+    const OwnerTable table(service, cell);
+    if (!aArguments.mKey.empty()) {
+      result.mText += table.keyToText(aArguments.mKey);
+      result.mJson["services"][service] = table.keyToJson(aArguments.mKey);
+      continue;
+    }
+    result.mText +=
+      aArguments.mShards ? table.shardsToText() : table.summaryToText();
+    result.mJson["services"][service] = table.toJson();
+  }
+  return result;
+}
+
+CommandResult
+timeline(const Arguments& aArguments, const Surroundings& aSurroundings)
+{
+  std::vector<std::string> sources;
+  std::string problems;
+  for (const std::string& name : aArguments.mWords) {
+    std::optional<std::string> text = readFile(name);
+    if (text) {
+      sources.push_back(std::move(*text));
+    } else {
+      problems += "cannot read " + name + "\n";
+    }
+  }
+  const bool asksFleet =
+    !aArguments.mLogAddress.empty() || !aArguments.mDaemon.empty();
+  const Result<FoundMembers> found = findMembers(aArguments, aSurroundings);
+  if (asksFleet && !found) {
+    problems += "cannot find the daemons: " + found.error().mMessage + "\n";
+  }
+  if (found) {
+    const std::vector<Result<std::string>> pages =
+      fetchAll(aSurroundings, found->mMembers, "/events");
+    for (std::size_t it = 0; it < pages.size(); ++it) {
+      if (pages[it]) {
+        sources.push_back(*pages[it]);
+      } else {
+        problems += "no events of " + found->mMembers[it].mMember.mVm + ": " +
+                    pages[it].error().mMessage + "\n";
+      }
+    }
+  }
+  if (sources.empty()) {
+    return makeFailure(ExitCode::Unavailable,
+                       problems.empty() ? "no source of events" : problems);
+  }
+  const EventFilter filter{
+    aArguments.mVm, aArguments.mEvent, aArguments.mRequestId, aArguments.mKey
+  };
+  CommandResult result;
+  result.mJson = Json::array();
+  for (const Json& event : mergeEvents(sources, filter)) {
+    result.mText += eventToText(event) + "\n";
+    result.mJson.push_back(event);
+  }
+  result.mCode = problems.empty() ? ExitCode::Ok : ExitCode::Negative;
+  result.mError = problems;
+  return result;
+}
+
+}
--- /dev/null
+++ b/src/operator/fleet_query.cpp
@@ -0,0 +1,168 @@
+#include "radishroad/operator/fleet_query.h"
+
+#include "radishroad/config/folder.h"
+#include "radishroad/operator/stream_reader.h"
+
+#include <algorithm>
+#include <future>
+
+namespace radishroad {
+
+namespace {
+
+constexpr std::size_t kFetchesAtOnce = 32;
+constexpr std::string_view kStatePath = "/state";
+
+Result<nlohmann::json>
+parseObject(const Result<std::string>& aText)
+{
+  if (!aText) {
+    return tl::unexpected<Error>(aText.error());
+  }
+  nlohmann::json json = nlohmann::json::parse(*aText, nullptr, false);
+  if (!json.is_object()) {
+    return fail(ErrorCode::Corrupt, "the answer is no JSON object");
+  }
+  return json;
+}
+
+/// Absent fields are left empty.
+Member
+memberFromJson(const nlohmann::json& aJson)
+{
+  Member member;
+  member.mVm = aJson.value("vm", "");
+  member.mZone = aJson.value("zone", "");
+  member.mOperatorAddress = aJson.value("operator_address", "");
+  member.mCallerAddress = aJson.value("caller_address", "");
+  member.mIncarnation =
+    std::strtoull(aJson.value("incarnation", "0").c_str(), nullptr, 10);
+  return member;
+}
+
+std::vector<FleetMember>
+membersFromState(const nlohmann::json& aState)
+{
+  std::vector<FleetMember> members;
+  for (const auto& cell : aState.at("cells").items()) {
+    for (const nlohmann::json& member : cell.value().at("members")) {
+      if (member.value("status", "") == "active") {
+        members.push_back({ cell.key(), memberFromJson(member), {} });
+      }
+    }
+  }
+  return members;
+}
+
+void
+sortByName(std::vector<FleetMember>& aMembers)
+{
+  std::sort(aMembers.begin(),
+            aMembers.end(),
+            [](const FleetMember& aLeft, const FleetMember& aRight) {
+              return std::tie(aLeft.mService, aLeft.mMember.mVm) <
+                     std::tie(aRight.mService, aRight.mMember.mVm);
+            });
+}
+
+}
+
+Result<FleetRecords>
+readFleet(const Surroundings& aSurroundings)
+{
+  FleetRecords records;
+  Result<ConfigState> config =
+    readState<ConfigState>(aSurroundings, std::string(kConfigStream));
+  if (!config) {
+    return tl::unexpected<Error>(config.error());
+  }
+  records.mConfig = std::move(*config);
+  if (records.mConfig.mVersion == 0) {
+    return records;
+  }
+  tl::expected<config::Model, Findings> model =
+    config::parse(records.mConfig.mFiles);
+  if (!model) {
+    return fail(ErrorCode::Corrupt,
+                "the published configuration is not accepted: " +
+                  model.error().front().toString());
+  }
+  records.mModel = std::move(*model);
+  for (const auto& [name, service] : records.mModel.mServices) {
+    Result<CellState> cell =
+      readState<CellState>(aSurroundings, cellStream(name));
+    if (!cell) {
+      return tl::unexpected<Error>(cell.error());
+    }
+    records.mCells.emplace(name, std::move(*cell));
+  }
+  return records;
+}
+
+std::vector<FleetMember>
+activeMembers(const FleetRecords& aRecords)
+{
+  std::vector<FleetMember> members;
+  for (const auto& [service, cell] : aRecords.mCells) {
+    for (const auto& [incarnation, member] : cell.mMembers) {
+      if (member.mStatus == MemberStatus::Active) {
+        members.push_back({ service, member, {} });
+      }
+    }
+  }
+  sortByName(members);
+  return members;
+}
+
+Result<std::vector<FleetMember>>
+membersKnownBy(const Surroundings& aSurroundings, const std::string& aDaemon)
+{
+  const Result<nlohmann::json> state =
+    parseObject(aSurroundings.mFetch(aDaemon, std::string(kStatePath)));
+  if (!state) {
+    return tl::unexpected<Error>(state.error());
+  }
+  try {
+    std::vector<FleetMember> members = membersFromState(*state);
+    sortByName(members);
+    return members;
+  } catch (const nlohmann::json::exception& error) {
+    return fail(ErrorCode::Corrupt, error.what());
+  }
+}
+
+std::vector<Result<std::string>>
+fetchAll(const Surroundings& aSurroundings,
+         const std::vector<FleetMember>& aMembers,
+         const std::string& aPath)
+{
+  std::vector<Result<std::string>> answers;
+  while (answers.size() < aMembers.size()) {
+    const std::size_t first = answers.size();
+    const std::size_t end = std::min(first + kFetchesAtOnce, aMembers.size());
+    std::vector<std::future<Result<std::string>>> fetches;
+    for (std::size_t it = first; it < end; ++it) {
+      fetches.push_back(std::async(std::launch::async, [&, it] {
+        return aSurroundings.mFetch(aMembers[it].mMember.mOperatorAddress,
+                                    aPath);
+      }));
+    }
+    for (std::future<Result<std::string>>& fetch : fetches) {
+      answers.push_back(fetch.get());
+    }
+  }
+  return answers;
+}
+
+void
+fetchStates(const Surroundings& aSurroundings,
+            std::vector<FleetMember>& aMembers)
+{
+  const std::vector<Result<std::string>> answers =
+    fetchAll(aSurroundings, aMembers, std::string(kStatePath));
+  for (std::size_t it = 0; it < aMembers.size(); ++it) {
+    aMembers[it].mState = parseObject(answers[it]);
+  }
+}
+
+}
--- /dev/null
+++ b/src/operator/stream_reader.cpp
@@ -0,0 +1,115 @@
+#include "radishroad/operator/stream_reader.h"
+
+#include <algorithm>
+
+namespace radishroad {
+
+namespace {
+
+template<typename State>
+typename StreamLoader<State>::Hooks
+makeHooks(typename StreamReader<State>::FoldedFn aOnFolded)
+{
+  if (!aOnFolded) {
+    return {};
+  }
+  return { [onFolded = std::move(aOnFolded)](const LogRecord& aRecord,
+                                             FoldVerdict aVerdict) {
+    const Result<std::unique_ptr<wire::RecordT>> record =
+      decodeRecord(aRecord.mData);
+    if (record) {
+      onFolded(**record, aVerdict);
+    }
+  } };
+}
+
+}
+
+template<typename State>
+StreamReader<State>::StreamReader(const Surroundings& aSurroundings,
+                                  std::string aStream,
+                                  FoldedFn aOnFolded)
+  : mSurroundings(aSurroundings)
+  , mStream(std::move(aStream))
+  , mLoader(makeHooks<State>(std::move(aOnFolded)))
+{
+}
+
+template<typename State>
+tl::unexpected<Error>
+StreamReader<State>::cannotRead(const Error& aError) const
+{
+  return fail(aError.mCode,
+              "cannot read stream " + mStream +
+                " of the log: " + aError.mMessage);
+}
+
+template<typename State>
+Result<void>
+StreamReader<State>::skipGap()
+{
+  const Result<LogClient::Bounds> bounds = mSurroundings.mBounds(mStream);
+  if (!bounds) {
+    return cannotRead(bounds.error());
+  }
+  if (bounds->mOldest > mNext) {
+    mNext = bounds->mOldest;
+    mLoader.onGap(mNext);
+  }
+  return {};
+}
+
+template<typename State>
+Result<void>
+StreamReader<State>::readToEnd()
+{
+  const Result<LogClient::Bounds> bounds = mSurroundings.mBounds(mStream);
+  if (!bounds) {
+    return cannotRead(bounds.error());
+  }
+  while (mNext < bounds->mNext) {
+    const Result<std::vector<LogRecord>> records =
+      mSurroundings.mRead(mStream, mNext);
+    if (!records && records.error().mCode == ErrorCode::Expired) {
+      if (Result<void> skipped = skipGap(); !skipped) {
+        return skipped;
+      }
+      continue;
+    }
+    if (!records) {
+      return cannotRead(records.error());
+    }
+    if (records->empty()) {
+      return fail(ErrorCode::Unavailable,
+                  "the log has no records where it should");
+    }
+    mLoader.add(*records);
+    mNext = records->back().mOffset + 1;
+  }
+  if (!mLoader.whole()) {
+    return fail(ErrorCode::Unavailable,
+                "stream " + mStream + " has no whole snapshot to start from");
+  }
+  return {};
+}
+
+template<typename State>
+Result<State>
+readState(const Surroundings& aSurroundings, const std::string& aStream)
+{
+  StreamReader<State> reader(aSurroundings, aStream);
+  const Result<void> read = reader.readToEnd();
+  if (!read) {
+    return tl::unexpected<Error>(read.error());
+  }
+  return reader.state();
+}
+
+template class StreamReader<CellState>;
+template class StreamReader<ConfigState>;
+template Result<CellState>
+readState<CellState>(const Surroundings&, const std::string&);
+template Result<ConfigState>
+readState<ConfigState>(const Surroundings&, const std::string&);
+
+}
