--- a/include/radishroad/daemon/fleet_state.h
+++ b/include/radishroad/daemon/fleet_state.h
@@ -78,7 +78,6 @@
 
   /// Looks through all cells. Null if unknown.
   const Member* findMember(Incarnation aIncarnation) const;
-  std::vector<Member> activeMembers() const;
   /// Service of the cell that knows the member; empty if none does.
   std::string serviceOf(Incarnation aIncarnation) const;
 
--- a/src/daemon/fleet_state.cpp
+++ b/src/daemon/fleet_state.cpp
@@ -204,20 +204,6 @@
   return {};
 }
 
-std::vector<Member>
-FleetState::activeMembers() const
-{
-  std::vector<Member> members;
-  for (const auto& [service, loader] : mCells) {
-    for (const auto& [incarnation, member] : loader.state().mMembers) {
-      if (member.mStatus == MemberStatus::Active) {
-        members.push_back(member);
-      }
-    }
-  }
-  return members;
-}
-
 void
 FleetState::foldConfig(std::span<const LogRecord> aRecords)
 {
