Tell an append that got no connection from a lost one

Cause: cut off from the log, an append timed out as unknown although nothing was sent, and a holder that changes its witnesses has to take an unknown append as one that may have taken effect.

Before: ErrorCode::Unknown at a log whose handshakes are dropped. After: Unavailable, as appends never share a connection and libcurl tells whether there was one.

--- a/include/radishroad/platform/log_client.h
+++ b/include/radishroad/platform/log_client.h
@@ -56,7 +56,7 @@
   Result<Bounds> bounds(std::string_view aStream, Millis aTimeout);
 
   /// Any thread. Ends the call under way, and each later one, with
-  /// ErrorCode::Timeout (an append's with ErrorCode::Unknown).
+  /// ErrorCode::Timeout (an append's as a failure of it would).
   void abort();
 
 private:
--- a/include/radishroad/platform/log_follower.h
+++ b/include/radishroad/platform/log_follower.h
@@ -48,8 +48,9 @@
   void skipTo(std::uint64_t aNext);
   /// Oldest offset that the log keeps, as last seen; any thread. 0 before.
   std::uint64_t oldestKept() const;
-  /// How long a poll waits for the first record (2 s at first); any thread,
-  /// from the next poll on. Bounds the time between two calls of mOnRecords.
+  /// How long a poll waits for the first record (2 s at first, 10 ms at least);
+  /// any thread, from the next poll on. Bounds the time between two calls of
+  /// mOnRecords.
   void setPollWait(Millis aWait);
   /// Ends the poll under way. No hook is called once it has returned. Not to
   /// be called from a hook.
--- a/src/platform/log_client.cpp
+++ b/src/platform/log_client.cpp
@@ -53,6 +53,7 @@
   CURLcode mCode = CURLE_OK;
   long mStatus = 0;
   std::string mBody;
+  bool mConnected = false;
   /// Of the header X-Oldest-Offset; 0 without one.
   std::uint64_t mOldest = 0;
 };
@@ -75,12 +76,12 @@
   return "status " + std::to_string(aAnswer.mStatus);
 }
 
-/// Nothing of the request can have left this machine.
+/// For a request on a connection of its own: there was none, so that nothing
+/// of the request can have been sent.
 bool
 wasNeverSent(const HttpAnswer& aAnswer)
 {
-  return aAnswer.mCode == CURLE_COULDNT_CONNECT ||
-         aAnswer.mCode == CURLE_COULDNT_RESOLVE_HOST;
+  return aAnswer.mCode != CURLE_OK && !aAnswer.mConnected;
 }
 
 Error
@@ -180,6 +181,9 @@
     curl_multi_add_handle(mMulti, mEasy);
     aAnswer.mCode = drive();
     curl_easy_getinfo(mEasy, CURLINFO_RESPONSE_CODE, &aAnswer.mStatus);
+    curl_off_t connectedAfter = 0;
+    curl_easy_getinfo(mEasy, CURLINFO_CONNECT_TIME_T, &connectedAfter);
+    aAnswer.mConnected = connectedAfter > 0;
     aAnswer.mOldest = readOldestHeader(mEasy);
     curl_multi_remove_handle(mMulti, mEasy);
   }
--- a/src/platform/log_follower.cpp
+++ b/src/platform/log_follower.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr Millis kPollWait{ 2000 };
+/// Bounds the reads a second of a follower that polls without records.
+constexpr Millis kShortestPollWait{ 10 };
 /// What a poll may take beyond its wait before it counts as failed.
 constexpr Millis kPollMargin{ 5000 };
 constexpr Millis kBoundsTimeout{ 5000 };
@@ -200,7 +202,7 @@
 LogFollower::setPollWait(Millis aWait)
 {
   std::lock_guard<std::mutex> lock(mImpl->mMutex);
-  mImpl->mWait = aWait;
+  mImpl->mWait = std::max(aWait, kShortestPollWait);
 }
 
 void
--- a/tests/unit/log_client_test.cpp
+++ b/tests/unit/log_client_test.cpp
@@ -8,11 +8,13 @@
 #include "radishroad/platform/read_body.h"
 #include "radishroad/state/fold.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <condition_variable>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <set>
 
 using namespace radishroad;
@@ -135,16 +137,33 @@
 
 BOOST_AUTO_TEST_CASE(without_a_listener_nothing_was_sent)
 {
-  std::string address;
-  {
-    FaultyLog log;
-    address = log.address();
-  }
-  LogClient client(address);
+  std::optional<FaultyLog> log(std::in_place);
+  LogClient client(log->address());
+  BOOST_TEST(client.append(kStream, Bytes{ 1 }, 5_s).has_value());
+  log.reset();
   BOOST_CHECK(client.append(kStream, Bytes{ 1 }, 5_s).error().mCode ==
               ErrorCode::Unavailable);
 }
 
+BOOST_AUTO_TEST_CASE(a_connection_that_never_came_about_sent_nothing)
+{
+  // A full accept queue drops further handshakes, as a cut network does.
+  const boost::asio::ip::tcp::endpoint any(
+    boost::asio::ip::address_v4::loopback(), 0);
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor acceptor(io, any.protocol());
+  acceptor.bind(any);
+  acceptor.listen(0);
+  boost::asio::ip::tcp::socket queued(io);
+  queued.connect(acceptor.local_endpoint());
+  LogClient client("127.0.0.1:" +
+                   std::to_string(acceptor.local_endpoint().port()));
+  BOOST_CHECK(client.append(kStream, Bytes{ 1 }, 200_ms).error().mCode ==
+              ErrorCode::Unavailable);
+  BOOST_CHECK(client.read(kStream, 0, 0_ms, 200_ms).error().mCode ==
+              ErrorCode::Timeout);
+}
+
 BOOST_AUTO_TEST_CASE(expired_offsets_are_told_apart)
 {
   FaultyLog log;
