Add the concurrency window and pace connections in the gate

A fresh upstream falls over under what a warm one bears, and an upstream turns cold without a sign.

On a cold turn idempotent runs beyond the window are cancelled and run again once the cancel has been answered.

--- /dev/null
+++ b/include/radishroad/policy/connection_pacer.h
@@ -0,0 +1,39 @@
+#ifndef RADISHROAD_POLICY_CONNECTION_PACER_H
+#define RADISHROAD_POLICY_CONNECTION_PACER_H
+
+#include "radishroad/base/millis.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace radishroad {
+
+/// Spaces new connections so that their cost takes at most a tenth of the
+/// upstream's time. A few may be opened at once after a pause. Pure.
+class ConnectionPacer
+{
+public:
+  /// What one new connection costs the upstream; 0 for no pacing.
+  void setCost(Millis aCost) { mInterval = aCost * kShare; }
+
+  bool mayOpen(Millis aNow) const { return aNow >= nextOpen(); }
+  void onOpened(Millis aNow)
+  {
+    mPaidUntil = std::max(mPaidUntil, aNow) + mInterval;
+  }
+  /// Earliest time at which a connection may be opened.
+  Millis nextOpen() const { return mPaidUntil - mInterval * kBurst; }
+
+private:
+  static constexpr std::int64_t kShare = 10;
+  /// Connections that may be opened ahead of their time.
+  static constexpr std::int64_t kBurst = 2;
+
+  Millis mInterval{ 10 };
+  /// The connections opened so far are paid for at this time.
+  Millis mPaidUntil;
+};
+
+}
+
+#endif
--- a/include/radishroad/upstream/queued_request.h
+++ b/include/radishroad/upstream/queued_request.h
@@ -21,6 +21,8 @@
   Millis mQueuedAt;
   /// How often the upstream has shed it.
   int mSheds = 0;
+  /// It was sent once and cancelled because the upstream turned cold.
+  bool mTakenBack = false;
 };
 
 }
--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -46,6 +46,8 @@
   mImpl->post([impl = mImpl.get(), aService] {
     impl->mService = aService;
     impl->mHealth.setProbeCost(aService.mProbeCost);
+    impl->mWindow.setMax(aService.mMaxInFlight);
+    impl->mPacer.setCost(aService.mConnectionCost);
   });
 }
 
--- a/src/upstream/gate_cancel.cpp
+++ b/src/upstream/gate_cancel.cpp
@@ -1,5 +1,6 @@
 #include "gate_impl.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace radishroad {
@@ -49,6 +50,13 @@
   }
 }
 
+bool
+Gate::Impl::isGivenUp(RandomId aId) const
+{
+  return std::ranges::any_of(
+    mGivenUp, [aId](const auto& aEntry) { return aEntry.second.mId == aId; });
+}
+
 void
 Gate::Impl::trackGivenUp(const Run& aRun, Millis aNow)
 {
--- a/src/upstream/gate_health.cpp
+++ b/src/upstream/gate_health.cpp
@@ -7,6 +7,8 @@
 constexpr Millis kProbeTimeout{ 500 };
 constexpr Millis kMaxIdle{ 30000 };
 constexpr std::size_t kMaxProbeAnswer = 4096;
+constexpr std::uint64_t kLoadProbeEvery = 4;
+constexpr const char* kLoadPath = "/load";
 constexpr std::string_view kInstanceHeader = "X-Upstream-Instance";
 
 }
@@ -23,15 +25,22 @@
   UpstreamRequest probe;
   probe.mUpstream = mOptions.mUpstream;
   probe.mMethod = "GET";
-  probe.mTarget = mOptions.mHealthPath;
+  // The load report is asked for along with health, less often.
+  const bool load = ++mProbes % kLoadProbeEvery == 0 && mHealth.healthy();
+  probe.mTarget = load ? kLoadPath : mOptions.mHealthPath;
   probe.mTimeout = kProbeTimeout;
   probe.mMaxIdle = kMaxIdle;
   probe.mMaxBodyBytes = kMaxProbeAnswer;
   mExchanges.start(
     probe,
     [] { return true; },
-    [this](
+    [this, load](
       ExchangeEnd aEnd, CURLcode aCode, const UpstreamResponse& aResponse) {
+      if (load && aEnd == ExchangeEnd::Whole) {
+        mProbing = false;
+        onLoadAnswer(aResponse);
+        return;
+      }
       onProbeEnd(aEnd, aCode, aResponse);
     });
 }
@@ -65,6 +74,9 @@
 void
 Gate::Impl::onHealthChange(HealthChange aChange)
 {
+  if (aChange != HealthChange::None) {
+    mWindow.onCold(mHooks.mNow());
+  }
   switch (aChange) {
     case HealthChange::None:
       return;
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -2,6 +2,8 @@
 #define RADISHROAD_SRC_UPSTREAM_GATE_IMPL_H
 
 #include "radishroad/base/ring.h"
+#include "radishroad/policy/connection_pacer.h"
+#include "radishroad/policy/window.h"
 #include "radishroad/upstream/exchange_runner.h"
 #include "radishroad/upstream/gate.h"
 #include "radishroad/upstream/health_tracker.h"
@@ -29,7 +31,10 @@
     ExchangeRunner::ExchangeId mExchange = 0;
     Epoch mEpoch = 0;
     Millis mServeUntil;
-    Millis mStartedAt;
+    /// When the request was handed over, and its rank in flight then.
+    Millis mSentAt;
+    std::uint32_t mInFlight = 0;
+    bool mSent = false;
     /// It was held back when its connection stood; goes back to the queue.
     bool mHeldBack = false;
   };
@@ -66,6 +71,9 @@
   void takeInbox();
   void checkRuns(Millis aNow);
   void expireQueued(Millis aNow);
+  /// Time after which a request is not worth sending: it would run out at the
+  /// upstream.
+  Millis lastSend(const QueuedRequest& aQueued) const;
   void refuseMoved();
   /// Answers what was submitted to a gate that never ran.
   void refuseSubmitted();
@@ -78,7 +86,10 @@
 
   // gate_run.cpp: a request's way through the upstream.
   void dispatch(Millis aNow);
+  std::uint32_t busy() const;
   bool mayStart(Millis aNow) const;
+  /// A pooled connection is free, or a new one may be opened.
+  bool hasConnection(Millis aNow) const;
   void decide(QueuedRequest aQueued, Millis aNow);
   void startRun(QueuedRequest aQueued, const ServeDecision& aDecision);
   bool maySend(RunId aId);
@@ -94,8 +105,17 @@
   void answer(QueuedRequest& aQueued, Answer aAnswer);
   void refuse(QueuedRequest& aQueued, NotRunReason aReason, Epoch aEpoch = 0);
 
+  // gate_window.cpp: what the upstream bears.
+  void watchPending(Millis aNow);
+  /// Cancels the newest idempotent runs beyond the window, to run later.
+  void takeBack(Millis aNow);
+  void onLoadAnswer(const UpstreamResponse& aResponse);
+  void notePaidConnections(Millis aNow);
+
   // gate_cancel.cpp: runs that were given up.
   void cancelRequest(RandomId aId);
+  /// A copy must wait: the cancel of the one before would end it too.
+  bool isGivenUp(RandomId aId) const;
   void trackGivenUp(const Run& aRun, Millis aNow);
   void sendCancels(Millis aNow);
   void onCancelEnd(RunId aId,
@@ -128,6 +148,11 @@
   Millis mProbeStartedAt;
   std::vector<CrashSuspect> mSuspects;
   config::Service mService;
+  ConcurrencyWindow mWindow;
+  ConnectionPacer mPacer;
+  /// Connections known to the pacer.
+  std::uint64_t mPacedConnections = 0;
+  std::uint64_t mProbes = 0;
 
   /// Any thread.
   Ring<QueuedRequest> mSubmitted;
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -9,6 +9,8 @@
 /// Longest sleep of the gate's thread; bounds how late a change of ownership
 /// is noticed by waiting requests.
 constexpr Millis kMaxSleep{ 50 };
+/// How often the ages of requests in flight are looked at.
+constexpr Millis kPendingCheck{ 10 };
 
 }
 
@@ -16,6 +18,7 @@
   : mOptions(std::move(aOptions))
   , mHooks(std::move(aHooks))
   , mMetrics(aMetrics)
+  , mWindow(mService.mMaxInFlight)
   , mSubmitted(mOptions.mMaxQueued + 1)
 {
 }
@@ -28,11 +31,13 @@
     takeInbox();
     // Before any traffic: the thread may have been stopped for long.
     checkRuns(now);
+    watchPending(now);
     expireQueued(now);
     sendCancels(now);
     probe(now);
     dispatch(now);
     mExchanges.perform();
+    notePaidConnections(mHooks.mNow());
     // Freed slots are taken before sleeping.
     dispatch(mHooks.mNow());
     finishDrains();
@@ -109,8 +114,10 @@
 Gate::Impl::expireQueued(Millis aNow)
 {
   const bool down = !mHealth.healthy();
-  std::vector<QueuedRequest> late = mQueue.removeIf(
-    [aNow](const QueuedRequest& aQueued) { return aNow >= aQueued.mDeadline; });
+  std::vector<QueuedRequest> late =
+    mQueue.removeIf([this, aNow](const QueuedRequest& aQueued) {
+      return aNow >= lastSend(aQueued);
+    });
   for (QueuedRequest& queued : late) {
     refuse(queued,
            down ? NotRunReason::UpstreamDown : NotRunReason::DeadlinePassed);
@@ -120,6 +127,18 @@
   }
 }
 
+Millis
+Gate::Impl::lastSend(const QueuedRequest& aQueued) const
+{
+  if (mOptions.mUnguarded) {
+    return aQueued.mDeadline;
+  }
+  // A request that came with little time is still tried once.
+  const Millis given = aQueued.mDeadline - aQueued.mQueuedAt;
+  const Millis need = std::min(mWindow.expectedTime(), given / 2);
+  return aQueued.mDeadline - need;
+}
+
 void
 Gate::Impl::refuseMoved()
 {
@@ -187,6 +206,13 @@
       next = std::min(next, run.mNextCancel);
     }
   }
+  if (!mQueue.empty() && busy() < mWindow.limit() && mHealth.healthy()) {
+    // Waits for a connection, if for anything.
+    next = std::min(next, std::max(aNow + Millis{ 1 }, mPacer.nextOpen()));
+  }
+  if (!mRuns.empty()) {
+    next = std::min(next, aNow + kPendingCheck);
+  }
   if (!mProbing) {
     next = std::min(next, mHealth.nextProbe());
   }
@@ -203,11 +229,11 @@
 void
 Gate::Impl::publishGauges()
 {
-  const std::size_t n = mRuns.size() + mGivenUp.size();
-  mInFlight = static_cast<std::uint32_t>(n);
+  const std::uint32_t n = busy();
+  mInFlight = n;
   mHealthyNow = mHealth.healthy();
-  mWindowNow = mService.mMaxInFlight;
-  mMetrics.gauge("gate_in_flight", static_cast<double>(n));
+  mWindowNow = mWindow.size();
+  mMetrics.gauge("gate_in_flight", n);
   mMetrics.gauge("gate_queued", mQueuedCount.load());
   mMetrics.gauge("gate_window", mWindowNow);
   mMetrics.gauge("gate_connections", mExchanges.connections().open());
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -22,19 +22,29 @@
 
 }
 
+std::uint32_t
+Gate::Impl::busy() const
+{
+  return static_cast<std::uint32_t>(mRuns.size() + mGivenUp.size());
+}
+
 bool
-Gate::Impl::mayStart(Millis) const
+Gate::Impl::mayStart(Millis aNow) const
 {
-  const std::size_t busy = mRuns.size() + mGivenUp.size();
-  return mHealth.healthy() && busy < mService.mMaxInFlight;
+  if (!mHealth.healthy()) {
+    return false;
+  }
+  return mOptions.mUnguarded ||
+         (busy() < mWindow.limit() && hasConnection(aNow));
 }
 
 void
 Gate::Impl::dispatch(Millis aNow)
 {
   const auto mayGo = [this, aNow](const QueuedRequest& aQueued) {
-    return aNow >= aQueued.mNotBefore && aNow < aQueued.mDeadline &&
-           !mPaused.contains(aQueued.mRequest.shard);
+    return aNow >= aQueued.mNotBefore && aNow < lastSend(aQueued) &&
+           !mPaused.contains(aQueued.mRequest.shard) &&
+           !isGivenUp(idOf(aQueued.mRequest));
   };
   while (mayStart(aNow)) {
     std::optional<QueuedRequest> queued = mQueue.pop(mayGo);
@@ -77,7 +87,6 @@
   run.mQueued = std::move(aQueued);
   run.mEpoch = aDecision.mEpoch;
   run.mServeUntil = aDecision.mServeUntil;
-  run.mStartedAt = now;
 
   const ForwardRequest& request = run.mQueued.mRequest;
   const Millis left = run.mQueued.mDeadline - now;
@@ -109,7 +118,10 @@
   const bool inTime = mHooks.mNow() < run.mQueued.mDeadline;
   run.mHeldBack = !served || !inTime || mPaused.contains(request.shard);
   run.mServeUntil = decision.mServeUntil;
-  return !run.mHeldBack;
+  run.mSent = !run.mHeldBack;
+  run.mSentAt = mHooks.mNow();
+  run.mInFlight = busy();
+  return run.mSent;
 }
 
 void
@@ -140,6 +152,10 @@
   onHealthChange(mHealth.onAnswer(aResponse.header(kInstanceHeader)));
   QueuedRequest& queued = aRun.mQueued;
   const NotRunReason reason = provenNotRun(aResponse);
+  if (reason == NotRunReason::Shed) {
+    mMetrics.count("gate_shed_total");
+    mWindow.onShed(now);
+  }
   if (reason == NotRunReason::Shed && queued.mSheds < kMaxSheds) {
     ++queued.mSheds;
     queued.mNotBefore = now + kShedPause;
@@ -150,7 +166,8 @@
     refuse(queued, reason);
     return;
   }
-  const Millis took = now - aRun.mStartedAt;
+  const Millis took = now - aRun.mSentAt;
+  mWindow.onAnswer(took, aRun.mInFlight, now);
   mLoad.add(queued.mRequest.shard, queued.mRequest.key_hash, took);
   mMetrics.observeMs("gate_run_ms", static_cast<double>(took.mCount));
   answer(queued, makeAnswered(queued.mRequest, std::move(aResponse)));
@@ -205,7 +222,11 @@
     refuse(run.mQueued, aReason);
     return;
   }
-  trackGivenUp(run, mHooks.mNow());
+  const Millis now = mHooks.mNow();
+  if (aReason == NotRunReason::DeadlinePassed) {
+    mWindow.onTimeout(now - run.mSentAt, now);
+  }
+  trackGivenUp(run, now);
   answer(run.mQueued, makeUnknown(idOf(run.mQueued.mRequest)));
 }
 
--- /dev/null
+++ b/src/upstream/gate_window.cpp
@@ -0,0 +1,103 @@
+#include "gate_impl.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace radishroad {
+
+namespace {
+
+constexpr std::string_view kInstanceHeader = "X-Upstream-Instance";
+
+std::uint32_t
+countOf(const nlohmann::json& aReport, const char* aName)
+{
+  const auto it = aReport.find(aName);
+  const bool given = it != aReport.end() && it->is_number_unsigned();
+  return given ? it->get<std::uint32_t>() : 0;
+}
+
+}
+
+bool
+Gate::Impl::hasConnection(Millis aNow) const
+{
+  return mExchanges.connections().open() > mExchanges.active() ||
+         mPacer.mayOpen(aNow);
+}
+
+void
+Gate::Impl::notePaidConnections(Millis aNow)
+{
+  const std::uint64_t opened = mExchanges.connections().opened();
+  for (; mPacedConnections < opened; ++mPacedConnections) {
+    mPacer.onOpened(aNow);
+  }
+}
+
+void
+Gate::Impl::watchPending(Millis aNow)
+{
+  if (mOptions.mUnguarded) {
+    return;
+  }
+  const ConcurrencyWindow::Ages ages = mWindow.ages();
+  ConcurrencyWindow::Pending pending;
+  for (const auto& [id, run] : mRuns) {
+    if (!run.mSent) {
+      continue;
+    }
+    const Millis age = aNow - run.mSentAt;
+    ++pending.mAll;
+    pending.mLate += age >= ages.mLate ? 1 : 0;
+    pending.mCold += age >= ages.mCold ? 1 : 0;
+  }
+  if (mWindow.onPending(pending, aNow)) {
+    mMetrics.count("gate_cold_total");
+    takeBack(aNow);
+  }
+}
+
+void
+Gate::Impl::takeBack(Millis aNow)
+{
+  std::vector<RunId> newest;
+  std::size_t left = mRuns.size();
+  std::for_each(mRuns.rbegin(), mRuns.rend(), [&](const auto& aEntry) {
+    const QueuedRequest& queued = aEntry.second.mQueued;
+    const bool again = queued.mRequest.idempotent && !queued.mTakenBack &&
+                       aNow < lastSend(queued);
+    if (again && left > mWindow.limit()) {
+      newest.push_back(aEntry.first);
+      --left;
+    }
+  });
+  for (const RunId id : newest) {
+    auto node = mRuns.extract(id);
+    Run& run = node.mapped();
+    if (mExchanges.abort(run.mExchange)) {
+      trackGivenUp(run, aNow);
+    }
+    run.mQueued.mTakenBack = true;
+    mMetrics.count("gate_taken_back_total");
+    mQueue.pushFront(std::move(run.mQueued));
+  }
+}
+
+void
+Gate::Impl::onLoadAnswer(const UpstreamResponse& aResponse)
+{
+  onHealthChange(mHealth.onAnswer(aResponse.header(kInstanceHeader)));
+  const nlohmann::json report = nlohmann::json::parse(
+    aResponse.mBody.begin(), aResponse.mBody.end(), nullptr, false);
+  if (aResponse.mStatus != 200 || !report.is_object()) {
+    return;
+  }
+  LoadReading reading;
+  reading.mInFlight = countOf(report, "in_flight");
+  reading.mSlots = countOf(report, "slots");
+  reading.mQueued = countOf(report, "queued");
+  mWindow.onLoadReport(reading);
+}
+
+}
--- a/tests/unit/fake_upstream.cpp
+++ b/tests/unit/fake_upstream.cpp
@@ -165,6 +165,9 @@
     const std::lock_guard<std::mutex> lock(mMutex);
     return status("200 OK", "X-Upstream-Instance: " + mInstance + "\r\n");
   }
+  if (aRequest.mTarget == "/load") {
+    return status("404 Not Found", "");
+  }
   {
     const std::lock_guard<std::mutex> lock(mMutex);
     mRequests.push_back(aRequest);
--- a/tests/unit/gate_test.cpp
+++ b/tests/unit/gate_test.cpp
@@ -400,6 +400,75 @@
   BOOST_TEST((late.reason == NotRunReason::Draining));
 }
 
+BOOST_AUTO_TEST_CASE(fresh_upstream_gets_one_request_at_a_time)
+{
+  std::atomic<int> running{ 0 };
+  std::atomic<int> most{ 0 };
+  Fixture fixture([&](const Request&) {
+    most = std::max(most.load(), ++running);
+    --running;
+    return FakeUpstream::ok("");
+  });
+  std::vector<std::future<Answer>> answers;
+  for (std::uint64_t i = 0; i < 8; ++i) {
+    answers.push_back(fixture.submit(makeRequest("POST", i)));
+  }
+  for (std::future<Answer>& answer : answers) {
+    BOOST_TEST((answer.get().kind == AnswerKind::Answered));
+  }
+  BOOST_TEST(most == 1);
+}
+
+BOOST_AUTO_TEST_CASE(runs_are_taken_back_when_the_upstream_turns_cold)
+{
+  // Answers are held for the ids from kHeld on, the first time they come.
+  constexpr int kHeld = 100000;
+  std::mutex mutex;
+  std::map<std::string, int> seen;
+  std::promise<void> opened;
+  const std::shared_future<void> open = opened.get_future().share();
+  Fixture fixture([&](const Request& aRequest) {
+    const std::string id = aRequest.mHeaders.at("x-radishroad-request-id");
+    int times = 0;
+    {
+      const std::lock_guard<std::mutex> lock(mutex);
+      times = ++seen[id];
+    }
+    if (aRequest.mTarget == "/held" && times == 1) {
+      open.wait();
+    }
+    return FakeUpstream::ok("");
+  });
+  // Requests until the window lets several run at once.
+  std::uint64_t id = 0;
+  while (fixture.mGate.takeLoad().mWindow < 3) {
+    std::vector<std::future<Answer>> answers;
+    for (int i = 0; i < 4; ++i) {
+      answers.push_back(fixture.submit(makeRequest("GET", id++)));
+    }
+    for (std::future<Answer>& answer : answers) {
+      answer.get();
+    }
+  }
+  std::vector<std::future<Answer>> held;
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    ForwardRequest request = makeRequest(i == 0 ? "POST" : "GET", kHeld + i);
+    request.target = "/held";
+    request.idempotent = i != 0;
+    held.push_back(fixture.submit(std::move(request)));
+  }
+  // The two idempotent ones are cancelled, to run again once the POST, which
+  // keeps its only run, has left the window of one.
+  BOOST_TEST(fixture.mUpstream.waitFor("DELETE", 2));
+  opened.set_value();
+  for (std::future<Answer>& answer : held) {
+    BOOST_TEST((answer.get().kind == AnswerKind::Answered));
+  }
+  BOOST_TEST(fixture.mUpstream.requests("DELETE").size() == 2U);
+  const std::lock_guard<std::mutex> lock(mutex);
+  BOOST_TEST((seen.at(RandomId{ 7, kHeld }.toString()) == 1));
+}
+
 BOOST_AUTO_TEST_CASE(request_in_flight_at_a_restart_is_reported)
 {
   FakeUpstream* upstream = nullptr;
--- /dev/null
+++ b/tests/unit/window_test.cpp
@@ -0,0 +1,188 @@
+#include "radishroad/policy/window.h"
+
+#include "model/upstream_model.h"
+#include "radishroad/policy/connection_pacer.h"
+#include "radishroad/policy/fixed_limit.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace radishroad;
+using namespace radishroad::literals;
+
+namespace {
+
+constexpr std::uint32_t kMax = 64;
+constexpr std::uint64_t kSeeds = 20;
+
+/// An upstream of each of the two deployments, at seven tenths of its slots.
+template<typename Window>
+std::vector<typename UpstreamModel<Window>::Options>
+deployments()
+{
+  std::vector<typename UpstreamModel<Window>::Options> sizes(2);
+  sizes[0].mSlots = 10;
+  sizes[0].mServiceMs = 20;
+  sizes[0].mOffered = 350;
+  sizes[1].mSlots = 6;
+  sizes[1].mServiceMs = 40;
+  sizes[1].mOffered = 105;
+  return sizes;
+}
+
+/// Answers of one round that took about so long, with the window in use.
+void
+feedRound(ConcurrencyWindow& aWindow, Millis& aNow, std::int64_t aTookMs)
+{
+  for (int i = 0; i < 21; ++i) {
+    aNow += 10_ms;
+    aWindow.onAnswer(Millis{ aTookMs }, aWindow.limit(), aNow);
+  }
+}
+
+ConcurrencyWindow
+grownWindow(Millis& aNow)
+{
+  ConcurrencyWindow window(kMax);
+  window.onCold(aNow);
+  aNow += 100_ms;
+  for (int i = 0; i < 12; ++i) {
+    feedRound(window, aNow, 20);
+  }
+  return window;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(window)
+
+BOOST_AUTO_TEST_CASE(fresh_upstream_never_falls_and_reaches_its_rate)
+{
+  for (auto options : deployments<ConcurrencyWindow>()) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      options.mSeed = seed;
+      UpstreamModel<ConcurrencyWindow> model(options, ConcurrencyWindow(kMax));
+      const auto result = model.run();
+      BOOST_TEST(result.mFalls == 0, "seed " << seed);
+      BOOST_TEST((result.mFullRateAt < 20_s), "seed " << seed);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(upstream_that_turns_cold_in_silence_never_falls)
+{
+  for (auto options : deployments<ConcurrencyWindow>()) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      options.mSeed = seed;
+      options.mTurnsColdAt = 20_s;
+      UpstreamModel<ConcurrencyWindow> model(options, ConcurrencyWindow(kMax));
+      BOOST_TEST(model.run().mFalls == 0, "seed " << seed);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(baselines_fall)
+{
+  for (auto options : deployments<FixedLimit>()) {
+    const auto slots = static_cast<std::uint32_t>(options.mSlots);
+    UpstreamModel<FixedLimit> fixed(options, FixedLimit(slots));
+    UpstreamModel<FixedLimit> none(options, FixedLimit(UINT32_MAX));
+    BOOST_TEST(fixed.run().mFalls > 0);
+    BOOST_TEST(none.run().mFalls > 0);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(starts_at_one_and_grows_to_the_bound_of_the_service)
+{
+  Millis now;
+  ConcurrencyWindow window = grownWindow(now);
+  BOOST_TEST(window.limit() > 10U);
+  window.setMax(6);
+  BOOST_TEST(window.limit() == 6U);
+  window.onCold(now);
+  BOOST_TEST(window.limit() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(does_not_grow_while_it_is_not_used)
+{
+  Millis now;
+  ConcurrencyWindow window(kMax);
+  window.onCold(now);
+  for (int i = 0; i < 2000; ++i) {
+    now += 10_ms;
+    window.onAnswer(20_ms, 1, now);
+  }
+  BOOST_TEST(window.limit() <= 2U);
+}
+
+BOOST_AUTO_TEST_CASE(sudden_slowdown_starts_over)
+{
+  Millis now;
+  ConcurrencyWindow window = grownWindow(now);
+  feedRound(window, now, 200);
+  BOOST_TEST(window.limit() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(late_requests_stop_sending_and_very_late_ones_start_over)
+{
+  Millis now;
+  ConcurrencyWindow window = grownWindow(now);
+  const std::uint32_t before = window.limit();
+  BOOST_TEST(!window.onPending({ 8, 4, 0 }, now));
+  BOOST_TEST(window.limit() == 1U);
+  BOOST_TEST(!window.onPending({ 8, 1, 0 }, now));
+  BOOST_TEST(window.limit() == before);
+  BOOST_TEST(window.onPending({ 8, 8, 4 }, now));
+  BOOST_TEST(window.limit() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(shedding_shrinks_once_for_one_cause)
+{
+  Millis now;
+  ConcurrencyWindow window = grownWindow(now);
+  const double before = window.size();
+  window.onShed(now);
+  const double after = window.size();
+  BOOST_TEST(after < before);
+  window.onShed(now + 1_ms);
+  BOOST_TEST(window.size() == after);
+}
+
+BOOST_AUTO_TEST_CASE(load_report_alone_changes_nothing)
+{
+  Millis now;
+  ConcurrencyWindow honest = grownWindow(now);
+  Millis sameNow;
+  ConcurrencyWindow lied(kMax);
+  lied.onCold(sameNow);
+  sameNow += 100_ms;
+  for (int i = 0; i < 12; ++i) {
+    // Claims to be idle, then to be overloaded, while answers stay as fast.
+    lied.onLoadReport({ 0, 1000, i % 2 == 0 ? 0U : 50U });
+    feedRound(lied, sameNow, 20);
+  }
+  BOOST_TEST(lied.size() == honest.size());
+  // An idle report does not undo what slow answers tell.
+  lied.onLoadReport({ 0, 1000, 0 });
+  const double before = lied.size();
+  feedRound(lied, sameNow, 40);
+  BOOST_TEST(lied.size() < before);
+}
+
+BOOST_AUTO_TEST_CASE(connections_are_spaced_by_their_cost)
+{
+  ConnectionPacer pacer;
+  pacer.setCost(1_ms);
+  int opened = 0;
+  for (Millis now = 1000_ms; now < 2000_ms; now += 1_ms) {
+    if (pacer.mayOpen(now)) {
+      pacer.onOpened(now);
+      ++opened;
+    }
+  }
+  BOOST_TEST(opened <= 103);
+  BOOST_TEST(opened >= 98);
+  pacer.setCost(0_ms);
+  BOOST_TEST(pacer.mayOpen(5_s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
