--- a/tests/unit/link_faults_test.cpp
+++ b/tests/unit/link_faults_test.cpp
@@ -85,6 +85,28 @@
   BOOST_TEST((worst < kLongestDelay));
 }
 
+BOOST_AUTO_TEST_CASE(control_frames_pass_a_body_that_is_stuck)
+{
+  Node sender(1);
+  RawPeer peer;
+  ForwardRequest request = makeRequest(1);
+  request.body.resize(16U << 20);
+  sender.forward(peer.address(), std::move(request));
+  Tcp::socket stuck = peer.accept();
+  writeFrame(stuck, helloFrame(2));
+  BOOST_REQUIRE(readFrame(stuck).has_value());
+  // The length of the body's frame: its writing has begun.
+  std::array<std::uint8_t, kFramePrefixBytes> prefix;
+  asio::read(stuck, asio::buffer(prefix));
+  sender.mLink->sendControl(peer.address(), 2, renewFrame(1, 5_ms));
+  Tcp::socket control = peer.accept();
+  writeFrame(control, helloFrame(2));
+  BOOST_REQUIRE(readFrame(control).has_value());
+  const Result<wire::FrameBodyUnion> frame = readFrame(control);
+  BOOST_REQUIRE(frame.has_value());
+  BOOST_TEST(frame->AsRenew() != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(request_to_a_silent_peer_ends_before_its_deadline)
 {
   Node caller(1);
--- a/tests/unit/ownership_model.cpp
+++ b/tests/unit/ownership_model.cpp
@@ -520,14 +520,7 @@
     if (mNow.mCount % 1000 == 0) {
       declareLost();
     }
-    appendAll();
-    deliver();
-    for (int n = 0; n < kDaemons; ++n) {
-      if (!frozen(n)) {
-        step(n);
-      }
-    }
-    judge(outcome);
+    tick(outcome);
   }
   if (mAllServedSince) {
     outcome.mRecovery = std::max(Millis{}, *mAllServedSince - kFaultsEnd);
@@ -539,4 +532,42 @@
   return outcome;
 }
 
+void
+Model::tick(Outcome& aOutcome)
+{
+  appendAll();
+  deliver();
+  for (int n = 0; n < kDaemons; ++n) {
+    if (!frozen(n)) {
+      step(n);
+    }
+  }
+  judge(aOutcome);
+}
+
+LossOutcome
+Model::runLoss(int aLost)
+{
+  mAlwaysCalm = true;
+  Outcome outcome;
+  const Millis lossAt = Millis{ 3000 } + kTick * (mRandom() % 25);
+  for (; mNow < lossAt; mNow += kTick) {
+    tick(outcome);
+  }
+  const std::size_t records = mLog.size();
+  for (int n = 0; n < aLost; ++n) {
+    crash(n);
+    mFrozenUntil[n] = kEnd;
+  }
+  for (; mNow < kEnd; mNow += kTick) {
+    tick(outcome);
+  }
+  LossOutcome loss;
+  if (mAllServedSince && !outcome.mViolated) {
+    loss.mUnserved = *mAllServedSince - lossAt;
+  }
+  loss.mAppends = mLog.size() - records;
+  return loss;
+}
+
 }
--- a/tests/unit/ownership_model.h
+++ b/tests/unit/ownership_model.h
@@ -114,6 +114,14 @@
   double mServedShare = 0;
 };
 
+/// What the loss of daemons in an otherwise calm cell leads to.
+struct LossOutcome
+{
+  /// From the loss until every shard was served again.
+  std::optional<Millis> mUnserved;
+  std::size_t mAppends = 0;
+};
+
 /// Runs one seed: cuts, freezes, crashes, delayed, lost and repeated messages,
 /// logs cut off and appends in doubt until kFaultsEnd, then calm.
 class Model
@@ -121,11 +129,13 @@
 public:
   Model(std::uint32_t aSeed, Mutant aMutant);
   Outcome run();
+  /// No faults, but aLost daemons are lost for good at the same moment.
+  LossOutcome runLoss(int aLost);
 
 private:
   bool chance(double aShare) { return mUniform(mRandom) < aShare; }
   Millis between(std::int64_t aLow, std::int64_t aHigh);
-  bool calm() const { return mNow >= kFaultsEnd; }
+  bool calm() const { return mAlwaysCalm || mNow >= kFaultsEnd; }
   Millis localTime(int aIndex) const;
   bool frozen(int aIndex) const { return mFrozenUntil[aIndex] > mNow; }
 
@@ -148,11 +158,13 @@
   wire::RecordT recordOf(Change aChange);
   void submit(int aIndex, const wire::RecordT& aRecord);
   void appendNow(const wire::RecordT& aRecord);
+  void tick(Outcome& aOutcome);
   void judge(Outcome& aOutcome);
 
   std::mt19937 mRandom;
   std::uniform_real_distribution<double> mUniform{ 0, 1 };
   Mutant mMutant;
+  bool mAlwaysCalm = false;
   Millis mNow;
   std::uint64_t mSequence = 0;
   std::uint64_t mLastRecord = 0;
--- a/tests/unit/ownership_model_test.cpp
+++ b/tests/unit/ownership_model_test.cpp
@@ -74,6 +74,27 @@
   BOOST_TEST(share / seeds > 0.3);
 }
 
+BOOST_AUTO_TEST_CASE(lost_daemons_shards_are_served_again_within_two_seconds)
+{
+  constexpr std::uint32_t kLossSeeds = 200;
+  for (const int lost : { 1, 2 }) {
+    std::vector<Millis> unserved;
+    std::size_t appends = 0;
+    for (std::uint32_t seed = 1; seed <= kLossSeeds; ++seed) {
+      const LossOutcome outcome = Model(seed, Mutant::None).runLoss(lost);
+      BOOST_TEST(outcome.mUnserved.has_value(), "seed " << seed);
+      unserved.push_back(outcome.mUnserved.value_or(kEnd));
+      appends += outcome.mAppends;
+    }
+    std::ranges::sort(unserved);
+    BOOST_TEST_MESSAGE(lost << " lost: unserved median "
+                            << unserved[kLossSeeds / 2].mCount << " ms, worst "
+                            << unserved.back().mCount << " ms, appends "
+                            << static_cast<double>(appends) / kLossSeeds);
+    BOOST_TEST((unserved.back() <= kRecoveryLimit));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(without_the_joint_majority_two_serve)
 {
   BOOST_TEST(firstViolation(Mutant::NoJointMajority) != 0U);
