--- a/include/radishroad/ownership/lease_holder.h
+++ b/include/radishroad/ownership/lease_holder.h
@@ -51,6 +51,8 @@
   std::vector<Incarnation> unansweredPrepared(Millis aNow) const;
   /// To be called before the Rewitness record is first sent.
   void beginChange(std::span<const Incarnation> aNewWitnesses);
+  /// The Rewitness record was certainly never appended, nor will be.
+  void abandonChange();
   bool changeInDoubt() const;
   std::span<const Incarnation> proposed() const;
 
--- a/include/radishroad/platform/log_follower.h
+++ b/include/radishroad/platform/log_follower.h
@@ -25,7 +25,9 @@
   {
     /// Records in offset order; empty when a poll ended with nothing new, so
     /// that the receiver knows the log answers.
-    std::function<void(std::span<const LogRecord>)> mOnRecords;
+    /// aAskedAt is the monotonic time at which the poll was sent: what the
+    /// answer says of the log's end was true then, not when it was read.
+    std::function<void(std::span<const LogRecord>, Millis aAskedAt)> mOnRecords;
     /// The log could not be read.
     std::function<void(const Error&)> mOnError;
     /// Reading starts again at this offset, which is past the one wanted.
@@ -46,6 +48,8 @@
   void start(std::uint64_t aFrom);
   /// Skips ahead to aNext, for records that came by way of a peer.
   void skipTo(std::uint64_t aNext);
+  /// Oldest offset that the log keeps, as last seen; any thread. 0 before.
+  std::uint64_t oldestKept() const;
   /// How long a poll waits for the first record (2 s at first); any thread,
   /// from the next poll on. Bounds the time between two calls of mOnRecords.
   void setPollWait(Millis aWait);
--- /dev/null
+++ b/src/daemon/fleet_state.cpp
@@ -0,0 +1,313 @@
+#include "radishroad/daemon/fleet_state.h"
+
+#include "radishroad/base/json_log.h"
+#include "radishroad/config/folder.h"
+#include "radishroad/daemon/fleet_view.h"
+
+#include <nlohmann/json.hpp>
+
+namespace radishroad {
+
+namespace {
+
+/// Bytes of records given to a peer at once.
+constexpr std::size_t kMaxRelayBytes = 256U << 10;
+
+/// Id of a record; nothing for bytes that are no record.
+std::optional<RandomId>
+recordId(const LogRecord& aRecord)
+{
+  const Result<std::unique_ptr<wire::RecordT>> record =
+    decodeRecord(aRecord.mData);
+  if (!record) {
+    return std::nullopt;
+  }
+  return RandomId{ (*record)->id_high, (*record)->id_low };
+}
+
+void
+logCorrupt(const std::string& aStream, std::uint64_t aOffset)
+{
+  logEvent(LogLevel::Error,
+           "record_corrupt",
+           { { "stream", aStream }, { "offset", aOffset } });
+}
+
+}
+
+FleetState::FleetState(std::string aOwnService,
+                       ViewHolder& aViews,
+                       Hooks aHooks)
+  : mOwnService(std::move(aOwnService))
+  , mViews(aViews)
+  , mHooks(std::move(aHooks))
+  , mConfig({ [this](const LogRecord& aRecord, FoldVerdict aVerdict) {
+    noteVerdict(std::string(kConfigStream), aRecord, aVerdict);
+  } })
+{
+  addCell(mOwnService);
+}
+
+StreamLoader<CellState>&
+FleetState::addCell(const std::string& aService)
+{
+  StreamLoader<CellState>::Hooks hooks;
+  hooks.mOnFolded = [this, stream = cellStream(aService)](
+                      const LogRecord& aRecord, FoldVerdict aVerdict) {
+    noteVerdict(stream, aRecord, aVerdict);
+  };
+  return mCells.try_emplace(aService, std::move(hooks)).first->second;
+}
+
+void
+FleetState::onRecords(const std::string& aStream,
+                      std::span<const LogRecord> aRecords)
+{
+  if (aRecords.empty()) {
+    return;
+  }
+  RecordCache& cache = mCaches[aStream];
+  if (!cache.add(aRecords)) {
+    cache.clear();
+    cache.add(aRecords);
+  }
+  if (aStream == kConfigStream) {
+    foldConfig(aRecords);
+    return;
+  }
+  for (const auto& [service, loader] : mCells) {
+    if (cellStream(service) == aStream) {
+      foldCell(service, aRecords);
+      return;
+    }
+  }
+}
+
+void
+FleetState::onContact(const std::string& aStream, Millis aAskedAt)
+{
+  mContacts[aStream] = aAskedAt;
+  mFailingStreams.erase(aStream);
+}
+
+void
+FleetState::onNoContact(const std::string& aStream)
+{
+  mFailingStreams.insert(aStream);
+}
+
+bool
+FleetState::logAnswers() const
+{
+  const std::string stream = cellStream(mOwnService);
+  return mContacts.contains(stream) && !mFailingStreams.contains(stream);
+}
+
+void
+FleetState::onGap(const std::string& aStream, std::uint64_t aOldest)
+{
+  if (aStream == kConfigStream) {
+    mConfig.onGap(aOldest);
+    return;
+  }
+  for (auto& [service, loader] : mCells) {
+    if (cellStream(service) == aStream) {
+      loader.onGap(aOldest);
+    }
+  }
+}
+
+std::vector<LogRecord>
+FleetState::recordsFrom(const std::string& aStream, std::uint64_t aFrom) const
+{
+  const auto it = mCaches.find(aStream);
+  return it == mCaches.end() ? std::vector<LogRecord>()
+                             : it->second.get(aFrom, kMaxRelayBytes);
+}
+
+std::uint64_t
+FleetState::nextOffset(const std::string& aStream) const
+{
+  if (aStream == kConfigStream) {
+    return mConfig.state().mNextOffset;
+  }
+  for (const auto& [service, loader] : mCells) {
+    if (cellStream(service) == aStream) {
+      return loader.state().mNextOffset;
+    }
+  }
+  return 0;
+}
+
+const StreamLoader<CellState>&
+FleetState::ownCellLoader() const
+{
+  return mCells.at(mOwnService);
+}
+
+const CellState&
+FleetState::ownCell() const
+{
+  return ownCellLoader().state();
+}
+
+std::map<std::string, const CellState*>
+FleetState::cells() const
+{
+  std::map<std::string, const CellState*> states;
+  for (const auto& [service, loader] : mCells) {
+    states[service] = &loader.state();
+  }
+  return states;
+}
+
+bool
+FleetState::ownCellRead() const
+{
+  return mContacts.contains(cellStream(mOwnService)) && ownCellLoader().whole();
+}
+
+Millis
+FleetState::lastConfigContact() const
+{
+  const auto it = mContacts.find(std::string(kConfigStream));
+  return it == mContacts.end() ? Millis{} : it->second;
+}
+
+Millis
+FleetState::lastOwnCellContact() const
+{
+  const auto it = mContacts.find(cellStream(mOwnService));
+  return it == mContacts.end() ? Millis{} : it->second;
+}
+
+const Member*
+FleetState::findMember(Incarnation aIncarnation) const
+{
+  for (const auto& [service, loader] : mCells) {
+    const auto it = loader.state().mMembers.find(aIncarnation);
+    if (it != loader.state().mMembers.end()) {
+      return &it->second;
+    }
+  }
+  return nullptr;
+}
+
+std::string
+FleetState::serviceOf(Incarnation aIncarnation) const
+{
+  for (const auto& [service, loader] : mCells) {
+    if (loader.state().mMembers.contains(aIncarnation)) {
+      return service;
+    }
+  }
+  return {};
+}
+
+std::vector<Member>
+FleetState::activeMembers() const
+{
+  std::vector<Member> members;
+  for (const auto& [service, loader] : mCells) {
+    for (const auto& [incarnation, member] : loader.state().mMembers) {
+      if (member.mStatus == MemberStatus::Active) {
+        members.push_back(member);
+      }
+    }
+  }
+  return members;
+}
+
+void
+FleetState::foldConfig(std::span<const LogRecord> aRecords)
+{
+  mConfig.add(aRecords);
+  if (mConfig.state().mVersion > mModelVersion) {
+    applyConfig();
+  }
+  reportVerdicts();
+}
+
+void
+FleetState::foldCell(const std::string& aService,
+                     std::span<const LogRecord> aRecords)
+{
+  StreamLoader<CellState>& loader = mCells.at(aService);
+  const std::uint64_t nextBefore = loader.state().mNextOffset;
+  for (const LogRecord& record : aRecords) {
+    const CellState before = loader.state();
+    loader.add({ &record, 1 });
+    // Waits after a takeover must be in place before the view shows the new
+    // owner to the request path; they are exact only record by record.
+    if (loader.state().mNextOffset != before.mNextOffset) {
+      mHooks.mOnCell(aService, before, loader.state());
+    }
+  }
+  if (loader.state().mNextOffset != nextBefore) {
+    mPublished[aService] = std::make_shared<const CellState>(loader.state());
+    publishView();
+  }
+  reportVerdicts();
+}
+
+void
+FleetState::noteVerdict(const std::string& aStream,
+                        const LogRecord& aRecord,
+                        FoldVerdict aVerdict)
+{
+  if (aVerdict == FoldVerdict::Corrupt) {
+    logCorrupt(aStream, aRecord.mOffset);
+  }
+  if (const std::optional<RandomId> id = recordId(aRecord)) {
+    mVerdicts.emplace_back(*id, aVerdict);
+  }
+}
+
+void
+FleetState::reportVerdicts()
+{
+  Verdicts verdicts;
+  verdicts.swap(mVerdicts);
+  for (const auto& [id, verdict] : verdicts) {
+    mHooks.mOnRecord(id, verdict);
+  }
+}
+
+void
+FleetState::applyConfig()
+{
+  mModelVersion = mConfig.state().mVersion;
+  tl::expected<config::Model, Findings> model =
+    config::parse(mConfig.state().mFiles);
+  if (!model) {
+    // The publisher checks first; what got past it stays out of force here,
+    // and the one before stays in force.
+    logEvent(LogLevel::Error,
+             "config_refused",
+             { { "version", mModelVersion },
+               { "finding", model.error().front().toString() } });
+    return;
+  }
+  mModel = std::make_shared<const config::Model>(std::move(*model));
+  logEvent(LogLevel::Info, "config_in_force", { { "version", mModelVersion } });
+  for (const auto& [service, settings] : mModel->mServices) {
+    if (!mCells.contains(service)) {
+      addCell(service);
+      mHooks.mFollowCell(service);
+    }
+  }
+  publishView();
+  mHooks.mOnConfig(*mModel);
+}
+
+void
+FleetState::publishView()
+{
+  std::shared_ptr<FleetView> view = std::make_shared<FleetView>();
+  view->mConfigVersion = mModelVersion;
+  view->mModel = mModel;
+  view->mCells = mPublished;
+  mViews.set(std::move(view));
+}
+
+}
--- /dev/null
+++ b/src/daemon/parts_hooks.cpp
@@ -0,0 +1,214 @@
+#include "radishroad/base/json_log.h"
+
+#include "parts.h"
+#include "radishroad/ownership/ownership_change.h"
+
+#include <nlohmann/json.hpp>
+
+namespace radishroad {
+
+namespace {
+
+/// What a run may take beyond its limit until the upstream has ended it.
+constexpr Millis kRunLimitMargin{ 100 };
+
+}
+
+FleetState::Hooks
+Daemon::Parts::fleetHooks()
+{
+  FleetState::Hooks hooks;
+  hooks.mOnCell = [this](const std::string& aService,
+                         const CellState& aBefore,
+                         const CellState& aAfter) {
+    onCell(aService, aBefore, aAfter);
+  };
+  hooks.mOnConfig = [this](const config::Model& aModel) {
+    const auto it = aModel.mServices.find(mSettings.mService);
+    if (it != aModel.mServices.end()) {
+      mGate->configure(it->second);
+    }
+    mRate.onConfig(aModel);
+  };
+  hooks.mOnRecord = [this](RandomId aId, FoldVerdict aVerdict) {
+    mRecorder.onRecord(aId, aVerdict);
+  };
+  hooks.mFollowCell = [this](const std::string& aService) {
+    follow(cellStream(aService));
+  };
+  return hooks;
+}
+
+Gate::Hooks
+Daemon::Parts::gateHooks()
+{
+  Gate::Hooks hooks;
+  hooks.mMayServe = [this](const ForwardRequest& aRequest) {
+    return mAuthority.decide(aRequest, monotonicNow());
+  };
+  hooks.mOnHealth = [this](bool aHealthy) {
+    mLoop.post([this, aHealthy] { mMembership.onUpstreamHealth(aHealthy); });
+  };
+  hooks.mOnCrash = [](std::uint64_t, RandomId) {};
+  hooks.mIsQuarantined = [](std::uint64_t) { return false; };
+  hooks.mNow = monotonicNow;
+  return hooks;
+}
+
+PeerLink::Hooks
+Daemon::Parts::linkHooks()
+{
+  PeerLink::Hooks hooks;
+  hooks.mOnControl = [this](Incarnation aFrom, wire::FrameBodyUnion aBody) {
+    std::shared_ptr<wire::FrameBodyUnion> body =
+      std::make_shared<wire::FrameBodyUnion>(std::move(aBody));
+    mLoop.tryPost([this, aFrom, body] { onControlFrame(aFrom, *body); });
+  };
+  hooks.mOnRequest = [this](ForwardRequest aRequest, AnswerFn aAnswer) {
+    mGate->submit(std::move(aRequest), std::move(aAnswer));
+  };
+  hooks.mOnCancel = [this](RandomId aId) { mGate->cancel(aId); };
+  return hooks;
+}
+
+HandoffDuty::Hooks
+Daemon::Parts::handoffHooks()
+{
+  HandoffDuty::Hooks hooks;
+  hooks.mPause = [this](std::span<const Shard> aShards,
+                        std::function<void()> aDone) {
+    mGate->pauseShards(aShards,
+                       [this, done = std::move(aDone)] { mLoop.post(done); });
+  };
+  hooks.mResume = [this](std::span<const Shard> aShards) {
+    mGate->resumeShards(aShards);
+  };
+  return hooks;
+}
+
+Ingress::Hooks
+Daemon::Parts::ingressHooks()
+{
+  Ingress::Hooks hooks;
+  hooks.mTakeToken = [this](const std::string& aWorkspace, bool aHeld) {
+    const TakeVerdict verdict = mRate.take(aWorkspace, aHeld);
+    if (verdict == TakeVerdict::WaitForGrant && !aHeld) {
+      mLoop.tryPost([this] { mRate.tick(); });
+    }
+    return verdict;
+  };
+  hooks.mDropHeld = [this](const std::string& aWorkspace) {
+    mRate.dropHeld(aWorkspace);
+  };
+  hooks.mRetryAfter = [this](const std::string& aWorkspace) {
+    return mRate.retryAfter(aWorkspace);
+  };
+  hooks.mConfigFresh = [this] { return configFresh(); };
+  hooks.mToOwnUpstream = [this](ForwardRequest aRequest, AnswerFn aAnswer) {
+    mGate->submit(std::move(aRequest), std::move(aAnswer));
+  };
+  hooks.mToPeer = [this](const std::string& aAddress,
+                         ForwardRequest aRequest,
+                         AnswerFn aAnswer) {
+    mLink->forward(aAddress, std::move(aRequest), std::move(aAnswer));
+  };
+  hooks.mMayRetry = [] { return false; };
+  hooks.mNow = monotonicNow;
+  return hooks;
+}
+
+void
+Daemon::Parts::onCell(const std::string& aService,
+                      const CellState& aBefore,
+                      const CellState& aAfter)
+{
+  if (aService == mSettings.mService) {
+    mLease.onOwnCell();
+    guardTakeovers(aBefore, aAfter);
+  }
+  for (const auto& [incarnation, member] : aAfter.mMembers) {
+    const auto it = aBefore.mMembers.find(incarnation);
+    const bool changed =
+      it == aBefore.mMembers.end() || it->second.mStatus != member.mStatus;
+    if (changed) {
+      logEvent(LogLevel::Info,
+               "member",
+               { { "service", aService },
+                 { "member_vm", member.mVm },
+                 { "incarnation", std::to_string(incarnation) },
+                 { "status", memberStatusName(member.mStatus) } });
+    }
+  }
+}
+
+void
+Daemon::Parts::guardTakeovers(const CellState& aBefore, const CellState& aAfter)
+{
+  const config::Model* model = mFleet.model();
+  const bool known =
+    model != nullptr && model->mServices.contains(mSettings.mService);
+  // Before the configuration is known, the longest wait is taken.
+  const config::Service service =
+    known ? model->mServices.at(mSettings.mService) : config::Service{};
+  if (service.mChecksFence) {
+    return;
+  }
+  const Millis now = monotonicNow();
+  const Millis wait = service.mRunLimit + kRunLimitMargin;
+  if (!mGuardStarted) {
+    mGuardStarted = true;
+    mGuard.begin(aBefore, now, wait);
+  }
+  for (const OwnershipChange& change : ownershipChanges(aBefore, aAfter)) {
+    mGuard.onOwnershipChange(change, now, wait);
+    mAuthority.setWait(change.mShard, mGuard.serveFrom(change.mShard));
+  }
+}
+
+void
+Daemon::Parts::sendControl(Incarnation aTo, wire::FrameBodyUnion aBody)
+{
+  const Member* member = mFleet.findMember(aTo);
+  if (member != nullptr && member->mStatus == MemberStatus::Active) {
+    mLink->sendControl(member->mPeerAddress, aTo, std::move(aBody));
+  }
+}
+
+void
+Daemon::Parts::onControlFrame(Incarnation aFrom,
+                              const wire::FrameBodyUnion& aBody)
+{
+  switch (aBody.type) {
+    case wire::FrameBody::Renew:
+      mLease.onRenew(aFrom, *aBody.AsRenew());
+      break;
+    case wire::FrameBody::Promise:
+      mLease.onPromise(*aBody.AsPromise());
+      break;
+    case wire::FrameBody::ConsentAsk:
+      mLease.onConsentAsk(*aBody.AsConsentAsk());
+      break;
+    case wire::FrameBody::Consent:
+      mLease.onConsent(*aBody.AsConsent());
+      break;
+    case wire::FrameBody::MoveOrder:
+      mHandoff.order(aBody.AsMoveOrder()->grants);
+      break;
+    case wire::FrameBody::TokenAsk:
+      mRate.onAsk(*aBody.AsTokenAsk());
+      break;
+    case wire::FrameBody::TokenGrant:
+      mRate.onGrant(*aBody.AsTokenGrant());
+      break;
+    case wire::FrameBody::FetchRecords:
+      mRelay.onFetch(aFrom, *aBody.AsFetchRecords());
+      break;
+    case wire::FrameBody::RelayRecords:
+      mRelay.onRelayed(*aBody.AsRelayRecords());
+      break;
+    default:
+      break;
+  }
+}
+
+}
--- a/src/ownership/lease_holder.cpp
+++ b/src/ownership/lease_holder.cpp
@@ -152,6 +152,12 @@
   return nullptr;
 }
 
+void
+LeaseHolder::abandonChange()
+{
+  mProposed.reset();
+}
+
 bool
 LeaseHolder::changeInDoubt() const
 {
--- a/src/platform/log_follower.cpp
+++ b/src/platform/log_follower.cpp
@@ -3,6 +3,7 @@
 #include "radishroad/platform/log_client.h"
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -68,6 +69,7 @@
   void pollOnce()
   {
     const Position from = position();
+    const Millis askedAt = monotonicNow();
     const Result<std::vector<LogRecord>> records =
       mClient.read(mStream, from.mNext, from.mWait, from.mWait + kPollMargin);
     if (stopped()) {
@@ -75,7 +77,8 @@
     }
     if (records) {
       mBackoff.reset();
-      deliver(*records);
+      mOldestKept = mClient.oldestSeen();
+      deliver(*records, askedAt);
     } else if (records.error().mCode == ErrorCode::Expired) {
       restartFromOldest(from.mNext);
     } else {
@@ -84,13 +87,13 @@
   }
 
   /// Drops what skipTo has passed since the poll began.
-  void deliver(std::span<const LogRecord> aRecords)
+  void deliver(std::span<const LogRecord> aRecords, Millis aAskedAt)
   {
     const std::uint64_t next = position().mNext;
     while (!aRecords.empty() && aRecords.front().mOffset < next) {
       aRecords = aRecords.subspan(1);
     }
-    mHooks.mOnRecords(aRecords);
+    mHooks.mOnRecords(aRecords, aAskedAt);
     if (!aRecords.empty()) {
       skipTo(aRecords.back().mOffset + 1);
     }
@@ -145,6 +148,7 @@
   std::uint64_t mNext = 0;
   Millis mWait = kPollWait;
   bool mStopped = false;
+  std::atomic<std::uint64_t> mOldestKept{ 0 };
   std::thread mThread;
 };
 
@@ -187,6 +191,12 @@
   mImpl->skipTo(aNext);
 }
 
+std::uint64_t
+LogFollower::oldestKept() const
+{
+  return mImpl->mOldestKept;
+}
+
 void
 LogFollower::setPollWait(Millis aWait)
 {
--- a/src/state/cell_state.cpp
+++ b/src/state/cell_state.cpp
@@ -2,6 +2,20 @@
 
 namespace radishroad {
 
+std::string_view
+memberStatusName(MemberStatus aStatus)
+{
+  switch (aStatus) {
+    case MemberStatus::Active:
+      return "active";
+    case MemberStatus::Left:
+      return "left";
+    case MemberStatus::Expelled:
+      return "expelled";
+  }
+  return "unknown";
+}
+
 Shard
 shardOf(std::uint64_t aKeyHash)
 {
@@ -23,7 +37,7 @@
 {
   const Member* first = nullptr;
   for (const auto& [incarnation, member] : aState.mMembers) {
-    if (member.mStatus != MemberStatus::Active) {
+    if (member.mStatus != MemberStatus::Active || member.mSuperseded) {
       continue;
     }
     if (first == nullptr || member.mJoinOffset < first->mJoinOffset) {
