--- a/tests/process/loss_test.cpp
+++ b/tests/process/loss_test.cpp
@@ -47,12 +47,14 @@
 
 BOOST_AUTO_TEST_CASE(of_vm_catalog)
 {
-  checkLoss("loss_of_vm_catalog", 13, "catalog", { Role::Daemon, Role::Upstream });
+  checkLoss(
+    "loss_of_vm_catalog", 13, "catalog", { Role::Daemon, Role::Upstream });
 }
 
 BOOST_AUTO_TEST_CASE(of_vm_library)
 {
-  checkLoss("loss_of_vm_library", 14, "library", { Role::Daemon, Role::Upstream });
+  checkLoss(
+    "loss_of_vm_library", 14, "library", { Role::Daemon, Role::Upstream });
 }
 
 BOOST_AUTO_TEST_CASE(of_upstream_catalog)
--- a/tests/process/support/fleet.cpp
+++ b/tests/process/support/fleet.cpp
@@ -87,10 +87,23 @@
     throw std::runtime_error("the configuration was not published");
   }
   if (!waitFor([this] { return isSettled(); }, kSettleTime)) {
-    throw std::runtime_error("the fleet did not settle");
+    throw std::runtime_error("the fleet did not settle" + describeExits());
   }
 }
 
+std::string
+Fleet::describeExits()
+{
+  std::string text;
+  for (Vm& vm : mVms) {
+    const std::optional<int> ec = vm.mDaemon->waitForExit(Millis{});
+    if (ec) {
+      text += "; " + vm.mSpec.mName + " exited with " + std::to_string(*ec);
+    }
+  }
+  return text;
+}
+
 void
 Fleet::startLog()
 {
--- a/tests/process/support/fleet.h
+++ b/tests/process/support/fleet.h
@@ -103,6 +103,8 @@
 
   const Vm& find(const std::string& aVm) const;
   Vm& find(const std::string& aVm);
+  /// Daemons that have ended, and how.
+  std::string describeExits();
   void startLog();
   void startRelay();
   std::vector<std::string> daemonCommand(const Vm& aVm) const;
