--- a/src/platform/log_follower.cpp
+++ b/src/platform/log_follower.cpp
@@ -3,6 +3,7 @@
 #include "radishroad/platform/log_client.h"
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -76,6 +77,7 @@
     }
     if (records) {
       mBackoff.reset();
+      mOldestKept = mClient.oldestSeen();
       deliver(*records, askedAt);
     } else if (records.error().mCode == ErrorCode::Expired) {
       restartFromOldest(from.mNext);
@@ -146,6 +148,7 @@
   std::uint64_t mNext = 0;
   Millis mWait = kPollWait;
   bool mStopped = false;
+  std::atomic<std::uint64_t> mOldestKept{ 0 };
   std::thread mThread;
 };
 
@@ -188,6 +191,12 @@
   mImpl->skipTo(aNext);
 }
 
+std::uint64_t
+LogFollower::oldestKept() const
+{
+  return mImpl->mOldestKept;
+}
+
 void
 LogFollower::setPollWait(Millis aWait)
 {
