--- a/tests/process/support/runs.h
+++ b/tests/process/support/runs.h
@@ -24,7 +24,9 @@
   std::int64_t mStartMs = 0;
   /// The start if the upstream was lost while it ran.
   std::int64_t mEndMs = 0;
+  /// "done", "cancelled" or "deadline"; empty if the upstream was lost.
   std::string mOutcome;
+  std::int64_t mDeadlineMs = 0;
   bool mCallerKeySeen = false;
 };
 
--- a/tools/rr-upstream/job.cpp
+++ b/tools/rr-upstream/job.cpp
@@ -40,11 +40,10 @@
   job.mCut = queryNumber(aRequest, "cut", 0) != 0;
   job.mAnswerBytes = queryNumber(aRequest, "bytes", -1);
   job.mServiceTime.mCount = queryNumber(aRequest, "ms", aServiceTime.mCount);
-  const std::uint64_t timeLeft =
-    headerNumber(aRequest, "X-Radishroad-Deadline-Ms");
-  if (timeLeft > 0) {
-    job.mDeadline =
-      monotonicNow() + Millis{ static_cast<std::int64_t>(timeLeft) };
+  job.mTimeLeft.mCount = static_cast<std::int64_t>(
+    headerNumber(aRequest, "X-Radishroad-Deadline-Ms"));
+  if (job.mTimeLeft.mCount > 0) {
+    job.mDeadline = monotonicNow() + job.mTimeLeft;
   }
   return job;
 }
@@ -52,13 +51,17 @@
 nlohmann::json
 describe(const Job& aJob, const std::string& aEvent, const std::string& aVm)
 {
-  return {
-    { "event", aEvent },        { "vm", aVm },
-    { "id", aJob.mId },         { "workspace", aJob.mWorkspace },
-    { "key", aJob.mKey },       { "shard", aJob.mShard },
-    { "epoch", aJob.mEpoch },   { "method", aJob.mMethod },
-    { "target", aJob.mTarget }, { "caller_key_seen", aJob.mCallerKeySeen }
-  };
+  return { { "event", aEvent },
+           { "vm", aVm },
+           { "id", aJob.mId },
+           { "workspace", aJob.mWorkspace },
+           { "key", aJob.mKey },
+           { "shard", aJob.mShard },
+           { "epoch", aJob.mEpoch },
+           { "method", aJob.mMethod },
+           { "target", aJob.mTarget },
+           { "deadline_ms", aJob.mTimeLeft.mCount },
+           { "caller_key_seen", aJob.mCallerKeySeen } };
 }
 
 }
--- a/tools/rr-upstream/job.h
+++ b/tools/rr-upstream/job.h
@@ -37,6 +37,8 @@
   /// Length of the answer's body; below 0 the request's body is sent back.
   std::int64_t mAnswerBytes = -1;
   Millis mServiceTime;
+  /// Time given with the request; 0 for none.
+  Millis mTimeLeft;
   /// Monotonic time; 0 for none.
   Millis mDeadline;
   State mState = State::Waiting;
