--- a/include/radishroad/state/cell_state.h
+++ b/include/radishroad/state/cell_state.h
@@ -45,9 +45,14 @@
   std::vector<Incarnation> mWitnesses;
   std::uint32_t mWitnessVersion = 0;
   MemberStatus mStatus = MemberStatus::Active;
+  /// Still active, but to be given nothing more.
+  bool mLeaving = false;
   std::uint64_t mJoinOffset = 0;
   /// Offset of the record by which it left or was expelled; 0 while active.
   std::uint64_t mEndOffset = 0;
+  /// A newer incarnation of its VM has joined, so that it is most likely lost:
+  /// it keeps what it owns until it is expelled, but is given nothing more.
+  bool mSuperseded = false;
 
   bool operator==(const Member&) const = default;
 };
@@ -96,8 +101,9 @@
 ownerOf(const CellState& aState, std::uint64_t aKeyHash);
 
 /// The member that proposes the cell's moves and snapshots: the active member
-/// that joined first. 0 if there is none. Proposals carry preconditions, so a
-/// daemon that believes itself coordinator wrongly does no harm.
+/// that joined first, but for superseded ones. 0 if there is none. Proposals
+/// carry preconditions, so a daemon that believes itself coordinator wrongly
+/// does no harm.
 Incarnation
 coordinatorOf(const CellState& aState);
 
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -14,9 +14,13 @@
 #include "radishroad/daemon/ingress.h"
 #include "radishroad/daemon/lease_duty.h"
 #include "radishroad/daemon/membership_duty.h"
+#include "radishroad/daemon/rate_duty.h"
 #include "radishroad/daemon/recorder.h"
+#include "radishroad/daemon/relay_duty.h"
 #include "radishroad/daemon/serve_authority.h"
+#include "radishroad/daemon/snapshot_duty.h"
 #include "radishroad/operator/admin_server.h"
+#include "radishroad/ownership/takeover_guard.h"
 #include "radishroad/peer/link.h"
 #include "radishroad/platform/log_appender.h"
 #include "radishroad/platform/log_follower.h"
@@ -65,10 +69,15 @@
   LeaseDuty mLease;
   HandoffDuty mHandoff;
   CoordinatorDuty mCoordinator;
+  RateDuty mRate;
+  RelayDuty mRelay;
+  SnapshotDuty mSnapshots;
   Ingress mIngress;
   CallerServer mCallers;
   AdminServer mAdmin;
   std::map<std::string, std::unique_ptr<LogFollower>> mFollowers;
+  TakeoverGuard mGuard;
+  bool mGuardStarted = false;
 
 private:
   FleetState::Hooks fleetHooks();
@@ -81,12 +90,14 @@
   void onCell(const std::string& aService,
               const CellState& aBefore,
               const CellState& aAfter);
+  void guardTakeovers(const CellState& aBefore, const CellState& aAfter);
   void onControlFrame(Incarnation aFrom, const wire::FrameBodyUnion& aBody);
   void sendControl(Incarnation aTo, wire::FrameBodyUnion aBody);
   bool submitAppend(const std::string& aStream,
                     const wire::RecordT& aRecord,
                     std::function<void(Result<std::uint64_t>)> aResult);
   bool draining() const;
+  bool nobodyTakesOver() const;
   bool configFresh() const;
 };
 
--- a/src/state/fold_membership.cpp
+++ b/src/state/fold_membership.cpp
@@ -110,6 +110,16 @@
   }
 }
 
+void
+supersede(CellState& aState, const std::string& aVm)
+{
+  for (auto& [incarnation, member] : aState.mMembers) {
+    if (member.mVm == aVm) {
+      member.mSuperseded = true;
+    }
+  }
+}
+
 void
 retire(CellState& aState,
        Member& aMember,
@@ -146,6 +156,7 @@
   member.mOperatorAddress = aChange.operator_address;
   member.mWitnesses = aChange.witnesses;
   member.mJoinOffset = aOffset;
+  supersede(aState, aChange.vm);
   aState.mMembers.emplace(aChange.incarnation, std::move(member));
   adoptOwnerlessSplitKeys(aState);
   return true;
@@ -176,6 +187,17 @@
   return true;
 }
 
+bool
+apply(CellState& aState, const wire::BeginLeaveT& aChange)
+{
+  Member* member = findActive(aState, aChange.incarnation);
+  if (member == nullptr || member->mLeaving) {
+    return false;
+  }
+  member->mLeaving = true;
+  return true;
+}
+
 bool
 apply(CellState& aState, const wire::LeaveT& aChange, std::uint64_t aOffset)
 {
