--- a/include/radishroad/caller/connection.h
+++ b/include/radishroad/caller/connection.h
@@ -2,7 +2,7 @@
 #define RADISHROAD_CALLER_CONNECTION_H
 
 #include "radishroad/caller/request_reader.h"
-#include "radishroad/caller/response.h"
+#include "radishroad/caller/response_sender.h"
 
 #include <cstdint>
 #include <deque>
@@ -58,8 +58,6 @@
   bool isLastAnswer(const ReadRequest& aFront) const;
   void write(Response aResponse, bool aIsLast, Millis aNow);
   void flush(Millis aNow);
-  /// Sends what the socket takes; false if it takes no more for now.
-  bool sendSome();
   void finishOutput(Millis aNow);
   void sendContinue();
   void endSending(Millis aNow);
@@ -74,6 +72,7 @@
   const std::shared_ptr<AnswerMailbox> mMailbox;
   const WantWriteFn mWantWrite;
 
+  ResponseSender mSender;
   RequestReader mReader;
   std::deque<RequestReader::Outcome> mQueue;
   /// Bodies of the requests in the queue.
@@ -88,8 +87,6 @@
   bool mDiscardInput = false;
 
   Output mOutput = Output::None;
-  Response mResponse;
-  std::size_t mSent = 0;
   bool mIsLastResponse = false;
 
   bool mCountedBusy = false;
--- a/include/radishroad/operator/owner_table.h
+++ b/include/radishroad/operator/owner_table.h
@@ -1,6 +1,7 @@
 #ifndef RADISHROAD_OPERATOR_OWNER_TABLE_H
 #define RADISHROAD_OPERATOR_OWNER_TABLE_H
 
+#include "radishroad/operator/text_table.h"
 #include "radishroad/state/cell_state.h"
 
 #include <nlohmann/json.hpp>
@@ -14,16 +15,23 @@
 public:
   OwnerTable(std::string aService, const CellState& aCell);
 
-  /// One line for each owner, with its shards as ranges.
-  std::string summaryToText() const;
-  /// One line for each shard and each split key.
-  std::string shardsToText() const;
-  nlohmann::ordered_json toJson() const;
+  static TextTable makeSummary();
+  static TextTable makeDetails();
+
+  /// Adds a row for each owner with its number of shards.
+  void addSummary(TextTable& aTable) const;
+  /// Adds a row for each shard and each split key.
+  void addShards(TextTable& aTable) const;
+  /// Adds a row for one key.
+  void addKey(TextTable& aTable, const std::string& aKey) const;
 
-  std::string keyToText(const std::string& aKey) const;
+  nlohmann::ordered_json toJson() const;
   nlohmann::ordered_json keyToJson(const std::string& aKey) const;
 
 private:
+  void addRow(TextTable& aTable,
+              std::string aShard,
+              const Ownership& aOwnership) const;
   const Member* memberOf(Incarnation aIncarnation) const;
   std::string vmOf(Incarnation aIncarnation) const;
   std::string zoneOf(Incarnation aIncarnation) const;
--- a/src/caller/connection.cpp
+++ b/src/caller/connection.cpp
@@ -5,12 +5,8 @@
 #include "radishroad/caller/pending_answer.h"
 #include "radishroad/caller/server_context.h"
 
-#include <algorithm>
-#include <array>
-#include <cerrno>
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
-#include <sys/uio.h>
 
 namespace radishroad {
 
@@ -39,6 +35,7 @@
   , mContext(aContext)
   , mMailbox(std::move(aMailbox))
   , mWantWrite(std::move(aWantWrite))
+  , mSender(aSocket)
   , mReader(
       { aContext.mOptions.mMaxHeaderBytes, aContext.mOptions.mMaxBodyBytes })
   , mPhaseSince(monotonicNow())
@@ -195,8 +192,7 @@
 void
 CallerConnection::write(Response aResponse, bool aIsLast, Millis aNow)
 {
-  mResponse = std::move(aResponse);
-  mSent = 0;
+  mSender.start(std::move(aResponse));
   mOutput = Output::Pending;
   mIsLastResponse = aIsLast;
   mOutputSince = aNow;
@@ -206,51 +202,28 @@
   flush(aNow);
 }
 
-bool
-CallerConnection::sendSome()
-{
-  const std::size_t headLeft =
-    mResponse.mHead.size() - std::min(mSent, mResponse.mHead.size());
-  const std::size_t bodySent = mSent - (mResponse.mHead.size() - headLeft);
-  std::array<iovec, 2> parts{
-    { { mResponse.mHead.data() + mResponse.mHead.size() - headLeft, headLeft },
-      { mResponse.mBody.data() + bodySent, mResponse.mBody.size() - bodySent } }
-  };
-  msghdr message{};
-  message.msg_iov = parts.data();
-  message.msg_iovlen = parts.size();
-  const ssize_t n = ::sendmsg(mSocket, &message, MSG_NOSIGNAL | MSG_DONTWAIT);
-  if (n >= 0) {
-    mSent += static_cast<std::size_t>(n);
-    return true;
-  }
-  if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
-    abort();
-  }
-  return false;
-}
-
 void
 CallerConnection::flush(Millis aNow)
 {
-  const std::size_t size = mResponse.mHead.size() + mResponse.mBody.size();
-  const std::size_t before = mSent;
-  while (mSent < size && sendSome()) {
+  const std::size_t before = mSender.sent();
+  const ResponseSender::Progress progress = mSender.flush();
+  if (progress == ResponseSender::Progress::Done) {
+    finishOutput(aNow);
+    return;
   }
-  if (mSent > before) {
+  if (mSender.sent() > before) {
     mOutputSince = aNow;
   }
-  if (mSent < size) {
-    mWantWrite(true);
+  if (progress == ResponseSender::Progress::Broken) {
+    abort();
     return;
   }
-  finishOutput(aNow);
+  mWantWrite(true);
 }
 
 void
 CallerConnection::finishOutput(Millis aNow)
 {
-  mResponse = {};
   mPhaseSince = aNow;
   if (mIsLastResponse) {
     endSending(aNow);
--- a/src/operator/change_commands.cpp
+++ b/src/operator/change_commands.cpp
@@ -78,8 +78,8 @@
       return makeFailure(ExitCode::Negative,
                          "the cell of " + service + " refused the change");
     }
-    result.mText += "VM " + aVm + " of " + service +
-                    (aOn ? " is drained\n" : " is back in service\n");
+    result.mText.append("VM ").append(aVm).append(" of ").append(service);
+    result.mText += aOn ? " is drained\n" : " is back in service\n";
   }
   return result;
 }
--- a/src/operator/config_commands.cpp
+++ b/src/operator/config_commands.cpp
@@ -88,8 +88,9 @@
 {
   Json lagging = Json::array();
   for (const LaggingMember& member : aInForce.mLagging) {
-    aResult.mText += "not in force at " + member.mVm + " (" + member.mService +
-                     "): " + member.mProblem + "\n";
+    aResult.mText.append("not in force at ").append(member.mVm);
+    aResult.mText.append(" (").append(member.mService).append("): ");
+    aResult.mText.append(member.mProblem).append("\n");
     lagging.push_back({ { "service", member.mService },
                         { "vm", member.mVm },
                         { "problem", member.mProblem } });
@@ -119,7 +120,7 @@
   for (const nlohmann::json& step : aPatch) {
     const std::string operation = step.at("op").get<std::string>();
     const std::string path = step.at("path").get<std::string>();
-    text += operation + " " + path;
+    text.append(operation).append(" ").append(path);
     if (operation == "replace") {
       const nlohmann::json::json_pointer pointer(path);
       text += quoted(aBefore.at(pointer)) + " ->";
--- a/src/operator/fleet_commands.cpp
+++ b/src/operator/fleet_commands.cpp
@@ -109,6 +109,13 @@
            health };
 }
 
+/// JSON lines of processes, and what kept others from being read.
+struct EventSources
+{
+  std::vector<std::string> mTexts;
+  std::string mProblems;
+};
+
 std::optional<std::string>
 readFile(const std::string& aName)
 {
@@ -119,6 +126,42 @@
   return std::string(std::istreambuf_iterator<char>(in), {});
 }
 
+void
+addFiles(const std::vector<std::string>& aNames, EventSources& aSources)
+{
+  for (const std::string& name : aNames) {
+    std::optional<std::string> text = readFile(name);
+    if (text) {
+      aSources.mTexts.push_back(std::move(*text));
+    } else {
+      aSources.mProblems += "cannot read " + name + "\n";
+    }
+  }
+}
+
+void
+addMembers(const Arguments& aArguments,
+           const Surroundings& aSurroundings,
+           EventSources& aSources)
+{
+  const Result<FoundMembers> found = findMembers(aArguments, aSurroundings);
+  if (!found) {
+    aSources.mProblems +=
+      "cannot find the daemons: " + found.error().mMessage + "\n";
+    return;
+  }
+  const std::vector<Result<std::string>> pages =
+    fetchAll(aSurroundings, found->mMembers, "/events");
+  for (std::size_t it = 0; it < pages.size(); ++it) {
+    if (pages[it]) {
+      aSources.mTexts.push_back(*pages[it]);
+      continue;
+    }
+    aSources.mProblems += "no events of " + found->mMembers[it].mMember.mVm +
+                          ": " + pages[it].error().mMessage + "\n";
+  }
+}
+
 }
 
 CommandResult
@@ -163,6 +206,9 @@
   if (!wanted.empty() && !records->mCells.contains(wanted)) {
     return makeFailure(ExitCode::Negative, "there is no service " + wanted);
   }
+  const bool summary = aArguments.mKey.empty() && !aArguments.mShards;
+  TextTable text =
+    summary ? OwnerTable::makeSummary() : OwnerTable::makeDetails();
   CommandResult result;
   result.mJson = { { "services", Json::object() } };
   for (const auto& [service, cell] : records->mCells) {
@@ -170,64 +216,47 @@
       continue;
     }
     const OwnerTable table(service, cell);
+    Json& json = result.mJson["services"][service];
     if (!aArguments.mKey.empty()) {
-      result.mText += table.keyToText(aArguments.mKey);
-      result.mJson["services"][service] = table.keyToJson(aArguments.mKey);
+      table.addKey(text, aArguments.mKey);
+      json = table.keyToJson(aArguments.mKey);
       continue;
     }
-    result.mText +=
-      aArguments.mShards ? table.shardsToText() : table.summaryToText();
-    result.mJson["services"][service] = table.toJson();
+    json = table.toJson();
+    if (summary) {
+      table.addSummary(text);
+    } else {
+      table.addShards(text);
+    }
   }
+  result.mText = text.toText();
   return result;
 }
 
 CommandResult
 timeline(const Arguments& aArguments, const Surroundings& aSurroundings)
 {
-  std::vector<std::string> sources;
-  std::string problems;
-  for (const std::string& name : aArguments.mWords) {
-    std::optional<std::string> text = readFile(name);
-    if (text) {
-      sources.push_back(std::move(*text));
-    } else {
-      problems += "cannot read " + name + "\n";
-    }
-  }
-  const bool asksFleet =
-    !aArguments.mLogAddress.empty() || !aArguments.mDaemon.empty();
-  const Result<FoundMembers> found = findMembers(aArguments, aSurroundings);
-  if (asksFleet && !found) {
-    problems += "cannot find the daemons: " + found.error().mMessage + "\n";
-  }
-  if (found) {
-    const std::vector<Result<std::string>> pages =
-      fetchAll(aSurroundings, found->mMembers, "/events");
-    for (std::size_t it = 0; it < pages.size(); ++it) {
-      if (pages[it]) {
-        sources.push_back(*pages[it]);
-      } else {
-        problems += "no events of " + found->mMembers[it].mMember.mVm + ": " +
-                    pages[it].error().mMessage + "\n";
-      }
-    }
+  EventSources sources;
+  addFiles(aArguments.mWords, sources);
+  if (!aArguments.mLogAddress.empty() || !aArguments.mDaemon.empty()) {
+    addMembers(aArguments, aSurroundings, sources);
   }
-  if (sources.empty()) {
+  if (sources.mTexts.empty()) {
     return makeFailure(ExitCode::Unavailable,
-                       problems.empty() ? "no source of events" : problems);
+                       sources.mProblems.empty() ? "no source of events"
+                                                 : sources.mProblems);
   }
   const EventFilter filter{
     aArguments.mVm, aArguments.mEvent, aArguments.mRequestId, aArguments.mKey
   };
   CommandResult result;
   result.mJson = Json::array();
-  for (const Json& event : mergeEvents(sources, filter)) {
+  for (const Json& event : mergeEvents(sources.mTexts, filter)) {
     result.mText += eventToText(event) + "\n";
     result.mJson.push_back(event);
   }
-  result.mCode = problems.empty() ? ExitCode::Ok : ExitCode::Negative;
-  result.mError = problems;
+  result.mCode = sources.mProblems.empty() ? ExitCode::Ok : ExitCode::Negative;
+  result.mError = sources.mProblems;
   return result;
 }
 
--- a/src/operator/owner_table.cpp
+++ b/src/operator/owner_table.cpp
@@ -1,7 +1,6 @@
 #include "radishroad/operator/owner_table.h"
 
 #include "radishroad/base/hash.h"
-#include "radishroad/operator/text_table.h"
 
 #include <map>
 
@@ -13,25 +12,6 @@
 
 constexpr const char* kNobody = "-";
 
-/// "0-3,7": the shards as ranges; they must be in order.
-std::string
-toRanges(const std::vector<Shard>& aShards)
-{
-  std::string text;
-  for (std::size_t it = 0; it < aShards.size();) {
-    std::size_t last = it;
-    while (last + 1 < aShards.size() &&
-           aShards[last + 1] == aShards[last] + 1) {
-      ++last;
-    }
-    text += text.empty() ? "" : ",";
-    text += std::to_string(aShards[it]);
-    text += last > it ? "-" + std::to_string(aShards[last]) : "";
-    it = last + 1;
-  }
-  return text;
-}
-
 }
 
 OwnerTable::OwnerTable(std::string aService, const CellState& aCell)
@@ -61,45 +41,61 @@
   return member == nullptr ? kNobody : member->mZone;
 }
 
-std::string
-OwnerTable::summaryToText() const
+TextTable
+OwnerTable::makeSummary()
 {
-  std::map<std::pair<std::string, Incarnation>, std::vector<Shard>> shards;
-  for (Shard shard = 0; shard < mCell.mShards.size(); ++shard) {
-    const Incarnation owner = mCell.mShards[shard].mOwner;
-    shards[{ vmOf(owner), owner }].push_back(shard);
+  return TextTable({ "service", "owner", "zone", "shards" });
+}
+
+TextTable
+OwnerTable::makeDetails()
+{
+  return TextTable({ "service", "shard", "owner", "zone", "epoch" });
+}
+
+void
+OwnerTable::addSummary(TextTable& aTable) const
+{
+  std::map<std::pair<std::string, Incarnation>, int> counts;
+  for (const Ownership& ownership : mCell.mShards) {
+    ++counts[{ vmOf(ownership.mOwner), ownership.mOwner }];
   }
-  TextTable table({ "service", "owner", "zone", "count", "shards" });
-  for (const auto& [owner, owned] : shards) {
-    table.add({ mService,
-                owner.first,
-                zoneOf(owner.second),
-                std::to_string(owned.size()),
-                toRanges(owned) });
+  for (const auto& [owner, n] : counts) {
+    aTable.add(
+      { mService, owner.first, zoneOf(owner.second), std::to_string(n) });
   }
-  return table.toText();
 }
 
-std::string
-OwnerTable::shardsToText() const
+void
+OwnerTable::addRow(TextTable& aTable,
+                   std::string aShard,
+                   const Ownership& aOwnership) const
+{
+  aTable.add({ mService,
+               std::move(aShard),
+               vmOf(aOwnership.mOwner),
+               zoneOf(aOwnership.mOwner),
+               std::to_string(aOwnership.mEpoch) });
+}
+
+void
+OwnerTable::addShards(TextTable& aTable) const
 {
-  TextTable table({ "service", "shard", "owner", "zone", "epoch" });
   for (Shard shard = 0; shard < mCell.mShards.size(); ++shard) {
-    const Ownership& ownership = mCell.mShards[shard];
-    table.add({ mService,
-                std::to_string(shard),
-                vmOf(ownership.mOwner),
-                zoneOf(ownership.mOwner),
-                std::to_string(ownership.mEpoch) });
+    addRow(aTable, std::to_string(shard), mCell.mShards[shard]);
   }
   for (const auto& [hash, split] : mCell.mSplitKeys) {
-    table.add({ mService,
-                std::to_string(split.mShard) + " key " + std::to_string(hash),
-                vmOf(split.mOwnership.mOwner),
-                zoneOf(split.mOwnership.mOwner),
-                std::to_string(split.mOwnership.mEpoch) });
+    addRow(aTable,
+           std::to_string(split.mShard) + " key " + std::to_string(hash),
+           split.mOwnership);
   }
-  return table.toText();
+}
+
+void
+OwnerTable::addKey(TextTable& aTable, const std::string& aKey) const
+{
+  const std::uint64_t hash = hash64(aKey);
+  addRow(aTable, std::to_string(shardOf(hash)), ownerOf(mCell, hash));
 }
 
 Json
@@ -136,20 +132,6 @@
   return { { "shards", shards }, { "split_keys", keys } };
 }
 
-std::string
-OwnerTable::keyToText(const std::string& aKey) const
-{
-  const std::uint64_t hash = hash64(aKey);
-  const Ownership ownership = ownerOf(mCell, hash);
-  TextTable table({ "service", "shard", "owner", "zone", "epoch" });
-  table.add({ mService,
-              std::to_string(shardOf(hash)),
-              vmOf(ownership.mOwner),
-              zoneOf(ownership.mOwner),
-              std::to_string(ownership.mEpoch) });
-  return table.toText();
-}
-
 Json
 OwnerTable::keyToJson(const std::string& aKey) const
 {
