--- a/include/radishroad/daemon/fleet_state.h
+++ b/include/radishroad/daemon/fleet_state.h
@@ -6,11 +6,14 @@
 #include "radishroad/state/cell_state.h"
 #include "radishroad/state/config_state.h"
 #include "radishroad/state/fold.h"
+#include "radishroad/state/record_cache.h"
 #include "radishroad/state/records.h"
+#include "radishroad/state/stream_loader.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -26,7 +29,8 @@
 public:
   struct Hooks
   {
-    /// A cell was folded on: its service, and the state before and after.
+    /// A record of a cell was folded, or a snapshot taken over: the cell's
+    /// service, and the state before and after.
     std::function<void(const std::string&, const CellState&, const CellState&)>
       mOnCell;
     /// A configuration is in force.
@@ -43,14 +47,29 @@
   /// over.
   void onRecords(const std::string& aStream,
                  std::span<const LogRecord> aRecords);
-  /// The log has answered a read of this stream that was sent at aNow.
-  void onContact(const std::string& aStream, Millis aNow);
+  /// The log has answered a read of this stream that was sent at aAskedAt.
+  void onContact(const std::string& aStream, Millis aAskedAt);
+  /// A read of this stream has failed.
+  void onNoContact(const std::string& aStream);
+  /// Did the last read of the own cell's stream succeed?
+  bool logAnswers() const;
 
-  const ConfigState& config() const { return mConfig; }
+  /// Records below aOldest are no longer kept by the log.
+  void onGap(const std::string& aStream, std::uint64_t aOldest);
+  /// Records of a stream from aFrom on, as far as this daemon holds them.
+  std::vector<LogRecord> recordsFrom(const std::string& aStream,
+                                     std::uint64_t aFrom) const;
+  /// Offset of the next record that this daemon needs of the stream.
+  std::uint64_t nextOffset(const std::string& aStream) const;
+
+  const StreamLoader<ConfigState>& configLoader() const { return mConfig; }
+  const StreamLoader<CellState>& ownCellLoader() const;
+  const ConfigState& config() const { return mConfig.state(); }
   /// Null before the first valid configuration.
   const config::Model* model() const { return mModel.get(); }
   const CellState& ownCell() const;
-  const std::map<std::string, CellState>& cells() const { return mCells; }
+  /// States by service.
+  std::map<std::string, const CellState*> cells() const;
   /// Has the own cell been read to its end at least once?
   bool ownCellRead() const;
   /// Last time that the log answered for the configuration; nothing before.
@@ -64,21 +83,32 @@
   std::string serviceOf(Incarnation aIncarnation) const;
 
 private:
+  using Verdicts = std::vector<std::pair<RandomId, FoldVerdict>>;
+
   void foldConfig(std::span<const LogRecord> aRecords);
   void foldCell(const std::string& aService,
                 std::span<const LogRecord> aRecords);
+  void noteVerdict(const std::string& aStream,
+                   const LogRecord& aRecord,
+                   FoldVerdict aVerdict);
+  void reportVerdicts();
+  StreamLoader<CellState>& addCell(const std::string& aService);
   void applyConfig();
   void publishView();
 
   std::string mOwnService;
   ViewHolder& mViews;
   Hooks mHooks;
-  ConfigState mConfig;
+  StreamLoader<ConfigState> mConfig;
   std::shared_ptr<const config::Model> mModel;
   std::uint64_t mModelVersion = 0;
-  std::map<std::string, CellState> mCells;
+  std::map<std::string, StreamLoader<CellState>> mCells;
+  std::map<std::string, RecordCache> mCaches;
+  /// Of the batch being folded.
+  Verdicts mVerdicts;
   std::map<std::string, std::shared_ptr<const CellState>> mPublished;
   std::map<std::string, Millis> mContacts;
+  std::set<std::string> mFailingStreams;
 };
 
 }
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -1,11 +1,19 @@
 #include "radishroad/base/json_log.h"
 
 #include "parts.h"
+#include "radishroad/ownership/ownership_change.h"
 
 #include <nlohmann/json.hpp>
 
 namespace radishroad {
 
+namespace {
+
+/// What a run may take beyond its limit until the upstream has ended it.
+constexpr Millis kRunLimitMargin{ 100 };
+
+}
+
 FleetState::Hooks
 Daemon::Parts::fleetHooks()
 {
@@ -20,6 +28,7 @@
     if (it != aModel.mServices.end()) {
       mGate->configure(it->second);
     }
+    mRate.onConfig(aModel);
   };
   hooks.mOnRecord = [this](RandomId aId, FoldVerdict aVerdict) {
     mRecorder.onRecord(aId, aVerdict);
@@ -81,10 +90,19 @@
 Daemon::Parts::ingressHooks()
 {
   Ingress::Hooks hooks;
-  hooks.mAdmit = [](const std::string&) {
-    return Ingress::Admission::Admitted;
+  hooks.mTakeToken = [this](const std::string& aWorkspace, bool aHeld) {
+    const TakeVerdict verdict = mRate.take(aWorkspace, aHeld);
+    if (verdict == TakeVerdict::WaitForGrant && !aHeld) {
+      mLoop.tryPost([this] { mRate.tick(); });
+    }
+    return verdict;
+  };
+  hooks.mDropHeld = [this](const std::string& aWorkspace) {
+    mRate.dropHeld(aWorkspace);
+  };
+  hooks.mRetryAfter = [this](const std::string& aWorkspace) {
+    return mRate.retryAfter(aWorkspace);
   };
-  hooks.mRetryAfter = [](const std::string&) { return Millis{}; };
   hooks.mConfigFresh = [this] { return configFresh(); };
   hooks.mToOwnUpstream = [this](ForwardRequest aRequest, AnswerFn aAnswer) {
     mGate->submit(std::move(aRequest), std::move(aAnswer));
@@ -106,6 +124,7 @@
 {
   if (aService == mSettings.mService) {
     mLease.onOwnCell();
+    guardTakeovers(aBefore, aAfter);
   }
   for (const auto& [incarnation, member] : aAfter.mMembers) {
     const auto it = aBefore.mMembers.find(incarnation);
@@ -122,6 +141,30 @@
   }
 }
 
+void
+Daemon::Parts::guardTakeovers(const CellState& aBefore, const CellState& aAfter)
+{
+  const config::Model* model = mFleet.model();
+  const bool known =
+    model != nullptr && model->mServices.contains(mSettings.mService);
+  // Before the configuration is known, the longest wait is taken.
+  const config::Service service =
+    known ? model->mServices.at(mSettings.mService) : config::Service{};
+  if (service.mChecksFence) {
+    return;
+  }
+  const Millis now = monotonicNow();
+  const Millis wait = service.mRunLimit + kRunLimitMargin;
+  if (!mGuardStarted) {
+    mGuardStarted = true;
+    mGuard.begin(aBefore, now, wait);
+  }
+  for (const OwnershipChange& change : ownershipChanges(aBefore, aAfter)) {
+    mGuard.onOwnershipChange(change, now, wait);
+    mAuthority.setWait(change.mShard, mGuard.serveFrom(change.mShard));
+  }
+}
+
 void
 Daemon::Parts::sendControl(Incarnation aTo, wire::FrameBodyUnion aBody)
 {
@@ -151,6 +194,18 @@
     case wire::FrameBody::MoveOrder:
       mHandoff.order(aBody.AsMoveOrder()->grants);
       break;
+    case wire::FrameBody::TokenAsk:
+      mRate.onAsk(*aBody.AsTokenAsk());
+      break;
+    case wire::FrameBody::TokenGrant:
+      mRate.onGrant(*aBody.AsTokenGrant());
+      break;
+    case wire::FrameBody::FetchRecords:
+      mRelay.onFetch(aFrom, *aBody.AsFetchRecords());
+      break;
+    case wire::FrameBody::RelayRecords:
+      mRelay.onRelayed(*aBody.AsRelayRecords());
+      break;
     default:
       break;
   }
