--- a/include/radishroad/base/millis.h
+++ b/include/radishroad/base/millis.h
@@ -13,6 +13,7 @@
 {
   std::int64_t mCount = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive on <=>
   constexpr auto operator<=>(const Millis&) const = default;
 
   constexpr Millis operator+(Millis aOther) const
--- a/include/radishroad/base/random_id.h
+++ b/include/radishroad/base/random_id.h
@@ -14,6 +14,7 @@
   std::uint64_t mHigh = 0;
   std::uint64_t mLow = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive on <=>
   auto operator<=>(const RandomId&) const = default;
 
   /// 32 lower-case hex digits.
--- a/include/radishroad/ownership/witness.h
+++ b/include/radishroad/ownership/witness.h
@@ -23,6 +23,7 @@
   Incarnation mIncarnation = 0;
   std::uint32_t mVersion = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive on <=>
   auto operator<=>(const LeaseLabel&) const = default;
 };
 
--- a/src/upstream/gate_cancel.cpp
+++ b/src/upstream/gate_cancel.cpp
@@ -63,7 +63,7 @@
   GivenUpRun given;
   given.mId = idOf(aRun.mQueued.mRequest);
   given.mShard = aRun.mQueued.mRequest.shard;
-  given.mDeadline = aRun.mQueued.mDeadline + kDeadlineGrace;
+  given.mDeadline = aRun.mEndBy + kDeadlineGrace;
   given.mNextCancel = aNow;
   mGivenUp[mNextRun++] = given;
 }
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -31,6 +31,8 @@
     ExchangeRunner::ExchangeId mExchange = 0;
     Epoch mEpoch = 0;
     Millis mServeUntil;
+    /// The run ends here, by the request's deadline or the service's limit.
+    Millis mEndBy;
     /// When the request was handed over, and its rank in flight then.
     Millis mSentAt;
     std::uint32_t mInFlight = 0;
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -86,7 +86,7 @@
   std::vector<RunId> expired;
   std::vector<RunId> refused;
   for (auto& [id, run] : mRuns) {
-    if (aNow >= run.mQueued.mDeadline) {
+    if (aNow >= run.mEndBy) {
       expired.push_back(id);
       continue;
     }
@@ -199,7 +199,7 @@
 {
   Millis next = mQueue.nextEvent(aNow, aNow + kMaxSleep);
   for (const auto& [id, run] : mRuns) {
-    next = std::min({ next, run.mServeUntil, run.mQueued.mDeadline });
+    next = std::min({ next, run.mServeUntil, run.mEndBy });
   }
   for (const auto& [id, run] : mGivenUp) {
     if (!run.mCancelUnderWay) {
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -89,7 +89,8 @@
   run.mServeUntil = aDecision.mServeUntil;
 
   const ForwardRequest& request = run.mQueued.mRequest;
-  const Millis left = run.mQueued.mDeadline - now;
+  run.mEndBy = std::min(run.mQueued.mDeadline, now + mService.mRunLimit);
+  const Millis left = run.mEndBy - now;
   UpstreamRequest upstream;
   upstream.mUpstream = mOptions.mUpstream;
   upstream.mMethod = request.method;
@@ -115,7 +116,7 @@
   const ServeDecision decision = mHooks.mMayServe(request);
   const bool served =
     decision.mRefusal == NotRunReason::None && decision.mEpoch == run.mEpoch;
-  const bool inTime = mHooks.mNow() < run.mQueued.mDeadline;
+  const bool inTime = mHooks.mNow() < run.mEndBy;
   run.mHeldBack = !served || !inTime || mPaused.contains(request.shard);
   run.mServeUntil = decision.mServeUntil;
   run.mSent = !run.mHeldBack;
