Remember copies, quarantine crashing requests, share the gate's queue

A request that is not idempotent must run at most once, a request that crashes each upstream must not go on doing so, and one workspace must not fill a queue.

- Duplicate memory: copies with the same idempotency key, or the same id of a request that is not idempotent, join the run or get its answer again; what was unknown stays unknown; what was not run may run.
Ruled out: refusing a copy of a finished run as "not run", which a caller would take to mean the purchase.
- Quarantine after a second crash.
A fingerprint that was answered within the last 10 s is not reported: popular requests are in flight at crashes by chance.
- The queue is deficit round robin by upstream time.
- Shed requests are tried again within a retry budget.

--- a/include/radishroad/upstream/queued_request.h
+++ b/include/radishroad/upstream/queued_request.h
@@ -14,6 +14,8 @@
   ForwardRequest mRequest;
   AnswerFn mAnswer;
   std::uint64_t mFingerprint = 0;
+  /// Name in the duplicate memory; empty if it may run again.
+  std::string mMemoryKey;
   /// Monotonic; the request is given up then.
   Millis mDeadline;
   /// Not to be tried before, because the lease has lapsed for the moment.
--- a/include/radishroad/upstream/request_queue.h
+++ b/include/radishroad/upstream/request_queue.h
@@ -8,6 +8,7 @@
 #include <list>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace radishroad {
@@ -23,8 +24,13 @@
   void pushBack(QueuedRequest aRequest);
   /// Puts back a request that was taken and not run.
   void pushFront(QueuedRequest aRequest);
-  /// The next request that may go, in turn among workspaces.
+  /// The next request that may go, by deficit round robin among workspaces:
+  /// one whose requests take long has its turn less often.
   std::optional<QueuedRequest> pop(const Predicate& aMayGo);
+  /// A request of the workspace has kept the upstream busy for so long.
+  void charge(const std::string& aWorkspace, Millis aTook);
+  /// Takes the newest request of the workspace that has most in line.
+  std::optional<QueuedRequest> dropFromLongest();
   /// Takes out every request that matches.
   std::vector<QueuedRequest> removeIf(const Predicate& aMatches);
   /// Earliest deadline or end of a hold that is past aNow.
@@ -38,11 +44,23 @@
     std::string mWorkspace;
     std::deque<QueuedRequest> mRequests;
   };
+  /// What a workspace has used of the upstream, in milliseconds.
+  struct Account
+  {
+    /// Mean time of a request; 0 while unknown.
+    double mMean = 0;
+    /// What it may still use; below 0 it misses turns.
+    double mBalance = 0;
+  };
   Line& lineOf(const std::string& aWorkspace);
   void dropEmptyLines();
+  /// Pays a turn into the account; false if that does not cover its debt.
+  bool takeTurn(const Line& aLine);
+  double quantum() const;
 
   /// The line whose turn is next comes first.
   std::list<Line> mLines;
+  std::unordered_map<std::string, Account> mAccounts;
 };
 
 }
--- /dev/null
+++ b/src/policy/quarantine.cpp
@@ -0,0 +1,77 @@
+#include "radishroad/policy/quarantine.h"
+
+#include <algorithm>
+
+namespace radishroad {
+
+namespace {
+
+constexpr int kCrashesToQuarantine = 2;
+constexpr Millis kQuarantineTime{ 300000 };
+/// A crash this long ago no longer counts.
+constexpr Millis kCrashMemory{ 600000 };
+constexpr std::size_t kMaxEntries = 8192;
+/// Copies of a request in flight at one crash are reported within this time.
+constexpr Millis kOneCrash{ 500 };
+
+}
+
+void
+Quarantine::onReport(const wire::CrashReportT& aReport, Millis aNow)
+{
+  const bool known = mEntries.contains(aReport.fingerprint);
+  if (!known && mEntries.size() >= kMaxEntries) {
+    makeRoom(aNow);
+  }
+  Entry& entry = mEntries[aReport.fingerprint];
+  const bool sameCrash = entry.mCrashes > 0 &&
+                         entry.mLastReporter == aReport.reporter &&
+                         aNow - entry.mLastCrash < kOneCrash;
+  if (sameCrash) {
+    return;
+  }
+  if (aNow - entry.mLastCrash > kCrashMemory) {
+    entry.mCrashes = 0;
+  }
+  ++entry.mCrashes;
+  entry.mLastCrash = aNow;
+  entry.mLastReporter = aReport.reporter;
+  if (entry.mCrashes >= kCrashesToQuarantine) {
+    entry.mUntil = aNow + kQuarantineTime;
+  }
+}
+
+bool
+Quarantine::isQuarantined(std::uint64_t aFingerprint, Millis aNow) const
+{
+  const auto it = mEntries.find(aFingerprint);
+  return it != mEntries.end() && aNow < it->second.mUntil;
+}
+
+std::size_t
+Quarantine::size() const
+{
+  return mEntries.size();
+}
+
+void
+Quarantine::makeRoom(Millis aNow)
+{
+  std::erase_if(mEntries, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second.mLastCrash > kCrashMemory;
+  });
+  if (mEntries.size() < kMaxEntries) {
+    return;
+  }
+  // What is quarantined stays longest.
+  const auto oldest = std::ranges::min_element(
+    mEntries, [](const auto& aLeft, const auto& aRight) {
+      const Entry& left = aLeft.second;
+      const Entry& right = aRight.second;
+      return std::pair(left.mUntil, left.mLastCrash) <
+             std::pair(right.mUntil, right.mLastCrash);
+    });
+  mEntries.erase(oldest);
+}
+
+}
--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -65,7 +65,7 @@
   const AnswerFn refuse = aAnswer;
   QueuedRequest entry =
     makeQueued(std::move(aRequest), std::move(aAnswer), impl.mHooks.mNow());
-  if (stopping || queued >= impl.mOptions.mMaxQueued ||
+  if (stopping || queued >= impl.mOptions.mMaxQueued * 2 ||
       !impl.mSubmitted.tryPush(std::move(entry))) {
     impl.mQueuedCount.fetch_sub(1);
     refuse(makeNotRun(
--- a/src/upstream/gate_cancel.cpp
+++ b/src/upstream/gate_cancel.cpp
@@ -32,16 +32,18 @@
 void
 Gate::Impl::cancelRequest(RandomId aId)
 {
-  std::vector<QueuedRequest> queued =
-    mQueue.removeIf([aId](const QueuedRequest& aQueued) {
-      return idOf(aQueued.mRequest) == aId;
-    });
+  const auto isMeant = [this, aId](const QueuedRequest& aQueued) {
+    // Copies of other callers wait for the same run.
+    return idOf(aQueued.mRequest) == aId &&
+           !mDuplicates.hasWaiters(aQueued.mMemoryKey);
+  };
+  std::vector<QueuedRequest> queued = mQueue.removeIf(isMeant);
   for (QueuedRequest& request : queued) {
     refuse(request, NotRunReason::Cancelled);
   }
   std::vector<RunId> running;
   for (const auto& [id, run] : mRuns) {
-    if (idOf(run.mQueued.mRequest) == aId) {
+    if (isMeant(run.mQueued)) {
       running.push_back(id);
     }
   }
--- a/src/upstream/gate_health.cpp
+++ b/src/upstream/gate_health.cpp
@@ -108,6 +108,10 @@
 void
 Gate::Impl::suspectCrash(const Run& aRun)
 {
+  if (mAnswered.contains(aRun.mQueued.mFingerprint, mHooks.mNow())) {
+    // The upstream has just answered the same request and lived.
+    return;
+  }
   mSuspects.push_back(
     { aRun.mQueued.mFingerprint, idOf(aRun.mQueued.mRequest), mHooks.mNow() });
   if (mHealth.lost()) {
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -2,7 +2,10 @@
 #define RADISHROAD_SRC_UPSTREAM_GATE_IMPL_H
 
 #include "radishroad/base/ring.h"
+#include "radishroad/policy/answered_set.h"
 #include "radishroad/policy/connection_pacer.h"
+#include "radishroad/policy/duplicate_memory.h"
+#include "radishroad/policy/retry_budget.h"
 #include "radishroad/policy/window.h"
 #include "radishroad/upstream/exchange_runner.h"
 #include "radishroad/upstream/gate.h"
@@ -67,6 +70,8 @@
   // gate_loop.cpp: the thread.
   void loop();
   void takeSubmitted();
+  /// False if the request is a copy and has been dealt with.
+  bool admit(QueuedRequest& aQueued);
   /// Takes in what other threads have handed over.
   void takeInbox();
   void checkRuns(Millis aNow);
@@ -150,6 +155,9 @@
   config::Service mService;
   ConcurrencyWindow mWindow;
   ConnectionPacer mPacer;
+  RetryBudget mRetries;
+  DuplicateMemory mDuplicates;
+  AnsweredSet mAnswered;
   /// Connections known to the pacer.
   std::uint64_t mPacedConnections = 0;
   std::uint64_t mProbes = 0;
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -11,6 +11,10 @@
 constexpr Millis kMaxSleep{ 50 };
 /// How often the ages of requests in flight are looked at.
 constexpr Millis kPendingCheck{ 10 };
+/// Retries of shed requests for each request.
+constexpr double kRetryRatio = 0.1;
+/// What may be handed over at once, in lengths of the queue.
+constexpr std::size_t kInboxFactor = 2;
 
 }
 
@@ -19,7 +23,8 @@
   , mHooks(std::move(aHooks))
   , mMetrics(aMetrics)
   , mWindow(mService.mMaxInFlight)
-  , mSubmitted(mOptions.mMaxQueued + 1)
+  , mRetries(kRetryRatio)
+  , mSubmitted(mOptions.mMaxQueued * kInboxFactor)
 {
 }
 
@@ -51,8 +56,41 @@
 Gate::Impl::takeSubmitted()
 {
   while (std::optional<QueuedRequest> queued = mSubmitted.pop(Millis{ 0 })) {
-    mQueue.pushBack(std::move(*queued));
+    if (admit(*queued)) {
+      mQueue.pushBack(std::move(*queued));
+    }
+  }
+  // The longest line gives way, so that one workspace cannot fill the queue.
+  while (mQueue.size() > mOptions.mMaxQueued) {
+    std::optional<QueuedRequest> dropped = mQueue.dropFromLongest();
+    refuse(*dropped, NotRunReason::QueueFull);
+  }
+}
+
+bool
+Gate::Impl::admit(QueuedRequest& aQueued)
+{
+  using Verdict = DuplicateMemory::Verdict;
+  DuplicateMemory::Admission admission = mDuplicates.admit(
+    aQueued.mRequest, aQueued.mFingerprint, aQueued.mAnswer, mHooks.mNow());
+  switch (admission.mVerdict) {
+    case Verdict::Run:
+      aQueued.mMemoryKey = std::move(admission.mKey);
+      mRetries.onRequest();
+      return true;
+    case Verdict::Joined:
+      mMetrics.count("gate_copies_joined_total");
+      mQueuedCount.fetch_sub(1);
+      return false;
+    case Verdict::Replay:
+      mMetrics.count("gate_copies_replayed_total");
+      answer(aQueued, std::move(admission.mAnswer));
+      return false;
+    case Verdict::Mismatch:
+      refuse(aQueued, NotRunReason::Malformed);
+      return false;
   }
+  return true;
 }
 
 void
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -156,7 +156,9 @@
     mMetrics.count("gate_shed_total");
     mWindow.onShed(now);
   }
-  if (reason == NotRunReason::Shed && queued.mSheds < kMaxSheds) {
+  const bool again = reason == NotRunReason::Shed &&
+                     queued.mSheds < kMaxSheds && mRetries.tryRetry(now);
+  if (again) {
     ++queued.mSheds;
     queued.mNotBefore = now + kShedPause;
     mQueue.pushFront(std::move(queued));
@@ -168,6 +170,8 @@
   }
   const Millis took = now - aRun.mSentAt;
   mWindow.onAnswer(took, aRun.mInFlight, now);
+  mAnswered.add(queued.mFingerprint, now);
+  mQueue.charge(queued.mRequest.workspace, took);
   mLoad.add(queued.mRequest.shard, queued.mRequest.key_hash, took);
   mMetrics.observeMs("gate_run_ms", static_cast<double>(took.mCount));
   answer(queued, makeAnswered(queued.mRequest, std::move(aResponse)));
@@ -244,6 +248,11 @@
   mQueuedCount.fetch_sub(1);
   mMetrics.count(std::string("gate_answers_total{kind=\"") +
                  wire::EnumNameAnswerKind(aAnswer.kind) + "\"}");
+  const std::vector<DuplicateMemory::Waiter> waiters =
+    mDuplicates.finish(aQueued.mMemoryKey, aAnswer, mHooks.mNow());
+  for (const DuplicateMemory::Waiter& waiter : waiters) {
+    waiter.mAnswer(withId(aAnswer, waiter.mId));
+  }
   aQueued.mAnswer(std::move(aAnswer));
 }
 
--- /dev/null
+++ b/tests/unit/duplicate_test.cpp
@@ -0,0 +1,164 @@
+#include "radishroad/policy/answered_set.h"
+#include "radishroad/policy/duplicate_memory.h"
+#include "radishroad/policy/quarantine.h"
+#include "radishroad/policy/retry_budget.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace radishroad;
+using namespace radishroad::literals;
+
+namespace {
+
+using Verdict = DuplicateMemory::Verdict;
+
+ForwardRequest
+makeCopy(std::uint64_t aId, std::string aKey, bool aIdempotent = false)
+{
+  ForwardRequest request;
+  request.id_low = aId;
+  request.workspace = "guild";
+  request.idempotency_key = std::move(aKey);
+  request.idempotent = aIdempotent;
+  return request;
+}
+
+Answer
+makeDone(std::size_t aBytes)
+{
+  Answer answer;
+  answer.kind = AnswerKind::Answered;
+  answer.status = 200;
+  answer.body.resize(aBytes);
+  return answer;
+}
+
+wire::CrashReportT
+makeReport(std::uint64_t aFingerprint, std::uint64_t aReporter)
+{
+  wire::CrashReportT report;
+  report.fingerprint = aFingerprint;
+  report.reporter = aReporter;
+  return report;
+}
+
+const AnswerFn kNobody = [](Answer) {};
+
+}
+
+BOOST_AUTO_TEST_SUITE(duplicates)
+
+BOOST_AUTO_TEST_CASE(copy_joins_and_later_gets_the_answer_again)
+{
+  DuplicateMemory memory;
+  const auto first = memory.admit(makeCopy(1, "k"), 9, kNobody, 0_ms);
+  BOOST_TEST((first.mVerdict == Verdict::Run));
+  const auto second = memory.admit(makeCopy(2, "k"), 9, kNobody, 5_ms);
+  BOOST_TEST((second.mVerdict == Verdict::Joined));
+  BOOST_TEST(memory.hasWaiters(first.mKey));
+  const auto waiters = memory.finish(first.mKey, makeDone(3), 10_ms);
+  BOOST_REQUIRE(waiters.size() == 1U);
+  BOOST_TEST(waiters[0].mId.mLow == 2U);
+  const auto third = memory.admit(makeCopy(3, "k"), 9, kNobody, 20_ms);
+  BOOST_TEST((third.mVerdict == Verdict::Replay));
+  BOOST_TEST(third.mAnswer.id_low == 3U);
+  BOOST_TEST(third.mAnswer.body.size() == 3U);
+  const auto other = memory.admit(makeCopy(4, "k"), 8, kNobody, 20_ms);
+  BOOST_TEST((other.mVerdict == Verdict::Mismatch));
+}
+
+BOOST_AUTO_TEST_CASE(what_was_not_run_may_run_and_unknown_may_not)
+{
+  DuplicateMemory memory;
+  const auto first = memory.admit(makeCopy(1, ""), 9, kNobody, 0_ms);
+  memory.finish(first.mKey, makeNotRun({ 0, 1 }, NotRunReason::Shed), 1_ms);
+  const auto again = memory.admit(makeCopy(1, ""), 9, kNobody, 2_ms);
+  BOOST_TEST((again.mVerdict == Verdict::Run));
+  memory.finish(again.mKey, makeUnknown({ 0, 1 }), 3_ms);
+  const auto third = memory.admit(makeCopy(1, ""), 9, kNobody, 4_ms);
+  BOOST_TEST((third.mVerdict == Verdict::Replay));
+  BOOST_TEST((third.mAnswer.kind == AnswerKind::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(idempotent_request_without_a_key_is_not_remembered)
+{
+  DuplicateMemory memory;
+  for (int i = 0; i < 3; ++i) {
+    const auto copy = memory.admit(makeCopy(1, "", true), 9, kNobody, 0_ms);
+    BOOST_TEST((copy.mVerdict == Verdict::Run));
+  }
+  BOOST_TEST(memory.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(memory_is_bounded_in_time_and_bytes)
+{
+  DuplicateMemory memory;
+  for (std::uint64_t i = 0; i < 100; ++i) {
+    const auto one = memory.admit(makeCopy(i, ""), 9, kNobody, 0_ms);
+    memory.finish(one.mKey, makeDone(1U << 20), 0_ms);
+  }
+  BOOST_TEST(memory.bytes() <= (32U << 20));
+  BOOST_TEST(memory.size() <= 32U);
+  const auto large = memory.admit(makeCopy(200, ""), 9, kNobody, 0_ms);
+  memory.finish(large.mKey, makeDone((1U << 20) + 1), 0_ms);
+  const auto copy = memory.admit(makeCopy(200, ""), 9, kNobody, 1_ms);
+  BOOST_TEST((copy.mVerdict == Verdict::Replay));
+  BOOST_TEST((copy.mAnswer.kind == AnswerKind::Unknown));
+  memory.admit(makeCopy(300, ""), 9, kNobody, 200_s);
+  BOOST_TEST(memory.size() == 1U);
+  BOOST_TEST(memory.bytes() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(second_crash_quarantines_for_a_time)
+{
+  Quarantine quarantine;
+  quarantine.onReport(makeReport(9, 1), 1000_s);
+  // Another copy in flight at the same crash.
+  quarantine.onReport(makeReport(9, 1), 1000_s + 1_ms);
+  BOOST_TEST(!quarantine.isQuarantined(9, 1001_s));
+  quarantine.onReport(makeReport(9, 2), 1001_s);
+  BOOST_TEST(quarantine.isQuarantined(9, 1001_s));
+  BOOST_TEST(!quarantine.isQuarantined(8, 1001_s));
+  BOOST_TEST(!quarantine.isQuarantined(9, 1302_s));
+  // Crashes far apart are no pattern.
+  quarantine.onReport(makeReport(7, 1), 1000_s);
+  quarantine.onReport(makeReport(7, 2), 2000_s);
+  BOOST_TEST(!quarantine.isQuarantined(7, 2000_s));
+}
+
+BOOST_AUTO_TEST_CASE(quarantine_memory_is_bounded)
+{
+  Quarantine quarantine;
+  quarantine.onReport(makeReport(1, 1), 1000_s);
+  quarantine.onReport(makeReport(1, 2), 1001_s);
+  for (std::uint64_t i = 2; i < 10000; ++i) {
+    quarantine.onReport(makeReport(i, 1), 1002_s);
+  }
+  BOOST_TEST(quarantine.size() <= 8192U);
+  BOOST_TEST(quarantine.isQuarantined(1, 1003_s));
+}
+
+BOOST_AUTO_TEST_CASE(answered_fingerprints_are_forgotten)
+{
+  AnsweredSet answered;
+  answered.add(5, 0_ms);
+  BOOST_TEST(answered.contains(5, 10_s));
+  BOOST_TEST(!answered.contains(5, 11_s));
+  BOOST_TEST(!answered.contains(6, 0_ms));
+}
+
+BOOST_AUTO_TEST_CASE(retries_are_a_share_of_requests)
+{
+  RetryBudget budget(0.1);
+  int retries = 0;
+  for (int i = 0; i < 10000; ++i) {
+    budget.onRequest();
+    retries += budget.tryRetry(1_s) ? 1 : 0;
+  }
+  BOOST_TEST(retries <= 1000 + 20);
+  BOOST_TEST(retries >= 1000);
+  BOOST_TEST(!budget.tryRetry(1_s));
+  BOOST_TEST(budget.tryRetry(2_s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/gate_test.cpp
+++ b/tests/unit/gate_test.cpp
@@ -400,6 +400,39 @@
   BOOST_TEST((late.reason == NotRunReason::Draining));
 }
 
+BOOST_AUTO_TEST_CASE(copies_share_one_run)
+{
+  Valve valve;
+  Fixture fixture(
+    [&](const Request&) { return valve.hold(FakeUpstream::ok("paid")); });
+  ForwardRequest first = makeRequest("POST", 1);
+  first.idempotency_key = "order-7";
+  ForwardRequest second = first;
+  second.id_low = 2;
+  std::future<Answer> running = fixture.submit(first);
+  BOOST_TEST(fixture.mUpstream.waitFor("POST", 1));
+  std::future<Answer> joined = fixture.submit(second);
+  // The caller of the first goes away; the second still waits for it.
+  fixture.mGate.cancel({ 7, 1 });
+  valve.open();
+  BOOST_TEST((running.get().kind == AnswerKind::Answered));
+  const Answer copy = joined.get();
+  BOOST_TEST(copy.id_low == 2U);
+  BOOST_TEST(std::string(copy.body.begin(), copy.body.end()) == "paid");
+  second.id_low = 3;
+  BOOST_TEST((fixture.run(second).kind == AnswerKind::Answered));
+  BOOST_TEST(fixture.mUpstream.requests("POST").size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(request_id_that_has_run_does_not_run_again)
+{
+  Fixture fixture([](const Request&) { return Reply{ "", true }; });
+  const ForwardRequest request = makeRequest("POST", 1);
+  BOOST_TEST((fixture.run(request).kind == AnswerKind::Unknown));
+  BOOST_TEST((fixture.run(request).kind == AnswerKind::Unknown));
+  BOOST_TEST(fixture.mUpstream.requests("POST").size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(fresh_upstream_gets_one_request_at_a_time)
 {
   std::atomic<int> running{ 0 };
