--- a/src/policy/token_wallet.cpp
+++ b/src/policy/token_wallet.cpp
@@ -14,7 +14,7 @@
 /// Time constant of the smoothed demand.
 constexpr double kDemandSeconds = 0.5;
 /// An ask without a grant for so long is taken as lost.
-constexpr Millis kAskTimeout{ 100 };
+constexpr Millis kAskTimeout{ 40 };
 constexpr double kMillisPerSecond = 1000.0;
 constexpr double kNegligibleDemand = 0.01;
 
