Tell a refused connection from a lack of sockets in the gate

libcurl has one code for both. Taking the lack of sockets for a lost upstream would have dropped the cancels of runs that go on. A refusal is now its own end of an exchange, told by ECONNREFUSED.

A silent upstream counts as down after three probes of 300 ms without any answer.

--- a/include/radishroad/upstream/exchange.h
+++ b/include/radishroad/upstream/exchange.h
@@ -53,6 +53,8 @@
   Whole,
   /// No byte of the request was written: proven not run.
   NotSent,
+  /// NotSent, and the upstream's port refuses connections: nobody is there.
+  Refused,
   /// The request may have run; there is no whole response.
   Lost,
 };
@@ -86,6 +88,7 @@
   void setRequest(const UpstreamRequest& aRequest);
   void setCallbacks(ConnectionCounter& aConnections);
   bool framed() const;
+  bool refused(CURLcode aCode) const;
   void onHeaderLine(std::string_view aLine);
 
   static int onPreRequest(void* aSelf, char*, char*, int, int);
--- a/src/upstream/exchange.cpp
+++ b/src/upstream/exchange.cpp
@@ -4,6 +4,7 @@
 #include "radishroad/upstream/header_text.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 
 namespace radishroad {
@@ -211,11 +212,20 @@
          listContains(mResponse.header("transfer-encoding"), "chunked");
 }
 
+bool
+Exchange::refused(CURLcode aCode) const
+{
+  // The same code stands for a lack of sockets on this machine.
+  long error = 0;
+  curl_easy_getinfo(mHandle.get(), CURLINFO_OS_ERRNO, &error);
+  return aCode == CURLE_COULDNT_CONNECT && error == ECONNREFUSED;
+}
+
 ExchangeEnd
 Exchange::end(CURLcode aCode) const
 {
   if (!mSent) {
-    return ExchangeEnd::NotSent;
+    return refused(aCode) ? ExchangeEnd::Refused : ExchangeEnd::NotSent;
   }
   const bool whole = aCode == CURLE_OK && mResponse.mStatus >= 200 && framed();
   return whole ? ExchangeEnd::Whole : ExchangeEnd::Lost;
--- a/src/upstream/gate_health.cpp
+++ b/src/upstream/gate_health.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr Millis kProbeTimeout{ 500 };
+constexpr Millis kProbeTimeout{ 300 };
 constexpr Millis kMaxIdle{ 30000 };
 constexpr std::size_t kMaxProbeAnswer = 4096;
 constexpr std::uint64_t kLoadProbeEvery = 4;
@@ -34,21 +34,19 @@
   mExchanges.start(
     probe,
     [] { return true; },
-    [this, load](
-      ExchangeEnd aEnd, CURLcode aCode, const UpstreamResponse& aResponse) {
+    [this,
+     load](ExchangeEnd aEnd, CURLcode, const UpstreamResponse& aResponse) {
       if (load && aEnd == ExchangeEnd::Whole) {
         mProbing = false;
         onLoadAnswer(aResponse);
         return;
       }
-      onProbeEnd(aEnd, aCode, aResponse);
+      onProbeEnd(aEnd, aResponse);
     });
 }
 
 void
-Gate::Impl::onProbeEnd(ExchangeEnd aEnd,
-                       CURLcode aCode,
-                       const UpstreamResponse& aResponse)
+Gate::Impl::onProbeEnd(ExchangeEnd aEnd, const UpstreamResponse& aResponse)
 {
   mProbing = false;
   if (aEnd == ExchangeEnd::Whole) {
@@ -64,7 +62,7 @@
     }
     return;
   }
-  if (aEnd == ExchangeEnd::NotSent && aCode == CURLE_COULDNT_CONNECT) {
+  if (aEnd == ExchangeEnd::Refused) {
     onHealthChange(mHealth.onRefused());
     return;
   }
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -85,7 +85,7 @@
   void finishDrains();
   Millis nextWake(Millis aNow) const;
   bool finished() const;
-  void publishGauges();
+  void publishLoad();
   /// Any thread: runs the task on the gate's thread.
   void post(std::function<void()> aTask);
 
@@ -103,7 +103,7 @@
                 CURLcode aCode,
                 UpstreamResponse aResponse);
   void onWhole(Run aRun, UpstreamResponse aResponse);
-  void onNotSent(Run aRun, CURLcode aCode);
+  void onNotSent(Run aRun, ExchangeEnd aEnd);
   void onLost(Run aRun, CURLcode aCode);
   /// Aborts the transfer. aReason is for a request that was not yet written.
   void giveUp(RunId aId, NotRunReason aReason);
@@ -130,9 +130,7 @@
 
   // gate_health.cpp: probes, restarts and crashes.
   void probe(Millis aNow);
-  void onProbeEnd(ExchangeEnd aEnd,
-                  CURLcode aCode,
-                  const UpstreamResponse& aResponse);
+  void onProbeEnd(ExchangeEnd aEnd, const UpstreamResponse& aResponse);
   void onHealthChange(HealthChange aChange);
   void suspectCrash(const Run& aRun);
   void reportCrash();
@@ -161,6 +159,7 @@
   /// Connections known to the pacer.
   std::uint64_t mPacedConnections = 0;
   std::uint64_t mProbes = 0;
+  Millis mGaugesAt;
 
   /// Any thread.
   Ring<QueuedRequest> mSubmitted;
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -11,6 +11,7 @@
 constexpr Millis kMaxSleep{ 50 };
 /// How often the ages of requests in flight are looked at.
 constexpr Millis kPendingCheck{ 10 };
+constexpr Millis kGaugeInterval{ 100 };
 /// Retries of shed requests for each request.
 constexpr double kRetryRatio = 0.1;
 /// What may be handed over at once, in lengths of the queue.
@@ -46,10 +47,10 @@
     // Freed slots are taken before sleeping.
     dispatch(mHooks.mNow());
     finishDrains();
-    publishGauges();
+    publishLoad();
     mExchanges.poll(nextWake(mHooks.mNow()));
   }
-  publishGauges();
+  publishLoad();
 }
 
 void
@@ -254,7 +255,8 @@
   if (!mProbing) {
     next = std::min(next, mHealth.nextProbe());
   }
-  return std::max(Millis{ 0 }, next - aNow);
+  // A time that has passed was dealt with in this turn; no busy loop.
+  return std::max(Millis{ 1 }, next - aNow);
 }
 
 bool
@@ -265,12 +267,17 @@
 }
 
 void
-Gate::Impl::publishGauges()
+Gate::Impl::publishLoad()
 {
   const std::uint32_t n = busy();
   mInFlight = n;
   mHealthyNow = mHealth.healthy();
   mWindowNow = mWindow.size();
+  const Millis now = mHooks.mNow();
+  if (now - mGaugesAt < kGaugeInterval) {
+    return;
+  }
+  mGaugesAt = now;
   mMetrics.gauge("gate_in_flight", n);
   mMetrics.gauge("gate_queued", mQueuedCount.load());
   mMetrics.gauge("gate_window", mWindowNow);
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -137,7 +137,8 @@
       onWhole(std::move(run), std::move(aResponse));
       break;
     case ExchangeEnd::NotSent:
-      onNotSent(std::move(run), aCode);
+    case ExchangeEnd::Refused:
+      onNotSent(std::move(run), aEnd);
       break;
     case ExchangeEnd::Lost:
       onLost(std::move(run), aCode);
@@ -178,13 +179,13 @@
 }
 
 void
-Gate::Impl::onNotSent(Run aRun, CURLcode aCode)
+Gate::Impl::onNotSent(Run aRun, ExchangeEnd aEnd)
 {
   const Millis now = mHooks.mNow();
   QueuedRequest& queued = aRun.mQueued;
   if (!aRun.mHeldBack) {
     mMetrics.count("gate_connect_failures_total");
-    if (aCode == CURLE_COULDNT_CONNECT) {
+    if (aEnd == ExchangeEnd::Refused) {
       onHealthChange(mHealth.onRefused());
     }
     mHealth.probeSoon(now);
--- a/src/upstream/health_tracker.cpp
+++ b/src/upstream/health_tracker.cpp
@@ -12,8 +12,8 @@
 /// Least time between two probes, whatever the reason.
 constexpr Millis kProbeGap{ 20 };
 /// Silent probes in a row, without an answer to anything else, until the
-/// upstream counts as down. One slow probe is no proof.
-constexpr int kMaxTimeouts = 2;
+/// upstream counts as down. A slow probe or two are no proof.
+constexpr int kMaxTimeouts = 3;
 constexpr int kStatusOk = 200;
 
 }
