Model changes of witnesses that were certainly not appended

Cause: the daemon abandons a change whose append certainly failed; the model did not, so nothing showed when that is safe. Change: an append that a daemon knows to have failed abandons the change, but only if no earlier append of it may have taken effect.

--- a/tests/unit/lease_test.cpp
+++ b/tests/unit/lease_test.cpp
@@ -135,6 +135,18 @@
   BOOST_TEST((holder.proposed()[0] == 3U));
 }
 
+BOOST_AUTO_TEST_CASE(change_that_was_never_appended_ends_without_a_trace)
+{
+  LeaseHolder holder = holderOf({ 2, 3, 4 });
+  holder.onPromise(2, 0, 100_ms);
+  holder.onPromise(3, 0, 100_ms);
+  holder.beginChange(Set{ 5, 6, 7 });
+  BOOST_TEST(!holder.holds(110_ms));
+  holder.abandonChange();
+  BOOST_TEST(!holder.changeInDoubt());
+  BOOST_TEST(holder.holds(110_ms));
+}
+
 BOOST_AUTO_TEST_CASE(renewals_are_paced_and_go_to_both_sets)
 {
   LeaseHolder holder = holderOf({ 2, 3 });
--- a/tests/unit/ownership_model.cpp
+++ b/tests/unit/ownership_model.cpp
@@ -118,15 +118,30 @@
 }
 
 /// What the daemon sees of an append is only what it reads back.
-void
+bool
 Model::submit(int aIndex, const wire::RecordT& aRecord)
 {
-  if (mLogCut[aIndex] || (!calm() && chance(0.1))) {
-    return;
+  if (mLogCut[aIndex]) {
+    return false;
+  }
+  if (!calm() && chance(0.1)) {
+    return true;
   }
   const bool late = !calm() && chance(0.15);
   const Millis delay = late ? between(30, 1500) : between(1, 30);
   mAppends.push({ mNow + delay, ++mSequence, encodeRecord(aRecord) });
+  return true;
+}
+
+void
+Model::submitChange(int aIndex, const wire::RewitnessT& aChange)
+{
+  Daemon& daemon = *mDaemons[aIndex];
+  if (submit(aIndex, recordOf(aChange))) {
+    daemon.mMaybeAppended = true;
+  } else if (!daemon.mMaybeAppended || mMutant == Mutant::AbandonInDoubt) {
+    daemon.mHolder.abandonChange();
+  }
 }
 
 void
@@ -323,6 +338,7 @@
         return;
       }
       daemon.mHolder.adopt(it->second.mWitnessVersion, it->second.mWitnesses);
+      daemon.mMaybeAppended &= daemon.mHolder.changeInDoubt();
     }
   }
   if (!isActive(daemon.mState, daemon.mSelf)) {
@@ -391,7 +407,7 @@
     daemon.mHolder = unaware;
   }
   if (change) {
-    submit(aIndex, recordOf(*change));
+    submitChange(aIndex, *change);
   }
 }
 
@@ -417,7 +433,7 @@
   if (mMutant != Mutant::NoJointMajority) {
     daemon.mHolder.beginChange(change.witnesses);
   }
-  submit(aIndex, recordOf(std::move(change)));
+  submitChange(aIndex, change);
 }
 
 void
--- a/tests/unit/ownership_model.h
+++ b/tests/unit/ownership_model.h
@@ -29,6 +29,7 @@
   TtlFromReceipt,
   ConsentNotForGood,
   PromiseToExpelled,
+  AbandonInDoubt,
 };
 
 constexpr int kDaemons = 7;
@@ -94,6 +95,8 @@
   LeaseHolder mHolder;
   ExpelDriver mDriver;
   WitnessKeeper mKeeper;
+  /// An append of the change in doubt may have taken effect.
+  bool mMaybeAppended = false;
   Millis mLogAnsweredAt;
   Millis mNextJoin;
   Millis mNextAssign;
@@ -156,7 +159,9 @@
   void stepAssign(int aIndex);
   template<typename Change>
   wire::RecordT recordOf(Change aChange);
-  void submit(int aIndex, const wire::RecordT& aRecord);
+  /// False if the record is certainly not appended, and the daemon knows.
+  bool submit(int aIndex, const wire::RecordT& aRecord);
+  void submitChange(int aIndex, const wire::RewitnessT& aChange);
   void appendNow(const wire::RecordT& aRecord);
   void tick(Outcome& aOutcome);
   void judge(Outcome& aOutcome);
--- a/tests/unit/ownership_model_test.cpp
+++ b/tests/unit/ownership_model_test.cpp
@@ -115,6 +115,11 @@
   BOOST_TEST(firstViolation(Mutant::ConsentNotForGood) != 0U);
 }
 
+BOOST_AUTO_TEST_CASE(with_a_change_abandoned_in_doubt_two_serve)
+{
+  BOOST_TEST(firstViolation(Mutant::AbandonInDoubt) != 0U);
+}
+
 BOOST_AUTO_TEST_CASE(with_promises_to_expelled_members_two_serve)
 {
   BOOST_TEST(firstViolation(Mutant::PromiseToExpelled) != 0U);
