--- a/include/radishroad/peer/link.h
+++ b/include/radishroad/peer/link.h
@@ -35,6 +35,7 @@
     Millis mConnectTimeout{ 300 };
   };
 
+  /// All but mOnClosed must be set.
   struct Hooks
   {
     /// A control frame from a peer; runs on the link's thread.
--- a/src/peer/link.cpp
+++ b/src/peer/link.cpp
@@ -4,6 +4,7 @@
 #include "radishroad/peer/forwarder.h"
 #include "radishroad/peer/receiver.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -22,6 +23,8 @@
 constexpr std::chrono::milliseconds kLivenessInterval{ 250 };
 /// Bytes of control frames queued for one peer before new ones are dropped.
 constexpr std::size_t kMaxQueuedControlBytes = 8U << 20;
+/// Bound on time left, so that a deadline never overflows the clock.
+constexpr Millis kMaxTimeLeft{ 24 * 3600 * 1000 };
 
 }
 
@@ -228,7 +231,8 @@
                   AnswerFn aAnswer)
 {
   const RandomId id = idOf(aRequest);
-  const Millis timeLeft{ aRequest.time_left_ms };
+  const Millis timeLeft =
+    std::min(Millis{ aRequest.time_left_ms }, kMaxTimeLeft);
   const Forwarder::Clock::time_point deadline =
     Forwarder::Clock::now() + std::chrono::milliseconds(timeLeft.mCount);
   if (timeLeft <= Millis{}) {
