End the link's thread when its timer fires during stop

Cause: cancelling a timer does not reach a handler that is queued already; the liveness check then scheduled itself again and stop() waited for ever. Ruled out: the other timers, whose handlers look at their own state first.

--- a/src/peer/link.cpp
+++ b/src/peer/link.cpp
@@ -23,8 +23,8 @@
 constexpr std::chrono::milliseconds kLivenessInterval{ 250 };
 /// Bytes of control frames queued for one peer before new ones are dropped.
 constexpr std::size_t kMaxQueuedControlBytes = 8U << 20;
-/// Bound on time left, so that a deadline never overflows the clock.
-constexpr Millis kMaxTimeLeft{ 24 * 3600 * 1000 };
+/// Bound on time left, one day, so that a deadline never overflows the clock.
+constexpr Millis kMaxTimeLeft{ 86'400'000 };
 
 }
 
@@ -62,6 +62,7 @@
   Receiver mReceiver;
   Connection::Options mConnectionOptions;
   std::unordered_map<std::string, Peer> mPeers;
+  bool mStopping = false;
   std::thread mThread;
 
   std::mutex mMutex;
@@ -155,7 +156,8 @@
 {
   mLivenessTimer.expires_after(kLivenessInterval);
   mLivenessTimer.async_wait([this](const boost::system::error_code& aCode) {
-    if (aCode) {
+    // A handler already queued is not reached by the timer's cancel.
+    if (aCode || mStopping) {
       return;
     }
     const Millis now = monotonicNow();
@@ -171,6 +173,7 @@
 void
 PeerLink::Impl::shutDown()
 {
+  mStopping = true;
   mLivenessTimer.cancel();
   for (auto& [address, peer] : mPeers) {
     peer.mForwarder->stop();
