--- a/src/peer/link.cpp
+++ b/src/peer/link.cpp
@@ -4,6 +4,7 @@
 #include "radishroad/peer/forwarder.h"
 #include "radishroad/peer/receiver.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -22,6 +23,8 @@
 constexpr std::chrono::milliseconds kLivenessInterval{ 250 };
 /// Bytes of control frames queued for one peer before new ones are dropped.
 constexpr std::size_t kMaxQueuedControlBytes = 8U << 20;
+/// Bound on time left, one day, so that a deadline never overflows the clock.
+constexpr Millis kMaxTimeLeft{ 86'400'000 };
 
 }
 
@@ -59,6 +62,7 @@
   Receiver mReceiver;
   Connection::Options mConnectionOptions;
   std::unordered_map<std::string, Peer> mPeers;
+  bool mStopping = false;
   std::thread mThread;
 
   std::mutex mMutex;
@@ -152,7 +156,8 @@
 {
   mLivenessTimer.expires_after(kLivenessInterval);
   mLivenessTimer.async_wait([this](const boost::system::error_code& aCode) {
-    if (aCode) {
+    // A handler already queued is not reached by the timer's cancel.
+    if (aCode || mStopping) {
       return;
     }
     const Millis now = monotonicNow();
@@ -168,6 +173,7 @@
 void
 PeerLink::Impl::shutDown()
 {
+  mStopping = true;
   mLivenessTimer.cancel();
   for (auto& [address, peer] : mPeers) {
     peer.mForwarder->stop();
@@ -228,7 +234,8 @@
                   AnswerFn aAnswer)
 {
   const RandomId id = idOf(aRequest);
-  const Millis timeLeft{ aRequest.time_left_ms };
+  const Millis timeLeft =
+    std::min(Millis{ aRequest.time_left_ms }, kMaxTimeLeft);
   const Forwarder::Clock::time_point deadline =
     Forwarder::Clock::now() + std::chrono::milliseconds(timeLeft.mCount);
   if (timeLeft <= Millis{}) {
