Decode routing keys, and let HEAD use routes for GET

A key was hashed as it was spelled, so /c/k and /c/%6B went to two owners although an upstream takes them for one key. Keys from path and query are now decoded; a query parameter that comes twice matches no route, since an upstream may read the other one. HEAD on a GET route was 404.

--- /dev/null
+++ b/include/radishroad/base/percent.h
@@ -0,0 +1,16 @@
+#ifndef RADISHROAD_BASE_PERCENT_H
+#define RADISHROAD_BASE_PERCENT_H
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace radishroad {
+
+/// Decodes %XX escapes (RFC 3986, 2.1). Nothing if an escape is broken.
+std::optional<std::string>
+percentDecode(std::string_view aText);
+
+}
+
+#endif
--- a/include/radishroad/config/route_match.h
+++ b/include/radishroad/config/route_match.h
@@ -22,7 +22,8 @@
   std::function<std::optional<std::string_view>(std::string_view)>;
 
 /// Finds the route of a request: the one with most fixed segments among those
-/// that match. Nothing if none matches or its key is missing or empty.
+/// that match; HEAD falls back to a route for GET. The key is decoded. Nothing
+/// if none matches or its key is missing, empty or ambiguous.
 std::optional<RouteMatch>
 matchRoute(const Model& aModel,
            std::string_view aMethod,
--- a/src/caller/target_check.cpp
+++ b/src/caller/target_check.cpp
@@ -1,14 +1,14 @@
 #include "radishroad/caller/target_check.h"
 
-#include <cctype>
+#include "radishroad/base/percent.h"
+
+#include <algorithm>
 #include <optional>
 
 namespace radishroad {
 
 namespace {
 
-constexpr std::size_t kEscapeLength = 3;
-
 bool
 isPlainByte(char aByte)
 {
@@ -17,64 +17,31 @@
   return aByte >= kFirst && aByte <= kLast && aByte != '\\' && aByte != '#';
 }
 
-int
-hexValue(char aDigit)
+/// Decodes one part; the problem if it has one.
+std::string
+decodePart(std::string_view aPart, std::string& aDecoded)
 {
-  if (aDigit >= '0' && aDigit <= '9') {
-    return aDigit - '0';
+  if (!std::all_of(aPart.begin(), aPart.end(), isPlainByte)) {
+    return "target has a byte that is not allowed";
   }
-  const int lower = std::tolower(static_cast<unsigned char>(aDigit));
-  return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
-}
-
-/// The byte that an escape at the front stands for.
-std::optional<char>
-decodeEscape(std::string_view aText)
-{
-  if (aText.size() < kEscapeLength) {
-    return std::nullopt;
+  std::optional<std::string> decoded = percentDecode(aPart);
+  if (!decoded) {
+    return "target has a broken escape";
   }
-  const int high = hexValue(aText[1]);
-  const int low = hexValue(aText[2]);
-  if (high < 0 || low < 0) {
-    return std::nullopt;
+  if (decoded->find('\0') != std::string::npos) {
+    return "target has an encoded NUL";
   }
-  return static_cast<char>(high * 16 + low);
+  aDecoded = std::move(*decoded);
+  return {};
 }
 
+/// Plain backslashes are refused before.
 bool
-isPathSeparator(char aByte)
+hasEncodedSeparator(std::string_view aPath, std::string_view aDecoded)
 {
-  return aByte == '/' || aByte == '\\';
-}
-
-/// Decodes one part; the problem if it has one.
-std::string
-decodePart(std::string_view aPart, bool aInPath, std::string& aDecoded)
-{
-  while (!aPart.empty()) {
-    if (!isPlainByte(aPart.front())) {
-      return "target has a byte that is not allowed";
-    }
-    if (aPart.front() != '%') {
-      aDecoded += aPart.front();
-      aPart.remove_prefix(1);
-      continue;
-    }
-    const std::optional<char> byte = decodeEscape(aPart);
-    if (!byte) {
-      return "target has a broken escape";
-    }
-    if (*byte == '\0') {
-      return "target has an encoded NUL";
-    }
-    if (aInPath && isPathSeparator(*byte)) {
-      return "path has an encoded separator";
-    }
-    aDecoded += *byte;
-    aPart.remove_prefix(kEscapeLength);
-  }
-  return {};
+  return aDecoded.find('\\') != std::string_view::npos ||
+         std::count(aDecoded.begin(), aDecoded.end(), '/') !=
+           std::count(aPath.begin(), aPath.end(), '/');
 }
 
 bool
@@ -100,15 +67,18 @@
   if (!aTarget.starts_with('/')) {
     return "target is not an absolute path";
   }
-  const std::size_t query = aTarget.find('?');
-  std::string path;
-  std::string problem = decodePart(aTarget.substr(0, query), true, path);
-  if (problem.empty() && hasDotSegment(path)) {
+  const std::size_t query = std::min(aTarget.find('?'), aTarget.size());
+  const std::string_view path = aTarget.substr(0, query);
+  std::string decoded;
+  std::string problem = decodePart(path, decoded);
+  if (problem.empty() && hasEncodedSeparator(path, decoded)) {
+    problem = "path has an encoded separator";
+  }
+  if (problem.empty() && hasDotSegment(decoded)) {
     problem = "path has a dot segment";
   }
-  if (problem.empty() && query != std::string_view::npos) {
-    std::string unused;
-    problem = decodePart(aTarget.substr(query), false, unused);
+  if (problem.empty()) {
+    problem = decodePart(aTarget.substr(query), decoded);
   }
   return problem;
 }
--- a/src/config/route_match.cpp
+++ b/src/config/route_match.cpp
@@ -1,5 +1,8 @@
 #include "radishroad/config/route_match.h"
 
+#include "radishroad/base/percent.h"
+
+#include <algorithm>
 #include <vector>
 
 namespace radishroad::config {
@@ -54,24 +57,44 @@
   return n == aSegments.size() ? std::optional<PathMatch>(match) : std::nullopt;
 }
 
-std::string_view
+/// The decoded value of the parameter; nothing if it is missing, broken or
+/// there more than once, since an upstream may then read another one.
+std::optional<std::string>
 queryValue(std::string_view aQuery, std::string_view aName)
 {
+  std::optional<std::string> value;
   std::size_t start = 0;
   while (start < aQuery.size()) {
     const std::size_t end = std::min(aQuery.find('&', start), aQuery.size());
     const std::string_view pair = aQuery.substr(start, end - start);
-    const std::size_t equals = pair.find('=');
-    if (pair.substr(0, equals) == aName) {
-      return equals == std::string_view::npos ? std::string_view()
-                                              : pair.substr(equals + 1);
-    }
+    const std::size_t equals = std::min(pair.find('='), pair.size());
     start = end + 1;
+    if (percentDecode(pair.substr(0, equals)) != aName) {
+      continue;
+    }
+    if (value || equals == pair.size()) {
+      return std::nullopt;
+    }
+    // In a query "+" is a space to many servers.
+    std::string text(pair.substr(equals + 1));
+    std::replace(text.begin(), text.end(), '+', ' ');
+    value = percentDecode(text);
+    if (!value) {
+      return std::nullopt;
+    }
   }
-  return {};
+  return value;
+}
+
+std::optional<std::string>
+readHeader(const HeaderFn& aHeader, const std::string& aName)
+{
+  const std::optional<std::string_view> value = aHeader(aName);
+  return value ? std::optional<std::string>(*value) : std::nullopt;
 }
 
-std::string_view
+/// The key decoded, so that each spelling of a key leads to one owner.
+std::optional<std::string>
 readKey(const Route& aRoute,
         const PathMatch& aMatch,
         std::string_view aQuery,
@@ -79,22 +102,21 @@
 {
   switch (aRoute.mKeySource) {
     case KeySource::Path:
-      return aMatch.mKey;
+      return percentDecode(aMatch.mKey);
     case KeySource::Query:
       return queryValue(aQuery, aRoute.mKeyName);
     case KeySource::Header:
-      return aHeader(aRoute.mKeyName).value_or(std::string_view());
+      return readHeader(aHeader, aRoute.mKeyName);
   }
-  return {};
-}
-
+  return std::nullopt;
 }
 
+/// As matchRoute, for a method that stands for itself alone.
 std::optional<RouteMatch>
-matchRoute(const Model& aModel,
-           std::string_view aMethod,
-           std::string_view aTarget,
-           const HeaderFn& aHeader)
+matchMethod(const Model& aModel,
+            std::string_view aMethod,
+            std::string_view aTarget,
+            const HeaderFn& aHeader)
 {
   const std::size_t mark = std::min(aTarget.find('?'), aTarget.size());
   const std::vector<std::string_view> segments =
@@ -111,14 +133,30 @@
     if (!match || match->mFixedSegments <= bestFixed) {
       continue;
     }
-    const std::string_view key = readKey(route, *match, query, aHeader);
-    if (key.empty()) {
+    std::optional<std::string> key = readKey(route, *match, query, aHeader);
+    if (!key || key->empty()) {
       continue;
     }
-    best = RouteMatch{ &route, std::string(key) };
+    best = RouteMatch{ &route, std::move(*key) };
     bestFixed = match->mFixedSegments;
   }
   return best;
 }
 
 }
+
+std::optional<RouteMatch>
+matchRoute(const Model& aModel,
+           std::string_view aMethod,
+           std::string_view aTarget,
+           const HeaderFn& aHeader)
+{
+  std::optional<RouteMatch> match =
+    matchMethod(aModel, aMethod, aTarget, aHeader);
+  if (!match && aMethod == "HEAD") {
+    match = matchMethod(aModel, "GET", aTarget, aHeader);
+  }
+  return match;
+}
+
+}
--- a/src/operator/model_json.cpp
+++ b/src/operator/model_json.cpp
@@ -31,6 +31,7 @@
 {
   return { { "checks_fence", aService.mChecksFence },
            { "deadline_ms", aService.mDeadline.mCount },
+           { "run_limit_ms", aService.mRunLimit.mCount },
            { "max_in_flight", aService.mMaxInFlight },
            { "connection_cost_ms", aService.mConnectionCost.mCount },
            { "probe_cost_ms", aService.mProbeCost.mCount } };
