--- /dev/null
+++ b/tests/process/drain_test.cpp
@@ -0,0 +1,107 @@
+#include "radishroad/config/folder.h"
+#include "support/scenario.h"
+#include "support/wait.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+
+namespace radishroad::test {
+
+using namespace radishroad::literals;
+
+namespace {
+
+/// "A few seconds" after a drain.
+constexpr Millis kDrainTime = 5_s;
+
+std::vector<ConfigText>
+guildWithout(const std::string& aZone)
+{
+  std::vector<ConfigText> files =
+    config::readFolder(Scenario::guildFolder()).value();
+  for (ConfigText& file : files) {
+    const std::size_t zone = file.mText.find("  " + aZone + ":\n");
+    if (zone != std::string::npos) {
+      const std::size_t value = file.mText.find("true", zone);
+      file.mText.replace(value, 4, "false");
+    }
+  }
+  return files;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(drain)
+
+BOOST_AUTO_TEST_CASE(of_vm)
+{
+  Scenario scenario({ "drain_vm", 51 });
+  Fleet& fleet = scenario.fleet();
+  const std::string victim = scenario.drawVm("catalog");
+  scenario.startTraffic({}, "ms=10");
+  scenario.runOn(1_s, 2_s);
+  BOOST_TEST(fleet.drain(victim, true));
+  const std::int64_t drained = wallNow().mCount;
+  scenario.runOn(kDrainTime + 2_s, kDrainTime + 2_s);
+  Evidence evidence = scenario.stopTraffic();
+  checkAlways(evidence);
+  expectNone(judgeAllAnswered(evidence.mResults));
+  expectNone(
+    judgeNoWorkAfter(evidence.mRuns, { victim }, drained + kDrainTime.mCount));
+}
+
+BOOST_AUTO_TEST_CASE(of_zone_and_back)
+{
+  Scenario scenario({ "drain_zone", 52 });
+  Fleet& fleet = scenario.fleet();
+  const std::set<std::string> zone = { "catalog-2", "library-2" };
+  scenario.startTraffic({}, "ms=10");
+  scenario.runOn(1_s, 2_s);
+  BOOST_TEST(fleet.publish(guildWithout("worcester"), 1));
+  const std::int64_t drained = wallNow().mCount;
+  scenario.runOn(kDrainTime + 2_s, kDrainTime + 2_s);
+  BOOST_TEST(fleet.publishFolder(Scenario::guildFolder(), 2));
+  const std::int64_t back = wallNow().mCount;
+  const auto servesAgain = [&] {
+    for (const Run& run : fleet.runs()) {
+      if (zone.contains(run.mVm) && run.mStartMs > back) {
+        return true;
+      }
+    }
+    return false;
+  };
+  BOOST_TEST(waitFor(servesAgain, 20_s));
+  Evidence evidence = scenario.stopTraffic();
+  checkAlways(evidence);
+  expectNone(judgeAllAnswered(evidence.mResults));
+  std::erase_if(evidence.mRuns,
+                [&](const Run& aRun) { return aRun.mStartMs > back; });
+  expectNone(
+    judgeNoWorkAfter(evidence.mRuns, zone, drained + kDrainTime.mCount));
+}
+
+BOOST_AUTO_TEST_CASE(by_sigterm)
+{
+  Scenario scenario({ "drain_sigterm", 53 });
+  Fleet& fleet = scenario.fleet();
+  const std::string victim = scenario.drawVm("catalog");
+  scenario.startTraffic({}, "ms=50");
+  scenario.runOn(1_s, 2_s);
+  fleet.signal(victim, Role::Daemon, SIGTERM);
+  const std::optional<int> ec =
+    fleet.process(victim, Role::Daemon)->waitForExit(15_s);
+  BOOST_REQUIRE(ec.has_value());
+  BOOST_TEST(*ec == 0);
+  scenario.runOn(1_s, 1_s);
+  Evidence evidence = scenario.stopTraffic();
+  checkAlways(evidence);
+  // Once it has stopped, its port is closed: that is no request cut.
+  std::erase_if(evidence.mResults, [](const tools::LoadResult& aResult) {
+    return aResult.mError == "Couldn't connect to server";
+  });
+  expectNone(judgeAllAnswered(evidence.mResults));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- /dev/null
+++ b/tests/process/log_outage_test.cpp
@@ -0,0 +1,99 @@
+#include "support/scenario.h"
+#include "support/wait.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace radishroad::test {
+
+using namespace radishroad::literals;
+
+namespace {
+
+constexpr Millis kTakeover = 2_s;
+constexpr Millis kInForce = 16_s;
+
+bool
+hasVersion(const Fleet& aFleet, const std::string& aVm, std::uint64_t aVersion)
+{
+  const nlohmann::json state = aFleet.state(aVm);
+  return state.is_object() && state.value("config_version", 0U) == aVersion;
+}
+
+bool
+allHaveVersion(const Fleet& aFleet, std::uint64_t aVersion)
+{
+  for (const char* service : { "catalog", "library" }) {
+    for (const std::string& vm : aFleet.vmsOf(service)) {
+      if (!hasVersion(aFleet, vm, aVersion)) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(log_outage)
+
+BOOST_AUTO_TEST_CASE(owners_go_on)
+{
+  Scenario scenario({ "outage_owners", 31 });
+  Fleet& fleet = scenario.fleet();
+  scenario.startTraffic();
+  scenario.runOn(500_ms, 1_s);
+  fleet.setLogFaults({ { "outage", true } });
+  // Longer than the lease and the age at which a configuration is stale.
+  scenario.runOn(8_s, 8_s);
+  fleet.setLogFaults({ { "outage", false } });
+  BOOST_TEST(fleet.publishFolder(Scenario::guildFolder(), 1));
+  BOOST_TEST(waitFor([&] { return allHaveVersion(fleet, 2); }, kInForce));
+  const Evidence evidence = scenario.stopTraffic();
+  checkAlways(evidence);
+  expectNone(judgeAllAnswered(evidence.mResults));
+}
+
+BOOST_AUTO_TEST_CASE(loss_meanwhile_is_mended_after_return)
+{
+  Scenario scenario({ "outage_loss", 32 });
+  Fleet& fleet = scenario.fleet();
+  const std::string victim = scenario.drawVm("catalog");
+  scenario.startTraffic({ victim });
+  scenario.runOn(500_ms, 1_s);
+  fleet.setLogFaults({ { "outage", true } });
+  scenario.runOn(1_s, 2_s);
+  fleet.kill(victim, Role::Daemon);
+  scenario.runOn(3_s, 3_s);
+  fleet.setLogFaults({ { "outage", false } });
+  const std::int64_t back = wallNow().mCount;
+  scenario.runOn(4_s, 4_s);
+  Evidence evidence = scenario.stopTraffic();
+  checkAlways(evidence);
+  // Unavailable time counts from the return of the log.
+  std::erase_if(evidence.mResults, [&](const tools::LoadResult& aResult) {
+    const auto latency = static_cast<std::int64_t>(aResult.mLatencyMs);
+    return aResult.mEndedWallMs - latency < back;
+  });
+  checkUnavailable(evidence, kTakeover);
+}
+
+BOOST_AUTO_TEST_CASE(lost_answers_and_slow_log)
+{
+  Scenario scenario({ "outage_lost_answers", 33 });
+  Fleet& fleet = scenario.fleet();
+  const std::string victim = scenario.drawVm("catalog");
+  scenario.startTraffic({ victim });
+  fleet.setLogFaults({ { "lose_answers_every", 2 }, { "slow_ms", 100 } });
+  scenario.runOn(1_s, 2_s);
+  fleet.kill(victim, Role::Daemon);
+  scenario.runOn(4_s, 4_s);
+  fleet.start(victim, Role::Daemon);
+  BOOST_TEST(waitFor([&] { return fleet.isReady(victim); }, 20_s));
+  const Evidence evidence = scenario.stopTraffic();
+  checkAlways(evidence);
+  checkUnavailable(evidence, 3_s);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- /dev/null
+++ b/tests/process/partition_test.cpp
@@ -0,0 +1,140 @@
+#include "support/scenario.h"
+#include "support/wait.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace radishroad::test {
+
+using namespace radishroad::literals;
+
+namespace {
+
+constexpr Millis kTakeover = 2_s;
+constexpr Millis kInForce = 16_s;
+
+Scenario::Options
+relayed(const std::string& aName, std::uint64_t aSeed)
+{
+  Scenario::Options options(aName, aSeed);
+  options.mRelays = true;
+  return options;
+}
+
+/// Holds back, or lets go, all bytes between a daemon and its peers.
+void
+isolateFromPeers(Fleet& aFleet, const std::string& aVm, bool aOn)
+{
+  const nlohmann::json held = { { "hold_forward", aOn }, { "hold_back", aOn } };
+  nlohmann::json outgoing = held;
+  outgoing["link"] = "peer-*";
+  outgoing["source"] = aFleet.ip(aVm);
+  nlohmann::json incoming = held;
+  incoming["link"] = "peer-" + aVm;
+  aFleet.setLink(outgoing);
+  aFleet.setLink(incoming);
+}
+
+void
+isolateFromLog(Fleet& aFleet, const std::string& aVm, bool aOn)
+{
+  aFleet.setLink({ { "link", "log-" + aVm },
+                   { "hold_forward", aOn },
+                   { "hold_back", aOn } });
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(partition)
+
+BOOST_AUTO_TEST_CASE(from_log_only)
+{
+  Scenario scenario(relayed("cut_log", 41));
+  Fleet& fleet = scenario.fleet();
+  const std::string victim = scenario.drawVm("catalog");
+  scenario.startTraffic();
+  isolateFromLog(fleet, victim, true);
+  scenario.runOn(7_s, 8_s);
+  // A new configuration reaches it by way of its peers.
+  BOOST_TEST(fleet.publishFolder(Scenario::guildFolder(), 1));
+  const bool inForce = waitFor(
+    [&] { return fleet.state(victim).value("config_version", 0U) == 2U; },
+    kInForce);
+  BOOST_TEST(inForce);
+  const Evidence evidence = scenario.stopTraffic();
+  checkAlways(evidence);
+  expectNone(judgeAllAnswered(evidence.mResults));
+}
+
+BOOST_AUTO_TEST_CASE(from_peers)
+{
+  Scenario scenario(relayed("cut_peers", 42));
+  Fleet& fleet = scenario.fleet();
+  const std::string victim = scenario.drawVm("library");
+  scenario.startTraffic({ victim }, "ms=10");
+  scenario.runOn(1_s, 2_s);
+  isolateFromPeers(fleet, victim, true);
+  scenario.runOn(4_s, 4_s);
+  isolateFromPeers(fleet, victim, false);
+  scenario.runOn(2_s, 2_s);
+  const Evidence evidence = scenario.stopTraffic();
+  checkAlways(evidence);
+  checkUnavailable(evidence, kTakeover);
+}
+
+BOOST_AUTO_TEST_CASE(from_all)
+{
+  Scenario scenario(relayed("cut_all", 43));
+  Fleet& fleet = scenario.fleet();
+  const std::string victim = scenario.drawVm("catalog");
+  // Callers still reach the daemon that is cut off.
+  scenario.startTraffic({}, "ms=10");
+  scenario.runOn(1_s, 2_s);
+  isolateFromPeers(fleet, victim, true);
+  isolateFromLog(fleet, victim, true);
+  scenario.runOn(4_s, 5_s);
+  isolateFromPeers(fleet, victim, false);
+  isolateFromLog(fleet, victim, false);
+  scenario.runOn(2_s, 2_s);
+  checkAlways(scenario.stopTraffic());
+}
+
+BOOST_AUTO_TEST_CASE(one_way)
+{
+  Scenario scenario(relayed("cut_one_way", 44));
+  Fleet& fleet = scenario.fleet();
+  const std::string victim = scenario.drawVm("library");
+  scenario.startTraffic({ victim }, "ms=10");
+  scenario.runOn(1_s, 2_s);
+  // It sends, but hears nothing of its peers.
+  fleet.setLink({ { "link", "peer-*" },
+                  { "source", fleet.ip(victim) },
+                  { "hold_back", true } });
+  fleet.setLink({ { "link", "peer-" + victim }, { "hold_forward", true } });
+  scenario.runOn(4_s, 4_s);
+  fleet.setLink({ { "link", "*" } });
+  scenario.runOn(2_s, 2_s);
+  const Evidence evidence = scenario.stopTraffic();
+  checkAlways(evidence);
+  checkUnavailable(evidence, kTakeover);
+}
+
+BOOST_AUTO_TEST_CASE(of_a_zone)
+{
+  Scenario scenario(relayed("cut_zone", 45));
+  Fleet& fleet = scenario.fleet();
+  const std::set<std::string> zone = { "catalog-2", "library-2" };
+  scenario.startTraffic(zone, "ms=10");
+  scenario.runOn(1_s, 2_s);
+  for (const std::string& vm : zone) {
+    isolateFromPeers(fleet, vm, true);
+    isolateFromLog(fleet, vm, true);
+  }
+  scenario.runOn(5_s, 5_s);
+  const Evidence evidence = scenario.stopTraffic();
+  checkAlways(evidence);
+  checkUnavailable(evidence, kTakeover);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- a/tests/process/support/fleet.cpp
+++ b/tests/process/support/fleet.cpp
@@ -40,6 +40,16 @@
   return aIp + ":" + std::to_string(aPort);
 }
 
+template<typename Change>
+bool
+append(std::string_view aStream, Change aChange, const std::string& aLog)
+{
+  const Bytes bytes =
+    encodeRecord(makeRecord(std::move(aChange), makeRandomId(), wallNow()));
+  LogClient client(aLog);
+  return client.append(aStream, bytes, kAppendTime).has_value();
+}
+
 constexpr int kCallerPort = 8080;
 constexpr int kOperatorPort = 8090;
 constexpr int kPeerPort = 7400;
@@ -249,10 +259,18 @@
     file->text = text.mText;
     publication.files.push_back(std::move(file));
   }
-  const Bytes bytes =
-    encodeRecord(makeRecord(std::move(publication), makeRandomId(), wallNow()));
-  LogClient client(logAddress());
-  return client.append(kConfigStream, bytes, kAppendTime).has_value();
+  return append(kConfigStream, std::move(publication), logAddress());
+}
+
+bool
+Fleet::drain(const std::string& aVm, bool aOn)
+{
+  wire::DrainT change;
+  change.vm = aVm;
+  change.on = aOn;
+  change.operator_name = "test";
+  const std::string stream = cellStream(find(aVm).mSpec.mService);
+  return append(stream, std::move(change), logAddress());
 }
 
 bool
--- a/tests/process/support/fleet.h
+++ b/tests/process/support/fleet.h
@@ -62,6 +62,9 @@
   bool publishFolder(const std::filesystem::path& aFolder,
                      std::uint64_t aBaseVersion);
 
+  /// Appends a drain of a VM, or takes one back.
+  bool drain(const std::string& aVm, bool aOn);
+
   void start(const std::string& aVm, Role aRole);
   void signal(const std::string& aVm, Role aRole, int aSignal);
   void kill(const std::string& aVm, Role aRole);
