Connect to peers from the daemon's own IP address

With several addresses on a machine, connections came from whichever the system chose, so that neither a firewall nor the test relay could tell daemons apart.

--- a/include/radishroad/peer/channel.h
+++ b/include/radishroad/peer/channel.h
@@ -24,6 +24,8 @@
   struct Options
   {
     std::string mAddress;
+    /// "ip:port" that this daemon listens on; connections come from its IP.
+    std::string mOwnAddress;
     Connection::Options mConnection;
     Millis mConnectTimeout;
   };
--- a/src/peer/channel.cpp
+++ b/src/peer/channel.cpp
@@ -14,6 +14,20 @@
 constexpr Millis kFirstBackOff{ 25 };
 constexpr Millis kMaxBackOff{ 500 };
 
+/// Makes the connection come from the daemon's own IP address, where the
+/// machine has several. One that cannot be bound to is passed over.
+void
+bindOwnAddress(Connection::Socket& aSocket, const std::string& aOwnAddress)
+{
+  const Result<asio::ip::tcp::endpoint> own = parsePeerAddress(aOwnAddress);
+  if (!own) {
+    return;
+  }
+  boost::system::error_code ec;
+  aSocket.open(own->protocol(), ec);
+  aSocket.bind({ own->address(), 0 }, ec);
+}
+
 }
 
 Channel::Channel(asio::io_context& aContext, Options aOptions, Hooks aHooks)
@@ -64,6 +78,7 @@
     return;
   }
   mConnecting = std::make_shared<Connection::Socket>(mContext);
+  bindOwnAddress(*mConnecting, mOptions.mOwnAddress);
   mConnectTimer.expires_after(
     std::chrono::milliseconds(mOptions.mConnectTimeout.mCount));
   mConnectTimer.async_wait(
--- a/src/peer/link.cpp
+++ b/src/peer/link.cpp
@@ -106,6 +106,7 @@
 PeerLink::Impl::channelOptions(const std::string& aAddress) const
 {
   Channel::Options options;
+  options.mOwnAddress = mOptions.mListenAddress;
   options.mAddress = aAddress;
   options.mConnection = mConnectionOptions;
   options.mConnection.mConnecting = true;
