--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(
   g++ cmake ninja-build ccache git pkg-config
-  clang-format clang-tidy
+  clang-format clang-tidy curl
   libpistache-dev libcurl4-openssl-dev libssl-dev libflatbuffers-dev
   libboost-dev libboost-test-dev libpopt-dev liblog4cplus-dev
   libexpected-dev libyaml-cpp-dev libxxhash-dev nlohmann-json3-dev
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -106,8 +106,10 @@
 trap '[ $keep -eq 1 ] || stop_fleet' EXIT
 start_all
 export RADISHROAD_LOG_ADDRESS=$log_address
-"$build/src/main/radishroad" config publish --wait examples/guild
+"$build/src/main/radishroad" config publish examples/guild
 wait_for 20 "the daemons to serve" all_ready
+"$build/src/main/radishroad" status
+echo
 show_requests
 echo
 "$build/src/main/radishroad" owners
