Add tests of two failures at a time

The fleet is warmed up before the traffic of most tests: the first requests of a workspace through a daemon were refused as over its rate, although inside it, which hid what these tests are about; a test of its own, red now, holds that.

--- a/tests/process/support/scenario.cpp
+++ b/tests/process/support/scenario.cpp
@@ -1,5 +1,8 @@
 #include "support/scenario.h"
 
+#include "support/http_call.h"
+#include "support/wait.h"
+
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
@@ -41,6 +44,22 @@
   , mFleet(fleetOptions(aOptions))
 {
   mFleet.bringUp(guildFolder());
+  if (aOptions.mWarmUp) {
+    warmUp();
+  }
+}
+
+void
+Scenario::warmUp()
+{
+  for (const std::string& address : mFleet.callers()) {
+    tools::LoadRequest request;
+    request.mUrl = "http://" + address + "/library/warm-up";
+    request.mHeaders = { "Authorization: Bearer guild-key-1" };
+    const bool answered = waitFor(
+      [&request] { return call(request).mStatus == 200; }, Millis{ 10000 });
+    BOOST_REQUIRE(answered);
+  }
 }
 
 std::filesystem::path
--- a/tests/process/support/scenario.h
+++ b/tests/process/support/scenario.h
@@ -38,6 +38,8 @@
     int mCatalog = 4;
     int mLibrary = 3;
     bool mRelays = false;
+    /// Lets each daemon obtain tokens for the workspace before the traffic.
+    bool mWarmUp = true;
     std::vector<std::string> mDaemonArguments;
     std::vector<std::string> mUpstreamArguments;
   };
@@ -58,6 +60,8 @@
   static std::filesystem::path guildFolder();
 
 private:
+  void warmUp();
+
   std::uint64_t mSeed;
   std::mt19937_64 mRandom;
   Fleet mFleet;
--- /dev/null
+++ b/tests/process/two_failures_test.cpp
@@ -0,0 +1,173 @@
+#include "support/scenario.h"
+#include "support/wait.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <functional>
+
+namespace radishroad::test {
+
+using namespace radishroad::literals;
+
+namespace {
+
+/// Every key is answered again this long after the last failure has ended.
+constexpr Millis kRecovery = 6_s;
+
+/// A failure that a test begins, and ends later.
+struct Failure
+{
+  std::string mName;
+  std::function<void(Fleet&, const std::string& aVm)> mBegin;
+  std::function<void(Fleet&, const std::string& aVm)> mEnd;
+};
+
+void
+isolate(Fleet& aFleet, const std::string& aVm, bool aOn)
+{
+  const nlohmann::json held = { { "hold_forward", aOn }, { "hold_back", aOn } };
+  nlohmann::json outgoing = held;
+  outgoing["link"] = "peer-*";
+  outgoing["source"] = aFleet.ip(aVm);
+  nlohmann::json incoming = held;
+  incoming["link"] = "peer-" + aVm;
+  aFleet.setLink(outgoing);
+  aFleet.setLink(incoming);
+}
+
+void
+restart(Fleet& aFleet, const std::string& aVm, Role aRole)
+{
+  aFleet.kill(aVm, aRole);
+  aFleet.start(aVm, aRole);
+}
+
+std::vector<Failure>
+allFailures()
+{
+  return {
+    { "daemon lost",
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.kill(aVm, Role::Daemon);
+      },
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.start(aVm, Role::Daemon);
+      } },
+    { "upstream lost",
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.kill(aVm, Role::Upstream);
+      },
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.start(aVm, Role::Upstream);
+      } },
+    { "daemon frozen",
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.signal(aVm, Role::Daemon, SIGSTOP);
+      },
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.signal(aVm, Role::Daemon, SIGCONT);
+      } },
+    { "VM frozen",
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.signal(aVm, Role::Daemon, SIGSTOP);
+        aFleet.signal(aVm, Role::Upstream, SIGSTOP);
+      },
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.signal(aVm, Role::Upstream, SIGCONT);
+        aFleet.signal(aVm, Role::Daemon, SIGCONT);
+      } },
+    { "log down",
+      [](Fleet& aFleet, const std::string&) {
+        aFleet.setLogFaults({ { "outage", true } });
+      },
+      [](Fleet& aFleet, const std::string&) {
+        aFleet.setLogFaults({ { "outage", false } });
+      } },
+    { "log answers lost",
+      [](Fleet& aFleet, const std::string&) {
+        aFleet.setLogFaults({ { "lose_answers_every", 2 } });
+      },
+      [](Fleet& aFleet, const std::string&) {
+        aFleet.setLogFaults({ { "lose_answers_every", 0 } });
+      } },
+    { "cut from peers",
+      [](Fleet& aFleet, const std::string& aVm) { isolate(aFleet, aVm, true); },
+      [](Fleet& aFleet, const std::string& aVm) {
+        isolate(aFleet, aVm, false);
+      } },
+    { "daemon restarted",
+      [](Fleet& aFleet, const std::string& aVm) {
+        restart(aFleet, aVm, Role::Daemon);
+      },
+      [](Fleet&, const std::string&) {} },
+  };
+}
+
+/// Two failures on two VMs, drawn from the seed, overlapping at moments drawn
+/// from the seed. A daemon that was expelled has ended and is started again,
+/// as its VM's supervisor would.
+void
+checkTwoFailures(std::uint64_t aSeed)
+{
+  Scenario::Options options("two_failures-" + std::to_string(aSeed), aSeed);
+  options.mRelays = true;
+  Scenario scenario(options);
+  Fleet& fleet = scenario.fleet();
+  const std::vector<Failure> failures = allFailures();
+  const Failure& first = failures[scenario.draw() % failures.size()];
+  const Failure& second = failures[scenario.draw() % failures.size()];
+  const std::string vm = scenario.drawVm("catalog");
+  const std::string otherVm = scenario.drawVm("library");
+  BOOST_TEST_MESSAGE(first.mName << " at " << vm << ", " << second.mName
+                                 << " at " << otherVm);
+  scenario.startTraffic({ vm, otherVm }, "ms=10");
+  scenario.runOn(500_ms, 1500_ms);
+  first.mBegin(fleet, vm);
+  scenario.runOn(0_ms, 1500_ms);
+  second.mBegin(fleet, otherVm);
+  scenario.runOn(1_s, 3_s);
+  first.mEnd(fleet, vm);
+  second.mEnd(fleet, otherVm);
+  const std::int64_t ended = wallNow().mCount;
+  for (const std::string& each : { vm, otherVm }) {
+    if (!fleet.process(each, Role::Daemon)->isRunning()) {
+      fleet.start(each, Role::Daemon);
+    }
+  }
+  scenario.runOn(kRecovery, kRecovery);
+  Evidence evidence = scenario.stopTraffic();
+  checkAlways(evidence);
+  std::erase_if(evidence.mResults, [&](const tools::LoadResult& aResult) {
+    const auto latency = static_cast<std::int64_t>(aResult.mLatencyMs);
+    return aResult.mEndedWallMs - latency < ended;
+  });
+  checkUnavailable(evidence, kRecovery);
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(two_failures)
+
+BOOST_AUTO_TEST_CASE(seed_71)
+{
+  checkTwoFailures(71);
+}
+
+BOOST_AUTO_TEST_CASE(seed_72)
+{
+  checkTwoFailures(72);
+}
+
+BOOST_AUTO_TEST_CASE(seed_73)
+{
+  checkTwoFailures(73);
+}
+
+BOOST_AUTO_TEST_CASE(seed_74)
+{
+  checkTwoFailures(74);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- a/tests/process/whole_path_test.cpp
+++ b/tests/process/whole_path_test.cpp
@@ -57,6 +57,18 @@
   BOOST_TEST(vms.size() >= 5U);
 }
 
+BOOST_AUTO_TEST_CASE(first_requests_inside_the_rate_are_answered)
+{
+  Scenario::Options options("first_requests", 3);
+  options.mWarmUp = false;
+  Scenario scenario(options);
+  scenario.startTraffic();
+  scenario.runOn(1_s, 1_s);
+  const Evidence evidence = scenario.stopTraffic();
+  checkAlways(evidence);
+  expectNone(judgeAllAnswered(evidence.mResults));
+}
+
 BOOST_AUTO_TEST_CASE(bodies_pass_whole_or_not_at_all)
 {
   Scenario scenario({ "bodies", 2 });
