Send the deadline as a point in time, open buckets at the takeover

Cause: (1) an upstream that was frozen read buffered requests late, counted their time left from then, and ran them after the keys had moved; (2) a bucket opened at the first ask was empty, so requests inside the rate were refused. Ruled out for (1): waiting for a frozen upstream to answer the cancellation, which leaves its keys without an owner for as long as it is frozen.

--- a/include/radishroad/daemon/rate_duty.h
+++ b/include/radishroad/daemon/rate_duty.h
@@ -55,6 +55,7 @@
 
   Ownership bucketOwner(const std::string& aWorkspace) const;
   Bucket* ownBucket(const std::string& aWorkspace);
+  void openBuckets(Millis aNow);
   void sendAsk(wire::TokenAskT aAsk, Millis aNow);
 
   ControlContext& mContext;
@@ -64,6 +65,7 @@
   std::map<std::string, config::Workspace> mWorkspaces;
   std::map<std::string, Bucket> mBuckets;
   std::map<std::string, SentAsk> mSentAsks;
+  Millis mNextOpening;
 };
 
 }
--- a/src/daemon/rate_duty.cpp
+++ b/src/daemon/rate_duty.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr Millis kOpeningInterval{ 50 };
+
 /// The key that stands for a workspace's bucket. The prefix keeps it apart
 /// from callers' keys in all but hash collisions, which do no harm.
 std::uint64_t
@@ -147,6 +149,7 @@
 RateDuty::tick()
 {
   const Millis now = mContext.mNow();
+  openBuckets(now);
   std::vector<wire::TokenAskT> asks;
   {
     std::lock_guard<std::mutex> lock(mMutex);
@@ -157,6 +160,20 @@
   }
 }
 
+void
+RateDuty::openBuckets(Millis aNow)
+{
+  if (aNow < mNextOpening) {
+    return;
+  }
+  // A bucket starts empty; opened at the takeover and not at the first ask,
+  // it has filled a little by then.
+  mNextOpening = aNow + kOpeningInterval;
+  for (const auto& [name, workspace] : mWorkspaces) {
+    ownBucket(name);
+  }
+}
+
 void
 RateDuty::sendAsk(wire::TokenAskT aAsk, Millis aNow)
 {
--- a/src/upstream/gate_cancel.cpp
+++ b/src/upstream/gate_cancel.cpp
@@ -114,12 +114,10 @@
   const bool answered = aEnd == ExchangeEnd::Whole;
   const bool pastDeadline = mHooks.mNow() >= it->second.mDeadline;
   // "unknown" may mean that the request is still on its way, so it counts
-  // only after the deadline. An upstream that checks fences refuses the
-  // request by itself once another owner has been in touch; one that does not
-  // must have answered.
-  const bool over = (answered && saysOver(aAnswer)) ||
-                    (pastDeadline && (answered || mService.mChecksFence));
-  if (over) {
+  // only after the deadline. From then on the upstream starts nothing and ends
+  // what runs, even if it was frozen meanwhile: the deadline went with the
+  // request as a point in time.
+  if (pastDeadline || (answered && saysOver(aAnswer))) {
     mGivenUp.erase(it);
   }
 }
--- a/src/upstream/upstream_headers.cpp
+++ b/src/upstream/upstream_headers.cpp
@@ -65,6 +65,9 @@
   add("Shard", std::to_string(aRequest.shard));
   add("Epoch", std::to_string(aEpoch));
   add("Deadline-Ms", std::to_string(aTimeLeft.mCount));
+  // A frozen upstream reads the request late and would count the time left
+  // from then. It shares this VM's clock, so a point in time holds.
+  add("Deadline-At", std::to_string((wallNow() + aTimeLeft).mCount));
 }
 
 }
@@ -137,6 +140,9 @@
   if (aResponse.mStatus == 503 && mark == "shed") {
     return NotRunReason::Shed;
   }
+  if (aResponse.mStatus == 504 && mark == "deadline") {
+    return NotRunReason::DeadlinePassed;
+  }
   return NotRunReason::None;
 }
 
--- a/tools/rr-upstream/job.cpp
+++ b/tools/rr-upstream/job.cpp
@@ -42,7 +42,11 @@
   job.mServiceTime.mCount = queryNumber(aRequest, "ms", aServiceTime.mCount);
   job.mTimeLeft.mCount = static_cast<std::int64_t>(
     headerNumber(aRequest, "X-Radishroad-Deadline-Ms"));
-  if (job.mTimeLeft.mCount > 0) {
+  const Millis deadlineAt{ static_cast<std::int64_t>(
+    headerNumber(aRequest, "X-Radishroad-Deadline-At")) };
+  if (deadlineAt.mCount > 0) {
+    job.mDeadline = monotonicNow() + (deadlineAt - wallNow());
+  } else if (job.mTimeLeft.mCount > 0) {
     job.mDeadline = monotonicNow() + job.mTimeLeft;
   }
   return job;
--- a/tools/rr-upstream/upstream_service.cpp
+++ b/tools/rr-upstream/upstream_service.cpp
@@ -237,6 +237,12 @@
     refuse(*aJob, 409, "refused_fence", "stale-fence");
     return;
   }
+  if (aJob->mDeadline.mCount > 0 && monotonicNow() >= aJob->mDeadline) {
+    mLive.erase(aJob->mId);
+    aJob->mState = Job::State::Ended;
+    refuse(*aJob, 504, "expired", "deadline");
+    return;
+  }
   ++mRunning;
   aJob->mState = Job::State::Running;
   mJournal.write(describe(*aJob, "run_start", mOptions.mVm));
@@ -262,7 +268,7 @@
   }
   const bool late =
     aJob->mDeadline.mCount > 0 && monotonicNow() >= aJob->mDeadline;
-  end(aJob, late ? "deadline" : "done");
+  end(aJob, "done");
   if (late) {
     aJob->mReply.send(504, R"({"error":"deadline passed"})");
   } else {
@@ -285,7 +291,9 @@
     mFinishedOrder.pop_front();
   }
   nlohmann::json event = describe(*aJob, "run_end", mOptions.mVm);
-  event["outcome"] = aOutcome;
+  const bool late =
+    aJob->mDeadline.mCount > 0 && monotonicNow() >= aJob->mDeadline;
+  event["outcome"] = late ? "deadline" : aOutcome;
   mJournal.write(std::move(event));
 }
 
