--- /dev/null
+++ b/tests/model/cell_load.h
@@ -0,0 +1,217 @@
+#ifndef RADISHROAD_TESTS_CELL_LOAD_H
+#define RADISHROAD_TESTS_CELL_LOAD_H
+
+#include "radishroad/base/hash.h"
+#include "radishroad/policy/balance.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+#include <vector>
+
+namespace radishroad {
+
+/// A model of a cell's load by seconds: keys of Zipf popularity, of which the
+/// hottest change now and then, and upstreams that report what they served.
+class CellLoad
+{
+public:
+  enum class Policy
+  {
+    /// Shard number modulo the members.
+    StaticHash,
+    /// Rendezvous hash, which knows no load.
+    ConsistentHash,
+    Balanced,
+  };
+
+  struct Options
+  {
+    std::uint64_t mSeed = 1;
+    std::size_t mMembers = 7;
+    std::size_t mKeys = 4000;
+    double mZipf = 0.9;
+    double mRequestsPerSecond = 2000;
+    int mSeconds = 600;
+    /// Seconds between changes of the hottest keys; 0 for none.
+    int mHotChange = 120;
+    /// A member is so many times slower in this span of seconds.
+    std::size_t mSlowMember = 0;
+    int mSlowFrom = 0;
+    int mSlowUntil = 0;
+    double mSlowFactor = 1;
+  };
+
+  struct Result
+  {
+    double mMeanImbalance = 0;
+    double mWorstImbalance = 0;
+    int mMoves = 0;
+    int mSplits = 0;
+    /// Share of the shards moved in an hour.
+    double mChurnPerHour = 0;
+    /// Requests a second of the slow member at the end.
+    double mSlowMemberRate = 0;
+  };
+
+  CellLoad(Options aOptions, Policy aPolicy)
+    : mOptions(aOptions)
+    , mPolicy(aPolicy)
+    , mRandom(aOptions.mSeed)
+    , mKeyRate(aOptions.mKeys)
+  {
+    for (Incarnation id = 1; id <= mOptions.mMembers; ++id) {
+      mState.mMembers[id].mIncarnation = id;
+    }
+    for (Shard shard = 0; shard < kShardCount; ++shard) {
+      mState.mShards[shard] = { firstOwner(shard), 1 };
+    }
+    drawRates();
+  }
+
+  Result run()
+  {
+    Result result;
+    for (mSecond = 1; mSecond <= mOptions.mSeconds; ++mSecond) {
+      if (mOptions.mHotChange > 0 && mSecond % mOptions.mHotChange == 0) {
+        drawRates();
+      }
+      serve();
+      const double imbalance = imbalanceNow();
+      result.mMeanImbalance += imbalance / mOptions.mSeconds;
+      result.mWorstImbalance = std::max(result.mWorstImbalance, imbalance);
+      if (mPolicy == Policy::Balanced) {
+        plan(result);
+      }
+    }
+    const double hours = mOptions.mSeconds / 3600.0;
+    result.mChurnPerHour = result.mMoves / hours / kShardCount;
+    if (mOptions.mSlowMember > 0) {
+      result.mSlowMemberRate = mServed[mOptions.mSlowMember - 1];
+    }
+    return result;
+  }
+
+  Balancer& balancer() { return mBalancer; }
+
+private:
+  Incarnation firstOwner(Shard aShard) const
+  {
+    if (mPolicy != Policy::ConsistentHash) {
+      return 1 + aShard % mOptions.mMembers;
+    }
+    Incarnation best = 1;
+    for (Incarnation id = 2; id <= mOptions.mMembers; ++id) {
+      const bool wins = hashPair(id, aShard) > hashPair(best, aShard);
+      best = wins ? id : best;
+    }
+    return best;
+  }
+
+  void drawRates()
+  {
+    std::vector<std::size_t> rank(mOptions.mKeys);
+    for (std::size_t i = 0; i < rank.size(); ++i) {
+      rank[i] = i;
+    }
+    std::ranges::shuffle(rank, mRandom);
+    double sum = 0;
+    for (std::size_t i = 0; i < rank.size(); ++i) {
+      mKeyRate[i] =
+        1 / std::pow(static_cast<double>(rank[i] + 1), mOptions.mZipf);
+      sum += mKeyRate[i];
+    }
+    for (double& rate : mKeyRate) {
+      rate *= mOptions.mRequestsPerSecond / sum;
+    }
+  }
+
+  static std::uint64_t keyHash(std::size_t aKey) { return hashPair(7, aKey); }
+
+  Incarnation ownerOfKey(std::uint64_t aHash) const
+  {
+    const auto it = mState.mSplitKeys.find(aHash);
+    return it != mState.mSplitKeys.end()
+             ? it->second.mOwnership.mOwner
+             : mState.mShards[aHash % kShardCount].mOwner;
+  }
+
+  void serve()
+  {
+    constexpr double kCostMs = 5;
+    mServed.assign(mOptions.mMembers, 0);
+    std::vector<std::map<Shard, std::uint32_t>> counts(mOptions.mMembers);
+    std::vector<wire::HotKeyT> hottest(mOptions.mMembers);
+    for (std::size_t key = 0; key < mKeyRate.size(); ++key) {
+      std::poisson_distribution<std::uint32_t> draw(mKeyRate[key]);
+      const std::uint32_t n = draw(mRandom);
+      const std::uint64_t hash = keyHash(key);
+      const std::size_t member = ownerOfKey(hash) - 1;
+      const Shard shard = hash % kShardCount;
+      mServed[member] += n;
+      counts[member][shard] += n;
+      if (n > hottest[member].requests) {
+        hottest[member].key_hash = hash;
+        hottest[member].shard = shard;
+        hottest[member].requests = n;
+      }
+    }
+    for (std::size_t i = 0; i < mOptions.mMembers; ++i) {
+      const bool slow = i + 1 == mOptions.mSlowMember &&
+                        mSecond >= mOptions.mSlowFrom &&
+                        mSecond < mOptions.mSlowUntil;
+      const double cost = kCostMs * (slow ? mOptions.mSlowFactor : 1);
+      wire::LoadReportT report;
+      report.incarnation = i + 1;
+      for (const auto& [shard, n] : counts[i]) {
+        report.shards.emplace_back(
+          shard, n, static_cast<std::uint32_t>(n * cost));
+      }
+      report.hot_keys.push_back(std::make_unique<wire::HotKeyT>(hottest[i]));
+      mBalancer.onReport(report, mState, Millis{ mSecond * 1000 });
+    }
+  }
+
+  double imbalanceNow() const
+  {
+    const double most = *std::ranges::max_element(mServed);
+    double sum = 0;
+    for (const double served : mServed) {
+      sum += served;
+    }
+    return most * static_cast<double>(mServed.size()) / sum;
+  }
+
+  void plan(Result& aResult)
+  {
+    const auto any = [](Incarnation) { return true; };
+    const Millis now{ mSecond * 1000 };
+    const std::vector<wire::ShardGrant> moves =
+      mBalancer.planMoves(mState, any, now);
+    for (const wire::ShardGrant& move : moves) {
+      mState.mShards[move.shard()] = { move.to(), move.base_epoch() + 1 };
+      ++aResult.mMoves;
+    }
+    if (!moves.empty()) {
+      return;
+    }
+    for (const wire::SplitKeyT& split :
+         mBalancer.planSplits(mState, any, now)) {
+      mState.mSplitKeys[split.key_hash] = { split.shard, { split.to, 1 } };
+      ++aResult.mSplits;
+    }
+  }
+
+  Options mOptions;
+  Policy mPolicy;
+  std::mt19937_64 mRandom;
+  std::vector<double> mKeyRate;
+  std::vector<double> mServed;
+  CellState mState;
+  Balancer mBalancer;
+  int mSecond = 0;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/tests/unit/balance_test.cpp
@@ -0,0 +1,161 @@
+#include "model/cell_load.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace radishroad;
+using namespace radishroad::literals;
+
+namespace {
+
+using Policy = CellLoad::Policy;
+
+bool
+anyMember(Incarnation)
+{
+  return true;
+}
+
+CellState
+makeState(std::size_t aMembers)
+{
+  CellState state;
+  for (Incarnation id = 1; id <= aMembers; ++id) {
+    state.mMembers[id].mIncarnation = id;
+  }
+  for (Shard shard = 0; shard < kShardCount; ++shard) {
+    state.mShards[shard] = { 1 + shard % aMembers, 5 };
+  }
+  return state;
+}
+
+wire::LoadReportT
+makeReport(Incarnation aMember,
+           std::vector<std::pair<Shard, std::uint32_t>> aRequests)
+{
+  wire::LoadReportT report;
+  report.incarnation = aMember;
+  for (const auto& [shard, n] : aRequests) {
+    report.shards.emplace_back(shard, n, n * 5);
+  }
+  return report;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(balance)
+
+BOOST_AUTO_TEST_CASE(moving_hot_keys_are_balanced_with_little_churn)
+{
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    CellLoad::Options options;
+    options.mSeed = seed;
+    options.mSeconds = 300;
+    const auto fixed = CellLoad(options, Policy::StaticHash).run();
+    const auto hashed = CellLoad(options, Policy::ConsistentHash).run();
+    const auto moved = CellLoad(options, Policy::Balanced).run();
+    BOOST_TEST(moved.mMeanImbalance < fixed.mMeanImbalance, "seed " << seed);
+    BOOST_TEST(moved.mMeanImbalance < hashed.mMeanImbalance, "seed " << seed);
+    BOOST_TEST(moved.mMeanImbalance < 1.3, "seed " << seed);
+    BOOST_TEST(moved.mChurnPerHour < 1.5, "seed " << seed);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(swinging_load_moves_nothing)
+{
+  const CellState state = makeState(2);
+  Balancer balancer;
+  int swings = 0;
+  std::size_t moves = 0;
+  for (int second = 1; second <= 120; ++second) {
+    const bool first = second / 2 % 2 == 0;
+    const std::uint32_t left = first ? 200 : 50;
+    const std::uint32_t right = 250 - left;
+    const Millis now{ second * 1000 };
+    balancer.onReport(makeReport(1, { { 0, left }, { 2, 50 } }), state, now);
+    balancer.onReport(makeReport(2, { { 1, right }, { 3, 50 } }), state, now);
+    // What a plan by the last report alone would act on.
+    const double mean = (left + right + 100) / 2.0;
+    swings += std::max(left, right) + 50 > 1.3 * mean ? 1 : 0;
+    moves += balancer.planMoves(state, anyMember, now).size();
+  }
+  BOOST_TEST(swings > 50);
+  BOOST_TEST(moves == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(plans_fewest_moves_with_the_epoch_they_build_on)
+{
+  const CellState state = makeState(2);
+  Balancer balancer;
+  std::vector<wire::ShardGrant> moves;
+  for (int second = 1; second <= 20 && moves.empty(); ++second) {
+    const Millis now{ second * 1000 };
+    balancer.onReport(
+      makeReport(1, { { 0, 100 }, { 2, 60 }, { 4, 40 } }), state, now);
+    balancer.onReport(makeReport(2, { { 1, 100 } }), state, now);
+    moves = balancer.planMoves(state, anyMember, now);
+  }
+  // 200 to 100: one move of about half the difference settles it.
+  BOOST_REQUIRE(moves.size() == 1U);
+  BOOST_TEST((moves[0].shard() == 2U || moves[0].shard() == 4U));
+  BOOST_TEST(moves[0].base_epoch() == 5U);
+  BOOST_TEST(moves[0].to() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(slow_moment_moves_nothing_and_lasting_slowness_does)
+{
+  CellLoad::Options options;
+  options.mZipf = 0;
+  options.mHotChange = 0;
+  options.mSeconds = 120;
+  options.mSlowMember = 3;
+  options.mSlowFactor = 4;
+  options.mSlowFrom = 40;
+  options.mSlowUntil = 46;
+  const auto calm = CellLoad(options, Policy::Balanced).run();
+  BOOST_TEST(calm.mMoves == 0);
+  options.mSlowUntil = 120;
+  const auto slow = CellLoad(options, Policy::Balanced).run();
+  BOOST_TEST(slow.mMoves > 0);
+  BOOST_TEST(slow.mSlowMemberRate < calm.mSlowMemberRate * 0.6);
+}
+
+BOOST_AUTO_TEST_CASE(hot_key_of_a_heavy_shard_is_split_out)
+{
+  const CellState state = makeState(2);
+  Balancer balancer;
+  std::vector<wire::SplitKeyT> splits;
+  for (int second = 1; second <= 20 && splits.empty(); ++second) {
+    const Millis now{ second * 1000 };
+    wire::LoadReportT heavy = makeReport(1, { { 0, 300 } });
+    wire::HotKeyT key;
+    key.key_hash = 77;
+    key.shard = 0;
+    key.requests = 150;
+    heavy.hot_keys.push_back(std::make_unique<wire::HotKeyT>(key));
+    balancer.onReport(heavy, state, now);
+    balancer.onReport(makeReport(2, { { 1, 100 } }), state, now);
+    BOOST_TEST(balancer.planMoves(state, anyMember, now).empty());
+    splits = balancer.planSplits(state, anyMember, now);
+  }
+  BOOST_REQUIRE(splits.size() == 1U);
+  BOOST_TEST(splits[0].key_hash == 77U);
+  BOOST_TEST(splits[0].to == 2U);
+  BOOST_TEST(splits[0].base_epoch == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(members_that_may_not_own_get_nothing)
+{
+  const CellState state = makeState(3);
+  Balancer balancer;
+  const auto notThird = [](Incarnation aMember) { return aMember != 3; };
+  for (int second = 1; second <= 20; ++second) {
+    const Millis now{ second * 1000 };
+    balancer.onReport(makeReport(1, { { 0, 200 }, { 3, 200 } }), state, now);
+    balancer.onReport(makeReport(2, { { 1, 100 } }), state, now);
+    for (const auto& move : balancer.planMoves(state, notThird, now)) {
+      BOOST_TEST(move.to() == 2U);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
