--- /dev/null
+++ b/tests/unit/gate_fixture.h
@@ -0,0 +1,132 @@
+#ifndef RADISHROAD_TESTS_GATE_FIXTURE_H
+#define RADISHROAD_TESTS_GATE_FIXTURE_H
+
+#include "fake_upstream.h"
+#include "radishroad/upstream/gate.h"
+
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+namespace radishroad {
+
+using Reply = FakeUpstream::Reply;
+using Request = FakeUpstream::Request;
+
+constexpr std::chrono::seconds kGatePatience{ 10 };
+
+inline ForwardRequest
+makeRequest(std::string aMethod, std::uint64_t aId)
+{
+  ForwardRequest request;
+  request.id_high = 7;
+  request.id_low = aId;
+  request.time_left_ms = 5000;
+  request.workspace = "guild";
+  request.shard = 3;
+  request.key_hash = 99;
+  request.method = std::move(aMethod);
+  request.target = "/catalog/1/page?x=..%2f";
+  return request;
+}
+
+inline void
+addHeader(ForwardRequest& aRequest, std::string aName, std::string aValue)
+{
+  auto header = std::make_unique<wire::HeaderT>();
+  header->name = std::move(aName);
+  header->value = std::move(aValue);
+  aRequest.headers.push_back(std::move(header));
+}
+
+/// A gate before a fake upstream, with hooks that a test can change.
+struct GateFixture
+{
+  explicit GateFixture(FakeUpstream::Handler aHandler)
+    : mUpstream(std::move(aHandler))
+    , mGate(options(mUpstream.address()), hooks(), mMetrics)
+  {
+    config::Service service;
+    service.mDeadline = Millis{ 5000 };
+    service.mMaxInFlight = 4;
+    mGate.configure(service);
+    mGate.start();
+  }
+
+  static Gate::Options options(const std::string& aAddress)
+  {
+    Gate::Options options;
+    options.mUpstream = aAddress;
+    options.mMaxQueued = 8;
+    return options;
+  }
+
+  Gate::Hooks hooks()
+  {
+    Gate::Hooks hooks;
+    hooks.mMayServe = [this](const ForwardRequest&) {
+      ++mAsked;
+      ServeDecision decision;
+      decision.mRefusal = mRefusal;
+      decision.mEpoch = mEpoch;
+      decision.mServeUntil = monotonicNow() + Millis{ mLeaseMs };
+      return decision;
+    };
+    hooks.mOnHealth = [this](bool aUp) { mUp = aUp; };
+    hooks.mOnCrash = [this](std::uint64_t aFingerprint, RandomId) {
+      mCrash.set_value(aFingerprint);
+    };
+    hooks.mNow = monotonicNow;
+    return hooks;
+  }
+
+  std::future<Answer> submit(ForwardRequest aRequest)
+  {
+    auto promise = std::make_shared<std::promise<Answer>>();
+    mGate.submit(std::move(aRequest), [promise](Answer aAnswer) {
+      promise->set_value(std::move(aAnswer));
+    });
+    return promise->get_future();
+  }
+
+  Answer run(ForwardRequest aRequest)
+  {
+    std::future<Answer> answer = submit(std::move(aRequest));
+    BOOST_REQUIRE(
+      (answer.wait_for(kGatePatience) == std::future_status::ready));
+    return answer.get();
+  }
+
+  void pause(std::vector<Shard> aShards)
+  {
+    std::promise<void> done;
+    mGate.pauseShards(aShards, [&done] { done.set_value(); });
+    done.get_future().wait();
+  }
+
+  std::atomic<NotRunReason> mRefusal{ NotRunReason::None };
+  std::atomic<Epoch> mEpoch{ 5 };
+  std::atomic<std::int64_t> mLeaseMs{ 60000 };
+  std::atomic<int> mAsked{ 0 };
+  std::atomic<bool> mUp{ false };
+  std::promise<std::uint64_t> mCrash;
+  Metrics mMetrics;
+  FakeUpstream mUpstream;
+  Gate mGate;
+};
+
+/// Holds the upstream's answers back until the test lets them go.
+struct Valve
+{
+  Reply hold(Reply aReply)
+  {
+    mOpen.get_future().wait();
+    return aReply;
+  }
+  void open() { mOpen.set_value(); }
+  std::promise<void> mOpen;
+};
+
+}
+
+#endif
