Let the plans of moves pass over members that do not answer

Cause: a member that is lost but not expelled yet still counts as one that may own, so a planned hand-off could give it shards that stay unserved until then.

--- a/include/radishroad/ownership/handoff.h
+++ b/include/radishroad/ownership/handoff.h
@@ -9,26 +9,38 @@
 
 namespace radishroad {
 
+/// The plans pass over the members of aAvoid: those that the daemon knows not
+/// to answer, though the log still has them as active.
+
 /// Shards that a draining owner hands off next, each with its next owner: at
 /// most aMax, spread evenly over the members that may own. Empty if there is no
 /// one to take them.
 std::vector<wire::ShardGrant>
-planEvacuation(const CellState& aState, Incarnation aSelf, std::size_t aMax);
+planEvacuation(const CellState& aState,
+               Incarnation aSelf,
+               std::size_t aMax,
+               std::span<const Incarnation> aAvoid = {});
 
 /// Split keys that a draining owner hands on next, at most aMax; each is a
 /// record of its own.
 std::vector<wire::SplitKeyT>
-planKeyEvacuation(const CellState& aState, Incarnation aSelf, std::size_t aMax);
+planKeyEvacuation(const CellState& aState,
+                  Incarnation aSelf,
+                  std::size_t aMax,
+                  std::span<const Incarnation> aAvoid = {});
 
 /// Shards without an owner, spread over the members that may own. For the
 /// coordinator's Assign record.
 std::vector<wire::ShardGrant>
-planInitialAssignment(const CellState& aState);
+planInitialAssignment(const CellState& aState,
+                      std::span<const Incarnation> aAvoid = {});
 
 /// Fewest moves that bring the counts of shards within one of each other;
 /// at most aMax of them. For members that joined.
 std::vector<wire::ShardGrant>
-planEvenSpread(const CellState& aState, std::size_t aMax);
+planEvenSpread(const CellState& aState,
+               std::size_t aMax,
+               std::span<const Incarnation> aAvoid = {});
 
 }
 
--- a/src/ownership/handoff.cpp
+++ b/src/ownership/handoff.cpp
@@ -12,13 +12,17 @@
 
 using Counts = std::map<Incarnation, std::size_t>;
 
-/// Shards owned by each member that may own, aExcept left out.
+/// Shards owned by each member that may own, aExcept and aAvoid left out.
 Counts
-countShards(const CellState& aState, Incarnation aExcept)
+countShards(const CellState& aState,
+            Incarnation aExcept,
+            std::span<const Incarnation> aAvoid)
 {
   Counts counts;
   for (const auto& [incarnation, member] : aState.mMembers) {
-    if (incarnation != aExcept && mayOwn(aState, incarnation)) {
+    const bool avoided = incarnation == aExcept ||
+                         std::ranges::find(aAvoid, incarnation) != aAvoid.end();
+    if (!avoided && mayOwn(aState, incarnation)) {
       counts[incarnation] = 0;
     }
   }
@@ -103,16 +107,22 @@
 }
 
 std::vector<wire::ShardGrant>
-planEvacuation(const CellState& aState, Incarnation aSelf, std::size_t aMax)
+planEvacuation(const CellState& aState,
+               Incarnation aSelf,
+               std::size_t aMax,
+               std::span<const Incarnation> aAvoid)
 {
-  return giveAway(aState, aSelf, countShards(aState, aSelf), aMax);
+  return giveAway(aState, aSelf, countShards(aState, aSelf, aAvoid), aMax);
 }
 
 std::vector<wire::SplitKeyT>
-planKeyEvacuation(const CellState& aState, Incarnation aSelf, std::size_t aMax)
+planKeyEvacuation(const CellState& aState,
+                  Incarnation aSelf,
+                  std::size_t aMax,
+                  std::span<const Incarnation> aAvoid)
 {
   std::vector<wire::SplitKeyT> moves;
-  const Counts counts = countShards(aState, aSelf);
+  const Counts counts = countShards(aState, aSelf, aAvoid);
   if (counts.empty()) {
     return moves;
   }
@@ -135,16 +145,20 @@
 }
 
 std::vector<wire::ShardGrant>
-planInitialAssignment(const CellState& aState)
+planInitialAssignment(const CellState& aState,
+                      std::span<const Incarnation> aAvoid)
 {
-  return giveAway(aState, 0, countShards(aState, 0), aState.mShards.size());
+  const std::size_t all = aState.mShards.size();
+  return giveAway(aState, 0, countShards(aState, 0, aAvoid), all);
 }
 
 std::vector<wire::ShardGrant>
-planEvenSpread(const CellState& aState, std::size_t aMax)
+planEvenSpread(const CellState& aState,
+               std::size_t aMax,
+               std::span<const Incarnation> aAvoid)
 {
   std::vector<wire::ShardGrant> grants;
-  Counts counts = countShards(aState, 0);
+  Counts counts = countShards(aState, 0, aAvoid);
   if (counts.empty()) {
     return grants;
   }
--- a/tests/unit/handoff_test.cpp
+++ b/tests/unit/handoff_test.cpp
@@ -120,6 +120,23 @@
   BOOST_TEST(planEvacuation(log.mState, 1, 10).empty());
 }
 
+BOOST_AUTO_TEST_CASE(members_that_do_not_answer_are_given_nothing)
+{
+  CellLog log = evenCell();
+  log.join(5, "c", { 1, 2, 3 });
+  const std::vector<Incarnation> silent{ 3, 5 };
+  for (const wire::ShardGrant& grant :
+       planEvacuation(log.mState, 1, kShardCount, silent)) {
+    BOOST_TEST((grant.to() == 2U || grant.to() == 4U));
+  }
+  BOOST_TEST(planEvenSpread(log.mState, kShardCount, silent).empty());
+  CellLog fresh = CellLog::withFourMembers();
+  for (const wire::ShardGrant& grant :
+       planInitialAssignment(fresh.mState, silent)) {
+    BOOST_TEST(grant.to() != 3U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(split_keys_are_evacuated_as_well)
 {
   constexpr std::uint64_t kKey = 0xABCDEF0123456789ULL;
