--- a/include/radishroad/config/model_builder.h
+++ b/include/radishroad/config/model_builder.h
@@ -40,6 +40,11 @@
                   const std::string& aKind,
                   const YAML::Node& aSection,
                   AddEntryFn aAdd);
+  void addEntry(const std::string& aSource,
+                const std::string& aKind,
+                const YAML::Node& aName,
+                const YAML::Node& aFields,
+                AddEntryFn aAdd);
   void addWorkspace(const std::string& aName, Fields& aFields);
   void addService(const std::string& aName, Fields& aFields);
   void addRoute(const std::string& aName, Fields& aFields);
