--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -11,6 +11,11 @@
 constexpr Millis kMaxSleep{ 50 };
 /// How often the ages of requests in flight are looked at.
 constexpr Millis kPendingCheck{ 10 };
+constexpr Millis kGaugeInterval{ 100 };
+/// Retries of shed requests for each request.
+constexpr double kRetryRatio = 0.1;
+/// What may be handed over at once, in lengths of the queue.
+constexpr std::size_t kInboxFactor = 2;
 
 }
 
@@ -19,7 +24,8 @@
   , mHooks(std::move(aHooks))
   , mMetrics(aMetrics)
   , mWindow(mService.mMaxInFlight)
-  , mSubmitted(mOptions.mMaxQueued + 1)
+  , mRetries(kRetryRatio)
+  , mSubmitted(mOptions.mMaxQueued * kInboxFactor)
 {
 }
 
@@ -41,18 +47,51 @@
     // Freed slots are taken before sleeping.
     dispatch(mHooks.mNow());
     finishDrains();
-    publishGauges();
+    publishLoad();
     mExchanges.poll(nextWake(mHooks.mNow()));
   }
-  publishGauges();
+  publishLoad();
 }
 
 void
 Gate::Impl::takeSubmitted()
 {
   while (std::optional<QueuedRequest> queued = mSubmitted.pop(Millis{ 0 })) {
-    mQueue.pushBack(std::move(*queued));
+    if (admit(*queued)) {
+      mQueue.pushBack(std::move(*queued));
+    }
+  }
+  // The longest line gives way, so that one workspace cannot fill the queue.
+  while (mQueue.size() > mOptions.mMaxQueued) {
+    std::optional<QueuedRequest> dropped = mQueue.dropFromLongest();
+    refuse(*dropped, NotRunReason::QueueFull);
+  }
+}
+
+bool
+Gate::Impl::admit(QueuedRequest& aQueued)
+{
+  using Verdict = DuplicateMemory::Verdict;
+  DuplicateMemory::Admission admission = mDuplicates.admit(
+    aQueued.mRequest, aQueued.mFingerprint, aQueued.mAnswer, mHooks.mNow());
+  switch (admission.mVerdict) {
+    case Verdict::Run:
+      aQueued.mMemoryKey = std::move(admission.mKey);
+      mRetries.onRequest();
+      return true;
+    case Verdict::Joined:
+      mMetrics.count("gate_copies_joined_total");
+      mQueuedCount.fetch_sub(1);
+      return false;
+    case Verdict::Replay:
+      mMetrics.count("gate_copies_replayed_total");
+      answer(aQueued, std::move(admission.mAnswer));
+      return false;
+    case Verdict::Mismatch:
+      refuse(aQueued, NotRunReason::Malformed);
+      return false;
   }
+  return true;
 }
 
 void
@@ -86,7 +125,7 @@
   std::vector<RunId> expired;
   std::vector<RunId> refused;
   for (auto& [id, run] : mRuns) {
-    if (aNow >= run.mQueued.mDeadline) {
+    if (aNow >= run.mEndBy) {
       expired.push_back(id);
       continue;
     }
@@ -199,7 +238,7 @@
 {
   Millis next = mQueue.nextEvent(aNow, aNow + kMaxSleep);
   for (const auto& [id, run] : mRuns) {
-    next = std::min({ next, run.mServeUntil, run.mQueued.mDeadline });
+    next = std::min({ next, run.mServeUntil, run.mEndBy });
   }
   for (const auto& [id, run] : mGivenUp) {
     if (!run.mCancelUnderWay) {
@@ -216,7 +255,8 @@
   if (!mProbing) {
     next = std::min(next, mHealth.nextProbe());
   }
-  return std::max(Millis{ 0 }, next - aNow);
+  // A time that has passed was dealt with in this turn; no busy loop.
+  return std::max(Millis{ 1 }, next - aNow);
 }
 
 bool
@@ -227,12 +267,17 @@
 }
 
 void
-Gate::Impl::publishGauges()
+Gate::Impl::publishLoad()
 {
   const std::uint32_t n = busy();
   mInFlight = n;
   mHealthyNow = mHealth.healthy();
   mWindowNow = mWindow.size();
+  const Millis now = mHooks.mNow();
+  if (now - mGaugesAt < kGaugeInterval) {
+    return;
+  }
+  mGaugesAt = now;
   mMetrics.gauge("gate_in_flight", n);
   mMetrics.gauge("gate_queued", mQueuedCount.load());
   mMetrics.gauge("gate_window", mWindowNow);
