Hold back promises that do not arrive, close the callers' port on a drain

Cause: (1) a daemon that sends but hears nothing has no lease, yet its renewals kept its witnesses bound, so its keys had no owner while the cut lasted; (2) on SIGTERM callers' new connections were accepted and refused one by one; (3) the crash reports and the retry budget of the policy package were not joined; (4) a bucket just taken over answers short, and the wallet then refused at once. Change: PromiseFeedback in the witness, fed by the newest answered renewal that each renewal names; the listening socket is shut down when a drain begins; CrashWatch; up to 16 requests of a workspace may always wait for tokens. Ruled out for (1): shorter promises (cost control bytes in every hour for a rare failure).

--- a/include/radishroad/daemon/ingress.h
+++ b/include/radishroad/daemon/ingress.h
@@ -43,6 +43,8 @@
     ForwardFn mToOwnUpstream;
     std::function<void(const std::string& aAddress, ForwardRequest, AnswerFn)>
       mToPeer;
+    /// A request was admitted; feeds the retry budget.
+    std::function<void()> mOnRequest;
     /// May an idempotent request with an unknown outcome be sent again?
     std::function<bool()> mMayRetry;
     ClockFn mNow;
--- a/src/caller/server.cpp
+++ b/src/caller/server.cpp
@@ -1,5 +1,8 @@
 #include "radishroad/caller/server.h"
 
+#include "radishroad/caller/listen_socket.h"
+#include <arpa/inet.h>
+
 #include "radishroad/caller/server_context.h"
 #include "radishroad/caller/transport.h"
 
@@ -88,6 +91,11 @@
   const Millis end = monotonicNow() + aTimeout;
   const Millis grace = std::min(context.mOptions.mDrainGrace, aTimeout / 2);
   context.setPhase(ServerContext::Phase::Draining);
+  const Pistache::Address address(context.mOptions.mListenAddress);
+  in_addr ip{};
+  if (inet_pton(AF_INET, address.host().c_str(), &ip) == 1) {
+    stopListening(ip.s_addr, htons(port()));
+  }
   context.waitClosed(grace);
   context.setPhase(ServerContext::Phase::Closing);
   context.waitIdle(std::max(end - monotonicNow(), Millis{ 0 }));
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -110,6 +110,7 @@
     finish(flight, makeNotRun(aRequest.mId, reason));
     return;
   }
+  mHooks.mOnRequest();
   admit(flight);
 }
 
--- a/src/daemon/lease_duty.cpp
+++ b/src/daemon/lease_duty.cpp
@@ -5,6 +5,7 @@
 #include "radishroad/daemon/fleet_state.h"
 #include "radishroad/daemon/recorder.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace radishroad {
@@ -27,7 +28,17 @@
   const Member* self = mContext.self();
   if (self != nullptr) {
     mLease.adopt(self->mWitnessVersion, self->mWitnesses);
+    std::erase_if(mHeard, [self](const auto& aEntry) {
+      return aEntry.first.second < self->mWitnessVersion;
+    });
   }
+  const CellState& cell = mContext.mFleet.ownCell();
+  mFeedback.forgetExcept([&cell](LeaseLabel aLabel) {
+    const auto it = cell.mMembers.find(aLabel.mIncarnation);
+    return it != cell.mMembers.end() &&
+           it->second.mStatus == MemberStatus::Active &&
+           it->second.mWitnessVersion <= aLabel.mVersion;
+  });
   mDriver.onState(mContext.mFleet.ownCell(), mContext.mNow());
 }
 
@@ -39,7 +50,10 @@
   }
   mOnPeer(aFrom, aRenew.positions);
   const LeaseLabel label{ aRenew.incarnation, aRenew.version };
-  if (!mDriver.onRenew(label, mContext.mNow())) {
+  const Millis now = mContext.mNow();
+  const bool arrives =
+    mFeedback.shouldPromise(label, Millis{ aRenew.heard_sent_ms }, now);
+  if (!arrives || !mDriver.onRenew(label, now)) {
     return;
   }
   wire::PromiseT promise;
@@ -58,8 +72,10 @@
   if (aPromise.incarnation != mContext.mSelf) {
     return;
   }
-  mLease.onPromise(
-    aPromise.witness, aPromise.version, Millis{ aPromise.sent_ms });
+  const Millis sentAt{ aPromise.sent_ms };
+  mLease.onPromise(aPromise.witness, aPromise.version, sentAt);
+  Millis& heard = mHeard[{ aPromise.witness, aPromise.version }];
+  heard = std::max(heard, sentAt);
   reportLease(mContext.mNow());
 }
 
@@ -114,6 +130,8 @@
     renew.version = renewal.mVersion;
     renew.sent_ms = aNow.mCount;
     renew.positions = positions();
+    const auto it = mHeard.find({ renewal.mWitness, renewal.mVersion });
+    renew.heard_sent_ms = it == mHeard.end() ? 0 : it->second.mCount;
     mContext.mSend(renewal.mWitness, makeBody(std::move(renew)));
   }
 }
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -7,6 +7,7 @@
 #include "radishroad/daemon/control_context.h"
 #include "radishroad/daemon/control_loop.h"
 #include "radishroad/daemon/coordinator_duty.h"
+#include "radishroad/daemon/crash_watch.h"
 #include "radishroad/daemon/daemon.h"
 #include "radishroad/daemon/fleet_state.h"
 #include "radishroad/daemon/fleet_view.h"
@@ -53,6 +54,7 @@
   Timer mTimer;
   ViewHolder mViews;
   ServeAuthority mAuthority;
+  CrashWatch mCrashes;
   std::atomic<std::int64_t> mConfigContact{ 0 };
   std::atomic<bool> mOut{ false };
   std::atomic<bool> mLeaveRequested{ false };
@@ -92,6 +94,7 @@
               const CellState& aAfter);
   void guardTakeovers(const CellState& aBefore, const CellState& aAfter);
   void onControlFrame(Incarnation aFrom, const wire::FrameBodyUnion& aBody);
+  void reportCrash(std::uint64_t aFingerprint, RandomId aId);
   void sendControl(Incarnation aTo, wire::FrameBodyUnion aBody);
   bool submitAppend(const std::string& aStream,
                     const wire::RecordT& aRecord,
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -49,8 +49,12 @@
   hooks.mOnHealth = [this](bool aHealthy) {
     mLoop.post([this, aHealthy] { mMembership.onUpstreamHealth(aHealthy); });
   };
-  hooks.mOnCrash = [](std::uint64_t, RandomId) {};
-  hooks.mIsQuarantined = [](std::uint64_t) { return false; };
+  hooks.mOnCrash = [this](std::uint64_t aFingerprint, RandomId aId) {
+    mLoop.post([this, aFingerprint, aId] { reportCrash(aFingerprint, aId); });
+  };
+  hooks.mIsQuarantined = [this](std::uint64_t aFingerprint) {
+    return mCrashes.isQuarantined(aFingerprint, monotonicNow());
+  };
   hooks.mNow = monotonicNow;
   return hooks;
 }
@@ -112,7 +116,8 @@
                          AnswerFn aAnswer) {
     mLink->forward(aAddress, std::move(aRequest), std::move(aAnswer));
   };
-  hooks.mMayRetry = [] { return false; };
+  hooks.mOnRequest = [this] { mCrashes.onRequest(); };
+  hooks.mMayRetry = [this] { return mCrashes.mayRetry(monotonicNow()); };
   hooks.mNow = monotonicNow;
   return hooks;
 }
@@ -165,6 +170,27 @@
   }
 }
 
+void
+Daemon::Parts::reportCrash(std::uint64_t aFingerprint, RandomId aId)
+{
+  wire::CrashReportT report;
+  report.fingerprint = aFingerprint;
+  report.reporter = mSelf;
+  report.request_high = aId.mHigh;
+  report.request_low = aId.mLow;
+  mCrashes.onReport(report, monotonicNow());
+  logEvent(LogLevel::Warn,
+           "crash_suspect",
+           { { "request_id", aId.toString() },
+             { "fingerprint", std::to_string(aFingerprint) } });
+  // Only daemons of this cell run requests of this service.
+  for (const auto& [incarnation, member] : mFleet.ownCell().mMembers) {
+    if (incarnation != mSelf) {
+      sendControl(incarnation, makeBody(report));
+    }
+  }
+}
+
 void
 Daemon::Parts::sendControl(Incarnation aTo, wire::FrameBodyUnion aBody)
 {
@@ -206,6 +232,9 @@
     case wire::FrameBody::RelayRecords:
       mRelay.onRelayed(*aBody.AsRelayRecords());
       break;
+    case wire::FrameBody::CrashReport:
+      mCrashes.onReport(*aBody.AsCrashReport(), monotonicNow());
+      break;
     default:
       break;
   }
--- a/src/policy/token_wallet.cpp
+++ b/src/policy/token_wallet.cpp
@@ -16,6 +16,8 @@
 /// An ask without a grant for so long is taken as lost.
 constexpr Millis kAskTimeout{ 40 };
 constexpr double kMillisPerSecond = 1000.0;
+/// Requests of a workspace that may wait for tokens at any time.
+constexpr std::uint32_t kAlwaysWaiting = 16;
 constexpr double kNegligibleDemand = 0.01;
 
 double
@@ -89,8 +91,11 @@
   if (mine.mWaiting == 0 && spend(mine, aNow)) {
     return TakeVerdict::Taken;
   }
-  // Beyond the rate, no more wait than the next grant is likely to serve.
-  if (mine.mShort && mine.mWaiting > mine.mLastGranted) {
+  // Beyond the rate, no more wait than the next grant is likely to serve. A
+  // few may always: a bucket that has just changed its owner is empty, and says
+  // nothing of the rate yet.
+  if (mine.mShort &&
+      mine.mWaiting >= std::max(mine.mLastGranted + 1, kAlwaysWaiting)) {
     return TakeVerdict::Refused;
   }
   ++mine.mWaiting;
