Bound each request by its service's deadline in the gate

The next owner of a shard counts on the longest deadline; a request that came with more time could outlast it.

--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -43,12 +43,12 @@
 void
 Gate::configure(const config::Service& aService)
 {
-  mImpl->post([impl = mImpl.get(), aService] {
-    impl->mService = aService;
-    impl->mHealth.setProbeCost(aService.mProbeCost);
-    impl->mWindow.setMax(aService.mMaxInFlight);
-    impl->mPacer.setCost(aService.mConnectionCost);
-  });
+  {
+    const std::lock_guard<std::mutex> lock(mImpl->mTaskMutex);
+    mImpl->mNewService = aService;
+  }
+  mImpl->mConfigured = true;
+  mImpl->mExchanges.wake();
 }
 
 void
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -70,6 +70,7 @@
   // gate_loop.cpp: the thread.
   void loop();
   void takeSubmitted();
+  void applyConfiguration();
   /// False if the request is a copy and has been dealt with.
   bool admit(QueuedRequest& aQueued);
   /// Takes in what other threads have handed over.
@@ -171,6 +172,8 @@
   std::atomic<double> mWindowNow{ 0 };
   std::mutex mTaskMutex;
   std::vector<std::function<void()>> mTasks;
+  config::Service mNewService;
+  std::atomic<bool> mConfigured{ false };
   std::mutex mThreadMutex;
   std::thread mThread;
 };
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -57,6 +57,8 @@
 Gate::Impl::takeSubmitted()
 {
   while (std::optional<QueuedRequest> queued = mSubmitted.pop(Millis{ 0 })) {
+    // One that was set before this was submitted holds for it.
+    applyConfiguration();
     if (admit(*queued)) {
       mQueue.pushBack(std::move(*queued));
     }
@@ -68,10 +70,29 @@
   }
 }
 
+void
+Gate::Impl::applyConfiguration()
+{
+  if (!mConfigured.exchange(false)) {
+    return;
+  }
+  {
+    const std::lock_guard<std::mutex> lock(mTaskMutex);
+    mService = mNewService;
+  }
+  mHealth.setProbeCost(mService.mProbeCost);
+  mWindow.setMax(mService.mMaxInFlight);
+  mPacer.setCost(mService.mConnectionCost);
+}
+
 bool
 Gate::Impl::admit(QueuedRequest& aQueued)
 {
   using Verdict = DuplicateMemory::Verdict;
+  // Nothing runs for longer than the service allows: the next owner of a shard
+  // counts on that.
+  const Millis longest = aQueued.mQueuedAt + mService.mDeadline;
+  aQueued.mDeadline = std::min(aQueued.mDeadline, longest);
   DuplicateMemory::Admission admission = mDuplicates.admit(
     aQueued.mRequest, aQueued.mFingerprint, aQueued.mAnswer, mHooks.mNow());
   switch (admission.mVerdict) {
@@ -113,6 +134,7 @@
     const std::lock_guard<std::mutex> lock(mTaskMutex);
     tasks.swap(mTasks);
   }
+  applyConfiguration();
   takeSubmitted();
   for (const std::function<void()>& task : tasks) {
     task();
--- a/tests/unit/gate_load_test.cpp
+++ b/tests/unit/gate_load_test.cpp
@@ -23,6 +23,22 @@
   valve.open();
 }
 
+BOOST_AUTO_TEST_CASE(no_request_outlasts_the_deadline_of_the_service)
+{
+  Valve valve;
+  GateFixture fixture(
+    [&](const Request&) { return valve.hold(FakeUpstream::ok("")); });
+  config::Service service;
+  service.mDeadline = 200_ms;
+  fixture.mGate.configure(service);
+  ForwardRequest request = makeRequest("POST", 1);
+  request.time_left_ms = 600000;
+  BOOST_TEST((fixture.run(std::move(request)).kind == AnswerKind::Unknown));
+  const Request seen = fixture.mUpstream.requests("POST").at(0);
+  BOOST_TEST(std::stoi(seen.mHeaders.at("x-radishroad-deadline-ms")) <= 200);
+  valve.open();
+}
+
 BOOST_AUTO_TEST_CASE(cancel_of_waiting_and_running_requests)
 {
   Valve valve;
