End the back-off of a peer that is heard

Cause: frames to a peer in back-off (up to 500 ms) are dropped, promises to a daemon that has just thawed among them, which delays its lease. Seen first: without the change a request is refused with UpstreamDown although the peer was heard just before (peer_that_is_heard_again_*).

--- a/include/radishroad/ownership/witness_keeper.h
+++ b/include/radishroad/ownership/witness_keeper.h
@@ -47,7 +47,9 @@
                          std::size_t aWanted = kWantedWitnesses);
 
   /// To be called often: the record to append now, if any. The holder's change
-  /// has been begun then. aLogAnsweredAt is when the log was last read.
+  /// has been begun then, and what the holder now says of the lease has to be
+  /// in force before the record is sent. aLogAnsweredAt is when the log was
+  /// last read.
   std::optional<wire::RewitnessT> step(const CellState& aState,
                                        LeaseHolder& aHolder,
                                        const SuspectFn& aIsSuspect,
--- a/include/radishroad/peer/channel.h
+++ b/include/radishroad/peer/channel.h
@@ -50,6 +50,8 @@
   /// Time until the next attempt to connect may be made.
   Millis retryAfter(Millis aNow) const;
   void checkLiveness(Millis aNow);
+  /// The peer is known to live: the next attempt to connect is due at once.
+  void endBackOff();
   void close(const Error& aReason);
 
 private:
--- a/include/radishroad/peer/forwarder.h
+++ b/include/radishroad/peer/forwarder.h
@@ -35,6 +35,7 @@
   void forward(Item aItem);
   void cancel(RandomId aId);
   void checkLiveness(Millis aNow);
+  void endBackOff() { mChannel.endBackOff(); }
   void stop();
 
 private:
--- a/include/radishroad/peer/link.h
+++ b/include/radishroad/peer/link.h
@@ -33,6 +33,8 @@
     std::size_t mMaxQueuedBytes = 64U << 20;
     std::size_t mMaxFrameBytes = 24U << 20;
     Millis mConnectTimeout{ 300 };
+    /// "ip:port" by which peers reach this daemon; the bound one if empty.
+    std::string mAdvertisedAddress = {};
   };
 
   /// All but mOnClosed must be set.
--- a/include/radishroad/peer/receiver.h
+++ b/include/radishroad/peer/receiver.h
@@ -30,6 +30,8 @@
     ForwardFn mOnRequest;
     std::function<void(RandomId)> mOnCancel;
     std::function<void(std::uint64_t aIncarnation, const Error&)> mOnClosed;
+    /// Something came from the peer of this address.
+    std::function<void(const std::string& aAddress)> mOnHeard;
   };
 
   Receiver(std::shared_ptr<boost::asio::io_context> aContext, Hooks aHooks);
@@ -49,6 +51,8 @@
   struct Session
   {
     std::shared_ptr<Connection> mConnection;
+    /// Address at which the peer listens, by its Hello.
+    std::string mPeerAddress;
     std::unordered_map<RandomId, std::uint32_t> mRunning;
 
     /// False if no such request runs any more.
--- a/src/peer/channel.cpp
+++ b/src/peer/channel.cpp
@@ -178,6 +178,13 @@
   }
 }
 
+void
+Channel::endBackOff()
+{
+  mBackOff = {};
+  mNextAttempt = {};
+}
+
 void
 Channel::close(const Error& aReason)
 {
--- a/src/peer/link.cpp
+++ b/src/peer/link.cpp
@@ -48,6 +48,7 @@
 
   Budgets budgetsOf(const std::string& aAddress);
   Peer& peerOf(const std::string& aAddress);
+  void onHeard(const std::string& aAddress);
   Channel::Options channelOptions(const std::string& aAddress) const;
   template<typename Handler>
   bool post(Handler aHandler);
@@ -90,7 +91,8 @@
                },
                 mHooks.mOnRequest,
                 mHooks.mOnCancel,
-                mHooks.mOnClosed })
+                mHooks.mOnClosed,
+                [this](const std::string& aAddress) { onHeard(aAddress); } })
 {
 }
 
@@ -139,6 +141,18 @@
   return peer;
 }
 
+/// A peer that thaws is heard before its own connections are up again; what is
+/// sent to it then must not be dropped for a back-off from before.
+void
+PeerLink::Impl::onHeard(const std::string& aAddress)
+{
+  const auto it = mPeers.find(aAddress);
+  if (it != mPeers.end()) {
+    it->second.mForwarder->endBackOff();
+    it->second.mControl->endBackOff();
+  }
+}
+
 template<typename Handler>
 bool
 PeerLink::Impl::post(Handler aHandler)
@@ -203,7 +217,10 @@
   Connection::Options& options = mImpl->mConnectionOptions;
   options.mSelf.mIncarnation = mImpl->mOptions.mIncarnation;
   options.mSelf.mVm = mImpl->mOptions.mVm;
-  options.mSelf.mPeerAddress = mImpl->mReceiver.address();
+  options.mSelf.mPeerAddress = mImpl->mOptions.mAdvertisedAddress;
+  if (options.mSelf.mPeerAddress.empty()) {
+    options.mSelf.mPeerAddress = mImpl->mReceiver.address();
+  }
   options.mMaxFrameBytes = mImpl->mOptions.mMaxFrameBytes;
   // The budgets refuse earlier; Cancel frames are outside of them.
   options.mMaxQueuedBytes = mImpl->mOptions.mMaxQueuedBytes * 2;
@@ -316,7 +333,7 @@
 std::string
 PeerLink::listenAddress() const
 {
-  return mImpl->mConnectionOptions.mSelf.mPeerAddress;
+  return mImpl->mReceiver.address();
 }
 
 }
--- a/src/peer/receiver.cpp
+++ b/src/peer/receiver.cpp
@@ -122,7 +122,10 @@
   const std::uint64_t number = ++mLastSession;
   const std::shared_ptr<Session> session = std::make_shared<Session>();
   Connection::Hooks hooks;
-  hooks.mOnHello = [](const wire::HelloT&) {};
+  hooks.mOnHello = [this, at = session.get()](const wire::HelloT& aHello) {
+    at->mPeerAddress = aHello.peer_address;
+    mHooks.mOnHeard(at->mPeerAddress);
+  };
   hooks.mOnFrame = [this, number](wire::FrameBodyUnion aBody,
                                   std::size_t aBytes) {
     onFrame(number, std::move(aBody), aBytes);
@@ -149,6 +152,7 @@
     return;
   }
   const std::shared_ptr<Session> session = it->second;
+  mHooks.mOnHeard(session->mPeerAddress);
   if (wire::ForwardRequestT* request = aBody.AsForwardRequest()) {
     onRequest(session, std::move(*request));
     return;
--- a/tests/unit/link_faults_test.cpp
+++ b/tests/unit/link_faults_test.cpp
@@ -109,6 +109,33 @@
   BOOST_TEST(frame->AsRenew() != nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(peer_that_is_heard_again_is_reached_despite_back_off)
+{
+  std::string address;
+  {
+    RawPeer peer;
+    address = peer.address();
+  }
+  Node node(1);
+  std::int64_t wait = 0;
+  const Millis end = monotonicNow() + kPatience;
+  while (wait < 400 && monotonicNow() < end) {
+    node.forward(address, makeRequest(1));
+    const std::optional<Answer> answer = node.mAnswers.pop(kPatience);
+    BOOST_REQUIRE(answer.has_value());
+    wait = answer->retry_after_ms;
+  }
+  BOOST_TEST(wait >= 400);
+  Node back(2, address);
+  BOOST_REQUIRE(back.mStarted);
+  back.mLink->sendControl(node.address(), 1, renewFrame(2, 1_ms));
+  BOOST_REQUIRE(node.mControl.pop(kPatience).has_value());
+  // Refused at once if the back-off still holds.
+  node.forward(address, makeRequest(2));
+  BOOST_TEST(back.mCalls.pop(1_s).has_value());
+  BOOST_TEST(node.mAnswers.size() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(request_to_a_silent_peer_ends_before_its_deadline)
 {
   Node caller(1);
