--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -2,7 +2,10 @@
 #define RADISHROAD_SRC_UPSTREAM_GATE_IMPL_H
 
 #include "radishroad/base/ring.h"
+#include "radishroad/policy/answered_set.h"
 #include "radishroad/policy/connection_pacer.h"
+#include "radishroad/policy/duplicate_memory.h"
+#include "radishroad/policy/retry_budget.h"
 #include "radishroad/policy/window.h"
 #include "radishroad/upstream/exchange_runner.h"
 #include "radishroad/upstream/gate.h"
@@ -31,6 +34,8 @@
     ExchangeRunner::ExchangeId mExchange = 0;
     Epoch mEpoch = 0;
     Millis mServeUntil;
+    /// The run ends here, by the request's deadline or the service's limit.
+    Millis mEndBy;
     /// When the request was handed over, and its rank in flight then.
     Millis mSentAt;
     std::uint32_t mInFlight = 0;
@@ -67,6 +72,8 @@
   // gate_loop.cpp: the thread.
   void loop();
   void takeSubmitted();
+  /// False if the request is a copy and has been dealt with.
+  bool admit(QueuedRequest& aQueued);
   /// Takes in what other threads have handed over.
   void takeInbox();
   void checkRuns(Millis aNow);
@@ -80,7 +87,7 @@
   void finishDrains();
   Millis nextWake(Millis aNow) const;
   bool finished() const;
-  void publishGauges();
+  void publishLoad();
   /// Any thread: runs the task on the gate's thread.
   void post(std::function<void()> aTask);
 
@@ -98,7 +105,7 @@
                 CURLcode aCode,
                 UpstreamResponse aResponse);
   void onWhole(Run aRun, UpstreamResponse aResponse);
-  void onNotSent(Run aRun, CURLcode aCode);
+  void onNotSent(Run aRun, ExchangeEnd aEnd);
   void onLost(Run aRun, CURLcode aCode);
   /// Aborts the transfer. aReason is for a request that was not yet written.
   void giveUp(RunId aId, NotRunReason aReason);
@@ -125,9 +132,7 @@
 
   // gate_health.cpp: probes, restarts and crashes.
   void probe(Millis aNow);
-  void onProbeEnd(ExchangeEnd aEnd,
-                  CURLcode aCode,
-                  const UpstreamResponse& aResponse);
+  void onProbeEnd(ExchangeEnd aEnd, const UpstreamResponse& aResponse);
   void onHealthChange(HealthChange aChange);
   void suspectCrash(const Run& aRun);
   void reportCrash();
@@ -150,9 +155,13 @@
   config::Service mService;
   ConcurrencyWindow mWindow;
   ConnectionPacer mPacer;
+  RetryBudget mRetries;
+  DuplicateMemory mDuplicates;
+  AnsweredSet mAnswered;
   /// Connections known to the pacer.
   std::uint64_t mPacedConnections = 0;
   std::uint64_t mProbes = 0;
+  Millis mGaugesAt;
 
   /// Any thread.
   Ring<QueuedRequest> mSubmitted;
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -89,7 +89,8 @@
   run.mServeUntil = aDecision.mServeUntil;
 
   const ForwardRequest& request = run.mQueued.mRequest;
-  const Millis left = run.mQueued.mDeadline - now;
+  run.mEndBy = std::min(run.mQueued.mDeadline, now + mService.mRunLimit);
+  const Millis left = run.mEndBy - now;
   UpstreamRequest upstream;
   upstream.mUpstream = mOptions.mUpstream;
   upstream.mMethod = request.method;
@@ -115,7 +116,7 @@
   const ServeDecision decision = mHooks.mMayServe(request);
   const bool served =
     decision.mRefusal == NotRunReason::None && decision.mEpoch == run.mEpoch;
-  const bool inTime = mHooks.mNow() < run.mQueued.mDeadline;
+  const bool inTime = mHooks.mNow() < run.mEndBy;
   run.mHeldBack = !served || !inTime || mPaused.contains(request.shard);
   run.mServeUntil = decision.mServeUntil;
   run.mSent = !run.mHeldBack;
@@ -137,7 +138,8 @@
       onWhole(std::move(run), std::move(aResponse));
       break;
     case ExchangeEnd::NotSent:
-      onNotSent(std::move(run), aCode);
+    case ExchangeEnd::Refused:
+      onNotSent(std::move(run), aEnd);
       break;
     case ExchangeEnd::Lost:
       onLost(std::move(run), aCode);
@@ -156,7 +158,9 @@
     mMetrics.count("gate_shed_total");
     mWindow.onShed(now);
   }
-  if (reason == NotRunReason::Shed && queued.mSheds < kMaxSheds) {
+  const bool again = reason == NotRunReason::Shed &&
+                     queued.mSheds < kMaxSheds && mRetries.tryRetry(now);
+  if (again) {
     ++queued.mSheds;
     queued.mNotBefore = now + kShedPause;
     mQueue.pushFront(std::move(queued));
@@ -168,19 +172,21 @@
   }
   const Millis took = now - aRun.mSentAt;
   mWindow.onAnswer(took, aRun.mInFlight, now);
+  mAnswered.add(queued.mFingerprint, now);
+  mQueue.charge(queued.mRequest.workspace, took);
   mLoad.add(queued.mRequest.shard, queued.mRequest.key_hash, took);
   mMetrics.observeMs("gate_run_ms", static_cast<double>(took.mCount));
   answer(queued, makeAnswered(queued.mRequest, std::move(aResponse)));
 }
 
 void
-Gate::Impl::onNotSent(Run aRun, CURLcode aCode)
+Gate::Impl::onNotSent(Run aRun, ExchangeEnd aEnd)
 {
   const Millis now = mHooks.mNow();
   QueuedRequest& queued = aRun.mQueued;
   if (!aRun.mHeldBack) {
     mMetrics.count("gate_connect_failures_total");
-    if (aCode == CURLE_COULDNT_CONNECT) {
+    if (aEnd == ExchangeEnd::Refused) {
       onHealthChange(mHealth.onRefused());
     }
     mHealth.probeSoon(now);
@@ -244,6 +250,11 @@
   mQueuedCount.fetch_sub(1);
   mMetrics.count(std::string("gate_answers_total{kind=\"") +
                  wire::EnumNameAnswerKind(aAnswer.kind) + "\"}");
+  const std::vector<DuplicateMemory::Waiter> waiters =
+    mDuplicates.finish(aQueued.mMemoryKey, aAnswer, mHooks.mNow());
+  for (const DuplicateMemory::Waiter& waiter : waiters) {
+    waiter.mAnswer(withId(aAnswer, waiter.mId));
+  }
   aQueued.mAnswer(std::move(aAnswer));
 }
 
