--- /dev/null
+++ b/benchmark/load.sh
@@ -0,0 +1,96 @@
+#!/usr/bin/env bash
+# Latency and cost of the router on loopback: the same load straight at an
+# upstream, through one daemon, and through two; then processor time, memory
+# and the cost of an idle daemon.
+# Usage: benchmark/load.sh [RATE (4100)] [SECONDS (10)]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+export RADISHROAD_RUN_DIR=run/load RADISHROAD_NET=${RADISHROAD_NET:-127.78.0}
+# shellcheck source=scripts/fleet.sh
+source scripts/fleet.sh
+rate=${1:-4100}
+seconds=${2:-10}
+ticks=$(getconf CLK_TCK)
+trap stop_fleet EXIT
+
+load() {
+  "$build/tools/rr-load" --rate "$rate" --seconds "$seconds" --warm-up 3 \
+    --threads 2 --connections 100 --keys 500 --seed 1 \
+    --caller-key guild-key-1 --caller-key guild-key-2 \
+    --caller-key guild-key-3 "$@"
+}
+
+# field NAME: the first value of a name in the summary on standard input
+field() {
+  sed -nE "s/^ *\"$1\": ([0-9.]+),?$/\1/p" | head -n 1
+}
+
+row() {
+  local name=$1 summary=$2
+  printf '%-34s %9s %9s %9s %9s of %s\n' "$name" \
+    "$(field p50 <<<"$summary")" "$(field p99 <<<"$summary")" \
+    "$(field 'p99\.9' <<<"$summary")" "$(field answered <<<"$summary")" \
+    "$(field sent <<<"$summary")"
+}
+
+pid_of() {
+  awk -F'\t' -v vm="$1" '$1 == "daemon" && $4 == vm { print $2 }' \
+    "$run/fleet.tsv"
+}
+
+cpu_ticks() {
+  awk '{ print $14 + $15 }' "/proc/$1/stat"
+}
+
+memory_kb() {
+  awk '$1 == "VmRSS:" { print $2 }' "/proc/$1/status"
+}
+
+start_fleet() {
+  local i
+  mkdir -p "$run"
+  rm -f "$run"/*
+  start_log
+  wait_for 10 "the log service" answers "http://$log_address/v1/streams/config"
+  for ((i = 1; i <= $1; i++)); do
+    start_vm $i "catalog-$i" "${zones[i % 3]}" catalog --service-ms 1
+  done
+  for ((i = 1; i <= $2; i++)); do
+    start_vm $(($1 + i)) "library-$i" "${zones[i % 3]}" library --service-ms 1
+  done
+  RADISHROAD_LOG_ADDRESS=$log_address "$build/src/main/radishroad" \
+    config publish examples/guild >/dev/null
+  wait_for 30 "the daemons to serve" all_ready
+}
+
+printf '%s requests a second for %s s; %s\n' "$rate" "$seconds" "$(uptime)"
+printf '%-34s %9s %9s %9s %9s\n' "latency in ms" p50 p99 p99.9 answered
+
+start_fleet 1 0
+row "straight at an upstream" "$(load --target "$net.2:9000")"
+before=$(cpu_ticks "$(pid_of catalog-1)")
+summary=$(load --target "$net.2:8080")
+after=$(cpu_ticks "$(pid_of catalog-1)")
+row "through one daemon" "$summary"
+awk -v t=$((after - before)) -v hz="$ticks" -v n=$((rate * (seconds + 3))) \
+  'BEGIN { printf "processor time a request: %.3f ms\n", t / hz / n * 1000 }'
+for connections in 1 100 1000; do
+  "$build/tools/rr-load" --target "$net.2:8080" --rate 50 --seconds 2 \
+    --hold "$connections" --caller-key guild-key-1 >/dev/null &
+  holder=$!
+  sleep 2
+  printf 'memory with %s caller connections: %s kB\n' "$connections" \
+    "$(memory_kb "$(pid_of catalog-1)")"
+  wait $holder
+done
+stop_fleet
+
+start_fleet 4 3
+row "through two daemons, 4 upstreams" "$(load --target "$net.6:8080")"
+idle=$(pid_of catalog-2)
+before=$(cpu_ticks "$idle")
+sleep 10
+after=$(cpu_ticks "$idle")
+awk -v t=$((after - before)) -v hz="$ticks" \
+  'BEGIN { printf "idle daemon of 7: %.2f%% of a core", t / hz / 10 * 100 }'
+printf ', %s kB\n' "$(memory_kb "$idle")"
--- /dev/null
+++ b/tests/process/bounds_test.cpp
@@ -0,0 +1,158 @@
+#include "support/http_call.h"
+#include "support/scenario.h"
+#include "support/wait.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+namespace radishroad::test {
+
+using namespace radishroad::literals;
+
+namespace {
+
+/// Workspace birch of examples/guild.
+constexpr const char* kSmallKey = "guild-key-4";
+constexpr const char* kSmallWorkspace = "birch";
+constexpr double kSmallRate = 200;
+constexpr double kSmallBurst = 40;
+
+/// Sends three times the workspace's rate through the daemons but those left
+/// out.
+std::unique_ptr<Traffic>
+startFlood(const Fleet& aFleet,
+           std::uint64_t aSeed,
+           const std::set<std::string>& aBut)
+{
+  Traffic::Options options;
+  options.mIngresses = aFleet.callers(aBut);
+  options.mGets = guildGets();
+  options.mCallerKey = kSmallKey;
+  options.mPerSecond = static_cast<int>(3 * kSmallRate);
+  options.mSeed = aSeed;
+  return std::make_unique<Traffic>(options);
+}
+
+/// In no span of time did more runs start than rate x span + burst.
+void
+checkRate(std::vector<Run> aRuns)
+{
+  constexpr double kMsPerSecond = 1000;
+  std::erase_if(
+    aRuns, [](const Run& aRun) { return aRun.mWorkspace != kSmallWorkspace; });
+  std::sort(
+    aRuns.begin(), aRuns.end(), [](const Run& aFirst, const Run& aSecond) {
+      return aFirst.mStartMs < aSecond.mStartMs;
+    });
+  BOOST_REQUIRE(!aRuns.empty());
+  // Largest count above the rate since the time at which it was lowest.
+  double lowest = 0;
+  double most = 0;
+  for (std::size_t i = 0; i < aRuns.size(); ++i) {
+    const auto ms =
+      static_cast<double>(aRuns[i].mStartMs - aRuns.front().mStartMs);
+    const double allowed = ms * kSmallRate / kMsPerSecond;
+    lowest = std::min(lowest, static_cast<double>(i) - allowed);
+    most = std::max(most, static_cast<double>(i + 1) - allowed - lowest);
+  }
+  BOOST_TEST_MESSAGE(aRuns.size()
+                     << " runs, at most " << most << " above the rate");
+  BOOST_TEST(most <= kSmallBurst);
+}
+
+std::size_t
+countEvents(const Fleet& aFleet,
+            const std::vector<std::string>& aVms,
+            const std::string& aEvent)
+{
+  std::size_t n = 0;
+  for (const std::string& vm : aVms) {
+    for (const nlohmann::json& event :
+         readJournal(aFleet.folder() / (vm + ".journal"))) {
+      n += event.value("event", "") == aEvent ? 1 : 0;
+    }
+  }
+  return n;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(bounds)
+
+BOOST_AUTO_TEST_CASE(workspace_rate_over_the_fleet)
+{
+  Scenario scenario({ "rate", 81 });
+  const std::unique_ptr<Traffic> flood = startFlood(scenario.fleet(), 81, {});
+  scenario.runOn(5_s, 5_s);
+  flood->stop();
+  checkRate(scenario.fleet().runs());
+}
+
+BOOST_AUTO_TEST_CASE(workspace_rate_through_a_loss)
+{
+  Scenario scenario({ "rate_loss", 82 });
+  Fleet& fleet = scenario.fleet();
+  const std::string victim = scenario.drawVm("catalog");
+  const std::string other = scenario.drawVm("library");
+  const std::unique_ptr<Traffic> flood =
+    startFlood(fleet, 82, { victim, other });
+  scenario.runOn(1_s, 2_s);
+  fleet.kill(victim, Role::Daemon);
+  fleet.kill(other, Role::Daemon);
+  scenario.runOn(4_s, 4_s);
+  flood->stop();
+  checkRate(fleet.runs());
+}
+
+BOOST_AUTO_TEST_CASE(cold_upstream_is_not_overrun)
+{
+  Scenario::Options options("cold", 83);
+  options.mUpstreamArguments = { "--cold-ms", "4000", "--cold-slots", "2" };
+  Scenario scenario(options);
+  Fleet& fleet = scenario.fleet();
+  scenario.startTraffic({}, "ms=10");
+  scenario.runOn(2_s, 2_s);
+  const std::string victim = scenario.drawVm("catalog");
+  fleet.kill(victim, Role::Upstream);
+  fleet.start(victim, Role::Upstream);
+  scenario.runOn(3_s, 3_s);
+  // Cold again without warning.
+  const std::string other = scenario.drawVm("library");
+  fleet.setUpstreamFaults(other, { { "cold_ms", 3000 } });
+  scenario.runOn(3_s, 3_s);
+  const Evidence evidence = scenario.stopTraffic();
+  checkAlways(evidence);
+  BOOST_TEST(countEvents(fleet, fleet.vmsOf("catalog"), "fell_over") == 0U);
+  BOOST_TEST(countEvents(fleet, fleet.vmsOf("library"), "fell_over") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(request_that_crashes_upstreams_is_quarantined)
+{
+  constexpr int kSendings = 6;
+  constexpr std::size_t kMostCrashes = 2;
+  Scenario scenario({ "quarantine", 84 });
+  Fleet& fleet = scenario.fleet();
+  const std::vector<std::string> vms = fleet.vmsOf("catalog");
+  for (int i = 0; i < kSendings; ++i) {
+    LoadRequest request;
+    request.mMethod = "POST";
+    request.mBody = "order";
+    request.mUrl = "http://" + fleet.caller("library-1") +
+                   "/catalog/template-1/purchase?n=84";
+    request.mHeaders = { "Authorization: Bearer guild-key-1",
+                         "X-Test-Crash: 1" };
+    BOOST_TEST(call(request).mStatus != 200);
+    for (const std::string& vm : vms) {
+      if (!fleet.process(vm, Role::Upstream)->isRunning()) {
+        fleet.start(vm, Role::Upstream);
+      }
+    }
+    const bool settled = waitFor([&] { return fleet.isSettled(); }, 20_s);
+    BOOST_TEST(settled);
+  }
+  BOOST_TEST(countEvents(fleet, vms, "crash") <= kMostCrashes);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- a/tests/process/support/scenario.cpp
+++ b/tests/process/support/scenario.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <cstdlib>
+#include <fstream>
 #include <thread>
 
 namespace radishroad::test {
@@ -24,11 +26,42 @@
   return paths;
 }
 
+/// The test's own seed, or the one set by benchmark/takeover.sh.
+std::uint64_t
+seedOf(const Scenario::Options& aOptions)
+{
+  const char* other = std::getenv("RADISHROAD_TEST_SEED");
+  return other ? std::stoull(other) : aOptions.mSeed;
+}
+
+/// What callers saw, for a person to read after a failed test.
+void
+saveResults(const std::vector<tools::LoadResult>& aResults,
+            const std::filesystem::path& aFile)
+{
+  std::ofstream out(aFile);
+  for (const tools::LoadResult& result : aResults) {
+    const nlohmann::json line = { { "url", result.mRequest.mUrl },
+                                  { "method", result.mRequest.mMethod },
+                                  { "ended_ms", result.mEndedWallMs },
+                                  { "latency_ms", result.mLatencyMs },
+                                  { "status", result.mStatus },
+                                  { "outcome", result.mOutcome },
+                                  { "id", result.mRequestId },
+                                  { "vm", result.mUpstreamVm },
+                                  { "error", result.mError } };
+    out << line.dump() << "\n";
+  }
+}
+
 Fleet::Options
 fleetOptions(const Scenario::Options& aOptions)
 {
   Fleet::Options options;
   options.mName = aOptions.mName;
+  if (const char* other = std::getenv("RADISHROAD_TEST_SEED")) {
+    options.mName += std::string("-seed-") + other;
+  }
   options.mVms = guildVms(aOptions.mCatalog, aOptions.mLibrary);
   options.mRelays = aOptions.mRelays;
   options.mDaemonArguments = aOptions.mDaemonArguments;
@@ -39,8 +72,8 @@
 }
 
 Scenario::Scenario(Options aOptions)
-  : mSeed(aOptions.mSeed)
-  , mRandom(aOptions.mSeed)
+  : mSeed(seedOf(aOptions))
+  , mRandom(mSeed)
   , mFleet(fleetOptions(aOptions))
 {
   mFleet.bringUp(guildFolder());
@@ -94,6 +127,7 @@
   Evidence evidence;
   evidence.mResults = mTraffic->stop();
   evidence.mRuns = mFleet.runs();
+  saveResults(evidence.mResults, mFleet.folder() / "results.jsonl");
   const std::map<std::string, std::int64_t> times =
     unavailableTime(evidence.mResults);
   std::int64_t worst = 0;
