Drop what was read from a connection that has closed meanwhile

Cause: closing a socket does not reach a read that has completed already; its handler went on to the hooks of a session that was gone. Seen first: the address sanitizer reported a use after free in peer_link/second_request_of_an_id_in_flight_is_refused, when a link stopped while a Hello was being read.

--- a/src/peer/connection.cpp
+++ b/src/peer/connection.cpp
@@ -163,7 +163,10 @@
         self->close(brokenBy(aCode));
         return;
       }
-      self->onRead(aCount);
+      // Closing does not reach a read that has completed already.
+      if (!self->mClosed) {
+        self->onRead(aCount);
+      }
     });
 }
 
@@ -279,7 +282,7 @@
         return;
       }
       self->mFrameFilled += aCount;
-      if (self->onWholeFrame()) {
+      if (!self->mClosed && self->onWholeFrame()) {
         self->read();
       }
     });
