Begin no hand-off while the log is out of reach, report crashes at once

Cause: (1) a move ordered to an owner cut off from the log paused its shards and then waited in doubt for the release; (2) a copy of a crashing request was sent before the report reached the quarantine; (3) a workspace's bucket could fall to a service without upstreams, so that nobody granted. Change: HandoffDuty asks whether the last read of the log succeeded; the report is noted on the gate's thread, and copies of a suspect wait for the probe; only cells with an owner for the bucket count, and a bucket is dropped when it is not served here.

--- a/src/daemon/handoff_duty.cpp
+++ b/src/daemon/handoff_duty.cpp
@@ -18,9 +18,6 @@
 constexpr std::size_t kBatchShards = 32;
 /// Pause between two batches, so that the next owners warm up.
 constexpr Millis kBatchInterval{ 100 };
-/// A hand-off is not begun unless the log answered within this time: one that
-/// is in doubt holds its shards back.
-constexpr Millis kLogFreshness{ 6000 };
 
 std::vector<Shard>
 shardsOf(std::span<const wire::ShardGrant> aGrants)
@@ -64,8 +61,13 @@
 HandoffDuty::tick(bool aDraining)
 {
   const Millis now = mContext.mNow();
-  if (busy() || now < mNextBatch || mContext.self() == nullptr ||
-      now - mContext.mFleet.lastOwnCellContact() > kLogFreshness) {
+  if (busy() || now < mNextBatch || mContext.self() == nullptr) {
+    return;
+  }
+  // A hand-off in doubt holds its shards back until the log answers again, so
+  // none is begun while it does not. What was ordered meanwhile is out of date.
+  if (!mContext.mFleet.logAnswers()) {
+    mOrdered.clear();
     return;
   }
   std::vector<wire::ShardGrant> batch = nextBatch(aDraining);
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -13,6 +13,17 @@
 constexpr Millis kRunLimitMargin{ 100 };
 constexpr Millis kLoadReportInterval{ 1000 };
 
+wire::CrashReportT
+makeCrashReport(Incarnation aReporter, std::uint64_t aFingerprint, RandomId aId)
+{
+  wire::CrashReportT report;
+  report.fingerprint = aFingerprint;
+  report.reporter = aReporter;
+  report.request_high = aId.mHigh;
+  report.request_low = aId.mLow;
+  return report;
+}
+
 }
 
 FleetState::Hooks
@@ -51,7 +62,10 @@
     mLoop.post([this, aHealthy] { mMembership.onUpstreamHealth(aHealthy); });
   };
   hooks.mOnCrash = [this](std::uint64_t aFingerprint, RandomId aId) {
-    mLoop.post([this, aFingerprint, aId] { reportCrash(aFingerprint, aId); });
+    // At once, since a copy of the request may be next in the gate's queue.
+    const wire::CrashReportT report = makeCrashReport(mSelf, aFingerprint, aId);
+    mCrashes.onReport(report, monotonicNow());
+    mLoop.post([this, report] { spreadCrashReport(report); });
   };
   hooks.mIsQuarantined = [this](std::uint64_t aFingerprint) {
     return mCrashes.isQuarantined(aFingerprint, monotonicNow());
@@ -202,22 +216,17 @@
 }
 
 void
-Daemon::Parts::reportCrash(std::uint64_t aFingerprint, RandomId aId)
+Daemon::Parts::spreadCrashReport(const wire::CrashReportT& aReport)
 {
-  wire::CrashReportT report;
-  report.fingerprint = aFingerprint;
-  report.reporter = mSelf;
-  report.request_high = aId.mHigh;
-  report.request_low = aId.mLow;
-  mCrashes.onReport(report, monotonicNow());
+  const RandomId id{ aReport.request_high, aReport.request_low };
   logEvent(LogLevel::Warn,
            "crash_suspect",
-           { { "request_id", aId.toString() },
-             { "fingerprint", std::to_string(aFingerprint) } });
+           { { "request_id", id.toString() },
+             { "fingerprint", std::to_string(aReport.fingerprint) } });
   // Only daemons of this cell run requests of this service.
   for (const auto& [incarnation, member] : mFleet.ownCell().mMembers) {
     if (incarnation != mSelf) {
-      sendControl(incarnation, makeBody(report));
+      sendControl(incarnation, makeBody(aReport));
     }
   }
 }
--- a/src/daemon/rate_duty.cpp
+++ b/src/daemon/rate_duty.cpp
@@ -20,16 +20,22 @@
   return hash64("workspace-bucket/" + aWorkspace);
 }
 
-/// The service whose cell owns the bucket, by rendezvous hash.
-std::string
-bucketService(const config::Model& aModel, const std::string& aWorkspace)
+/// The bucket's owner in the cell that is first by rendezvous hash among those
+/// whose bucket's shard has an owner: a service without upstreams has none.
+Ownership
+findBucketOwner(const std::map<std::string, const CellState*>& aCells,
+                const config::Model& aModel,
+                const std::string& aWorkspace)
 {
-  std::string best;
+  const std::uint64_t key = bucketKey(aWorkspace);
+  Ownership best;
   std::uint64_t bestHash = 0;
-  for (const auto& [name, service] : aModel.mServices) {
-    const std::uint64_t hash = hashPair(bucketKey(aWorkspace), hash64(name));
-    if (best.empty() || hash > bestHash) {
-      best = name;
+  for (const auto& [name, cell] : aCells) {
+    const Ownership ownership = ownerOf(*cell, key);
+    const std::uint64_t hash = hashPair(key, hash64(name));
+    if (aModel.mServices.contains(name) && ownership.mOwner != 0 &&
+        (best.mOwner == 0 || hash > bestHash)) {
+      best = ownership;
       bestHash = hash;
     }
   }
@@ -89,10 +95,7 @@
   if (model == nullptr) {
     return {};
   }
-  const std::map<std::string, const CellState*> cells = mContext.mFleet.cells();
-  const auto it = cells.find(bucketService(*model, aWorkspace));
-  return it == cells.end() ? Ownership{}
-                           : ownerOf(*it->second, bucketKey(aWorkspace));
+  return findBucketOwner(mContext.mFleet.cells(), *model, aWorkspace);
 }
 
 RateDuty::Bucket*
@@ -104,6 +107,8 @@
   const bool serves = ownership.mOwner == mContext.mSelf &&
                       mAuthority.servesKey(bucketKey(aWorkspace), now);
   if (!serves || workspace == mWorkspaces.end()) {
+    // Another owner may grant meanwhile: the next start is an empty one.
+    mBuckets.erase(aWorkspace);
     return nullptr;
   }
   const auto it = mBuckets.find(aWorkspace);
--- a/src/state/placement.cpp
+++ b/src/state/placement.cpp
@@ -35,8 +35,7 @@
   }
   const Member& member = it->second;
   return member.mStatus == MemberStatus::Active && !member.mLeaving &&
-         !member.mSuperseded &&
-         !aState.mDrainedVms.contains(member.mVm) &&
+         !member.mSuperseded && !aState.mDrainedVms.contains(member.mVm) &&
          !aState.mDrainedZones.contains(member.mZone);
 }
 
--- a/src/upstream/gate_health.cpp
+++ b/src/upstream/gate_health.cpp
@@ -119,6 +119,14 @@
   mHealth.probeSoon(mHooks.mNow());
 }
 
+bool
+Gate::Impl::isCrashSuspect(std::uint64_t aFingerprint) const
+{
+  return std::ranges::any_of(mSuspects, [&](const CrashSuspect& aSuspect) {
+    return aSuspect.mFingerprint == aFingerprint;
+  });
+}
+
 void
 Gate::Impl::reportCrash()
 {
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -136,6 +136,7 @@
   void onProbeEnd(ExchangeEnd aEnd, const UpstreamResponse& aResponse);
   void onHealthChange(HealthChange aChange);
   void suspectCrash(const Run& aRun);
+  bool isCrashSuspect(std::uint64_t aFingerprint) const;
   void reportCrash();
 
   const Options mOptions;
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -58,6 +58,12 @@
 void
 Gate::Impl::decide(QueuedRequest aQueued, Millis aNow)
 {
+  if (isCrashSuspect(aQueued.mFingerprint)) {
+    // A copy of what may just have crashed the upstream waits for the probe.
+    aQueued.mNotBefore = aNow + kReconnectPause;
+    mQueue.pushFront(std::move(aQueued));
+    return;
+  }
   if (mHooks.mIsQuarantined && mHooks.mIsQuarantined(aQueued.mFingerprint)) {
     refuse(aQueued, NotRunReason::Quarantined);
     return;
