--- a/include/radishroad/daemon/fleet_state.h
+++ b/include/radishroad/daemon/fleet_state.h
@@ -74,7 +74,6 @@
   bool ownCellRead() const;
   /// Last time that the log answered for the configuration; nothing before.
   Millis lastConfigContact() const;
-  Millis lastOwnCellContact() const;
 
   /// Looks through all cells. Null if unknown.
   const Member* findMember(Incarnation aIncarnation) const;
--- a/src/daemon/fleet_state.cpp
+++ b/src/daemon/fleet_state.cpp
@@ -172,13 +172,6 @@
   return it == mContacts.end() ? Millis{} : it->second;
 }
 
-Millis
-FleetState::lastOwnCellContact() const
-{
-  const auto it = mContacts.find(cellStream(mOwnService));
-  return it == mContacts.end() ? Millis{} : it->second;
-}
-
 const Member*
 FleetState::findMember(Incarnation aIncarnation) const
 {
--- a/tests/process/partition_test.cpp
+++ b/tests/process/partition_test.cpp
@@ -20,20 +20,6 @@
   return options;
 }
 
-/// Holds back, or lets go, all bytes between a daemon and its peers.
-void
-isolateFromPeers(Fleet& aFleet, const std::string& aVm, bool aOn)
-{
-  const nlohmann::json held = { { "hold_forward", aOn }, { "hold_back", aOn } };
-  nlohmann::json outgoing = held;
-  outgoing["link"] = "peer-*";
-  outgoing["source"] = aFleet.ip(aVm);
-  nlohmann::json incoming = held;
-  incoming["link"] = "peer-" + aVm;
-  aFleet.setLink(outgoing);
-  aFleet.setLink(incoming);
-}
-
 void
 isolateFromLog(Fleet& aFleet, const std::string& aVm, bool aOn)
 {
@@ -72,9 +58,9 @@
   const std::string victim = scenario.drawVm("library");
   scenario.startTraffic({ victim }, "ms=10");
   scenario.runOn(1_s, 2_s);
-  isolateFromPeers(fleet, victim, true);
+  fleet.isolateFromPeers(victim, true);
   scenario.runOn(4_s, 4_s);
-  isolateFromPeers(fleet, victim, false);
+  fleet.isolateFromPeers(victim, false);
   scenario.runOn(2_s, 2_s);
   const Evidence evidence = scenario.stopTraffic();
   checkAlways(evidence);
@@ -89,10 +75,10 @@
   // Callers still reach the daemon that is cut off.
   scenario.startTraffic({}, "ms=10");
   scenario.runOn(1_s, 2_s);
-  isolateFromPeers(fleet, victim, true);
+  fleet.isolateFromPeers(victim, true);
   isolateFromLog(fleet, victim, true);
   scenario.runOn(4_s, 5_s);
-  isolateFromPeers(fleet, victim, false);
+  fleet.isolateFromPeers(victim, false);
   isolateFromLog(fleet, victim, false);
   scenario.runOn(2_s, 2_s);
   checkAlways(scenario.stopTraffic());
@@ -126,7 +112,7 @@
   scenario.startTraffic(zone, "ms=10");
   scenario.runOn(1_s, 2_s);
   for (const std::string& vm : zone) {
-    isolateFromPeers(fleet, vm, true);
+    fleet.isolateFromPeers(vm, true);
     isolateFromLog(fleet, vm, true);
   }
   scenario.runOn(5_s, 5_s);
--- a/tests/process/support/fleet.cpp
+++ b/tests/process/support/fleet.cpp
@@ -289,4 +289,17 @@
        aRule.dump());
 }
 
+void
+Fleet::isolateFromPeers(const std::string& aVm, bool aOn)
+{
+  const nlohmann::json held = { { "hold_forward", aOn }, { "hold_back", aOn } };
+  nlohmann::json outgoing = held;
+  outgoing["link"] = "peer-*";
+  outgoing["source"] = ip(aVm);
+  nlohmann::json incoming = held;
+  incoming["link"] = "peer-" + aVm;
+  setLink(outgoing);
+  setLink(incoming);
+}
+
 }
--- a/tests/process/support/fleet.h
+++ b/tests/process/support/fleet.h
@@ -74,6 +74,8 @@
   void setUpstreamFaults(const std::string& aVm, const nlohmann::json& aFaults);
   /// Rules a relayed link. Links: "peer-VM" and "log-VM"; see rr-relay.
   void setLink(const nlohmann::json& aRule);
+  /// Holds back, or lets go, all bytes between a daemon and its peers.
+  void isolateFromPeers(const std::string& aVm, bool aOn);
 
   std::string caller(const std::string& aVm) const;
   std::string operatorAddress(const std::string& aVm) const;
--- a/tests/process/two_failures_test.cpp
+++ b/tests/process/two_failures_test.cpp
@@ -22,19 +22,6 @@
   std::function<void(Fleet&, const std::string& aVm)> mEnd;
 };
 
-void
-isolate(Fleet& aFleet, const std::string& aVm, bool aOn)
-{
-  const nlohmann::json held = { { "hold_forward", aOn }, { "hold_back", aOn } };
-  nlohmann::json outgoing = held;
-  outgoing["link"] = "peer-*";
-  outgoing["source"] = aFleet.ip(aVm);
-  nlohmann::json incoming = held;
-  incoming["link"] = "peer-" + aVm;
-  aFleet.setLink(outgoing);
-  aFleet.setLink(incoming);
-}
-
 void
 restart(Fleet& aFleet, const std::string& aVm, Role aRole)
 {
@@ -91,9 +78,11 @@
         aFleet.setLogFaults({ { "lose_answers_every", 0 } });
       } },
     { "cut from peers",
-      [](Fleet& aFleet, const std::string& aVm) { isolate(aFleet, aVm, true); },
       [](Fleet& aFleet, const std::string& aVm) {
-        isolate(aFleet, aVm, false);
+        aFleet.isolateFromPeers(aVm, true);
+      },
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.isolateFromPeers(aVm, false);
       } },
     { "daemon restarted",
       [](Fleet& aFleet, const std::string& aVm) {
