Void the promises that a deaf daemon can never count

They promised for two more renewals before they held back, and each promise bound them for 1050 ms from its receipt; with the next owner's wait of 300 ms and the expulsion the sum was over 2 s without any other fault.

Change: a promise that arrives more than 450 ms after the send of its renewal does not count. Since a renewal names the newest one answered, its witness can tell which of its later promises never will count, and is bound by them no longer. A witness that holds back now says so (Promise.withheld) and goes on until an answer has arrived, in place of 3 s. Renewals carry no stream positions any more: the promises do.

Ruled out: holding back at the first renewal unanswered (one lost answer would end a promise); a shorter TTL (more renewals for every daemon).

--- a/benchmark/lease_bench.cpp
+++ b/benchmark/lease_bench.cpp
@@ -88,9 +88,9 @@
       renew.incarnation = mSelf;
       renew.version = renewal.mVersion;
       renew.sent_ms = now.mCount;
-      renew.positions.push_back(position());
+      renew.heard_sent_ms = renewal.mHeardSentAt.mCount;
       wire::FrameBodyUnion body;
-      body.Set(std::move(renew));
+      body.Set(renew);
       send(renewal.mWitness, std::move(body));
     }
   }
@@ -117,7 +117,8 @@
     const Millis now = monotonicNow();
     if (const wire::PromiseT* promise = aBody.AsPromise()) {
       std::lock_guard<std::mutex> lock(mMutex);
-      mHolder.onPromise(aFrom, promise->version, Millis{ promise->sent_ms });
+      mHolder.onPromise(
+        aFrom, promise->version, Millis{ promise->sent_ms }, now);
       return;
     }
     const wire::RenewT* renew = aBody.AsRenew();
@@ -137,7 +138,10 @@
   bool promises(const wire::RenewT& aRenew, Millis aNow)
   {
     std::lock_guard<std::mutex> lock(mMutex);
-    return mDriver.onRenew({ aRenew.incarnation, aRenew.version }, aNow);
+    const ReceivedRenewal renewal{ { aRenew.incarnation, aRenew.version },
+                                   Millis{ aRenew.sent_ms },
+                                   Millis{ aRenew.heard_sent_ms } };
+    return mDriver.onRenew(renewal, aNow) == RenewalAnswer::Promised;
   }
   void send(Incarnation aTo, wire::FrameBodyUnion aBody)
   {
--- a/fuzz/fuzz_frames.cpp
+++ b/fuzz/fuzz_frames.cpp
@@ -74,6 +74,15 @@
 {
   wire::RenewT body;
   body.incarnation = 4;
+  body.heard_sent_ms = 9;
+  return frameOf(body);
+}
+
+Bytes
+promise()
+{
+  wire::PromiseT body;
+  body.incarnation = 4;
   body.positions.push_back(std::make_unique<wire::StreamPositionT>());
   body.positions.back()->stream = "config";
   return frameOf(std::move(body));
@@ -117,7 +126,7 @@
 Bytes
 draw(Mutator& aMutator, std::uint64_t aNext)
 {
-  switch (aMutator.draw(12)) {
+  switch (aMutator.draw(13)) {
     case 0:
       return forwardRequest();
     case 1:
@@ -138,6 +147,8 @@
       return frameOf(wire::FetchRecordsT{});
     case 9:
       return frameOf(wire::CrashReportT{});
+    case 10:
+      return promise();
     default:
       return relay(aNext);
   }
--- a/fuzz/fuzz_peer_frame.cpp
+++ b/fuzz/fuzz_peer_frame.cpp
@@ -54,12 +54,12 @@
 }
 
 Bytes
-renewFrame()
+promiseFrame()
 {
-  wire::RenewT renew;
-  renew.incarnation = 9;
-  renew.positions.push_back(std::make_unique<wire::StreamPositionT>());
-  return frameOf(std::move(renew));
+  wire::PromiseT promise;
+  promise.incarnation = 9;
+  promise.positions.push_back(std::make_unique<wire::StreamPositionT>());
+  return frameOf(std::move(promise));
 }
 
 /// Makes the prefix true again, so that the body is looked at.
@@ -84,7 +84,7 @@
     parseArguments({ aArguments, static_cast<std::size_t>(aCount) });
   Mutator mutator(arguments.mSeed);
   const std::vector<Bytes> corpus = {
-    requestFrame(), answerFrame(), loadFrame(), renewFrame()
+    requestFrame(), answerFrame(), loadFrame(), promiseFrame()
   };
   std::uint64_t accepted = 0;
   for (std::uint64_t round = 0; round < arguments.mRounds; ++round) {
--- a/include/radishroad/daemon/lease_duty.h
+++ b/include/radishroad/daemon/lease_duty.h
@@ -5,7 +5,6 @@
 #include "radishroad/generated/peer_generated.h"
 #include "radishroad/ownership/expel_driver.h"
 #include "radishroad/ownership/lease_holder.h"
-#include "radishroad/ownership/promise_feedback.h"
 #include "radishroad/ownership/witness_keeper.h"
 
 #include <functional>
@@ -53,10 +52,6 @@
   LeaseHolder mLease;
   ExpelDriver mDriver;
   WitnessKeeper mKeeper;
-  PromiseFeedback mFeedback;
-  /// Send time of the newest renewal that each witness has answered, by the
-  /// witness and the version of the set.
-  std::map<std::pair<Incarnation, std::uint32_t>, Millis> mHeard;
   bool mReplacing = false;
 };
 
--- a/include/radishroad/ownership/expel_driver.h
+++ b/include/radishroad/ownership/expel_driver.h
@@ -4,6 +4,7 @@
 #include "radishroad/base/millis.h"
 #include "radishroad/generated/records_generated.h"
 #include "radishroad/ownership/expulsion.h"
+#include "radishroad/ownership/promise_feedback.h"
 #include "radishroad/ownership/witness.h"
 #include "radishroad/state/cell_state.h"
 
@@ -33,9 +34,9 @@
   /// daemon as witness and forgets those that no longer matter.
   void onState(const CellState& aState, Millis aNow);
 
-  /// Whether to promise. Never for a daemon that is not an active member as far
-  /// as the log was folded here.
-  bool onRenew(LeaseLabel aLabel, Millis aNow);
+  /// Promised never to a daemon that is not an active member as far as the log
+  /// was folded here; Withheld from one that answers do not reach.
+  RenewalAnswer onRenew(const ReceivedRenewal& aRenewal, Millis aNow);
   Witness::ConsentAnswer onConsentAsk(LeaseLabel aLabel, Millis aNow);
   void onConsent(LeaseLabel aLabel,
                  Incarnation aWitness,
@@ -68,6 +69,7 @@
 
   Incarnation mSelf;
   Witness mWitness;
+  PromiseFeedback mFeedback;
   ExpulsionProposer mProposer;
   /// Labels that name this daemon, as last folded.
   std::set<LeaseLabel> mCurrent;
--- a/include/radishroad/ownership/lease_holder.h
+++ b/include/radishroad/ownership/lease_holder.h
@@ -15,6 +15,10 @@
 /// How long a promise binds a witness, from the send of its renewal.
 constexpr Millis kLeaseTtl{ 1000 };
 constexpr Millis kRenewInterval{ 250 };
+/// A promise that arrives later than this after the send of its renewal does
+/// not count. A witness that knows which promise arrived last can therefore
+/// tell which later ones never will. Shorter than two renewals.
+constexpr Millis kPromiseLateAfter{ 450 };
 
 /// The holder's side of a daemon's lease. Pure: the caller sends what
 /// renewals() says and passes in promises and the time (monotonic).
@@ -32,6 +36,9 @@
   {
     Incarnation mWitness = 0;
     std::uint32_t mVersion = 0;
+    /// Send time of the newest renewal of this version that this witness
+    /// answered; 0 if there is none. No promise for a later one counts.
+    Millis mHeardSentAt;
   };
 
   explicit LeaseHolder(Incarnation aSelf);
@@ -56,8 +63,14 @@
   bool changeInDoubt() const;
   std::span<const Incarnation> proposed() const;
 
-  /// aSentAt is the time at which the renewal now answered was sent.
-  void onPromise(Incarnation aWitness, std::uint32_t aVersion, Millis aSentAt);
+  /// aSentAt is the time at which the renewal now answered was sent. A promise
+  /// older than kPromiseLateAfter is ignored.
+  void onPromise(Incarnation aWitness,
+                 std::uint32_t aVersion,
+                 Millis aSentAt,
+                 Millis aNow);
+  /// The witness answered, but withheld its promise.
+  void onWithheld(Incarnation aWitness, std::uint32_t aVersion, Millis aSentAt);
   /// Renewals to send now; empty until the interval has passed.
   std::vector<Renewal> renewals(Millis aNow);
   /// Time up to which the lease is held; not later than aNow if it is not.
@@ -72,11 +85,14 @@
     std::uint32_t mVersion = 0;
     std::vector<Incarnation> mWitnesses;
     std::map<Incarnation, Millis> mPromisedUntil;
+    /// Send times of the newest renewals answered without a promise.
+    std::map<Incarnation, Millis> mWithheldSentAt;
   };
   static Set makeSet(std::uint32_t aVersion,
                      std::span<const Incarnation> aWitnesses);
   static void takePromises(Set& aTo, const Set& aFrom);
   static Millis majorityUntil(const Set& aSet);
+  static Millis heardSentAt(const Set& aSet, Incarnation aWitness);
   Set* findSet(std::uint32_t aVersion);
 
   Incarnation mSelf;
--- a/include/radishroad/ownership/promise_feedback.h
+++ b/include/radishroad/ownership/promise_feedback.h
@@ -6,35 +6,30 @@
 
 #include <functional>
 #include <map>
-#include <optional>
 
 namespace radishroad {
 
-/// Renewals in a row that show no promise heard before a witness holds back.
+/// Renewals in a row that show no answer heard before a witness holds back.
 constexpr int kUnheardRenewals = 2;
-/// How long a witness then holds back before it tries again.
-constexpr Millis kHoldBackFor{ 3000 };
 
 /// A witness's view of whether its promises arrive. A daemon that can send but
 /// hears nothing has no lease, yet its renewals would keep its witnesses bound
 /// and its keys without an owner for as long as the path is broken. Each
-/// renewal names the newest renewal whose promise arrived; a witness whose
-/// promises do not arrive holds them back, so that the label lapses and the
-/// daemon can be expelled. To withhold a promise is always safe. Pure.
+/// renewal names the newest renewal whose answer arrived; a witness whose
+/// answers do not arrive withholds its promise and says so, so that the label
+/// lapses and the daemon can be expelled, and promises again once an answer
+/// has arrived. To withhold a promise is always safe. Pure.
 class PromiseFeedback
 {
 public:
-  /// aHeardSentAt: send time, by the holder's clock, of the newest renewal
-  /// whose promise from this witness arrived there; 0 if none did.
-  bool shouldPromise(LeaseLabel aLabel, Millis aHeardSentAt, Millis aNow);
-  void forgetExcept(const std::function<bool(LeaseLabel)>& aIsNeeded);
+  bool shouldPromise(const ReceivedRenewal& aRenewal);
+  void forgetIf(const std::function<bool(LeaseLabel)>& aIsStale);
 
 private:
   struct Entry
   {
     Millis mHeard{ -1 };
     int mUnheard = 0;
-    std::optional<Millis> mHoldBackUntil;
   };
   std::map<LeaseLabel, Entry> mEntries;
 };
--- a/include/radishroad/ownership/witness.h
+++ b/include/radishroad/ownership/witness.h
@@ -27,14 +27,42 @@
   auto operator<=>(const LeaseLabel&) const = default;
 };
 
+/// A renewal as a witness receives it. Times are of the holder's clock.
+struct ReceivedRenewal
+{
+  LeaseLabel mLabel;
+  Millis mSentAt;
+  /// Send time of the newest renewal whose answer from this witness arrived,
+  /// or of a later one.
+  Millis mHeardSentAt;
+};
+
+/// What a witness answers to a renewal.
+enum class RenewalAnswer
+{
+  /// Nothing: it has consented to the daemon's expulsion, or knows of it.
+  None,
+  Promised,
+  /// No promise, but the holder is to say whether this arrived.
+  Withheld,
+};
+
 /// The witness's side: soft state only, lost with the process. A consent to
 /// an expulsion is for good: no promise for that label follows it, and none
-/// is given before the last promise has lapsed by this witness's clock.
+/// is given before the last promise that its holder may count on has lapsed by
+/// this witness's clock.
+///
+/// A renewal names the promise that arrived last. Those given after that one
+/// and answering renewals older than kPromiseLateAfter will never count, so
+/// they bind no longer: a holder that sends but hears nothing is lost as soon
+/// as one that is silent.
 class Witness
 {
 public:
+  /// Drops the promises that a renewal shows to be of no use to its holder.
+  void onFeedback(const ReceivedRenewal& aRenewal);
   /// True: promise until aNow + TTL. False: consent has been given, refuse.
-  bool onRenew(LeaseLabel aLabel, Millis aNow);
+  bool onRenew(const ReceivedRenewal& aRenewal, Millis aNow);
   /// The log names this witness for a label. Binds it for one TTL as a renewal
   /// would, so that a daemon that dies before its first renewal is noticed.
   void expect(LeaseLabel aLabel, Millis aNow);
@@ -59,10 +87,20 @@
   std::size_t size() const;
 
 private:
+  /// A promise that its holder has not named as arrived.
+  struct Outstanding
+  {
+    Millis mSentAt;
+    Millis mBoundUntil;
+  };
   struct Entry
   {
+    Millis boundUntil() const;
+
+    /// By the log, or by promises that arrived.
     Millis mBoundUntil;
     bool mConsented = false;
+    std::vector<Outstanding> mOutstanding;
   };
   std::map<LeaseLabel, Entry> mEntries;
 };
--- a/src/daemon/lease_duty.cpp
+++ b/src/daemon/lease_duty.cpp
@@ -28,17 +28,7 @@
   const Member* self = mContext.self();
   if (self != nullptr) {
     mLease.adopt(self->mWitnessVersion, self->mWitnesses);
-    std::erase_if(mHeard, [self](const auto& aEntry) {
-      return aEntry.first.second < self->mWitnessVersion;
-    });
   }
-  const CellState& cell = mContext.mFleet.ownCell();
-  mFeedback.forgetExcept([&cell](LeaseLabel aLabel) {
-    const auto it = cell.mMembers.find(aLabel.mIncarnation);
-    return it != cell.mMembers.end() &&
-           it->second.mStatus == MemberStatus::Active &&
-           it->second.mWitnessVersion <= aLabel.mVersion;
-  });
   mDriver.onState(mContext.mFleet.ownCell(), mContext.mNow());
 }
 
@@ -48,12 +38,11 @@
   if (aRenew.incarnation != aFrom) {
     return;
   }
-  mOnPeer(aFrom, aRenew.positions);
-  const LeaseLabel label{ aRenew.incarnation, aRenew.version };
-  const Millis now = mContext.mNow();
-  const bool arrives =
-    mFeedback.shouldPromise(label, Millis{ aRenew.heard_sent_ms }, now);
-  if (!arrives || !mDriver.onRenew(label, now)) {
+  const ReceivedRenewal renewal{ { aRenew.incarnation, aRenew.version },
+                                 Millis{ aRenew.sent_ms },
+                                 Millis{ aRenew.heard_sent_ms } };
+  const RenewalAnswer answer = mDriver.onRenew(renewal, mContext.mNow());
+  if (answer == RenewalAnswer::None) {
     return;
   }
   wire::PromiseT promise;
@@ -61,6 +50,7 @@
   promise.incarnation = aRenew.incarnation;
   promise.version = aRenew.version;
   promise.sent_ms = aRenew.sent_ms;
+  promise.withheld = answer == RenewalAnswer::Withheld;
   promise.positions = positions();
   mContext.mSend(aFrom, makeBody(std::move(promise)));
 }
@@ -72,11 +62,14 @@
   if (aPromise.incarnation != mContext.mSelf) {
     return;
   }
+  const Millis now = mContext.mNow();
   const Millis sentAt{ aPromise.sent_ms };
-  mLease.onPromise(aPromise.witness, aPromise.version, sentAt);
-  Millis& heard = mHeard[{ aPromise.witness, aPromise.version }];
-  heard = std::max(heard, sentAt);
-  reportLease(mContext.mNow());
+  if (aPromise.withheld) {
+    mLease.onWithheld(aPromise.witness, aPromise.version, sentAt);
+    return;
+  }
+  mLease.onPromise(aPromise.witness, aPromise.version, sentAt, now);
+  reportLease(now);
 }
 
 void
@@ -136,10 +129,8 @@
     renew.incarnation = mContext.mSelf;
     renew.version = renewal.mVersion;
     renew.sent_ms = aNow.mCount;
-    renew.positions = positions();
-    const auto it = mHeard.find({ renewal.mWitness, renewal.mVersion });
-    renew.heard_sent_ms = it == mHeard.end() ? 0 : it->second.mCount;
-    mContext.mSend(renewal.mWitness, makeBody(std::move(renew)));
+    renew.heard_sent_ms = renewal.mHeardSentAt.mCount;
+    mContext.mSend(renewal.mWitness, makeBody(renew));
   }
 }
 
--- a/src/ownership/expel_driver.cpp
+++ b/src/ownership/expel_driver.cpp
@@ -69,19 +69,27 @@
   }
   mCurrent = std::move(current);
   mActive = activeMembers(aState);
-  mWitness.forgetIf(
-    [&aState](LeaseLabel aLabel) { return isPast(aState, aLabel); });
+  const auto isStale = [&aState](LeaseLabel aLabel) {
+    return isPast(aState, aLabel);
+  };
+  mWitness.forgetIf(isStale);
+  mFeedback.forgetIf(isStale);
 }
 
-bool
-ExpelDriver::onRenew(LeaseLabel aLabel, Millis aNow)
+RenewalAnswer
+ExpelDriver::onRenew(const ReceivedRenewal& aRenewal, Millis aNow)
 {
+  mWitness.onFeedback(aRenewal);
   // The consents that expelled a member are forgotten once that is folded, and
   // it may not have read its end yet.
-  if (!mActive.contains(aLabel.mIncarnation)) {
-    return false;
+  if (!mActive.contains(aRenewal.mLabel.mIncarnation)) {
+    return RenewalAnswer::None;
+  }
+  if (!mFeedback.shouldPromise(aRenewal)) {
+    return RenewalAnswer::Withheld;
   }
-  return mWitness.onRenew(aLabel, aNow);
+  return mWitness.onRenew(aRenewal, aNow) ? RenewalAnswer::Promised
+                                          : RenewalAnswer::None;
 }
 
 Witness::ConsentAnswer
--- a/src/ownership/lease_holder.cpp
+++ b/src/ownership/lease_holder.cpp
@@ -176,8 +176,12 @@
 void
 LeaseHolder::onPromise(Incarnation aWitness,
                        std::uint32_t aVersion,
-                       Millis aSentAt)
+                       Millis aSentAt,
+                       Millis aNow)
 {
+  if (aNow - aSentAt > kPromiseLateAfter) {
+    return;
+  }
   Set* set = findSet(aVersion);
   // A daemon is no witness of its own.
   if (aWitness == mSelf || set == nullptr ||
@@ -191,6 +195,18 @@
   }
 }
 
+void
+LeaseHolder::onWithheld(Incarnation aWitness,
+                        std::uint32_t aVersion,
+                        Millis aSentAt)
+{
+  Set* set = findSet(aVersion);
+  if (set != nullptr) {
+    Millis& sentAt = set->mWithheldSentAt[aWitness];
+    sentAt = std::max(sentAt, aSentAt);
+  }
+}
+
 std::vector<LeaseHolder::Renewal>
 LeaseHolder::renewals(Millis aNow)
 {
@@ -204,7 +220,7 @@
   }
   const auto add = [&due](const Set& aSet) {
     for (const Incarnation witness : aSet.mWitnesses) {
-      due.push_back({ witness, aSet.mVersion });
+      due.push_back({ witness, aSet.mVersion, heardSentAt(aSet, witness) });
     }
   };
   add(mCurrent);
@@ -216,6 +232,21 @@
   return due;
 }
 
+Millis
+LeaseHolder::heardSentAt(const Set& aSet, Incarnation aWitness)
+{
+  Millis sentAt;
+  const auto withheld = aSet.mWithheldSentAt.find(aWitness);
+  if (withheld != aSet.mWithheldSentAt.end()) {
+    sentAt = withheld->second;
+  }
+  const auto promised = aSet.mPromisedUntil.find(aWitness);
+  if (promised != aSet.mPromisedUntil.end()) {
+    sentAt = std::max(sentAt, promised->second - kLeaseTtl);
+  }
+  return sentAt;
+}
+
 Millis
 LeaseHolder::majorityUntil(const Set& aSet)
 {
--- a/src/ownership/promise_feedback.cpp
+++ b/src/ownership/promise_feedback.cpp
@@ -3,36 +3,22 @@
 namespace radishroad {
 
 bool
-PromiseFeedback::shouldPromise(LeaseLabel aLabel,
-                               Millis aHeardSentAt,
-                               Millis aNow)
+PromiseFeedback::shouldPromise(const ReceivedRenewal& aRenewal)
 {
-  Entry& entry = mEntries[aLabel];
-  if (aHeardSentAt > entry.mHeard) {
-    entry = Entry{ aHeardSentAt, 0, std::nullopt };
-    return true;
-  }
-  if (entry.mHoldBackUntil) {
-    if (aNow < *entry.mHoldBackUntil) {
-      return false;
-    }
-    entry.mHoldBackUntil.reset();
-    entry.mUnheard = 0;
+  Entry& entry = mEntries[aRenewal.mLabel];
+  if (aRenewal.mHeardSentAt > entry.mHeard) {
+    entry = Entry{ aRenewal.mHeardSentAt, 0 };
     return true;
   }
   ++entry.mUnheard;
-  if (entry.mUnheard < kUnheardRenewals) {
-    return true;
-  }
-  entry.mHoldBackUntil = aNow + kHoldBackFor;
-  return false;
+  return entry.mUnheard < kUnheardRenewals;
 }
 
 void
-PromiseFeedback::forgetExcept(const std::function<bool(LeaseLabel)>& aIsNeeded)
+PromiseFeedback::forgetIf(const std::function<bool(LeaseLabel)>& aIsStale)
 {
-  std::erase_if(mEntries, [&aIsNeeded](const auto& aEntry) {
-    return !aIsNeeded(aEntry.first);
+  std::erase_if(mEntries, [&aIsStale](const auto& aEntry) {
+    return aIsStale(aEntry.first);
   });
 }
 
--- a/src/ownership/witness.cpp
+++ b/src/ownership/witness.cpp
@@ -9,36 +9,65 @@
 /// A promise given now binds until here; longer than the holder counts on,
 /// since the holder counts from the earlier send of its renewal.
 Millis
-boundUntil(Millis aNow)
+bindUntil(Millis aNow)
 {
   return aNow + kLeaseTtl + kDriftMargin;
 }
 
 }
 
+Millis
+Witness::Entry::boundUntil() const
+{
+  Millis until = mBoundUntil;
+  for (const Outstanding& promise : mOutstanding) {
+    until = std::max(until, promise.mBoundUntil);
+  }
+  return until;
+}
+
+void
+Witness::onFeedback(const ReceivedRenewal& aRenewal)
+{
+  const auto it = mEntries.find(aRenewal.mLabel);
+  if (it == mEntries.end()) {
+    return;
+  }
+  Entry& entry = it->second;
+  std::erase_if(entry.mOutstanding, [&](const Outstanding& aPromise) {
+    if (aPromise.mSentAt <= aRenewal.mHeardSentAt) {
+      entry.mBoundUntil = std::max(entry.mBoundUntil, aPromise.mBoundUntil);
+      return true;
+    }
+    return aRenewal.mSentAt - aPromise.mSentAt > kPromiseLateAfter;
+  });
+}
+
 bool
-Witness::onRenew(LeaseLabel aLabel, Millis aNow)
+Witness::onRenew(const ReceivedRenewal& aRenewal, Millis aNow)
 {
-  Entry& entry = mEntries[aLabel];
+  onFeedback(aRenewal);
+  Entry& entry = mEntries[aRenewal.mLabel];
   if (entry.mConsented) {
     return false;
   }
-  entry.mBoundUntil = std::max(entry.mBoundUntil, boundUntil(aNow));
+  entry.mOutstanding.push_back({ aRenewal.mSentAt, bindUntil(aNow) });
   return true;
 }
 
 void
 Witness::expect(LeaseLabel aLabel, Millis aNow)
 {
-  mEntries.try_emplace(aLabel, Entry{ boundUntil(aNow), false });
+  mEntries.try_emplace(aLabel, Entry{ bindUntil(aNow), false, {} });
 }
 
 Witness::ConsentAnswer
 Witness::onConsentAsk(LeaseLabel aLabel, Millis aNow)
 {
   Entry& entry = mEntries[aLabel];
-  if (!entry.mConsented && entry.mBoundUntil > aNow) {
-    return { false, entry.mBoundUntil - aNow };
+  const Millis until = entry.boundUntil();
+  if (!entry.mConsented && until > aNow) {
+    return { false, until - aNow };
   }
   entry.mConsented = true;
   return { true, {} };
@@ -49,7 +78,7 @@
 {
   std::vector<LeaseLabel> labels;
   for (const auto& [label, entry] : mEntries) {
-    if (!entry.mConsented && entry.mBoundUntil <= aNow) {
+    if (!entry.mConsented && entry.boundUntil() <= aNow) {
       labels.push_back(label);
     }
   }
@@ -61,7 +90,7 @@
 {
   std::vector<LeaseLabel> labels;
   for (const auto& [label, entry] : mEntries) {
-    if (entry.mConsented || entry.mBoundUntil <= aNow) {
+    if (entry.mConsented || entry.boundUntil() <= aNow) {
       labels.push_back(label);
     }
   }
--- a/tests/unit/lease_test.cpp
+++ b/tests/unit/lease_test.cpp
@@ -28,7 +28,7 @@
 BOOST_AUTO_TEST_CASE(nothing_is_held_before_the_join_is_read)
 {
   LeaseHolder holder(1);
-  holder.onPromise(2, 0, 100_ms);
+  holder.onPromise(2, 0, 100_ms, 100_ms);
   BOOST_TEST(!holder.holds(100_ms));
   BOOST_TEST(holder.renewals(100_ms).empty());
 }
@@ -36,47 +36,47 @@
 BOOST_AUTO_TEST_CASE(majority_is_needed_and_lapses_by_the_send_of_its_renewals)
 {
   LeaseHolder holder = holderOf({ 2, 3, 4 });
-  holder.onPromise(2, 0, 100_ms);
+  holder.onPromise(2, 0, 100_ms, 100_ms);
   BOOST_TEST(!holder.holds(110_ms));
-  holder.onPromise(3, 0, 150_ms);
+  holder.onPromise(3, 0, 150_ms, 150_ms);
   BOOST_TEST(holder.holds(160_ms));
   BOOST_TEST((holder.heldUntil(160_ms) == 1100_ms));
   BOOST_TEST(holder.holds(1099_ms));
   BOOST_TEST(!holder.holds(1100_ms));
-  holder.onPromise(4, 0, 600_ms);
+  holder.onPromise(4, 0, 600_ms, 600_ms);
   BOOST_TEST((holder.heldUntil(1100_ms) == 1150_ms));
 }
 
 BOOST_AUTO_TEST_CASE(an_older_promise_never_shortens_the_lease)
 {
   LeaseHolder holder = holderOf({ 2 });
-  holder.onPromise(2, 0, 500_ms);
-  holder.onPromise(2, 0, 100_ms);
+  holder.onPromise(2, 0, 500_ms, 500_ms);
+  holder.onPromise(2, 0, 100_ms, 100_ms);
   BOOST_TEST((holder.heldUntil(600_ms) == 1500_ms));
 }
 
 BOOST_AUTO_TEST_CASE(promises_of_others_and_of_itself_count_nothing)
 {
   LeaseHolder holder = holderOf({ 2, 3, 4 });
-  holder.onPromise(9, 0, 100_ms);
-  holder.onPromise(8, 0, 100_ms);
-  holder.onPromise(2, 5, 100_ms);
-  holder.onPromise(3, 5, 100_ms);
+  holder.onPromise(9, 0, 100_ms, 100_ms);
+  holder.onPromise(8, 0, 100_ms, 100_ms);
+  holder.onPromise(2, 5, 100_ms, 100_ms);
+  holder.onPromise(3, 5, 100_ms, 100_ms);
   BOOST_TEST(!holder.holds(110_ms));
   LeaseHolder own = holderOf({ 1 });
-  own.onPromise(1, 0, 100_ms);
+  own.onPromise(1, 0, 100_ms, 100_ms);
   BOOST_TEST(!own.holds(110_ms));
 }
 
 BOOST_AUTO_TEST_CASE(even_set_needs_half_as_an_expulsion_needs_more)
 {
   LeaseHolder holder = holderOf({ 2, 3 });
-  holder.onPromise(3, 0, 100_ms);
+  holder.onPromise(3, 0, 100_ms, 100_ms);
   BOOST_TEST(holder.holds(110_ms));
   LeaseHolder four = holderOf({ 2, 3, 4, 5 });
-  four.onPromise(2, 0, 100_ms);
+  four.onPromise(2, 0, 100_ms, 100_ms);
   BOOST_TEST(!four.holds(110_ms));
-  four.onPromise(5, 0, 100_ms);
+  four.onPromise(5, 0, 100_ms, 100_ms);
   BOOST_TEST(four.holds(110_ms));
 }
 
@@ -90,14 +90,14 @@
 BOOST_AUTO_TEST_CASE(change_in_doubt_needs_both_sets)
 {
   LeaseHolder holder = holderOf({ 2, 3, 4 });
-  holder.onPromise(2, 0, 100_ms);
-  holder.onPromise(3, 0, 100_ms);
+  holder.onPromise(2, 0, 100_ms, 100_ms);
+  holder.onPromise(3, 0, 100_ms, 100_ms);
   holder.beginChange(Set{ 3, 5, 6 });
   BOOST_TEST(holder.changeInDoubt());
   BOOST_TEST(!holder.holds(110_ms));
-  holder.onPromise(5, 1, 120_ms);
+  holder.onPromise(5, 1, 120_ms, 120_ms);
   BOOST_TEST(!holder.holds(130_ms));
-  holder.onPromise(3, 1, 120_ms);
+  holder.onPromise(3, 1, 120_ms, 120_ms);
   BOOST_TEST(holder.holds(130_ms));
   BOOST_TEST((holder.heldUntil(130_ms) == 1100_ms));
 }
@@ -106,8 +106,8 @@
 {
   LeaseHolder holder = holderOf({ 2, 3, 4 });
   holder.beginChange(Set{ 3, 5, 6 });
-  holder.onPromise(5, 1, 120_ms);
-  holder.onPromise(6, 1, 120_ms);
+  holder.onPromise(5, 1, 120_ms, 120_ms);
+  holder.onPromise(6, 1, 120_ms, 120_ms);
   holder.adopt(1, Set{ 3, 5, 6 });
   BOOST_TEST(!holder.changeInDoubt());
   BOOST_TEST(holder.holds(130_ms));
@@ -117,8 +117,8 @@
 {
   LeaseHolder holder = holderOf({ 2, 3, 4 });
   holder.beginChange(Set{ 3, 5, 6 });
-  holder.onPromise(5, 1, 120_ms);
-  holder.onPromise(6, 1, 120_ms);
+  holder.onPromise(5, 1, 120_ms, 120_ms);
+  holder.onPromise(6, 1, 120_ms, 120_ms);
   holder.adopt(1, Set{ 7, 8, 9 });
   BOOST_TEST(!holder.changeInDoubt());
   BOOST_TEST(!holder.holds(130_ms));
@@ -138,8 +138,8 @@
 BOOST_AUTO_TEST_CASE(change_that_was_never_appended_ends_without_a_trace)
 {
   LeaseHolder holder = holderOf({ 2, 3, 4 });
-  holder.onPromise(2, 0, 100_ms);
-  holder.onPromise(3, 0, 100_ms);
+  holder.onPromise(2, 0, 100_ms, 100_ms);
+  holder.onPromise(3, 0, 100_ms, 100_ms);
   holder.beginChange(Set{ 5, 6, 7 });
   BOOST_TEST(!holder.holds(110_ms));
   holder.abandonChange();
@@ -167,52 +167,103 @@
   BOOST_TEST(holder.silentWitnesses(5000_ms, 600_ms).empty());
   holder.renewals(5000_ms);
   BOOST_TEST(holder.silentWitnesses(5500_ms, 600_ms).empty());
-  holder.onPromise(2, 0, 5500_ms);
+  holder.onPromise(2, 0, 5500_ms, 5500_ms);
   const std::vector<Incarnation> silent =
     holder.silentWitnesses(5700_ms, 600_ms);
   BOOST_TEST(silent == Set{ 3 }, boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(late_promises_do_not_count)
+{
+  LeaseHolder holder = holderOf({ 2 });
+  holder.onPromise(2, 0, 100_ms, 100_ms + kPromiseLateAfter + 1_ms);
+  BOOST_TEST(!holder.holds(600_ms));
+  holder.onPromise(2, 0, 200_ms, 200_ms + kPromiseLateAfter);
+  BOOST_TEST(holder.holds(700_ms));
+}
+
+BOOST_AUTO_TEST_CASE(renewals_name_the_newest_promise_that_counts)
+{
+  LeaseHolder holder = holderOf({ 2, 3 });
+  holder.onPromise(2, 0, 100_ms, 110_ms);
+  holder.onPromise(3, 0, 100_ms, 900_ms);
+  const std::vector<LeaseHolder::Renewal> renewals = holder.renewals(900_ms);
+  BOOST_REQUIRE(renewals.size() == 2U);
+  BOOST_TEST(renewals[0].mHeardSentAt.mCount == 100);
+  BOOST_TEST(renewals[1].mHeardSentAt.mCount == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(lease_witness)
 
+BOOST_AUTO_TEST_CASE(promises_that_will_never_count_do_not_bind)
+{
+  Witness witness;
+  const LeaseLabel label{ 1, 0 };
+  witness.onRenew({ label, 100_ms, {} }, 1100_ms);
+  witness.onRenew({ label, 350_ms, 100_ms }, 1350_ms);
+  witness.onRenew({ label, 600_ms, 100_ms }, 1600_ms);
+  const Millis lapse = 1100_ms + kLeaseTtl + kDriftMargin;
+  // The promise of 600 may still arrive in time.
+  witness.onFeedback({ label, 850_ms, 100_ms });
+  BOOST_TEST(!witness.onConsentAsk(label, lapse).mGranted);
+  witness.onFeedback({ label, 600_ms + kPromiseLateAfter, 100_ms });
+  BOOST_TEST(!witness.onConsentAsk(label, lapse).mGranted);
+  witness.onFeedback({ label, 601_ms + kPromiseLateAfter, 100_ms });
+  BOOST_TEST(!witness.onConsentAsk(label, lapse - 1_ms).mGranted);
+  BOOST_TEST(witness.onConsentAsk(label, lapse).mGranted);
+}
+
+BOOST_AUTO_TEST_CASE(promise_named_as_arrived_binds_to_its_end)
+{
+  Witness witness;
+  const LeaseLabel label{ 1, 0 };
+  witness.onRenew({ label, 100_ms, {} }, 1100_ms);
+  witness.onRenew({ label, 350_ms, {} }, 1350_ms);
+  witness.onFeedback({ label, 600_ms, 350_ms });
+  witness.onFeedback({ label, 5000_ms, 350_ms });
+  const Millis lapse = 1350_ms + kLeaseTtl + kDriftMargin;
+  BOOST_TEST(!witness.onConsentAsk(label, lapse - 1_ms).mGranted);
+  BOOST_TEST(witness.onConsentAsk(label, lapse).mGranted);
+}
+
 BOOST_AUTO_TEST_CASE(no_consent_before_the_promise_has_lapsed)
 {
   Witness witness;
-  BOOST_TEST(witness.onRenew({ 1, 0 }, 100_ms));
+  BOOST_TEST(witness.onRenew({ { 1, 0 }, 100_ms, {} }, 100_ms));
   const Millis lapse = 100_ms + kLeaseTtl + kDriftMargin;
   const Witness::ConsentAnswer early =
     witness.onConsentAsk({ 1, 0 }, lapse - 1_ms);
   BOOST_TEST(!early.mGranted);
   BOOST_TEST((early.mWait == 1_ms));
-  BOOST_TEST(witness.onRenew({ 1, 0 }, lapse - 1_ms));
+  BOOST_TEST(witness.onRenew({ { 1, 0 }, lapse - 1_ms, {} }, lapse - 1_ms));
   BOOST_TEST(!witness.onConsentAsk({ 1, 0 }, lapse).mGranted);
 }
 
 BOOST_AUTO_TEST_CASE(consent_is_for_good)
 {
   Witness witness;
-  witness.onRenew({ 1, 0 }, 100_ms);
+  witness.onRenew({ { 1, 0 }, 100_ms, {} }, 100_ms);
   BOOST_TEST(witness.onConsentAsk({ 1, 0 }, 2000_ms).mGranted);
-  BOOST_TEST(!witness.onRenew({ 1, 0 }, 2001_ms));
+  BOOST_TEST(!witness.onRenew({ { 1, 0 }, 2001_ms, {} }, 2001_ms));
   BOOST_TEST(witness.onConsentAsk({ 1, 0 }, 2002_ms).mGranted);
-  BOOST_TEST(witness.onRenew({ 1, 1 }, 2003_ms));
+  BOOST_TEST(witness.onRenew({ { 1, 1 }, 2003_ms, {} }, 2003_ms));
 }
 
 BOOST_AUTO_TEST_CASE(consent_without_a_promise_refuses_later_renewals)
 {
   Witness witness;
   BOOST_TEST(witness.onConsentAsk({ 1, 3 }, 0_ms).mGranted);
-  BOOST_TEST(!witness.onRenew({ 1, 3 }, 1_ms));
+  BOOST_TEST(!witness.onRenew({ { 1, 3 }, 1_ms, {} }, 1_ms));
 }
 
 BOOST_AUTO_TEST_CASE(lapsed_labels_are_those_not_consented_to)
 {
   Witness witness;
-  witness.onRenew({ 1, 0 }, 0_ms);
-  witness.onRenew({ 2, 0 }, 500_ms);
-  witness.onRenew({ 3, 0 }, 0_ms);
+  witness.onRenew({ { 1, 0 }, 0_ms, {} }, 0_ms);
+  witness.onRenew({ { 2, 0 }, 500_ms, {} }, 500_ms);
+  witness.onRenew({ { 3, 0 }, 0_ms, {} }, 0_ms);
   witness.onConsentAsk({ 3, 0 }, 1100_ms);
   const std::vector<LeaseLabel> lapsed = witness.lapsed(1100_ms);
   BOOST_REQUIRE(lapsed.size() == 1U);
@@ -236,7 +287,7 @@
   Witness witness;
   witness.onConsentAsk({ 1, 0 }, 0_ms);
   witness.expect({ 1, 0 }, 1_ms);
-  BOOST_TEST(!witness.onRenew({ 1, 0 }, 2_ms));
+  BOOST_TEST(!witness.onRenew({ { 1, 0 }, 2_ms, {} }, 2_ms));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/link_fixture.h
+++ b/tests/unit/link_fixture.h
@@ -161,7 +161,7 @@
   renew.incarnation = aIncarnation;
   renew.sent_ms = aSentAt.mCount;
   wire::FrameBodyUnion body;
-  body.Set(std::move(renew));
+  body.Set(renew);
   return body;
 }
 
--- a/tests/unit/ownership_model.cpp
+++ b/tests/unit/ownership_model.cpp
@@ -266,24 +266,35 @@
   switch (aMessage.mKind) {
     case Message::Kind::Renew: {
       const bool early = mEarly.contains({ aIndex, aMessage.mLabel });
-      const bool promised = daemon.mDriver.onRenew(aMessage.mLabel, now);
+      const RenewalAnswer answer = daemon.mDriver.onRenew(
+        { aMessage.mLabel, aMessage.mSentAt, aMessage.mHeardSentAt }, now);
       const bool careless =
         mMutant == Mutant::ConsentNotForGood ||
         (mMutant == Mutant::PromiseToExpelled &&
          !isActive(daemon.mState, aMessage.mLabel.mIncarnation));
-      if ((promised && !early) || careless) {
+      if (answer == RenewalAnswer::Withheld && !careless) {
+        reply.mKind = Message::Kind::Withheld;
+        send(aIndex, aMessage.mFrom, reply);
+      } else if ((answer == RenewalAnswer::Promised && !early) || careless) {
         reply.mKind = Message::Kind::Promise;
         send(aIndex, aMessage.mFrom, reply);
       }
       return;
     }
     case Message::Kind::Promise: {
-      const bool late = mMutant == Mutant::TtlFromReceipt;
+      const Millis sentAt =
+        mMutant == Mutant::TtlFromReceipt ? now : aMessage.mSentAt;
       daemon.mHolder.onPromise(aMessage.mFrom,
                                aMessage.mLabel.mVersion,
-                               late ? now : aMessage.mSentAt);
+                               sentAt,
+                               mMutant == Mutant::CountLatePromises ? sentAt
+                                                                    : now);
       return;
     }
+    case Message::Kind::Withheld:
+      daemon.mHolder.onWithheld(
+        aMessage.mFrom, aMessage.mLabel.mVersion, aMessage.mSentAt);
+      return;
     case Message::Kind::Ask:
       reply.mKind = Message::Kind::Consent;
       reply.mAnswer = daemon.mDriver.onConsentAsk(aMessage.mLabel, now);
@@ -351,6 +362,7 @@
     Message message;
     message.mLabel = { daemon.mSelf, renewal.mVersion };
     message.mSentAt = now;
+    message.mHeardSentAt = renewal.mHeardSentAt;
     send(aIndex, renewal.mWitness, message);
   }
   const bool logAnswers = now - daemon.mLogAnsweredAt < kLogSilence;
@@ -563,6 +575,27 @@
 
 LossOutcome
 Model::runLoss(int aLost)
+{
+  return runFault([this, aLost] {
+    for (int n = 0; n < aLost; ++n) {
+      crash(n);
+      mFrozenUntil[n] = kEnd;
+    }
+  });
+}
+
+LossOutcome
+Model::runDeaf()
+{
+  return runFault([this] {
+    for (int n = 0; n < kDaemons; ++n) {
+      mCut[n][0] = true;
+    }
+  });
+}
+
+LossOutcome
+Model::runFault(const std::function<void()>& aFault)
 {
   mAlwaysCalm = true;
   Outcome outcome;
@@ -571,10 +604,7 @@
     tick(outcome);
   }
   const std::size_t records = mLog.size();
-  for (int n = 0; n < aLost; ++n) {
-    crash(n);
-    mFrozenUntil[n] = kEnd;
-  }
+  aFault();
   for (; mNow < kEnd; mNow += kTick) {
     tick(outcome);
   }
--- a/tests/unit/ownership_model.h
+++ b/tests/unit/ownership_model.h
@@ -8,6 +8,7 @@
 #include "radishroad/state/fold.h"
 
 #include <array>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -30,6 +31,7 @@
   ConsentNotForGood,
   PromiseToExpelled,
   AbandonInDoubt,
+  CountLatePromises,
 };
 
 constexpr int kDaemons = 7;
@@ -44,6 +46,7 @@
   {
     Renew,
     Promise,
+    Withheld,
     Ask,
     Consent,
   };
@@ -55,6 +58,7 @@
   Kind mKind = Kind::Renew;
   LeaseLabel mLabel;
   Millis mSentAt;
+  Millis mHeardSentAt;
   Witness::ConsentAnswer mAnswer;
 };
 
@@ -134,6 +138,8 @@
   Outcome run();
   /// No faults, but aLost daemons are lost for good at the same moment.
   LossOutcome runLoss(int aLost);
+  /// No other fault, but one daemon hears nothing of its peers for good.
+  LossOutcome runDeaf();
 
 private:
   bool chance(double aShare) { return mUniform(mRandom) < aShare; }
@@ -142,6 +148,7 @@
   Millis localTime(int aIndex) const;
   bool frozen(int aIndex) const { return mFrozenUntil[aIndex] > mNow; }
 
+  LossOutcome runFault(const std::function<void()>& aFault);
   void setUp();
   void drawFaults();
   void crash(int aIndex);
--- a/tests/unit/ownership_model_test.cpp
+++ b/tests/unit/ownership_model_test.cpp
@@ -11,6 +11,9 @@
 constexpr std::uint32_t kSeeds = 300;
 constexpr std::uint32_t kMutantSeeds = 300;
 constexpr Millis kRecoveryLimit{ 2000 };
+/// The recovery limit less the wait of a next owner whose upstream checks no
+/// fences.
+constexpr Millis kUnfencedLimit{ 1500 };
 
 /// RADISHROAD_MODEL_SEEDS asks for a longer run by hand.
 std::uint32_t
@@ -95,6 +98,27 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(shards_of_a_daemon_that_hears_nothing_are_served_again)
+{
+  constexpr std::uint32_t kDeafSeeds = 200;
+  std::vector<Millis> unserved;
+  for (std::uint32_t seed = 1; seed <= kDeafSeeds; ++seed) {
+    const LossOutcome outcome = Model(seed, Mutant::None).runDeaf();
+    BOOST_TEST(outcome.mUnserved.has_value(), "seed " << seed);
+    unserved.push_back(outcome.mUnserved.value_or(kEnd));
+  }
+  std::ranges::sort(unserved);
+  BOOST_TEST_MESSAGE("deaf: unserved median "
+                     << unserved[kDeafSeeds / 2].mCount << " ms, worst "
+                     << unserved.back().mCount << " ms");
+  BOOST_TEST((unserved.back() <= kUnfencedLimit));
+}
+
+BOOST_AUTO_TEST_CASE(with_late_promises_counted_two_serve)
+{
+  BOOST_TEST(firstViolation(Mutant::CountLatePromises) != 0U);
+}
+
 BOOST_AUTO_TEST_CASE(without_the_joint_majority_two_serve)
 {
   BOOST_TEST(firstViolation(Mutant::NoJointMajority) != 0U);
--- a/tests/unit/witness_keeper_test.cpp
+++ b/tests/unit/witness_keeper_test.cpp
@@ -28,7 +28,7 @@
   {
     for (const LeaseHolder::Renewal& renewal : mHolder.renewals(aNow)) {
       if (std::ranges::count(aAnswering, renewal.mWitness) > 0) {
-        mHolder.onPromise(renewal.mWitness, renewal.mVersion, aNow);
+        mHolder.onPromise(renewal.mWitness, renewal.mVersion, aNow, aNow);
       }
     }
   }
@@ -199,9 +199,9 @@
       ExpelDriver& driver = mDrivers.emplace(self, self).first->second;
       driver.onState(mLog.mState, 0_ms);
       for (const Incarnation other : { 2, 3, 4 }) {
-        driver.onRenew({ other, 0 }, kLater);
+        driver.onRenew({ { other, 0 }, kLater, {} }, kLater);
       }
-      driver.onRenew({ 1, 0 }, 0_ms);
+      driver.onRenew({ { 1, 0 }, 0_ms, {} }, 0_ms);
     }
   }
   /// Steps all drivers, passes on asks and consents, and gathers proposals.
@@ -287,11 +287,14 @@
   Watching cell;
   ExpelDriver& witness = cell.mDrivers.at(2);
   BOOST_TEST(witness.onConsentAsk({ 1, 0 }, 2_s).mGranted);
-  BOOST_TEST(!witness.onRenew({ 1, 0 }, 2_s));
+  BOOST_TEST(
+    (witness.onRenew({ { 1, 0 }, 2_s, {} }, 2_s) == RenewalAnswer::None));
   cell.mLog.expel(1, 0, { 2, 3 });
   cell.readBack(2_s);
-  BOOST_TEST(!witness.onRenew({ 1, 0 }, 2_s));
-  BOOST_TEST(!witness.onRenew({ 99, 0 }, 2_s));
+  BOOST_TEST(
+    (witness.onRenew({ { 1, 0 }, 2_s, {} }, 2_s) == RenewalAnswer::None));
+  BOOST_TEST(
+    (witness.onRenew({ { 99, 0 }, 2_s, {} }, 2_s) == RenewalAnswer::None));
 }
 
 BOOST_AUTO_TEST_CASE(replaced_set_is_no_longer_pursued)
