Ask the log right before a hand-off's release is sent

A load move was ordered from a daemon that had just been cut off from the log. It paused the shard, and its release stayed in doubt. That the log is out was known only when a long poll failed, up to 7 s later, so a hand-off could begin all that time.

Change: the log is asked for the stream's end after the running requests have ended and right before the release is sent, on the connection that appends take. Without an answer within 1 s the shards are served on, and the hand-off is tried again after 2 s.

Ruled out: shorter long polls (more polls from each daemon, and still a gap); a probe before the pause (the running requests' time is then the gap).

Left: a log that goes out between the question and the release.

--- a/include/radishroad/daemon/handoff_duty.h
+++ b/include/radishroad/daemon/handoff_duty.h
@@ -16,7 +16,11 @@
 /// Hands shards off to their next owners: holds back new requests, waits for
 /// those that run, appends the release, and lets the held requests go on to
 /// the new owner once the release has been read back. One batch at a time.
-/// Control thread only.
+///
+/// A release in doubt holds its shards back until the log answers again, and a
+/// long poll that has not ended yet tells nothing of the log. So the log is
+/// asked right before the release is sent; without an answer the shards are
+/// served on. Control thread only.
 class HandoffDuty
 {
 public:
@@ -26,6 +30,8 @@
     /// none of them runs any more.
     std::function<void(std::span<const Shard>, std::function<void()>)> mPause;
     std::function<void(std::span<const Shard>)> mResume;
+    /// Asks the log whether it answers; calls back on the control thread.
+    std::function<void(std::function<void(bool)>)> mProbeLog;
   };
 
   HandoffDuty(ControlContext& aContext, Hooks aHooks);
@@ -40,6 +46,7 @@
 private:
   std::vector<wire::ShardGrant> nextBatch(bool aDraining);
   void begin(std::vector<wire::ShardGrant> aGrants);
+  void onProbe(bool aLogAnswers);
   void release();
   void finish();
 
--- a/include/radishroad/platform/log_appender.h
+++ b/include/radishroad/platform/log_appender.h
@@ -45,6 +45,9 @@
               const wire::RecordT& aRecord,
               Millis aGiveUpAfter,
               DoneFn aDone);
+  /// Asks the log, in turn with the appends and on their connection, for the
+  /// next offset of a stream. aDone is called as for submit.
+  bool probe(std::string aStream, Millis aGiveUpAfter, DoneFn aDone);
   /// Gives up the append under way and all in the ring.
   void stop();
 
--- a/src/daemon/handoff_duty.cpp
+++ b/src/daemon/handoff_duty.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t kBatchShards = 32;
 /// Pause between two batches, so that the next owners warm up.
 constexpr Millis kBatchInterval{ 100 };
+/// Pause after the log did not answer.
+constexpr Millis kLogRetryInterval{ 2000 };
 
 std::vector<Shard>
 shardsOf(std::span<const wire::ShardGrant> aGrants)
@@ -64,8 +66,7 @@
   if (busy() || now < mNextBatch || mContext.self() == nullptr) {
     return;
   }
-  // A hand-off in doubt holds its shards back until the log answers again, so
-  // none is begun while it does not. What was ordered meanwhile is out of date.
+  // What was ordered while the log did not answer is out of date.
   if (!mContext.mFleet.logAnswers()) {
     mOrdered.clear();
     return;
@@ -99,7 +100,22 @@
 HandoffDuty::begin(std::vector<wire::ShardGrant> aGrants)
 {
   mCurrent = std::move(aGrants);
-  mHooks.mPause(shardsOf(mCurrent), [this] { release(); });
+  mHooks.mPause(shardsOf(mCurrent), [this] {
+    mHooks.mProbeLog([this](bool aAnswers) { onProbe(aAnswers); });
+  });
+}
+
+void
+HandoffDuty::onProbe(bool aLogAnswers)
+{
+  if (aLogAnswers) {
+    release();
+    return;
+  }
+  logEvent(
+    LogLevel::Warn, "handoff_put_off", { { "shards", mCurrent.size() } });
+  finish();
+  mNextBatch = mContext.mNow() + kLogRetryInterval;
 }
 
 void
--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -15,6 +15,8 @@
 /// Time for which the appender repeats one append before it gives the matter
 /// back.
 constexpr Millis kAppendTimeout{ 2000 };
+/// Less than a request's deadline: those held back meanwhile go on in time.
+constexpr Millis kProbeTimeout{ 1000 };
 /// The configuration is judged current if the log was read so recently.
 constexpr Millis kConfigFreshness{ 5000 };
 
@@ -217,6 +219,20 @@
   mFollowers[aStream] = std::move(follower);
 }
 
+void
+Daemon::Parts::probeLog(const std::function<void(bool)>& aDone)
+{
+  const bool taken = mAppender.probe(
+    mContext.ownStream(),
+    kProbeTimeout,
+    [this, aDone](const Result<std::uint64_t>& aNext) {
+      mLoop.post([aDone, answers = aNext.has_value()] { aDone(answers); });
+    });
+  if (!taken) {
+    aDone(false);
+  }
+}
+
 bool
 Daemon::Parts::submitAppend(const std::string& aStream,
                             const wire::RecordT& aRecord,
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -103,6 +103,7 @@
   bool submitAppend(const std::string& aStream,
                     const wire::RecordT& aRecord,
                     std::function<void(Result<std::uint64_t>)> aResult);
+  void probeLog(const std::function<void(bool)>& aDone);
   bool draining() const;
   bool nobodyTakesOver() const;
   bool configFresh() const;
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -102,6 +102,9 @@
   hooks.mResume = [this](std::span<const Shard> aShards) {
     mGate->resumeShards(aShards);
   };
+  hooks.mProbeLog = [this](const std::function<void(bool)>& aDone) {
+    probeLog(aDone);
+  };
   return hooks;
 }
 
--- a/src/platform/log_appender.cpp
+++ b/src/platform/log_appender.cpp
@@ -23,6 +23,7 @@
 struct Task
 {
   std::string mStream;
+  /// The record; empty for a probe.
   Bytes mData;
   Millis mGiveUpAt;
   LogAppender::DoneFn mDone;
@@ -47,7 +48,7 @@
       std::optional<Task> task = mTasks.pop(kIdleWait);
       if (task) {
         mBackoff.reset();
-        task->mDone(appendUntil(*task));
+        task->mDone(task->mData.empty() ? probe(*task) : appendUntil(*task));
       } else if (stopped()) {
         return;
       }
@@ -74,6 +75,16 @@
     return tl::unexpected<Error>(std::move(last));
   }
 
+  Result<std::uint64_t> probe(const Task& aTask)
+  {
+    const Millis left = aTask.mGiveUpAt - monotonicNow();
+    if (left <= Millis{}) {
+      return fail(ErrorCode::Unavailable, "given up before it was sent");
+    }
+    return mClient.bounds(aTask.mStream, left)
+      .map([](const LogClient::Bounds& aBounds) { return aBounds.mNext; });
+  }
+
   /// False if the time is up or the appender stops before there is a token.
   bool waitForToken(Millis aGiveUpAt)
   {
@@ -157,6 +168,15 @@
                                  std::move(aDone) });
 }
 
+bool
+LogAppender::probe(std::string aStream, Millis aGiveUpAfter, DoneFn aDone)
+{
+  return mImpl->mTasks.tryPush({ std::move(aStream),
+                                 {},
+                                 monotonicNow() + aGiveUpAfter,
+                                 std::move(aDone) });
+}
+
 void
 LogAppender::stop()
 {
--- a/tests/process/partition_test.cpp
+++ b/tests/process/partition_test.cpp
@@ -51,6 +51,24 @@
   expectNone(judgeAllAnswered(evidence.mResults));
 }
 
+BOOST_AUTO_TEST_CASE(from_log_while_drained)
+{
+  Scenario scenario(relayed("cut_log_drained", 46));
+  Fleet& fleet = scenario.fleet();
+  const std::string victim = scenario.drawVm("catalog");
+  scenario.startTraffic();
+  scenario.runOn(1_s, 2_s);
+  isolateFromLog(fleet, victim, true);
+  // It hears of the drain from its peers and can hand off nothing.
+  BOOST_TEST(fleet.drain(victim, true));
+  scenario.runOn(5_s, 6_s);
+  isolateFromLog(fleet, victim, false);
+  scenario.runOn(4_s, 4_s);
+  const Evidence evidence = scenario.stopTraffic();
+  checkAlways(evidence);
+  expectNone(judgeAllAnswered(evidence.mResults));
+}
+
 BOOST_AUTO_TEST_CASE(from_peers)
 {
   Scenario scenario(relayed("cut_peers", 42));
--- a/tests/unit/log_client_test.cpp
+++ b/tests/unit/log_client_test.cpp
@@ -330,6 +330,22 @@
     std::string(kStream), drainRecord(5), 60_s, journal.doneFn()));
 }
 
+BOOST_AUTO_TEST_CASE(the_appender_tells_whether_the_log_answers)
+{
+  FaultyLog log;
+  Journal journal;
+  LogAppender appender(log.address(), 2, halfway);
+  appender.submit(std::string(kStream), drainRecord(1), 20_s, journal.doneFn());
+  appender.probe(std::string(kStream), 20_s, journal.doneFn());
+  BOOST_TEST(journal.wait([&] { return journal.mDone.size() == 2; }));
+  BOOST_TEST(journal.mDone[1].value() == 1U);
+  log.setFaults({ true, false, 0 });
+  appender.probe(std::string(kStream), 100_ms, journal.doneFn());
+  BOOST_TEST(journal.wait([&] { return journal.mDone.size() == 3; }));
+  BOOST_TEST(!journal.mDone[2].has_value());
+  BOOST_TEST(log.appends() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(the_appender_keeps_to_its_ceiling)
 {
   constexpr std::size_t kRecords = 40;
