Let expulsions go before the replacement of witnesses

Cause: a lost witness was replaced after 600 ms of silence, ahead of the expulsion of the lost daemon itself at 1050 ms. When an availability zone of 440 daemons is lost, 1,070 Rewitness records were in the log's queue before the first Expel: 5 s at 300 appends a second for the last key.

Change: as long as more than half of a set answers, the lease holds and its holder can be expelled; the replacement then waits for 2 s and up to 4 s more, drawn by the incarnation. A second loss still presses at once.

Ruled out: replacing only after the Expel was read back (a silent witness that is never expelled would stay).

--- a/include/radishroad/ownership/witness_keeper.h
+++ b/include/radishroad/ownership/witness_keeper.h
@@ -18,6 +18,12 @@
 /// Silence after which a witness is replaced: two renewals unanswered, and
 /// early enough that the change is read back before the lease lapses.
 constexpr Millis kWitnessSilence{ 600 };
+/// While more than half of the set answers, a lost witness is replaced after
+/// this time and a part of the spread drawn by the daemon's incarnation: an
+/// expulsion goes first, and the loss of an availability zone, after which a
+/// quarter of all daemons replace a witness, does not crowd the log.
+constexpr Millis kRewitnessDelay{ 2000 };
+constexpr Millis kRewitnessSpread{ 4000 };
 /// Least time between two changes of a daemon's witness set.
 constexpr Millis kRewitnessPause{ 2000 };
 /// The same while the lease is not held, so that a daemon whose witnesses are
@@ -35,8 +41,10 @@
 /// Witnesses that left, or were expelled, are replaced always. Silent ones are
 /// replaced only while the lease is held and at least one witness answers:
 /// a daemon that hears none is itself cut off or was paused, and a change
-/// would only void the expulsion that is due. New witnesses must have answered
-/// before the change is appended. Nothing is appended while the log is out.
+/// would only void the expulsion that is due. While more than half of the set
+/// answers there is no hurry: the lease is held, and the daemon can be
+/// expelled. New witnesses must have answered before the change is appended.
+/// Nothing is appended while the log is out.
 class WitnessKeeper
 {
 public:
@@ -66,12 +74,19 @@
                                      const SuspectFn& aIsSuspect,
                                      Millis aNow) const;
 
+  void noteLoss(const CellState& aState,
+                const Member& aMember,
+                const LeaseHolder& aHolder,
+                Millis aNow);
+  bool mayWait(Millis aNow) const;
   void avoidUnanswered(const LeaseHolder& aHolder, Millis aNow);
 
   Incarnation mSelf;
   std::size_t mWanted;
   std::optional<Millis> mLastAppend;
   Millis mPreparedAt;
+  /// Since when witnesses were lost, but not so many that it presses.
+  std::optional<Millis> mSpareLostSince;
   std::map<Incarnation, Millis> mAvoided;
 };
 
--- a/src/ownership/witness_keeper.cpp
+++ b/src/ownership/witness_keeper.cpp
@@ -1,5 +1,6 @@
 #include "radishroad/ownership/witness_keeper.h"
 
+#include "radishroad/base/hash.h"
 #include "radishroad/state/placement.h"
 
 #include <algorithm>
@@ -67,7 +68,11 @@
                     Millis aNow)
 {
   const Member* self = findActive(aState, mSelf);
-  if (self == nullptr || aNow - aLogAnsweredAt > kLogSilence) {
+  if (self == nullptr) {
+    return std::nullopt;
+  }
+  noteLoss(aState, *self, aHolder, aNow);
+  if (aNow - aLogAnsweredAt > kLogSilence) {
     return std::nullopt;
   }
   if (aHolder.changeInDoubt()) {
@@ -75,7 +80,7 @@
   }
   const Millis pause =
     aHolder.holds(aNow) ? kRewitnessPause : kUrgentRewitnessPause;
-  if (mLastAppend && aNow - *mLastAppend < pause) {
+  if (mayWait(aNow) || (mLastAppend && aNow - *mLastAppend < pause)) {
     return std::nullopt;
   }
   avoidUnanswered(aHolder, aNow);
@@ -98,6 +103,39 @@
   return makeRewitness(*self, wanted);
 }
 
+void
+WitnessKeeper::noteLoss(const CellState& aState,
+                        const Member& aMember,
+                        const LeaseHolder& aHolder,
+                        Millis aNow)
+{
+  const std::vector<Incarnation> silent = replaceable(aHolder, aMember, aNow);
+  const std::vector<Incarnation>& all = aMember.mWitnesses;
+  const auto lost = static_cast<std::size_t>(
+    std::ranges::count_if(all, [&](Incarnation aWitness) {
+      return contains(silent, aWitness) ||
+             findActive(aState, aWitness) == nullptr;
+    }));
+  const bool enough =
+    aHolder.holds(aNow) && 2 * (all.size() - lost) > all.size();
+  if (lost == 0 || !enough) {
+    mSpareLostSince.reset();
+  } else if (!mSpareLostSince) {
+    mSpareLostSince = aNow;
+  }
+}
+
+bool
+WitnessKeeper::mayWait(Millis aNow) const
+{
+  if (!mSpareLostSince) {
+    return false;
+  }
+  const auto part = static_cast<std::int64_t>(
+    hashPair(mSelf, 0) % static_cast<std::uint64_t>(kRewitnessSpread.mCount));
+  return aNow - *mSpareLostSince < kRewitnessDelay + Millis{ part };
+}
+
 void
 WitnessKeeper::avoidUnanswered(const LeaseHolder& aHolder, Millis aNow)
 {
--- a/tests/unit/lease_test.cpp
+++ b/tests/unit/lease_test.cpp
@@ -215,6 +215,27 @@
   BOOST_TEST(witness.onConsentAsk(label, lapse).mGranted);
 }
 
+BOOST_AUTO_TEST_CASE(no_late_promise_outlives_a_consent)
+{
+  constexpr Millis kStep = kRenewInterval;
+  const LeaseLabel label{ 1, 0 };
+  Witness witness;
+  LeaseHolder holder(1);
+  holder.adopt(0, std::vector<Incarnation>{ 2 });
+  // All answers but the first are under way when the witness consents.
+  witness.onRenew({ label, 100_ms, {} }, 100_ms);
+  holder.onPromise(2, 0, 100_ms, 100_ms);
+  witness.onRenew({ label, 100_ms + kStep, 100_ms }, 100_ms + kStep);
+  witness.onFeedback({ label, 100_ms + kStep * 4, 100_ms });
+  const Millis lapse = 100_ms + kLeaseTtl + kDriftMargin;
+  BOOST_REQUIRE(witness.onConsentAsk(label, lapse).mGranted);
+  LeaseHolder careless = holder;
+  careless.onPromise(2, 0, 100_ms + kStep, 100_ms + kStep);
+  BOOST_TEST(careless.holds(lapse));
+  holder.onPromise(2, 0, 100_ms + kStep, lapse);
+  BOOST_TEST(!holder.holds(lapse));
+}
+
 BOOST_AUTO_TEST_CASE(promise_named_as_arrived_binds_to_its_end)
 {
   Witness witness;
--- a/tests/unit/ownership_model.cpp
+++ b/tests/unit/ownership_model.cpp
@@ -613,6 +613,15 @@
     loss.mUnserved = *mAllServedSince - lossAt;
   }
   loss.mAppends = mLog.size() - records;
+  std::size_t others = 0;
+  for (std::size_t n = records; n < mLog.size(); ++n) {
+    const auto record = decodeRecord(mLog[n].mData);
+    if ((*record)->change.type == wire::Change::Expel) {
+      loss.mAheadOfExpulsion = others;
+    } else {
+      ++others;
+    }
+  }
   return loss;
 }
 
--- a/tests/unit/ownership_model.h
+++ b/tests/unit/ownership_model.h
@@ -127,6 +127,8 @@
   /// From the loss until every shard was served again.
   std::optional<Millis> mUnserved;
   std::size_t mAppends = 0;
+  /// Appends other than expulsions, up to the last expulsion.
+  std::size_t mAheadOfExpulsion = 0;
 };
 
 /// Runs one seed: cuts, freezes, crashes, delayed, lost and repeated messages,
