Grow the window only by answers to requests that filled it

The journals show 10 to 12 ms for each answer and one request in flight most of the time, then five within 20 ms, 2 to 3 s after the start: the median of all answers stayed fast, and one moment at the limit in each round counted as use, so the window grew by one each 200 ms whatever the upstream bore. Ruled out by the same journals: a restart noticed late (the falls are 2 to 3.9 s after it, also in upstreams that were only started), given-up runs (none), a second owner (one daemon sends). Change: growth needs, besides, the median of at least five answers, and one in four, to requests that filled the window when they were sent. Unit tests window, gate and request_queue without errors. Conclusion: bursts at a low load no longer open the window.

--- a/benchmark/window_bench.cpp
+++ b/benchmark/window_bench.cpp
@@ -1,5 +1,5 @@
 // Measures the concurrency window against a fixed limit and no gate on a model
-// of an upstream. Usage: window_bench [SEEDS]
+// of an upstream. Usage: window_bench [SEEDS [FIRST_SEED]]
 #include "../tests/model/upstream_model.h"
 #include "radishroad/policy/fixed_limit.h"
 #include "radishroad/policy/window.h"
@@ -47,6 +47,7 @@
 measure(const Scenario& aScenario,
         const char* aName,
         const Window& aWindow,
+        std::uint64_t aFirst,
         std::uint64_t aSeeds)
 {
   std::vector<double> fullAt;
@@ -56,7 +57,7 @@
   double notRun = 0;
   double offered = 0;
   int falls = 0;
-  for (std::uint64_t seed = 1; seed <= aSeeds; ++seed) {
+  for (std::uint64_t seed = aFirst; seed < aFirst + aSeeds; ++seed) {
     typename UpstreamModel<Window>::Options options;
     options.mSeed = seed;
     options.mSlots = aScenario.mSlots;
@@ -93,6 +94,8 @@
 {
   const std::uint64_t seeds =
     aCount > 1 ? std::strtoull(aArguments[1], nullptr, 10) : 20;
+  const std::uint64_t first =
+    aCount > 2 ? std::strtoull(aArguments[2], nullptr, 10) : 1;
   std::printf("%-18s %-8s %6s %8s %8s %8s %8s %8s\n",
               "scenario",
               "gate",
@@ -106,9 +109,9 @@
   constexpr std::uint32_t kNoLimit = 100000;
   for (const Scenario& scenario : kScenarios) {
     const auto slots = static_cast<std::uint32_t>(scenario.mSlots);
-    measure(scenario, "window", ConcurrencyWindow(kMax), seeds);
-    measure(scenario, "fixed", FixedLimit(slots), seeds);
-    measure(scenario, "none", FixedLimit(kNoLimit), seeds);
+    measure(scenario, "window", ConcurrencyWindow(kMax), first, seeds);
+    measure(scenario, "fixed", FixedLimit(slots), first, seeds);
+    measure(scenario, "none", FixedLimit(kNoLimit), first, seeds);
   }
   return EXIT_SUCCESS;
 }
--- a/include/radishroad/policy/window.h
+++ b/include/radishroad/policy/window.h
@@ -75,6 +75,9 @@
   void startRound(Millis aNow);
   void noteExpected();
   void judge(double aMedian, Millis aNow);
+  /// Requests sent with the window full were answered as fast as others.
+  bool fullIsFast() const;
+  void forgetFull();
   void grow();
   void decayUnused();
   void shrink(double aFactor, Millis aNow);
@@ -93,6 +96,11 @@
   Millis mRoundStart;
   Millis mLastShrink;
   std::vector<double> mSamples;
+  /// Answer times of requests that filled the window when they were sent, the
+  /// evidence for growth; kept over rounds until the window changes.
+  std::vector<double> mFullSamples;
+  /// Answers, of whatever rank, since the window changed.
+  std::size_t mSinceChange = 0;
   std::uint32_t mMostInFlight = 0;
   /// Median answer time at low concurrency, in milliseconds.
   std::optional<double> mBaseline;
--- a/src/policy/window.cpp
+++ b/src/policy/window.cpp
@@ -13,6 +13,10 @@
 constexpr std::size_t kMinSamples = 5;
 constexpr double kSlowStartFactor = 1.3;
 constexpr double kIncrease = 1.0;
+/// One answer in so many must be to a request that filled the window.
+constexpr std::size_t kFullPart = 4;
+/// Answers after which the evidence for growth is collected anew.
+constexpr std::size_t kMaxEvidence = 400;
 
 /// Answer times against the baseline: ratio, and what is added because the
 /// clock counts whole milliseconds.
@@ -60,6 +64,15 @@
 /// baseline may rise by so much only.
 constexpr double kRefreshRise = 1.1;
 
+double
+medianOf(std::vector<double> aValues)
+{
+  const auto middle =
+    aValues.begin() + static_cast<std::ptrdiff_t>(aValues.size() / 2);
+  std::nth_element(aValues.begin(), middle, aValues.end());
+  return *middle;
+}
+
 }
 
 ConcurrencyWindow::ConcurrencyWindow(std::uint32_t aMax)
@@ -102,6 +115,7 @@
   mColdAt = aNow;
   mCountsFrom = aNow;
   mBaseline.reset();
+  forgetFull();
   mSizeAfterRefresh.reset();
   mNextRefresh = aNow + kMinRefreshInterval;
   startRound(aNow);
@@ -122,7 +136,15 @@
     // Sent before the cold start or the dip; it tells of another state.
     return;
   }
-  mSamples.push_back(static_cast<double>(aTook.mCount));
+  if (mSinceChange >= kMaxEvidence) {
+    forgetFull();
+  }
+  const double took = static_cast<double>(aTook.mCount);
+  mSamples.push_back(took);
+  ++mSinceChange;
+  if (aInFlight >= whole()) {
+    mFullSamples.push_back(took);
+  }
   mMostInFlight = std::max(mMostInFlight, aInFlight);
   const std::size_t enough = std::max<std::size_t>(kMinSamples, whole() / 2);
   if (aNow - mRoundStart >= kRoundTime && mSamples.size() >= enough) {
@@ -133,16 +155,14 @@
 void
 ConcurrencyWindow::endRound(Millis aNow)
 {
-  const auto middle =
-    mSamples.begin() + static_cast<std::ptrdiff_t>(mSamples.size() / 2);
-  std::nth_element(mSamples.begin(), middle, mSamples.end());
-  const double median = *middle;
+  const double median = medianOf(mSamples);
   noteExpected();
   if (mSizeAfterRefresh) {
     const double most = mBaseline.value_or(median) * kRefreshRise;
     mBaseline = std::min(median, most);
     mSize = *mSizeAfterRefresh;
     mSizeAfterRefresh.reset();
+    forgetFull();
   } else {
     judge(median, aNow);
   }
@@ -167,7 +187,7 @@
   const bool inUse = mMostInFlight >= whole();
   const bool fast = aMedian <= kGrowRatio * baseline + kGrowSlackMs;
   const bool reportedBusy = mReading.mQueued > 0 && aMedian > baseline;
-  if (inUse && fast && !reportedBusy) {
+  if (inUse && fast && !reportedBusy && fullIsFast()) {
     grow();
   }
   if (inUse) {
@@ -177,9 +197,27 @@
   }
 }
 
+bool
+ConcurrencyWindow::fullIsFast() const
+{
+  const std::size_t enough = std::max(kMinSamples, mSinceChange / kFullPart);
+  if (mFullSamples.size() < enough) {
+    return false;
+  }
+  return medianOf(mFullSamples) <= kGrowRatio * *mBaseline + kGrowSlackMs;
+}
+
+void
+ConcurrencyWindow::forgetFull()
+{
+  mFullSamples.clear();
+  mSinceChange = 0;
+}
+
 void
 ConcurrencyWindow::grow()
 {
+  forgetFull();
   const double next = mSlowStart
                         ? std::max(mSize * kSlowStartFactor, mSize + kIncrease)
                         : mSize + kIncrease;
@@ -206,6 +244,7 @@
     return;
   }
   mLastShrink = aNow;
+  forgetFull();
   mSize = std::max(kStartSize, mSize * aFactor);
   if (mSizeAfterRefresh) {
     mSizeAfterRefresh = std::max(kStartSize, *mSizeAfterRefresh * aFactor);
@@ -226,6 +265,7 @@
     return;
   }
   mNextRefresh = aNow + refreshInterval(aNow);
+  forgetFull();
   mSizeAfterRefresh = mSize;
   mSize = std::max(kStartSize, mSize * kRefreshFactor);
   mCountsFrom = aNow;
--- a/tests/unit/window_test.cpp
+++ b/tests/unit/window_test.cpp
@@ -1,5 +1,6 @@
 #include "radishroad/policy/window.h"
 
+#include "model/cold_slots.h"
 #include "model/upstream_model.h"
 #include "radishroad/policy/connection_pacer.h"
 #include "radishroad/policy/fixed_limit.h"
@@ -114,6 +115,23 @@
   BOOST_TEST(window.limit() <= 2U);
 }
 
+BOOST_AUTO_TEST_CASE(bursts_at_a_low_load_prove_no_room)
+{
+  constexpr std::uint64_t kBurstSeeds = 300;
+  for (const double perSecond : { 67, 100, 150 }) {
+    std::uint64_t overrun = 0;
+    for (std::uint64_t seed = 1; seed <= kBurstSeeds; ++seed) {
+      ColdSlots::Options options;
+      options.mSeed = seed;
+      options.mPerSecond = perSecond;
+      const std::size_t most =
+        ColdSlots::mostInside(options, ConcurrencyWindow(kMax));
+      overrun += most > 2 * options.mSlots ? 1 : 0;
+    }
+    BOOST_TEST(overrun == 0U, perSecond << " requests a second");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(sudden_slowdown_starts_over)
 {
   Millis now;
