Move work to a returning zone no faster than its windows bear

Cause: a member that came back was given 16 shards every 500 ms whatever they brought: half of its even share within a second, while its upstream's window stood at one. The rest waited in its gate. Change: MoveAllowance bounds moves by the requests that a member's shards keep in flight, against seven tenths of the window that its gate reports; a member that has not reported counts with a window of one. planEvenSpread asks it through a hook, the balancer's moves take from it as well.

--- a/include/radishroad/ownership/handoff.h
+++ b/include/radishroad/ownership/handoff.h
@@ -4,6 +4,7 @@
 #include "radishroad/generated/records_generated.h"
 #include "radishroad/state/cell_state.h"
 
+#include <functional>
 #include <span>
 #include <vector>
 
@@ -35,12 +36,18 @@
 planInitialAssignment(const CellState& aState,
                       std::span<const Incarnation> aAvoid = {});
 
+/// Takes a shard's load out of what the member bears; false if it bears no
+/// more.
+using TakeShardFn = std::function<bool(Shard, Incarnation)>;
+
 /// Fewest moves that bring the counts of shards within one of each other;
-/// at most aMax of them. For members that joined.
+/// at most aMax of them, and only such as aTake allows. For members that
+/// joined or came back.
 std::vector<wire::ShardGrant>
 planEvenSpread(const CellState& aState,
                std::size_t aMax,
-               std::span<const Incarnation> aAvoid = {});
+               std::span<const Incarnation> aAvoid = {},
+               const TakeShardFn& aTake = {});
 
 }
 
--- a/include/radishroad/policy/balance.h
+++ b/include/radishroad/policy/balance.h
@@ -3,6 +3,7 @@
 
 #include "radishroad/base/millis.h"
 #include "radishroad/generated/peer_generated.h"
+#include "radishroad/policy/move_allowance.h"
 #include "radishroad/state/cell_state.h"
 
 #include <array>
@@ -39,6 +40,10 @@
   std::vector<wire::ShardGrant> planMoves(const CellState& aState,
                                           const MayOwnFn& aMayOwn,
                                           Millis aNow);
+  /// What the members bear besides the work that they have.
+  MoveAllowance allowance(const CellState& aState) const;
+  /// Requests that a shard would keep in flight at the member.
+  double loadAt(Shard aShard, Incarnation aMember) const;
   /// Keys to split out of shards that are too heavy for any upstream beside
   /// its others. Those of planMoves come first.
   std::vector<wire::SplitKeyT> planSplits(const CellState& aState,
@@ -49,6 +54,8 @@
   struct MemberView
   {
     Millis mReportedAt;
+    /// Requests that its gate sends at once; 0 for not known.
+    double mWindow = 0;
     /// Milliseconds that a request takes, smoothed.
     double mCost = 0;
     std::optional<Millis> mSlowSince;
@@ -74,6 +81,7 @@
   static std::optional<wire::HotKeyT> hotKeyOf(
     const wire::LoadReportT& aReport);
   double meanCost() const;
+  double costOf(const MemberView& aView) const;
   double capacityOf(MemberView& aView, Millis aNow) const;
   std::vector<Standing> standings(const CellState& aState,
                                   const MayOwnFn& aMayOwn,
--- /dev/null
+++ b/include/radishroad/policy/move_allowance.h
@@ -0,0 +1,34 @@
+#ifndef RADISHROAD_POLICY_MOVE_ALLOWANCE_H
+#define RADISHROAD_POLICY_MOVE_ALLOWANCE_H
+
+#include "radishroad/state/cell_state.h"
+
+#include <map>
+
+namespace radishroad {
+
+/// How much more work the members of a cell bear now, in requests in flight.
+/// Pure; made anew for each plan.
+class MoveAllowance
+{
+public:
+  /// aWindow: what the member's gate sends at once; 0 for not known, which
+  /// bounds nothing. aBusy: requests that its shards keep in flight.
+  void setMember(Incarnation aMember, double aWindow, double aBusy);
+  /// Takes a shard that keeps aLoad requests in flight. False if that is more
+  /// than the member bears; a member without load may take one shard of any.
+  bool take(Incarnation aMember, double aLoad);
+
+private:
+  struct Entry
+  {
+    double mWindow = 0;
+    double mBusy = 0;
+  };
+
+  std::map<Incarnation, Entry> mMembers;
+};
+
+}
+
+#endif
--- a/src/daemon/coordinator_duty.cpp
+++ b/src/daemon/coordinator_duty.cpp
@@ -166,7 +166,11 @@
 {
   const CellState& cell = mContext.mFleet.ownCell();
   if (hasNewcomer(cell)) {
-    return planEvenSpread(cell, kSpreadShards, mContext.mSuspects());
+    MoveAllowance allowance = mBalancer.allowance(cell);
+    const auto take = [&](Shard aShard, Incarnation aMember) {
+      return allowance.take(aMember, mBalancer.loadAt(aShard, aMember));
+    };
+    return planEvenSpread(cell, kSpreadShards, mContext.mSuspects(), take);
   }
   return mBalancer.planMoves(
     cell, [&cell](Incarnation aMember) { return mayOwn(cell, aMember); }, aNow);
--- a/src/ownership/handoff.cpp
+++ b/src/ownership/handoff.cpp
@@ -82,6 +82,30 @@
   return grants;
 }
 
+/// The member with fewest shards, of those below their targets, that takes the
+/// shard; 0 if there is none.
+Incarnation
+takerOf(Shard aShard,
+        const Counts& aCounts,
+        const Counts& aTargets,
+        const TakeShardFn& aTake)
+{
+  Counts below;
+  for (const auto& [incarnation, count] : aCounts) {
+    if (count < aTargets.at(incarnation)) {
+      below[incarnation] = count;
+    }
+  }
+  while (!below.empty()) {
+    const Incarnation to = leastLoaded(below, aShard);
+    if (!aTake || aTake(aShard, to)) {
+      return to;
+    }
+    below.erase(to);
+  }
+  return 0;
+}
+
 /// How many shards each member keeps in an even spread. The larger shares go
 /// to those that have most, which spares moves.
 Counts
@@ -155,7 +179,8 @@
 std::vector<wire::ShardGrant>
 planEvenSpread(const CellState& aState,
                std::size_t aMax,
-               std::span<const Incarnation> aAvoid)
+               std::span<const Incarnation> aAvoid,
+               const TakeShardFn& aTake)
 {
   std::vector<wire::ShardGrant> grants;
   Counts counts = countShards(aState, 0, aAvoid);
@@ -172,16 +197,10 @@
     if (owner == counts.end() || owner->second <= targets.at(owner->first)) {
       continue;
     }
-    Counts below;
-    for (const auto& [incarnation, count] : counts) {
-      if (count < targets.at(incarnation)) {
-        below[incarnation] = count;
-      }
-    }
-    if (below.empty()) {
-      break;
+    const Incarnation to = takerOf(shard, counts, targets, aTake);
+    if (to == 0) {
+      continue;
     }
-    const Incarnation to = leastLoaded(below, shard);
     --owner->second;
     ++counts[to];
     grants.emplace_back(shard, ownership.mEpoch, to);
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -24,6 +24,9 @@
 constexpr double kSlowRatio = 2.0;
 constexpr Millis kStragglerPatience{ 10000 };
 
+/// Window taken for a member that has not reported yet.
+constexpr double kNewWindow = 1.0;
+
 /// A shard is heavy above this share of the mean load of an upstream.
 constexpr double kHeavyShard = 0.5;
 constexpr double kHotKeyPart = 0.4;
@@ -61,6 +64,7 @@
   MemberView& member = mMembers[aReport.incarnation];
   const Millis passed = aNow - member.mReportedAt;
   member.mReportedAt = aNow;
+  member.mWindow = aReport.window;
   member.mHotKey = hotKeyOf(aReport);
   if (first || passed.mCount <= 0) {
     return;
@@ -115,6 +119,40 @@
   return std::max(1.0, *middle);
 }
 
+double
+Balancer::costOf(const MemberView& aView) const
+{
+  return aView.mCost > 0 ? aView.mCost : meanCost();
+}
+
+double
+Balancer::loadAt(Shard aShard, Incarnation aMember) const
+{
+  const auto it = mMembers.find(aMember);
+  const double cost = it != mMembers.end() ? costOf(it->second) : meanCost();
+  return mShards.at(aShard).mRate * cost / kMillisPerSecond;
+}
+
+MoveAllowance
+Balancer::allowance(const CellState& aState) const
+{
+  std::map<Incarnation, double> rates;
+  for (Shard shard = 0; shard < kShardCount; ++shard) {
+    rates[aState.mShards[shard].mOwner] += mShards[shard].mRate;
+  }
+  MoveAllowance allowance;
+  for (const auto& [id, member] : aState.mMembers) {
+    const auto it = mMembers.find(id);
+    const bool reported =
+      it != mMembers.end() && it->second.mReportedAt.mCount > 0;
+    const MemberView view = reported ? it->second : MemberView{};
+    const double rate = rates[id] + view.mSplitRate;
+    const double busy = rate * costOf(view) / kMillisPerSecond;
+    allowance.setMember(id, reported ? view.mWindow : kNewWindow, busy);
+  }
+  return allowance;
+}
+
 double
 Balancer::capacityOf(MemberView& aView, Millis aNow) const
 {
@@ -217,12 +255,13 @@
     return moves;
   }
   CellState planned = aState;
+  MoveAllowance allowed = allowance(aState);
   while (moves.size() < kMaxMoves) {
     std::ranges::sort(all, {}, &Standing::used);
     Standing& from = all.back();
     Standing& to = all.front();
     const std::optional<Shard> shard = bestShard(planned, from, to, aNow);
-    if (!shard) {
+    if (!shard || !allowed.take(to.mMember, loadAt(*shard, to.mMember))) {
       break;
     }
     const double rate = mShards[*shard].mRate;
--- a/tests/model/upstream_model.h
+++ b/tests/model/upstream_model.h
@@ -28,6 +28,8 @@
     int mIdempotentPercent = 80;
     /// Requests a second that callers offer.
     double mOffered = 400;
+    /// Instead of mOffered, if set: by the time and the size of the window.
+    std::function<double(Millis, double)> mOfferedAt;
     double mColdWarmth = 0.15;
     /// Slot-seconds of work at which a cold upstream is warm.
     double mWarmUpWork = 20;
@@ -108,9 +110,19 @@
     return std::max(1.0, mOptions.mSlots * mWarmth);
   }
 
+  double offeredAt(Millis aNow) const
+  {
+    if constexpr (requires { mWindow.size(); }) {
+      if (mOptions.mOfferedAt) {
+        return mOptions.mOfferedAt(aNow, mWindow.size());
+      }
+    }
+    return mOptions.mOffered;
+  }
+
   void arrive(Millis aNow)
   {
-    std::poisson_distribution<int> count(mOptions.mOffered / 1000.0);
+    std::poisson_distribution<int> count(offeredAt(aNow) / 1000.0);
     std::uniform_int_distribution<int> count100(0, 99);
     const int n = count(mRandom);
     for (int i = 0; i < n; ++i) {
--- a/tests/process/drain_test.cpp
+++ b/tests/process/drain_test.cpp
@@ -2,8 +2,11 @@
 #include "support/scenario.h"
 #include "support/wait.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <functional>
+#include <map>
 
 namespace radishroad::test {
 
@@ -14,6 +17,9 @@
 /// "A few seconds" after a drain.
 constexpr Millis kDrainTime = 5_s;
 
+/// Worcester's VMs.
+const std::set<std::string> kZone = { "catalog-2", "library-2" };
+
 std::vector<ConfigText>
 guildWithout(const std::string& aZone)
 {
@@ -29,6 +35,113 @@
   return files;
 }
 
+/// Prints how requests fared that were to be sent within kDrainTime of a move,
+/// and how evenly the service's VMs had work at the end of it.
+void
+showMove(const std::string& aMove,
+         const Evidence& aEvidence,
+         const std::vector<std::string>& aVms,
+         std::int64_t aFromMs)
+{
+  constexpr std::int64_t kLastMs = 2000;
+  const std::int64_t until = aFromMs + kDrainTime.mCount;
+  std::vector<double> times;
+  std::size_t unanswered = 0;
+  for (const tools::LoadResult& result : aEvidence.mResults) {
+    const double sent =
+      static_cast<double>(result.mEndedWallMs) - result.mLatencyMs;
+    if (sent < static_cast<double>(aFromMs) ||
+        sent >= static_cast<double>(until)) {
+      continue;
+    }
+    times.push_back(result.mLatencyMs);
+    unanswered += result.mStatus == 200 ? 0 : 1;
+  }
+  BOOST_REQUIRE(!times.empty());
+  std::ranges::sort(times);
+  std::map<std::string, double> runs;
+  for (const std::string& vm : aVms) {
+    runs[vm] = 0;
+  }
+  double sum = 0;
+  double most = 0;
+  for (const Run& run : aEvidence.mRuns) {
+    const bool late = run.mStartMs >= until - kLastMs && run.mStartMs < until;
+    if (late && runs.contains(run.mVm)) {
+      most = std::max(most, ++runs[run.mVm]);
+      ++sum;
+    }
+  }
+  BOOST_TEST_MESSAGE(aMove << ": " << times.size() << " sent, " << unanswered
+                           << " not answered, p50 " << times[times.size() / 2]
+                           << " ms, p99 " << times[times.size() * 99 / 100]
+                           << " ms, worst " << times.back() << " ms, imbalance "
+                           << most * static_cast<double>(runs.size()) / sum);
+}
+
+/// VMs of the catalog but those of the zone.
+std::vector<std::string>
+others(const Fleet& aFleet, const std::set<std::string>& aZone)
+{
+  std::vector<std::string> vms = aFleet.vmsOf("catalog");
+  std::erase_if(vms,
+                [&](const std::string& aVm) { return aZone.contains(aVm); });
+  return vms;
+}
+
+std::size_t
+countEvents(const Fleet& aFleet,
+            const std::string& aVm,
+            const std::string& aEvent)
+{
+  std::size_t n = 0;
+  for (const nlohmann::json& event :
+       readJournal(aFleet.folder() / (aVm + ".journal"))) {
+    n += event.value("event", "") == aEvent ? 1 : 0;
+  }
+  return n;
+}
+
+/// Takes a zone out and back under traffic. aWhileOut: called while it has no
+/// work.
+Evidence
+moveZone(Scenario& aScenario,
+         const std::set<std::string>& aZone,
+         const std::string& aQuery,
+         const std::function<void()>& aWhileOut)
+{
+  Fleet& fleet = aScenario.fleet();
+  aScenario.startTraffic({}, aQuery);
+  aScenario.runOn(1_s, 2_s);
+  // Until loads are known.
+  aScenario.runOn(4_s, 4_s);
+  BOOST_TEST(fleet.publish(guildWithout("worcester"), 1));
+  const std::int64_t drained = wallNow().mCount;
+  aScenario.runOn(kDrainTime + 2_s, kDrainTime + 2_s);
+  aWhileOut();
+  BOOST_TEST(fleet.publishFolder(Scenario::guildFolder(), 2));
+  const std::int64_t back = wallNow().mCount;
+  const auto servesAgain = [&] {
+    for (const Run& run : fleet.runs()) {
+      if (aZone.contains(run.mVm) && run.mStartMs > back) {
+        return true;
+      }
+    }
+    return false;
+  };
+  BOOST_TEST(waitFor(servesAgain, 20_s));
+  aScenario.runOn(kDrainTime, kDrainTime);
+  Evidence evidence = aScenario.stopTraffic();
+  showMove("zone out", evidence, others(fleet, aZone), drained);
+  showMove("zone back", evidence, fleet.vmsOf("catalog"), back);
+  checkAlways(evidence);
+  expectNone(judgeAllAnswered(evidence.mResults));
+  std::vector<Run> before = evidence.mRuns;
+  std::erase_if(before, [&](const Run& aRun) { return aRun.mStartMs > back; });
+  expectNone(judgeNoWorkAfter(before, aZone, drained + kDrainTime.mCount));
+  return evidence;
+}
+
 /// Ends a daemon by SIGTERM under traffic, also through it. Requests that
 /// found its port closed are left out: it has stopped by then.
 Evidence
@@ -75,31 +188,28 @@
 BOOST_AUTO_TEST_CASE(of_zone_and_back)
 {
   Scenario scenario({ "drain_zone", 52 });
+  moveZone(scenario, kZone, "ms=10", [] {});
+}
+
+BOOST_AUTO_TEST_CASE(of_zone_and_back_with_a_cold_upstream)
+{
+  // At its even share it would hold more requests than its cold slots.
+  Scenario::Options options("drain_zone_cold", 54);
+  options.mUpstreamArguments = { "--cold-slots", "2" };
+  Scenario scenario(options);
   Fleet& fleet = scenario.fleet();
-  const std::set<std::string> zone = { "catalog-2", "library-2" };
-  scenario.startTraffic({}, "ms=10");
-  scenario.runOn(1_s, 2_s);
-  BOOST_TEST(fleet.publish(guildWithout("worcester"), 1));
-  const std::int64_t drained = wallNow().mCount;
-  scenario.runOn(kDrainTime + 2_s, kDrainTime + 2_s);
-  BOOST_TEST(fleet.publishFolder(Scenario::guildFolder(), 2));
-  const std::int64_t back = wallNow().mCount;
-  const auto servesAgain = [&] {
-    for (const Run& run : fleet.runs()) {
-      if (zone.contains(run.mVm) && run.mStartMs > back) {
-        return true;
-      }
-    }
-    return false;
-  };
-  BOOST_TEST(waitFor(servesAgain, 20_s));
-  Evidence evidence = scenario.stopTraffic();
-  checkAlways(evidence);
-  expectNone(judgeAllAnswered(evidence.mResults));
-  std::erase_if(evidence.mRuns,
-                [&](const Run& aRun) { return aRun.mStartMs > back; });
-  expectNone(
-    judgeNoWorkAfter(evidence.mRuns, zone, drained + kDrainTime.mCount));
+  const std::string cold = "catalog-2";
+  moveZone(scenario, kZone, "ms=40", [&] {
+    fleet.kill(cold, Role::Upstream);
+    fleet.start(cold, Role::Upstream);
+    const auto hasStarted = [&] {
+      return countEvents(fleet, cold, "start") == 2U;
+    };
+    BOOST_TEST(waitFor(hasStarted, 5_s));
+    fleet.setUpstreamFaults(cold, { { "cold_ms", 10000 } });
+    BOOST_TEST(countEvents(fleet, cold, "cold") == 1U);
+  });
+  BOOST_TEST(countEvents(fleet, cold, "fell_over") == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(by_sigterm_cuts_no_request)
--- a/tests/unit/balance_test.cpp
+++ b/tests/unit/balance_test.cpp
@@ -1,4 +1,5 @@
 #include "model/cell_load.h"
+#include "model/zone_return.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -60,6 +61,61 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(allowance_ends_below_the_window)
+{
+  MoveAllowance allowance;
+  allowance.setMember(1, 10, 5);
+  BOOST_TEST(allowance.take(1, 1));
+  BOOST_TEST(!allowance.take(1, 3));
+  BOOST_TEST(allowance.take(1, 0.5));
+  // One shard of any load for a member without load; a window that is not
+  // known bounds nothing.
+  allowance.setMember(2, 1, 0);
+  BOOST_TEST(allowance.take(2, 4));
+  BOOST_TEST(!allowance.take(2, 0.1));
+  allowance.setMember(3, 0, 100);
+  BOOST_TEST(allowance.take(3, 100));
+}
+
+BOOST_AUTO_TEST_CASE(member_that_has_not_reported_takes_little)
+{
+  constexpr std::uint32_t kRequests = 200;
+  const CellState state = makeState(2);
+  Balancer balancer;
+  for (int second = 1; second <= 30; ++second) {
+    const Millis now{ second * 1000 };
+    balancer.onReport(makeReport(1, { { 0, kRequests } }), state, now);
+  }
+  MoveAllowance allowance = balancer.allowance(state);
+  const double load = balancer.loadAt(0, 2);
+  // 200 requests a second of 5 ms.
+  BOOST_TEST(load > 0.95);
+  BOOST_TEST(load < 1.05);
+  BOOST_TEST(allowance.take(2, load));
+  BOOST_TEST(!allowance.take(2, load));
+}
+
+BOOST_AUTO_TEST_CASE(zone_comes_back_no_faster_than_its_upstream_bears)
+{
+  using Pace = ZoneReturn::Pace;
+  constexpr std::size_t kMembers = 7;
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    ZoneReturn::Upstream::Options options;
+    options.mSeed = seed;
+    options.mOffered = 350;
+    const auto naive = ZoneReturn(options, Pace::AtOnce, kMembers).run();
+    const auto paced = ZoneReturn(options, Pace::Allowed, kMembers).run();
+    const auto refused = [](const ZoneReturn::Result& aResult) {
+      return 100.0 * aResult.mUpstream.mNotRun / aResult.mUpstream.mOffered;
+    };
+    BOOST_TEST(refused(naive) > 5.0, "seed " << seed);
+    BOOST_TEST(refused(paced) < 1.0, "seed " << seed);
+    BOOST_TEST(paced.mUpstream.mFalls == 0, "seed " << seed);
+    BOOST_TEST(paced.mShards == kShardCount / kMembers, "seed " << seed);
+    BOOST_TEST((paced.mHalfAt < 10_s), "seed " << seed);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(swinging_load_moves_nothing)
 {
   const CellState state = makeState(2);
