--- a/include/radishroad/policy/window.h
+++ b/include/radishroad/policy/window.h
@@ -35,6 +35,11 @@
   /// Requests that may be in flight at once; at least 1.
   std::uint32_t limit() const;
   double size() const;
+  /// Of limit(), how many may be not idempotent; at least 1. They cannot be
+  /// taken back when the upstream turns cold.
+  std::uint32_t notIdempotentLimit() const;
+  /// A request that callers ask for, whether or not it is sent.
+  void onOffered(bool aIdempotent);
 
   /// The upstream has started, or came back: it bears little.
   void onCold(Millis aNow);
@@ -75,6 +80,9 @@
   void startRound(Millis aNow);
   void noteExpected();
   void judge(double aMedian, Millis aNow);
+  /// Requests sent with the window full were answered as fast as others.
+  bool fullIsFast() const;
+  void forgetFull();
   void grow();
   void decayUnused();
   void shrink(double aFactor, Millis aNow);
@@ -93,10 +101,17 @@
   Millis mRoundStart;
   Millis mLastShrink;
   std::vector<double> mSamples;
+  /// Answer times of requests that filled the window when they were sent, the
+  /// evidence for growth; kept over rounds until the window changes.
+  std::vector<double> mFullSamples;
+  /// Answers, of whatever rank, since the window changed.
+  std::size_t mSinceChange = 0;
   std::uint32_t mMostInFlight = 0;
   /// Median answer time at low concurrency, in milliseconds.
   std::optional<double> mBaseline;
   double mExpected = 0;
+  /// Share of the offered requests that are not idempotent, smoothed.
+  double mNotIdempotent = 0;
   Millis mNextRefresh;
   /// Size to return to after a refresh; none while there is no refresh.
   std::optional<double> mSizeAfterRefresh;
--- a/tests/model/upstream_model.h
+++ b/tests/model/upstream_model.h
@@ -28,6 +28,8 @@
     int mIdempotentPercent = 80;
     /// Requests a second that callers offer.
     double mOffered = 400;
+    /// Instead of mOffered, if set: by the time and the size of the window.
+    std::function<double(Millis, double)> mOfferedAt;
     double mColdWarmth = 0.15;
     /// Slot-seconds of work at which a cold upstream is warm.
     double mWarmUpWork = 20;
@@ -108,9 +110,19 @@
     return std::max(1.0, mOptions.mSlots * mWarmth);
   }
 
+  double offeredAt(Millis aNow) const
+  {
+    if constexpr (requires { mWindow.size(); }) {
+      if (mOptions.mOfferedAt) {
+        return mOptions.mOfferedAt(aNow, mWindow.size());
+      }
+    }
+    return mOptions.mOffered;
+  }
+
   void arrive(Millis aNow)
   {
-    std::poisson_distribution<int> count(mOptions.mOffered / 1000.0);
+    std::poisson_distribution<int> count(offeredAt(aNow) / 1000.0);
     std::uniform_int_distribution<int> count100(0, 99);
     const int n = count(mRandom);
     for (int i = 0; i < n; ++i) {
@@ -119,10 +131,22 @@
       Job job;
       job.mArrived = aNow;
       job.mIdempotent = count100(mRandom) < mOptions.mIdempotentPercent;
+      if constexpr (requires { mWindow.onOffered(true); }) {
+        mWindow.onOffered(job.mIdempotent);
+      }
       mQueue.push_back(job);
     }
   }
 
+  bool maySend(const Job& aJob) const
+  {
+    if constexpr (requires { mWindow.notIdempotentLimit(); }) {
+      const auto n = std::ranges::count(mRunning, false, &Job::mIdempotent);
+      return aJob.mIdempotent || n < mWindow.notIdempotentLimit();
+    }
+    return true;
+  }
+
   void expire(Millis aNow)
   {
     const Millis need = mWindow.expectedTime();
@@ -146,13 +170,18 @@
   void dispatch(Millis aNow)
   {
     std::exponential_distribution<double> extra(1.0);
-    while (!mQueue.empty() && mRunning.size() < mWindow.limit()) {
+    const auto maySendIt = [this](const Job& aJob) { return maySend(aJob); };
+    while (mRunning.size() < mWindow.limit()) {
+      const auto next = std::ranges::find_if(mQueue, maySendIt);
+      if (next == mQueue.end()) {
+        return;
+      }
       if (mOptions.mShedAt > 0 && mRunning.size() >= mOptions.mShedAt) {
         mWindow.onShed(aNow);
         return;
       }
-      Job job = mQueue.front();
-      mQueue.pop_front();
+      Job job = *next;
+      mQueue.erase(next);
       job.mSent = aNow;
       // Half of the service time varies.
       job.mLeftMs = mOptions.mServiceMs * (0.5 + 0.5 * extra(mRandom));
