Show a lease-less and a retrying daemon at fault on real processes

The daemon's program is now a library function with two decisions that a program may replace (DaemonHooks): the time up to which keys are served, and whether a request of unknown outcome may run twice.

Ruled out on the way: a cut-off naive daemon under the usual traffic shows its fault in few runs only, since it soon has no tokens of the workspace's rate left; requests to open routes show it. Behind relays a killed daemon's connections stay open, so the retry case goes without them.

--- a/include/radishroad/daemon/daemon.h
+++ b/include/radishroad/daemon/daemon.h
@@ -11,6 +11,7 @@
 namespace radishroad {
 
 class CrashWatch;
+struct DaemonHooks;
 
 /// One incarnation of the daemon: all its threads and what joins them.
 class Daemon
@@ -28,7 +29,8 @@
   /// joins its cell after aJoinDelay.
   Daemon(const DaemonSettings& aSettings,
          CrashWatch& aCrashes,
-         Millis aJoinDelay);
+         Millis aJoinDelay,
+         const DaemonHooks& aHooks);
   ~Daemon();
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
--- a/include/radishroad/daemon/ingress.h
+++ b/include/radishroad/daemon/ingress.h
@@ -45,8 +45,8 @@
       mToPeer;
     /// A request was admitted; feeds the retry budget.
     std::function<void()> mOnRequest;
-    /// May an idempotent request with an unknown outcome be sent again?
-    std::function<bool()> mMayRetry;
+    /// May a request with an unknown outcome be sent again?
+    std::function<bool(const ForwardRequest&)> mMayRetry;
     ClockFn mNow;
   };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -21,8 +21,9 @@
 
 Daemon::Daemon(const DaemonSettings& aSettings,
                CrashWatch& aCrashes,
-               Millis aJoinDelay)
-  : mParts(std::make_unique<Parts>(aSettings, aCrashes, aJoinDelay))
+               Millis aJoinDelay,
+               const DaemonHooks& aHooks)
+  : mParts(std::make_unique<Parts>(aSettings, aCrashes, aJoinDelay, aHooks))
 {
 }
 
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -240,8 +240,9 @@
     sendLater(aFlight, aAnswer.reason);
     return;
   }
-  if (aAnswer.kind == AnswerKind::Unknown && aFlight->mRequest.idempotent &&
-      mHooks.mNow() < aFlight->mDeadline && mHooks.mMayRetry()) {
+  if (aAnswer.kind == AnswerKind::Unknown &&
+      mHooks.mNow() < aFlight->mDeadline &&
+      mHooks.mMayRetry(aFlight->mRequest)) {
     aFlight->mMayHaveRun = true;
     mMetrics.count("radishroad_retries_total");
     sendLater(aFlight, NotRunReason::None);
--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -22,8 +22,10 @@
 
 Daemon::Parts::Parts(const DaemonSettings& aSettings,
                      CrashWatch& aCrashes,
-                     Millis aJoinDelay)
+                     Millis aJoinDelay,
+                     DaemonHooks aHooks)
   : mSettings(aSettings)
+  , mHooks(std::move(aHooks))
   , mSelf(makeIncarnation())
   , mAuthority(mViews, mSettings.mService, mSelf)
   , mCrashes(aCrashes)
@@ -56,7 +58,9 @@
   , mMembership(mContext, monotonicNow() + aJoinDelay)
   , mLease(
       mContext,
-      [this](Millis aUntil) { mAuthority.setLeaseUntil(aUntil); },
+      [this](Millis aUntil) {
+        mAuthority.setLeaseUntil(mHooks.mServeUntil(aUntil));
+      },
       [this](Incarnation aFrom, const auto& aPositions) {
         mRelay.onPositions(aFrom, aPositions);
       })
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -9,6 +9,7 @@
 #include "radishroad/daemon/coordinator_duty.h"
 #include "radishroad/daemon/crash_watch.h"
 #include "radishroad/daemon/daemon.h"
+#include "radishroad/daemon/daemon_hooks.h"
 #include "radishroad/daemon/fleet_state.h"
 #include "radishroad/daemon/fleet_view.h"
 #include "radishroad/daemon/handoff_duty.h"
@@ -41,7 +42,8 @@
 {
   Parts(const DaemonSettings& aSettings,
         CrashWatch& aCrashes,
-        Millis aJoinDelay);
+        Millis aJoinDelay,
+        DaemonHooks aHooks);
 
   Result<void> start();
   void stop();
@@ -51,6 +53,7 @@
   nlohmann::json describe();
 
   const DaemonSettings mSettings;
+  const DaemonHooks mHooks;
   const Incarnation mSelf;
   Metrics mMetrics;
   Timer mTimer;
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -132,7 +132,9 @@
     mLink->forward(aAddress, std::move(aRequest), std::move(aAnswer));
   };
   hooks.mOnRequest = [this] { mCrashes.onRequest(); };
-  hooks.mMayRetry = [this] { return mCrashes.mayRetry(monotonicNow()); };
+  hooks.mMayRetry = [this](const ForwardRequest& aRequest) {
+    return mHooks.mMayRunTwice(aRequest) && mCrashes.mayRetry(monotonicNow());
+  };
   hooks.mNow = monotonicNow;
   return hooks;
 }
--- /dev/null
+++ b/src/daemon/program.cpp
@@ -0,0 +1,105 @@
+#include "radishroad/daemon/program.h"
+
+#include "radishroad/base/json_log.h"
+#include "radishroad/daemon/crash_watch.h"
+#include "radishroad/daemon/daemon.h"
+#include "radishroad/daemon/settings.h"
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+#include <curl/curl.h>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace radishroad {
+
+namespace {
+
+/// Exit status for settings that are not accepted.
+constexpr int kExitUsage = 2;
+/// Exit status for an address that cannot be bound.
+constexpr int kExitCannotStart = 3;
+/// An incarnation that lived so long did not fail at once.
+constexpr Millis kLongLife{ 60000 };
+constexpr Millis kJoinDelayStep{ 500 };
+constexpr Millis kLongestJoinDelay{ 30000 };
+
+std::atomic<bool> sStopRequested{ false };
+
+void
+onStopSignal(int)
+{
+  sStopRequested = true;
+}
+
+void
+installSignals()
+{
+  std::signal(SIGTERM, onStopSignal);
+  std::signal(SIGINT, onStopSignal);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+std::optional<std::string>
+readEnvironment(const std::string& aName)
+{
+  const char* text = std::getenv(aName.c_str());
+  return text == nullptr ? std::nullopt : std::optional<std::string>(text);
+}
+
+int
+runDaemon(const DaemonSettings& aSettings, const DaemonHooks& aHooks)
+{
+  // What crashes upstreams is remembered from one incarnation to the next.
+  CrashWatch crashes;
+  Millis joinDelay;
+  while (true) {
+    const Millis startedAt = monotonicNow();
+    Daemon daemon(aSettings, crashes, joinDelay, aHooks);
+    const Result<Daemon::RunEnd> end =
+      daemon.run([] { return sStopRequested.load(); });
+    if (!end) {
+      logEvent(
+        LogLevel::Error, "cannot_start", { { "error", end.error().mMessage } });
+      return kExitCannotStart;
+    }
+    if (*end == Daemon::RunEnd::Stopped) {
+      return EXIT_SUCCESS;
+    }
+    // A daemon that its peers cannot reach would join and be expelled again
+    // and again, and take shards each time.
+    const bool livedLong = monotonicNow() - startedAt > kLongLife;
+    joinDelay = livedLong
+                  ? Millis{}
+                  : std::min(joinDelay * 2 + kJoinDelayStep, kLongestJoinDelay);
+  }
+}
+
+}
+
+int
+runDaemonProgram(int aCount, char** aArguments, const DaemonHooks& aHooks)
+{
+  const tl::expected<DaemonCommand, Findings> command =
+    readSettings(aCount, const_cast<const char**>(aArguments), readEnvironment);
+  if (!command) {
+    for (const Finding& finding : command.error()) {
+      std::cerr << "radishroadd: " << finding.toString() << '\n';
+    }
+    return kExitUsage;
+  }
+  if (command->mCheckOnly) {
+    std::cout << "settings accepted\n";
+    return EXIT_SUCCESS;
+  }
+  const DaemonSettings& settings = command->mSettings;
+  startLog("daemon", settings.mVm, settings.mZone, settings.logLevel());
+  curl_global_init(CURL_GLOBAL_ALL);
+  installSignals();
+  return runDaemon(settings, aHooks);
+}
+
+}
--- a/tests/process/partition_test.cpp
+++ b/tests/process/partition_test.cpp
@@ -20,14 +20,6 @@
   return options;
 }
 
-void
-isolateFromLog(Fleet& aFleet, const std::string& aVm, bool aOn)
-{
-  aFleet.setLink({ { "link", "log-" + aVm },
-                   { "hold_forward", aOn },
-                   { "hold_back", aOn } });
-}
-
 }
 
 BOOST_AUTO_TEST_SUITE(partition)
@@ -38,7 +30,7 @@
   Fleet& fleet = scenario.fleet();
   const std::string victim = scenario.drawVm("catalog");
   scenario.startTraffic();
-  isolateFromLog(fleet, victim, true);
+  fleet.isolateFromLog(victim, true);
   scenario.runOn(7_s, 8_s);
   // A new configuration reaches it by way of its peers.
   BOOST_TEST(fleet.publishFolder(Scenario::guildFolder(), 1));
@@ -75,11 +67,9 @@
   // Callers still reach the daemon that is cut off.
   scenario.startTraffic({}, "ms=10");
   scenario.runOn(1_s, 2_s);
-  fleet.isolateFromPeers(victim, true);
-  isolateFromLog(fleet, victim, true);
+  fleet.isolate(victim, true);
   scenario.runOn(4_s, 5_s);
-  fleet.isolateFromPeers(victim, false);
-  isolateFromLog(fleet, victim, false);
+  fleet.isolate(victim, false);
   scenario.runOn(2_s, 2_s);
   checkAlways(scenario.stopTraffic());
 }
@@ -112,8 +102,7 @@
   scenario.startTraffic(zone, "ms=10");
   scenario.runOn(1_s, 2_s);
   for (const std::string& vm : zone) {
-    fleet.isolateFromPeers(vm, true);
-    isolateFromLog(fleet, vm, true);
+    fleet.isolate(vm, true);
   }
   scenario.runOn(5_s, 5_s);
   const Evidence evidence = scenario.stopTraffic();
--- a/tests/process/support/fleet.cpp
+++ b/tests/process/support/fleet.cpp
@@ -30,8 +30,10 @@
 std::string
 program(const std::string& aName)
 {
-  const bool isDaemon = aName == "radishroadd" || aName == "radishroad";
-  return (kBuildFolder / (isDaemon ? "src/main" : "tools") / aName).string();
+  const bool isProduct = aName == "radishroadd" || aName == "radishroad";
+  const bool isNaive = aName.starts_with("naive_");
+  const fs::path folder = isProduct ? "src/main" : isNaive ? "tests" : "tools";
+  return (kBuildFolder / folder / aName).string();
 }
 
 template<typename Change>
@@ -149,7 +151,7 @@
 {
   const std::string ip = mAddresses.ip(aVm.mHost);
   const std::string relayIp = mAddresses.ip(aVm.mHost + kRelayOffset);
-  std::vector<std::string> command = { program("radishroadd"),
+  std::vector<std::string> command = { program(mOptions.mDaemonProgram),
                                        "--vm",
                                        aVm.mSpec.mName,
                                        "--zone",
@@ -302,4 +304,19 @@
   setLink(incoming);
 }
 
+void
+Fleet::isolateFromLog(const std::string& aVm, bool aOn)
+{
+  setLink({ { "link", "log-" + aVm },
+            { "hold_forward", aOn },
+            { "hold_back", aOn } });
+}
+
+void
+Fleet::isolate(const std::string& aVm, bool aOn)
+{
+  isolateFromPeers(aVm, aOn);
+  isolateFromLog(aVm, aOn);
+}
+
 }
--- a/tests/process/support/fleet.h
+++ b/tests/process/support/fleet.h
@@ -42,6 +42,8 @@
     std::vector<VmSpec> mVms;
     std::vector<std::string> mLogArguments;
     std::vector<std::string> mUpstreamArguments;
+    /// Program that each daemon runs.
+    std::string mDaemonProgram = "radishroadd";
     std::vector<std::string> mDaemonArguments;
     /// Puts a relay in front of each daemon's peer port and of the log.
     bool mRelays = false;
@@ -76,6 +78,10 @@
   void setLink(const nlohmann::json& aRule);
   /// Holds back, or lets go, all bytes between a daemon and its peers.
   void isolateFromPeers(const std::string& aVm, bool aOn);
+  /// Holds back, or lets go, all bytes between a daemon and the log.
+  void isolateFromLog(const std::string& aVm, bool aOn);
+  /// Both; callers still reach the daemon.
+  void isolate(const std::string& aVm, bool aOn);
 
   std::string caller(const std::string& aVm) const;
   std::string operatorAddress(const std::string& aVm) const;
--- a/tests/process/support/scenario.cpp
+++ b/tests/process/support/scenario.cpp
@@ -64,6 +64,7 @@
   }
   options.mVms = guildVms(aOptions.mCatalog, aOptions.mLibrary);
   options.mRelays = aOptions.mRelays;
+  options.mDaemonProgram = aOptions.mDaemonProgram;
   options.mDaemonArguments = aOptions.mDaemonArguments;
   options.mUpstreamArguments = aOptions.mUpstreamArguments;
   return options;
--- a/tests/process/support/scenario.h
+++ b/tests/process/support/scenario.h
@@ -40,6 +40,7 @@
     bool mRelays = false;
     /// Lets each daemon obtain tokens for the workspace before the traffic.
     bool mWarmUp = true;
+    std::string mDaemonProgram = "radishroadd";
     std::vector<std::string> mDaemonArguments;
     std::vector<std::string> mUpstreamArguments;
   };
