Stop a withdrawn key on requests held up between daemons

A daemon was cut off from the log and its peers while a key was withdrawn; callers still reached it.

Cause, by the journals: the daemon had forwarded them before it knew that its peers were gone. They lay in its connections until the cut healed, and the owners ran them with all of their time left. Requests that waited in the daemon for an owner or for tokens ran as well.

Measuring the delay: daemons' clocks are not compared. Asking the gate before each run: a lease check in mid-run would cut a running request whose key has just been withdrawn.

A forwarded request now carries the stored form of the caller's key and the configuration by which it was accepted; the ingress checks it before each attempt, the owner's daemon as it arrives. A receiver with an older configuration than the sender's lets it pass. A request whose configuration is no longer known to be fresh waits for that until its deadline.

Not covered: a request that waits in the owner's own queue, up to its deadline.

--- a/include/radishroad/daemon/ingress.h
+++ b/include/radishroad/daemon/ingress.h
@@ -65,6 +65,10 @@
   NotRunReason prepare(CallerRequest& aRequest,
                        const FleetView& aView,
                        Flight& aFlight) const;
+  /// Whether the caller's key still counts; asked before each attempt, as it
+  /// may be withdrawn while the request waits.
+  NotRunReason checkCaller(const ForwardRequest& aRequest,
+                           const FleetView& aView) const;
   void admit(const FlightPtr& aFlight);
   void send(const FlightPtr& aFlight);
   void onAnswer(const FlightPtr& aFlight, Answer aAnswer);
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -4,6 +4,7 @@
 #include "radishroad/base/timer.h"
 #include "radishroad/config/model.h"
 #include "radishroad/config/route_match.h"
+#include "radishroad/daemon/caller_key.h"
 #include "radishroad/daemon/fleet_view.h"
 
 #include <algorithm>
@@ -35,21 +36,16 @@
   return std::nullopt;
 }
 
-/// The workspace of the caller's key; nothing if the key is not known.
-std::optional<std::string>
-findWorkspace(const config::Model& aModel,
-              const std::vector<wire::HeaderT>& aHeaders)
+/// Stored form of the caller's key; empty if the request has none.
+std::string
+findKeyHash(const std::vector<wire::HeaderT>& aHeaders)
 {
   const std::optional<std::string_view> value =
     findHeader(aHeaders, "authorization");
   if (!value || !boost::algorithm::istarts_with(*value, kBearer)) {
-    return std::nullopt;
+    return {};
   }
-  const auto it =
-    aModel.mWorkspaceOfKey.find(sha256Hex(value->substr(kBearer.size())));
-  return it == aModel.mWorkspaceOfKey.end()
-           ? std::nullopt
-           : std::optional<std::string>(it->second);
+  return sha256Hex(value->substr(kBearer.size()));
 }
 
 /// Refusals that another try may overcome: the key moves or waits.
@@ -74,6 +70,7 @@
   Millis mDeadline;
   /// Time up to which the request waits for its workspace's tokens.
   Millis mAdmitUntil;
+  /// The route is open and the caller has no known key.
   bool mOpen = false;
   /// Told to wait for tokens.
   bool mHeldForToken = false;
@@ -134,19 +131,18 @@
     return NotRunReason::NoRoute;
   }
   const config::Route& route = *match->mRoute;
-  const std::optional<std::string> workspace =
-    findWorkspace(model, aRequest.mHeaders);
+  const std::string callerKey = findKeyHash(aRequest.mHeaders);
+  ForwardRequest& request = aFlight.mRequest;
+  request.workspace = findWorkspace(model, callerKey);
+  request.config_version = aView.mConfigVersion;
+  aFlight.mOpen = route.mOpen && request.workspace.empty();
   if (!route.mOpen) {
-    if (!workspace) {
-      return NotRunReason::Unauthorized;
-    }
-    if (!mHooks.mConfigFresh()) {
-      // A key withdrawn meanwhile must not pass; better refused than wrong.
-      return NotRunReason::NoOwner;
+    request.caller_key = callerKey;
+    const NotRunReason reason = checkCaller(request, aView);
+    if (reason != NotRunReason::None) {
+      return reason;
     }
   }
-  ForwardRequest& request = aFlight.mRequest;
-  request.workspace = workspace.value_or("");
   request.service = route.mService;
   request.key_hash = hash64(match->mKey);
   request.shard = shardOf(request.key_hash);
@@ -162,13 +158,26 @@
     }
   }
   request.body.assign(aRequest.mBody.begin(), aRequest.mBody.end());
-  aFlight.mOpen = route.mOpen && !workspace;
   aFlight.mDeadline =
     aFlight.mReceivedAt + model.mServices.at(route.mService).mDeadline;
   aFlight.mAdmitUntil = aFlight.mReceivedAt + kMaxAdmitWait;
   return NotRunReason::None;
 }
 
+NotRunReason
+Ingress::checkCaller(const ForwardRequest& aRequest,
+                     const FleetView& aView) const
+{
+  if (aRequest.caller_key.empty()) {
+    return NotRunReason::None;
+  }
+  if (aRequest.workspace.empty() || isKeyWithdrawn(aView, aRequest)) {
+    return NotRunReason::Unauthorized;
+  }
+  // A key withdrawn meanwhile must not pass; better refused than wrong.
+  return mHooks.mConfigFresh() ? NotRunReason::None : NotRunReason::NoOwner;
+}
+
 void
 Ingress::admit(const FlightPtr& aFlight)
 {
@@ -210,6 +219,15 @@
     return;
   }
   const std::shared_ptr<const FleetView> view = mViews.get();
+  const NotRunReason reason = checkCaller(aFlight->mRequest, *view);
+  if (reason == NotRunReason::NoOwner) {
+    sendLater(aFlight, reason);
+    return;
+  }
+  if (reason != NotRunReason::None) {
+    finish(aFlight, makeNotRun(idOf(aFlight->mRequest), reason));
+    return;
+  }
   const CellState* cell = view->cell(aFlight->mRequest.service);
   const Ownership ownership =
     cell == nullptr ? Ownership{} : ownerOf(*cell, aFlight->mRequest.key_hash);
@@ -219,6 +237,7 @@
   }
   ForwardRequest request = aFlight->mRequest;
   request.time_left_ms = left.mCount;
+  request.config_version = view->mConfigVersion;
   request.epoch = ownership.mEpoch;
   request.view_offset = cell->mNextOffset;
   AnswerFn onAnswer = [this, aFlight](Answer aAnswer) {
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -1,6 +1,7 @@
 #include "radishroad/base/json_log.h"
 
 #include "parts.h"
+#include "radishroad/daemon/caller_key.h"
 #include "radishroad/ownership/ownership_change.h"
 
 #include <nlohmann/json.hpp>
@@ -84,6 +85,10 @@
     mLoop.tryPost([this, aFrom, body] { onControlFrame(aFrom, *body); });
   };
   hooks.mOnRequest = [this](ForwardRequest aRequest, AnswerFn aAnswer) {
+    if (isKeyWithdrawn(*mViews.get(), aRequest)) {
+      aAnswer(makeNotRun(idOf(aRequest), NotRunReason::Unauthorized));
+      return;
+    }
     mGate->submit(std::move(aRequest), std::move(aAnswer));
   };
   hooks.mOnCancel = [this](RandomId aId) { mGate->cancel(aId); };
--- a/tests/process/operators_test.cpp
+++ b/tests/process/operators_test.cpp
@@ -3,8 +3,10 @@
 #include "support/scenario.h"
 #include "support/wait.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <span>
 #include <thread>
 
 namespace radishroad::test {
@@ -66,6 +68,65 @@
   BOOST_TEST(after == 0U);
 }
 
+bool
+isInForceBut(const Fleet& aFleet,
+             const std::string& aVm,
+             std::uint64_t aVersion)
+{
+  for (const std::string& vm : aFleet.vmsOf("catalog")) {
+    const nlohmann::json state = aFleet.state(vm);
+    if (vm != aVm &&
+        (!state.is_object() || state.value("config_version", 0U) != aVersion)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/// Requests with the withdrawn key that were sent to a daemon after the time
+/// and were answered by an upstream.
+std::size_t
+countAccepted(std::span<const tools::LoadResult> aResults,
+              const std::string& aCaller,
+              std::int64_t aWallMs)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aResults.begin(), aResults.end(), [&](const tools::LoadResult& aResult) {
+      const auto latency = static_cast<std::int64_t>(aResult.mLatencyMs);
+      return aResult.mStatus == 200 &&
+             aResult.mEndedWallMs - latency > aWallMs &&
+             aResult.mRequest.mUrl.starts_with("http://" + aCaller + "/");
+    }));
+}
+
+/// Withdraws a key while one daemon is cut off from the log and from its
+/// peers for the given time; callers reach it all the while.
+void
+checkCutOffDaemon(const std::string& aName, std::uint64_t aSeed, Millis aCutFor)
+{
+  Scenario::Options options(aName, aSeed);
+  options.mRelays = true;
+  Scenario scenario(options);
+  Fleet& fleet = scenario.fleet();
+  const std::string victim = scenario.drawVm("catalog");
+  const std::unique_ptr<Traffic> traffic = startKeyTraffic(fleet, aSeed);
+  scenario.runOn(1_s, 1_s);
+  fleet.isolate(victim, true);
+  const Millis cutAt = monotonicNow();
+  BOOST_TEST(fleet.publish(guildWithoutKey(), 1));
+  BOOST_TEST(
+    waitFor([&] { return isInForceBut(fleet, victim, 2); }, kWithdrawTime));
+  const std::int64_t limit = wallNow().mCount + kWithdrawTime.mCount;
+  const Millis rest = cutAt + aCutFor - monotonicNow();
+  scenario.runOn(rest, rest);
+  fleet.isolate(victim, false);
+  scenario.runOn(4_s, 4_s);
+  const std::vector<tools::LoadResult> results = traffic->stop();
+  BOOST_TEST(countAccepted(results, fleet.caller(victim), 0) > 0U);
+  BOOST_TEST(countAccepted(results, fleet.caller(victim), limit) == 0U);
+  checkWithdrawn(fleet, limit);
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(operators)
@@ -126,6 +187,17 @@
   checkWithdrawn(fleet, withdrawn + kWithdrawTime.mCount);
 }
 
+BOOST_AUTO_TEST_CASE(withdrawn_key_stops_on_cut_off_daemon)
+{
+  checkCutOffDaemon("key_withdrawn_cut_off", 64, 8_s);
+}
+
+BOOST_AUTO_TEST_CASE(withdrawn_key_stops_on_daemon_back_soon)
+{
+  // What the daemon accepted while its configuration seemed fresh still waits.
+  checkCutOffDaemon("key_withdrawn_back_soon", 65, 5200_ms);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
