Replay recorded runs of real processes through the core

The core's rules were tested on made-up histories only; nothing held it to what real processes did.

A daemon logs, at level debug, the promises and consents that it sends and the promises that it receives, and at level info when its lease begins and ends to be held. The runs come from the upstreams, so a change of the core that moves a key's owner or lets a lease last longer shows, not just one that differs from itself.

Ruled out: comparing heldUntil to the millisecond, since a change of the witness set is in doubt for a time that is not recorded; data test cases, since scripts/test.sh lists cases by name.

--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -59,6 +59,7 @@
   , mLease(
       mContext,
       [this](Millis aUntil) {
+        mLeaseLog.onLease(aUntil, monotonicNow());
         mAuthority.setLeaseUntil(mHooks.mServeUntil(aUntil));
       },
       [this](Incarnation aFrom, const auto& aPositions) {
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -15,6 +15,7 @@
 #include "radishroad/daemon/handoff_duty.h"
 #include "radishroad/daemon/ingress.h"
 #include "radishroad/daemon/lease_duty.h"
+#include "radishroad/daemon/lease_log.h"
 #include "radishroad/daemon/membership_duty.h"
 #include "radishroad/daemon/rate_duty.h"
 #include "radishroad/daemon/recorder.h"
@@ -73,6 +74,7 @@
   std::unique_ptr<PeerLink> mLink;
   ControlContext mContext;
   MembershipDuty mMembership;
+  LeaseLog mLeaseLog;
   LeaseDuty mLease;
   HandoffDuty mHandoff;
   CoordinatorDuty mCoordinator;
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -249,6 +249,7 @@
   const Member* member = mFleet.findMember(aTo);
   // One that has left serves callers for a moment and needs tokens for them.
   if (member != nullptr && member->mStatus != MemberStatus::Expelled) {
+    logSentFrame(aBody, monotonicNow());
     mLink->sendControl(member->mPeerAddress, aTo, std::move(aBody));
   }
 }
@@ -257,6 +258,7 @@
 Daemon::Parts::onControlFrame(Incarnation aFrom,
                               const wire::FrameBodyUnion& aBody)
 {
+  logReceivedFrame(aBody, monotonicNow());
   switch (aBody.type) {
     case wire::FrameBody::Renew:
       mLease.onRenew(aFrom, *aBody.AsRenew());
--- a/tests/process/drain_test.cpp
+++ b/tests/process/drain_test.cpp
@@ -1,4 +1,3 @@
-#include "radishroad/config/folder.h"
 #include "support/scenario.h"
 #include "support/wait.h"
 
@@ -14,21 +13,6 @@
 /// "A few seconds" after a drain.
 constexpr Millis kDrainTime = 5_s;
 
-std::vector<ConfigText>
-guildWithout(const std::string& aZone)
-{
-  std::vector<ConfigText> files =
-    config::readFolder(Scenario::guildFolder()).value();
-  for (ConfigText& file : files) {
-    const std::size_t zone = file.mText.find("  " + aZone + ":\n");
-    if (zone != std::string::npos) {
-      const std::size_t value = file.mText.find("true", zone);
-      file.mText.replace(value, 4, "false");
-    }
-  }
-  return files;
-}
-
 /// Ends a daemon by SIGTERM under traffic, also through it. Requests that
 /// found its port closed are left out: it has stopped by then.
 Evidence
@@ -79,7 +63,7 @@
   const std::set<std::string> zone = { "catalog-2", "library-2" };
   scenario.startTraffic({}, "ms=10");
   scenario.runOn(1_s, 2_s);
-  BOOST_TEST(fleet.publish(guildWithout("worcester"), 1));
+  BOOST_TEST(fleet.publish(guildWithoutZone("worcester"), 1));
   const std::int64_t drained = wallNow().mCount;
   scenario.runOn(kDrainTime + 2_s, kDrainTime + 2_s);
   BOOST_TEST(fleet.publishFolder(Scenario::guildFolder(), 2));
--- a/tests/process/support/scenario.cpp
+++ b/tests/process/support/scenario.cpp
@@ -1,5 +1,6 @@
 #include "support/scenario.h"
 
+#include "radishroad/config/folder.h"
 #include "support/http_call.h"
 #include "support/wait.h"
 
@@ -183,6 +184,21 @@
   return pathsOfKeys("/catalog/", "/purchase");
 }
 
+std::vector<ConfigText>
+guildWithoutZone(const std::string& aZone)
+{
+  std::vector<ConfigText> files =
+    config::readFolder(Scenario::guildFolder()).value();
+  for (ConfigText& file : files) {
+    const std::size_t zone = file.mText.find("  " + aZone + ":\n");
+    if (zone != std::string::npos) {
+      const std::size_t value = file.mText.find("true", zone);
+      file.mText.replace(value, 4, "false");
+    }
+  }
+  return files;
+}
+
 void
 expectNone(const Faults& aFaults)
 {
--- a/tests/process/support/scenario.h
+++ b/tests/process/support/scenario.h
@@ -75,6 +75,10 @@
 std::vector<std::string>
 guildPosts();
 
+/// The Guild's configuration with an availability zone out of service.
+std::vector<ConfigText>
+guildWithoutZone(const std::string& aZone);
+
 /// Fails the test for each fault, showing the first few.
 void
 expectNone(const Faults& aFaults);
--- /dev/null
+++ b/tests/process/support/trace_recorder.h
@@ -0,0 +1,33 @@
+#ifndef RADISHROAD_TESTS_PROCESS_SUPPORT_TRACE_RECORDER_H
+#define RADISHROAD_TESTS_PROCESS_SUPPORT_TRACE_RECORDER_H
+
+#include "support/fleet.h"
+#include "support/runs.h"
+
+#include <span>
+#include <string>
+
+namespace radishroad::test {
+
+/// What a trace is about: a service's cell, and one daemon of it whose lease
+/// is recorded.
+struct TraceSubject
+{
+  std::string mService;
+  std::string mHolderVm;
+  /// What an owner waits after a loss; 0 where upstreams check fences.
+  Millis mTakeoverWait;
+};
+
+/// Writes trace.jsonl (see tests/traces/README.md) into the fleet's folder:
+/// the log's records with what each changes, what the daemons logged of leases
+/// and configurations, and the runs in the upstreams' journals. The daemons
+/// have to log at level debug.
+void
+recordTrace(const Fleet& aFleet,
+            const TraceSubject& aSubject,
+            std::span<const Run> aRuns);
+
+}
+
+#endif
--- /dev/null
+++ b/tests/unit/replay_test.cpp
@@ -0,0 +1,104 @@
+#include "replay_trace.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace radishroad::testing {
+
+namespace {
+
+using nlohmann::json;
+
+void
+checkTrace(const std::string& aName)
+{
+  const ReplayTrace trace(ReplayTrace::read(aName));
+  const ReplayTrace::Faults faults = trace.check();
+  BOOST_TEST(faults.empty());
+  for (const std::string& fault : faults) {
+    BOOST_TEST_MESSAGE(fault);
+  }
+}
+
+/// Lines of a kind of the trace.
+std::vector<json*>
+linesOf(ReplayTrace::Lines& aLines, std::string_view aKind)
+{
+  std::vector<json*> found;
+  for (json& line : aLines) {
+    if (line.at("kind") == aKind) {
+      found.push_back(&line);
+    }
+  }
+  return found;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(replay)
+
+BOOST_AUTO_TEST_CASE(loss_of_daemon)
+{
+  checkTrace("loss_of_daemon");
+}
+
+BOOST_AUTO_TEST_CASE(one_way_cut)
+{
+  checkTrace("one_way_cut");
+}
+
+BOOST_AUTO_TEST_CASE(log_outage_with_lost_answers)
+{
+  checkTrace("log_outage_with_lost_answers");
+}
+
+BOOST_AUTO_TEST_CASE(racing_operators)
+{
+  checkTrace("racing_operators");
+}
+
+BOOST_AUTO_TEST_CASE(zone_out_and_back)
+{
+  checkTrace("zone_out_and_back");
+}
+
+/// Traces with a wrong outcome, to see that the replay notices.
+BOOST_AUTO_TEST_CASE(wrong_traces)
+{
+  const ReplayTrace::Lines whole = ReplayTrace::read("one_way_cut");
+
+  ReplayTrace::Lines lines = whole;
+  std::erase_if(lines, [](const json& aLine) {
+    return aLine.contains("changes") && aLine["changes"].contains("members") &&
+           aLine["changes"]["members"].contains("library-1") &&
+           aLine["changes"]["members"]["library-1"] == "expelled";
+  });
+  BOOST_TEST(lines.size() < whole.size());
+  BOOST_TEST(!ReplayTrace(lines).checkRecords().empty());
+  BOOST_TEST(!ReplayTrace(lines).checkRuns().empty());
+
+  lines = whole;
+  const std::int64_t lapsed =
+    linesOf(lines, "lease_lapsed").at(0)->at("now_ms");
+  const std::int64_t offset =
+    linesOf(lines, "clock").at(0)->at("wall_minus_monotonic_ms");
+  constexpr std::int64_t kLateMs = 100;
+  linesOf(lines, "served").at(0)->at("ms").push_back(lapsed + offset + kLateMs);
+  BOOST_TEST(!ReplayTrace(lines).checkHolder().empty());
+
+  lines = whole;
+  json promise = *linesOf(lines, "promise_sent").at(0);
+  const json consent = *linesOf(lines, "consent_sent").at(0);
+  promise["witness"] = consent["witness"];
+  promise["version"] = consent["version"];
+  promise["now_ms"] = consent["now_ms"];
+  lines.push_back(promise);
+  BOOST_TEST(!ReplayTrace(lines).checkWitnesses().empty());
+
+  lines = whole;
+  linesOf(lines, "config_in_force").at(0)->at("version") = 2;
+  BOOST_TEST(!ReplayTrace(lines).checkConfig().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- /dev/null
+++ b/tests/unit/replay_trace.cpp
@@ -0,0 +1,360 @@
+#include "replay_trace.h"
+
+#include <algorithm>
+#include <boost/algorithm/hex.hpp>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+
+namespace radishroad::testing {
+
+namespace {
+
+using nlohmann::json;
+
+/// Clocks are recorded in whole milliseconds.
+constexpr Millis kRounding{ 2 };
+/// From the decision to run a request to its start in the upstream's journal.
+constexpr Millis kDelivery{ 50 };
+
+LogRecord
+toRecord(const json& aLine)
+{
+  LogRecord record;
+  record.mOffset = aLine.at("offset");
+  record.mWallTime = Millis{ aLine.at("ms") };
+  const std::string data = aLine.at("data");
+  boost::algorithm::unhex(data, std::back_inserter(record.mData));
+  return record;
+}
+
+bool
+isConfig(const json& aLine)
+{
+  return aLine.at("stream") == kConfigStream;
+}
+
+bool
+isKind(const json& aLine, std::string_view aKind)
+{
+  return aLine.at("kind") == aKind;
+}
+
+std::uint64_t
+number(const json& aLine, const char* aName)
+{
+  return std::stoull(aLine.at(aName).get<std::string>());
+}
+
+}
+
+ReplayTrace::Lines
+ReplayTrace::read(const std::string& aName)
+{
+  const std::string path =
+    std::string(RADISHROAD_SOURCE_DIR) + "/tests/traces/" + aName + ".jsonl";
+  std::ifstream in(path);
+  Lines lines;
+  std::string line;
+  while (std::getline(in, line)) {
+    lines.push_back(json::parse(line));
+  }
+  if (lines.empty()) {
+    throw std::runtime_error("no trace in " + path);
+  }
+  return lines;
+}
+
+ReplayTrace::ReplayTrace(Lines aLines)
+  : mLines(std::move(aLines))
+{
+  for (const json& line : mLines) {
+    if (isKind(line, "about")) {
+      mHolderVm = line.at("holder_vm");
+      mWait = Millis{ line.at("takeover_wait_ms") };
+    } else if (isKind(line, "clock")) {
+      mWallMinusMonotonic = Millis{ line.at("wall_minus_monotonic_ms") };
+    }
+  }
+  CellState state;
+  TakeoverGuard guard;
+  for (const json& line : mLines) {
+    if (!isKind(line, "record") || isConfig(line)) {
+      continue;
+    }
+    const CellState before = state;
+    const LogRecord record = toRecord(line);
+    fold(state, record);
+    mHistory.note(state, record.mWallTime);
+    mStates.push_back({ record.mWallTime, state });
+    const Millis now = toMonotonic(record.mWallTime.mCount);
+    guard.onStates(before, state, now, mWait);
+    for (Shard shard = 0; shard < kShardCount; ++shard) {
+      const Ownership& ownership = state.mShards[shard];
+      if (ownership != before.mShards[shard]) {
+        mServeFrom[{ shard, ownership.mEpoch }] = guard.serveFrom(shard);
+      }
+    }
+    for (const auto& [incarnation, member] : state.mMembers) {
+      if (mHolder == 0 && member.mVm == mHolderVm) {
+        mHolder = incarnation;
+      }
+    }
+    const auto holder = state.mMembers.find(mHolder);
+    if (holder != state.mMembers.end()) {
+      mSets.try_emplace(holder->second.mWitnessVersion, holder->second);
+    }
+  }
+}
+
+Millis
+ReplayTrace::toMonotonic(std::int64_t aWallMs) const
+{
+  return Millis{ aWallMs } - mWallMinusMonotonic;
+}
+
+ReplayTrace::Faults
+ReplayTrace::checkRecords() const
+{
+  Faults faults;
+  CellState cell;
+  ConfigState config;
+  for (const json& line : mLines) {
+    if (!isKind(line, "record")) {
+      continue;
+    }
+    const LogRecord record = toRecord(line);
+    const CellState before = cell;
+    const FoldVerdict verdict =
+      isConfig(line) ? fold(config, record) : fold(cell, record);
+    const bool same =
+      verdictName(verdict) == line.at("verdict") &&
+      (isConfig(line) ? line.at("config_version") == config.mVersion
+                      : line.at("changes") == describeChanges(before, cell));
+    if (!same) {
+      faults.push_back("record " + line.at("stream").get<std::string>() + " " +
+                       std::to_string(record.mOffset) + ": " +
+                       verdictName(verdict) + " " +
+                       describeChanges(before, cell).dump());
+    }
+  }
+  return faults;
+}
+
+ReplayTrace::Faults
+ReplayTrace::checkRuns() const
+{
+  Faults faults;
+  for (const json& line : mLines) {
+    if (!isKind(line, "runs")) {
+      continue;
+    }
+    const std::uint64_t key = number(line, "key");
+    const Epoch epoch = line.at("epoch");
+    const Millis first{ line.at("first_ms") };
+    const OwnerHistory::Entry* entry = mHistory.find(key, epoch);
+    if (entry == nullptr || entry->mVm != line.at("vm") ||
+        first + kRounding < entry->mSince) {
+      faults.push_back("not the owner: " + line.dump());
+      continue;
+    }
+    const auto from = mServeFrom.find({ shardOf(key), epoch });
+    if (from != mServeFrom.end() &&
+        toMonotonic(first.mCount) + kRounding < from->second) {
+      faults.push_back("before the wait had ended: " + line.dump());
+    }
+  }
+  return faults;
+}
+
+std::vector<ReplayTrace::Event>
+ReplayTrace::holderEvents() const
+{
+  std::vector<Event> events;
+  std::uint32_t version = 0;
+  bool adopted = false;
+  for (const State& state : mStates) {
+    const auto it = state.mState.mMembers.find(mHolder);
+    if (it == state.mState.mMembers.end() ||
+        (adopted && it->second.mWitnessVersion == version)) {
+      continue;
+    }
+    adopted = true;
+    version = it->second.mWitnessVersion;
+    Event event;
+    event.mAt = toMonotonic(state.mWallTime.mCount);
+    event.mAdopted = &mSets.at(version);
+    events.push_back(event);
+  }
+  for (const json& line : mLines) {
+    if (isKind(line, "promise_received") || isKind(line, "lease_held") ||
+        isKind(line, "lease_lapsed")) {
+      events.push_back({ Millis{ line.at("now_ms") }, &line });
+    } else if (isKind(line, "served")) {
+      for (const std::int64_t ms : line.at("ms")) {
+        events.push_back({ toMonotonic(ms), &line, nullptr, true });
+      }
+    }
+  }
+  std::stable_sort(events.begin(),
+                   events.end(),
+                   [](const Event& aFirst, const Event& aSecond) {
+                     return aFirst.mAt < aSecond.mAt;
+                   });
+  return events;
+}
+
+/// A daemon collects promises for its next set before it proposes that.
+void
+ReplayTrace::prepareNext(LeaseHolder& aHolder, std::uint32_t aVersion) const
+{
+  const auto next = mSets.find(aVersion + 1);
+  if (next != mSets.end()) {
+    aHolder.prepareChange(next->second.mWitnesses);
+  }
+}
+
+void
+ReplayTrace::checkHolderEvent(const Event& aEvent,
+                              LeaseHolder& aHolder,
+                              Faults& aFaults) const
+{
+  const std::string at = " at " + std::to_string(aEvent.mAt.mCount);
+  if (aEvent.mAdopted != nullptr) {
+    aHolder.adopt(aEvent.mAdopted->mWitnessVersion,
+                  aEvent.mAdopted->mWitnesses);
+    prepareNext(aHolder, aEvent.mAdopted->mWitnessVersion);
+    return;
+  }
+  if (aEvent.mServed) {
+    if (!aHolder.holds(aEvent.mAt - kDelivery)) {
+      aFaults.push_back("served without a lease" + at);
+    }
+    return;
+  }
+  const json& line = *aEvent.mLine;
+  if (isKind(line, "promise_received")) {
+    aHolder.onPromise(number(line, "witness"),
+                      line.at("version"),
+                      Millis{ line.at("sent_ms") });
+  } else if (isKind(line, "lease_held") && !aHolder.holds(aEvent.mAt)) {
+    aFaults.push_back("the daemon held, the core does not" + at);
+  } else if (isKind(line, "lease_lapsed") &&
+             aHolder.holds(aEvent.mAt + kRounding)) {
+    aFaults.push_back("the daemon's lease lapsed, the core's has not" + at);
+  }
+}
+
+std::optional<Millis>
+ReplayTrace::expelledAt() const
+{
+  for (const State& state : mStates) {
+    const auto it = state.mState.mMembers.find(mHolder);
+    if (it != state.mState.mMembers.end() &&
+        it->second.mStatus == MemberStatus::Expelled) {
+      return toMonotonic(state.mWallTime.mCount);
+    }
+  }
+  return std::nullopt;
+}
+
+ReplayTrace::Faults
+ReplayTrace::checkHolder() const
+{
+  Faults faults;
+  LeaseHolder holder(mHolder);
+  const std::optional<Millis> expelled = expelledAt();
+  for (const Event& event : holderEvents()) {
+    checkHolderEvent(event, holder, faults);
+    if (expelled && event.mAt <= *expelled &&
+        holder.heldUntil(event.mAt) > *expelled + kRounding) {
+      faults.push_back("held past its expulsion at " +
+                       std::to_string(expelled->mCount));
+      break;
+    }
+  }
+  return faults;
+}
+
+ReplayTrace::Faults
+ReplayTrace::checkWitnesses() const
+{
+  Faults faults;
+  std::map<std::uint64_t, Witness> witnesses;
+  for (const json& line : mLines) {
+    const bool promised = isKind(line, "promise_sent");
+    if (!promised && !isKind(line, "consent_sent")) {
+      continue;
+    }
+    Witness& witness = witnesses[number(line, "witness")];
+    const LeaseLabel label{ number(line, "holder"), line.at("version") };
+    const Millis now{ line.at("now_ms") };
+    if (promised) {
+      if (!witness.onRenew(label, now)) {
+        faults.push_back("promised after a consent: " + line.dump());
+      }
+      continue;
+    }
+    const Witness::ConsentAnswer answer = witness.onConsentAsk(label, now);
+    const Millis wait{ line.at("wait_ms") };
+    const bool granted = line.at("granted");
+    // A consent refused at the last millisecond may be due in the replay.
+    const bool same =
+      answer.mGranted == granted || (!granted && wait <= kRounding);
+    if (!same) {
+      faults.push_back("consent differs: " + line.dump());
+    }
+  }
+  return faults;
+}
+
+ReplayTrace::Faults
+ReplayTrace::checkConfig() const
+{
+  Faults faults;
+  std::map<std::uint64_t, Millis> published;
+  ConfigState config;
+  for (const json& line : mLines) {
+    if (isKind(line, "record") && isConfig(line)) {
+      const LogRecord record = toRecord(line);
+      fold(config, record);
+      published.try_emplace(config.mVersion, record.mWallTime);
+    }
+  }
+  std::map<std::string, std::uint64_t> inForce;
+  for (const json& line : mLines) {
+    if (!isKind(line, "config_in_force")) {
+      continue;
+    }
+    const std::uint64_t version = line.at("version");
+    std::uint64_t& before = inForce[line.at("vm")];
+    const auto it = published.find(version);
+    if (version < before || it == published.end() ||
+        Millis{ line.at("ms") } + kRounding < it->second) {
+      faults.push_back("configuration in force: " + line.dump());
+    }
+    before = version;
+  }
+  for (const auto& [vm, version] : inForce) {
+    if (version != config.mVersion && vm != mHolderVm) {
+      faults.push_back(vm + " stays at version " + std::to_string(version));
+    }
+  }
+  return faults;
+}
+
+ReplayTrace::Faults
+ReplayTrace::check() const
+{
+  Faults all;
+  for (const Faults& faults : { checkRecords(),
+                                checkRuns(),
+                                checkHolder(),
+                                checkWitnesses(),
+                                checkConfig() }) {
+    all.insert(all.end(), faults.begin(), faults.end());
+  }
+  return all;
+}
+
+}
--- /dev/null
+++ b/tests/unit/replay_trace.h
@@ -0,0 +1,85 @@
+#ifndef RADISHROAD_TESTS_REPLAY_TRACE_H
+#define RADISHROAD_TESTS_REPLAY_TRACE_H
+
+#include "model/owner_history.h"
+#include "radishroad/ownership/lease_holder.h"
+#include "radishroad/ownership/takeover_guard.h"
+#include "radishroad/ownership/witness.h"
+#include "radishroad/state/fold.h"
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace radishroad::testing {
+
+/// Replays a recorded trace (tests/traces/README.md) through the core and
+/// compares it with the outcomes that the trace states. Each check returns what
+/// differs, one text each.
+class ReplayTrace
+{
+public:
+  using Faults = std::vector<std::string>;
+  using Lines = std::vector<nlohmann::json>;
+
+  /// Throws std::runtime_error if the file is no trace.
+  static Lines read(const std::string& aName);
+  explicit ReplayTrace(Lines aLines);
+
+  /// Each record has the stated verdict, owners, members and version.
+  Faults checkRecords() const;
+  /// Each run was on the VM that owned its key at its epoch, after the record
+  /// that made it owner and, after a loss, after the wait.
+  Faults checkRuns() const;
+  /// The holder held its lease at each run, as the daemon said, and no longer
+  /// when it was expelled.
+  Faults checkHolder() const;
+  /// Each promise and consent that was given may be given.
+  Faults checkWitnesses() const;
+  /// Versions in force were published before, never fall, and end with the
+  /// newest.
+  Faults checkConfig() const;
+  /// All of them.
+  Faults check() const;
+
+private:
+  struct State
+  {
+    Millis mWallTime;
+    CellState mState;
+  };
+  struct Event
+  {
+    Millis mAt;
+    const nlohmann::json* mLine = nullptr;
+    const Member* mAdopted = nullptr;
+    bool mServed = false;
+  };
+
+  Millis toMonotonic(std::int64_t aWallMs) const;
+  std::vector<Event> holderEvents() const;
+  void checkHolderEvent(const Event& aEvent,
+                        LeaseHolder& aHolder,
+                        Faults& aFaults) const;
+  void prepareNext(LeaseHolder& aHolder, std::uint32_t aVersion) const;
+  std::optional<Millis> expelledAt() const;
+
+  Lines mLines;
+  std::string mHolderVm;
+  Incarnation mHolder = 0;
+  Millis mWait;
+  Millis mWallMinusMonotonic;
+  /// States of the cell after each record.
+  std::vector<State> mStates;
+  /// The holder's witness sets by version.
+  std::map<std::uint32_t, Member> mSets;
+  OwnerHistory mHistory;
+  /// Time from which a shard may be served at an epoch.
+  std::map<std::pair<Shard, Epoch>, Millis> mServeFrom;
+};
+
+}
+
+#endif
