--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -24,8 +24,10 @@
 
 Daemon::Parts::Parts(const DaemonSettings& aSettings,
                      CrashWatch& aCrashes,
-                     Millis aJoinDelay)
+                     Millis aJoinDelay,
+                     DaemonHooks aHooks)
   : mSettings(aSettings)
+  , mHooks(std::move(aHooks))
   , mSelf(makeIncarnation())
   , mAuthority(mViews, mSettings.mService, mSelf)
   , mCrashes(aCrashes)
@@ -58,7 +60,10 @@
   , mMembership(mContext, monotonicNow() + aJoinDelay)
   , mLease(
       mContext,
-      [this](Millis aUntil) { mAuthority.setLeaseUntil(aUntil); },
+      [this](Millis aUntil) {
+        mLeaseLog.onLease(aUntil, monotonicNow());
+        mAuthority.setLeaseUntil(mHooks.mServeUntil(aUntil));
+      },
       [this](Incarnation aFrom, const auto& aPositions) {
         mRelay.onPositions(aFrom, aPositions);
       })
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -9,11 +9,13 @@
 #include "radishroad/daemon/coordinator_duty.h"
 #include "radishroad/daemon/crash_watch.h"
 #include "radishroad/daemon/daemon.h"
+#include "radishroad/daemon/daemon_hooks.h"
 #include "radishroad/daemon/fleet_state.h"
 #include "radishroad/daemon/fleet_view.h"
 #include "radishroad/daemon/handoff_duty.h"
 #include "radishroad/daemon/ingress.h"
 #include "radishroad/daemon/lease_duty.h"
+#include "radishroad/daemon/lease_log.h"
 #include "radishroad/daemon/membership_duty.h"
 #include "radishroad/daemon/rate_duty.h"
 #include "radishroad/daemon/recorder.h"
@@ -41,7 +43,8 @@
 {
   Parts(const DaemonSettings& aSettings,
         CrashWatch& aCrashes,
-        Millis aJoinDelay);
+        Millis aJoinDelay,
+        DaemonHooks aHooks);
 
   Result<void> start();
   void stop();
@@ -51,6 +54,7 @@
   nlohmann::json describe();
 
   const DaemonSettings mSettings;
+  const DaemonHooks mHooks;
   const Incarnation mSelf;
   Metrics mMetrics;
   Timer mTimer;
@@ -70,6 +74,7 @@
   std::unique_ptr<PeerLink> mLink;
   ControlContext mContext;
   MembershipDuty mMembership;
+  LeaseLog mLeaseLog;
   LeaseDuty mLease;
   HandoffDuty mHandoff;
   CoordinatorDuty mCoordinator;
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -1,6 +1,7 @@
 #include "radishroad/base/json_log.h"
 
 #include "parts.h"
+#include "radishroad/daemon/caller_key.h"
 #include "radishroad/ownership/ownership_change.h"
 
 #include <nlohmann/json.hpp>
@@ -84,6 +85,10 @@
     mLoop.tryPost([this, aFrom, body] { onControlFrame(aFrom, *body); });
   };
   hooks.mOnRequest = [this](ForwardRequest aRequest, AnswerFn aAnswer) {
+    if (isKeyWithdrawn(*mViews.get(), aRequest)) {
+      aAnswer(makeNotRun(idOf(aRequest), NotRunReason::Unauthorized));
+      return;
+    }
     mGate->submit(std::move(aRequest), std::move(aAnswer));
   };
   hooks.mOnCancel = [this](RandomId aId) { mGate->cancel(aId); };
@@ -135,7 +140,9 @@
     mLink->forward(aAddress, std::move(aRequest), std::move(aAnswer));
   };
   hooks.mOnRequest = [this] { mCrashes.onRequest(); };
-  hooks.mMayRetry = [this] { return mCrashes.mayRetry(monotonicNow()); };
+  hooks.mMayRetry = [this](const ForwardRequest& aRequest) {
+    return mHooks.mMayRunTwice(aRequest) && mCrashes.mayRetry(monotonicNow());
+  };
   hooks.mNow = monotonicNow;
   return hooks;
 }
@@ -245,6 +252,7 @@
   const Member* member = mFleet.findMember(aTo);
   // One that has left serves callers for a moment and needs tokens for them.
   if (member != nullptr && member->mStatus != MemberStatus::Expelled) {
+    logSentFrame(aBody, monotonicNow());
     mLink->sendControl(member->mPeerAddress, aTo, std::move(aBody));
   }
 }
@@ -253,6 +261,7 @@
 Daemon::Parts::onControlFrame(Incarnation aFrom,
                               const wire::FrameBodyUnion& aBody)
 {
+  logReceivedFrame(aBody, monotonicNow());
   switch (aBody.type) {
     case wire::FrameBody::Renew:
       mLease.onRenew(aFrom, *aBody.AsRenew());
--- a/tests/process/drain_test.cpp
+++ b/tests/process/drain_test.cpp
@@ -1,4 +1,3 @@
-#include "radishroad/config/folder.h"
 #include "support/scenario.h"
 #include "support/wait.h"
 
@@ -20,21 +19,6 @@
 /// Worcester's VMs.
 const std::set<std::string> kZone = { "catalog-2", "library-2" };
 
-std::vector<ConfigText>
-guildWithout(const std::string& aZone)
-{
-  std::vector<ConfigText> files =
-    config::readFolder(Scenario::guildFolder()).value();
-  for (ConfigText& file : files) {
-    const std::size_t zone = file.mText.find("  " + aZone + ":\n");
-    if (zone != std::string::npos) {
-      const std::size_t value = file.mText.find("true", zone);
-      file.mText.replace(value, 4, "false");
-    }
-  }
-  return files;
-}
-
 /// Prints how requests fared that were to be sent within kDrainTime of a move,
 /// and how evenly the service's VMs had work at the end of it.
 void
@@ -115,7 +99,7 @@
   aScenario.runOn(1_s, 2_s);
   // Until loads are known.
   aScenario.runOn(4_s, 4_s);
-  BOOST_TEST(fleet.publish(guildWithout("worcester"), 1));
+  BOOST_TEST(fleet.publish(guildWithoutZone("worcester"), 1));
   const std::int64_t drained = wallNow().mCount;
   aScenario.runOn(kDrainTime + 2_s, kDrainTime + 2_s);
   aWhileOut();
--- a/tests/process/support/scenario.h
+++ b/tests/process/support/scenario.h
@@ -40,6 +40,7 @@
     bool mRelays = false;
     /// Lets each daemon obtain tokens for the workspace before the traffic.
     bool mWarmUp = true;
+    std::string mDaemonProgram = "radishroadd";
     std::vector<std::string> mDaemonArguments;
     std::vector<std::string> mUpstreamArguments;
   };
@@ -74,6 +75,10 @@
 std::vector<std::string>
 guildPosts();
 
+/// The Guild's configuration with an availability zone out of service.
+std::vector<ConfigText>
+guildWithoutZone(const std::string& aZone);
+
 /// Fails the test for each fault, showing the first few.
 void
 expectNone(const Faults& aFaults);
