Cancel the request of a caller that has gone

Cause: CallerRequestFn had no way to cancel, so what a caller left behind kept its place in the owner's queue, and ran, until its deadline. Change: the handler returns how to cancel; a connection that closes while its request runs uses it. The ingress drops a request that waits for tokens or for another try, and cancels the attempt at its own gate or over the peer link, where cancels already ended queued and running work. The hand-over of an attempt and its cancel are kept in order, so that a cancel is never first. Ruled out: a cancel by request id, which needs a table of requests over all threads; giving back a spent token, since no other refusal does and the batch it came from may have expired. Handlers in existing tests return a cancel hook; no assertion changed.

--- a/include/radishroad/caller/connection.h
+++ b/include/radishroad/caller/connection.h
@@ -36,6 +36,8 @@
   void onBytes(std::string_view aBytes, Millis aNow);
   void onAnswer(std::uint64_t aSequence, Answer aAnswer, Millis aNow);
   void onWritable(Millis aNow);
+  /// The caller has closed: the request that runs is cancelled.
+  void onGone();
   /// Checks the time limits. Call every now and then.
   void onTick(Millis aNow);
 
@@ -79,6 +81,8 @@
   std::size_t mQueuedBytes = 0;
   /// The front of the queue has been handed on and is not yet answered.
   bool mRunning = false;
+  /// Cancels the request that runs; may be empty.
+  CancelFn mCancel;
   /// Number of the request that runs or runs next.
   std::uint64_t mSequence = 0;
   /// What still comes in is thrown away.
--- a/include/radishroad/caller/server.h
+++ b/include/radishroad/caller/server.h
@@ -14,7 +14,8 @@
 
 /// The HTTP server for callers (Pistache). Refuses what is malformed before
 /// anything runs; hands whole requests on; writes each answer whole and on
-/// the connection it belongs to. Pipelined requests are answered in order.
+/// the connection it belongs to. Pipelined requests are answered in order. A
+/// request whose caller closes before its answer is cancelled.
 class CallerServer
 {
 public:
--- a/include/radishroad/daemon/ingress.h
+++ b/include/radishroad/daemon/ingress.h
@@ -25,6 +25,9 @@
 /// owner, and sends the request there. A request that was provably not run is
 /// sent again while its deadline allows; one with an unknown outcome only if
 /// it is idempotent. Any thread.
+///
+/// A request whose caller has gone is dropped where it waits and cancelled
+/// where it runs; it is not sent again.
 class Ingress
 {
 public:
@@ -43,6 +46,8 @@
     ForwardFn mToOwnUpstream;
     std::function<void(const std::string& aAddress, ForwardRequest, AnswerFn)>
       mToPeer;
+    std::function<void(RandomId)> mCancelOwn;
+    std::function<void(const std::string& aAddress, RandomId)> mCancelAtPeer;
     /// A request was admitted; feeds the retry budget.
     std::function<void()> mOnRequest;
     /// May an idempotent request with an unknown outcome be sent again?
@@ -56,7 +61,8 @@
           Metrics& aMetrics,
           Hooks aHooks);
 
-  void handle(CallerRequest aRequest, AnswerFn aAnswer);
+  /// Returns how to cancel the request.
+  CancelFn handle(CallerRequest aRequest, AnswerFn aAnswer);
 
 private:
   struct Flight;
@@ -66,9 +72,16 @@
                        const FleetView& aView,
                        Flight& aFlight) const;
   void admit(const FlightPtr& aFlight);
+  void dropHeld(const FlightPtr& aFlight);
   void send(const FlightPtr& aFlight);
+  /// Sends to the own upstream if aPeer is empty.
+  void handOver(const FlightPtr& aFlight,
+                ForwardRequest aRequest,
+                const std::string& aPeer);
   void onAnswer(const FlightPtr& aFlight, Answer aAnswer);
   void sendLater(const FlightPtr& aFlight, NotRunReason aReason);
+  void cancel(Flight& aFlight);
+  void finishCancelled(const FlightPtr& aFlight);
   void finish(const FlightPtr& aFlight, Answer aAnswer);
 
   Incarnation mSelf;
--- a/include/radishroad/request/request.h
+++ b/include/radishroad/request/request.h
@@ -34,8 +34,12 @@
 /// Takes the answer of one request; called exactly once, from any thread.
 using AnswerFn = std::function<void(Answer)>;
 
-/// Takes a whole request from a caller.
-using CallerRequestFn = std::function<void(CallerRequest, AnswerFn)>;
+/// Tells that nobody waits for the answer any more. Any thread; has no effect
+/// once the answer has been given.
+using CancelFn = std::function<void()>;
+
+/// Takes a whole request from a caller. What it returns may be empty.
+using CallerRequestFn = std::function<CancelFn(CallerRequest, AnswerFn)>;
 
 /// Takes a request bound for this daemon's own upstream.
 using ForwardFn = std::function<void(ForwardRequest, AnswerFn)>;
--- a/src/caller/connection.cpp
+++ b/src/caller/connection.cpp
@@ -132,7 +132,7 @@
   aFront.mRequest.mReceivedAt = request.mReceivedAt;
   mQueuedBytes -= request.mBody.size();
   try {
-    mContext.mHandler(std::move(request), [pending](Answer aAnswer) {
+    mCancel = mContext.mHandler(std::move(request), [pending](Answer aAnswer) {
       pending->answer(std::move(aAnswer));
     });
   } catch (const std::exception& error) {
@@ -150,6 +150,7 @@
     return;
   }
   mRunning = false;
+  mCancel = nullptr;
   ++mSequence;
   const ReadRequest front = std::move(*mQueue.front());
   mQueue.pop_front();
@@ -167,6 +168,15 @@
   noteBusy();
 }
 
+void
+CallerConnection::onGone()
+{
+  if (mRunning && mCancel) {
+    mContext.mMetrics.count("radishroad_caller_hang_ups_total");
+    mCancel();
+  }
+}
+
 bool
 CallerConnection::isLastAnswer(const ReadRequest& aFront) const
 {
--- a/src/caller/transport.cpp
+++ b/src/caller/transport.cpp
@@ -187,7 +187,12 @@
 void
 CallerTransport::removeConnection(int aSocket)
 {
-  mConnections.erase(aSocket);
+  const auto it = mConnections.find(aSocket);
+  if (it == mConnections.end()) {
+    return;
+  }
+  it->second->onGone();
+  mConnections.erase(it);
 }
 
 void
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -7,7 +7,10 @@
 #include "radishroad/daemon/fleet_view.h"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/algorithm/string/predicate.hpp>
+#include <mutex>
+#include <optional>
 
 namespace radishroad {
 
@@ -81,6 +84,12 @@
   /// that the request was not run.
   bool mMayHaveRun = false;
   NotRunReason mLastReason = NotRunReason::None;
+  /// The caller has gone.
+  std::atomic<bool> mCancelled{ false };
+  /// Held while an attempt is handed over, so that its cancel cannot be first.
+  std::mutex mAttemptMutex;
+  /// Peer that the last attempt went to; empty for the own upstream.
+  std::optional<std::string> mSentTo;
 };
 
 Ingress::Ingress(Incarnation aSelf,
@@ -96,7 +105,7 @@
 {
 }
 
-void
+CancelFn
 Ingress::handle(CallerRequest aRequest, AnswerFn aAnswer)
 {
   const std::shared_ptr<const FleetView> view = mViews.get();
@@ -108,10 +117,15 @@
   const NotRunReason reason = prepare(aRequest, *view, *flight);
   if (reason != NotRunReason::None) {
     finish(flight, makeNotRun(aRequest.mId, reason));
-    return;
+    return {};
   }
   mHooks.mOnRequest();
   admit(flight);
+  return [this, weak = std::weak_ptr<Flight>(flight)] {
+    if (const FlightPtr kept = weak.lock()) {
+      cancel(*kept);
+    }
+  };
 }
 
 NotRunReason
@@ -172,6 +186,11 @@
 void
 Ingress::admit(const FlightPtr& aFlight)
 {
+  if (aFlight->mCancelled) {
+    dropHeld(aFlight);
+    finishCancelled(aFlight);
+    return;
+  }
   if (aFlight->mOpen) {
     send(aFlight);
     return;
@@ -197,9 +216,21 @@
                     mHooks.mRetryAfter(workspace)));
 }
 
+void
+Ingress::dropHeld(const FlightPtr& aFlight)
+{
+  if (aFlight->mHeldForToken) {
+    mHooks.mDropHeld(aFlight->mRequest.workspace);
+  }
+}
+
 void
 Ingress::send(const FlightPtr& aFlight)
 {
+  if (aFlight->mCancelled) {
+    finishCancelled(aFlight);
+    return;
+  }
   const Millis left = aFlight->mDeadline - mHooks.mNow() - kReturnMargin;
   if (left <= Millis{}) {
     const NotRunReason reason = aFlight->mLastReason == NotRunReason::None
@@ -221,21 +252,54 @@
   request.time_left_ms = left.mCount;
   request.epoch = ownership.mEpoch;
   request.view_offset = cell->mNextOffset;
+  const std::string peer = ownership.mOwner == mSelf
+                             ? std::string()
+                             : cell->mMembers.at(ownership.mOwner).mPeerAddress;
+  handOver(aFlight, std::move(request), peer);
+}
+
+void
+Ingress::handOver(const FlightPtr& aFlight,
+                  ForwardRequest aRequest,
+                  const std::string& aPeer)
+{
+  // A refusal may come in the call itself: onAnswer takes no lock.
   AnswerFn onAnswer = [this, aFlight](Answer aAnswer) {
     this->onAnswer(aFlight, std::move(aAnswer));
   };
-  if (ownership.mOwner == mSelf) {
-    mHooks.mToOwnUpstream(std::move(request), std::move(onAnswer));
+  const std::lock_guard<std::mutex> lock(aFlight->mAttemptMutex);
+  aFlight->mSentTo = aPeer;
+  if (aFlight->mCancelled) {
+    finishCancelled(aFlight);
+  } else if (aPeer.empty()) {
+    mHooks.mToOwnUpstream(std::move(aRequest), std::move(onAnswer));
+  } else {
+    mHooks.mToPeer(aPeer, std::move(aRequest), std::move(onAnswer));
+  }
+}
+
+void
+Ingress::cancel(Flight& aFlight)
+{
+  aFlight.mCancelled = true;
+  const std::lock_guard<std::mutex> lock(aFlight.mAttemptMutex);
+  if (!aFlight.mSentTo) {
     return;
   }
-  mHooks.mToPeer(cell->mMembers.at(ownership.mOwner).mPeerAddress,
-                 std::move(request),
-                 std::move(onAnswer));
+  if (aFlight.mSentTo->empty()) {
+    mHooks.mCancelOwn(idOf(aFlight.mRequest));
+  } else {
+    mHooks.mCancelAtPeer(*aFlight.mSentTo, idOf(aFlight.mRequest));
+  }
 }
 
 void
 Ingress::onAnswer(const FlightPtr& aFlight, Answer aAnswer)
 {
+  if (aFlight->mCancelled) {
+    finish(aFlight, std::move(aAnswer));
+    return;
+  }
   if (aAnswer.kind == AnswerKind::NotRun && mayPass(aAnswer.reason)) {
     sendLater(aFlight, aAnswer.reason);
     return;
@@ -257,6 +321,12 @@
   mTimer.after(kResendPause, [this, aFlight] { send(aFlight); });
 }
 
+void
+Ingress::finishCancelled(const FlightPtr& aFlight)
+{
+  finish(aFlight, makeNotRun(idOf(aFlight->mRequest), NotRunReason::Cancelled));
+}
+
 void
 Ingress::finish(const FlightPtr& aFlight, Answer aAnswer)
 {
--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -81,7 +81,7 @@
       { .mListenAddress = mSettings.mCallerAddress,
         .mThreads = mSettings.callerThreads() },
       [this](CallerRequest aRequest, AnswerFn aAnswer) {
-        mIngress.handle(std::move(aRequest), std::move(aAnswer));
+        return mIngress.handle(std::move(aRequest), std::move(aAnswer));
       },
       mMetrics)
   , mAdmin(mSettings.mOperatorAddress,
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -131,6 +131,10 @@
                          AnswerFn aAnswer) {
     mLink->forward(aAddress, std::move(aRequest), std::move(aAnswer));
   };
+  hooks.mCancelOwn = [this](RandomId aId) { mGate->cancel(aId); };
+  hooks.mCancelAtPeer = [this](const std::string& aAddress, RandomId aId) {
+    mLink->cancel(aAddress, aId);
+  };
   hooks.mOnRequest = [this] { mCrashes.onRequest(); };
   hooks.mMayRetry = [this] { return mCrashes.mayRetry(monotonicNow()); };
   hooks.mNow = monotonicNow;
--- a/src/operator/admin_server.cpp
+++ b/src/operator/admin_server.cpp
@@ -59,6 +59,7 @@
         makeOptions(std::move(aListenAddress)),
         [this](const CallerRequest& aRequest, const AnswerFn& aAnswer) {
           aAnswer(handle(aRequest));
+          return CancelFn();
         },
         mOwn)
   {
--- a/tests/unit/caller_server_test.cpp
+++ b/tests/unit/caller_server_test.cpp
@@ -53,10 +53,15 @@
 
   explicit Fixture(CallerServer::Options aOptions)
     : mRing(256)
+    , mCancels(256)
     , mServer(
         withAddress(std::move(aOptions)),
         [this](CallerRequest aRequest, AnswerFn aAnswer) {
+          std::string target = aRequest.mTarget;
           mRing.tryPush({ std::move(aRequest), std::move(aAnswer) });
+          return [this, target = std::move(target)] {
+            mCancels.tryPush(std::string(target));
+          };
         },
         mMetrics)
   {
@@ -82,6 +87,8 @@
 
   Metrics mMetrics;
   Ring<Received> mRing;
+  /// Targets of requests that were cancelled.
+  Ring<std::string> mCancels;
   CallerServer mServer;
 };
 
@@ -521,6 +528,25 @@
   drainer.join();
 }
 
+BOOST_AUTO_TEST_CASE(only_a_caller_that_still_waits_cancels_by_closing)
+{
+  Fixture fixture;
+  RawClient answered(fixture.port());
+  answered.send(get("/a"));
+  fixture.take().mAnswer(answerWith("a"));
+  BOOST_TEST(answered.receive().value().mBody == "a");
+  answered.close();
+  RawClient waiting(fixture.port());
+  waiting.send(get("/b") + get("/c"));
+  const Received running = fixture.take();
+  waiting.close();
+  BOOST_TEST(fixture.mCancels.pop(kLongEnough).value_or("") == "/b");
+  running.mAnswer(answerWith("late"));
+  fixture.mServer.stop();
+  BOOST_TEST(fixture.mCancels.size() == 0U);
+  BOOST_TEST(fixture.nothingRan());
+}
+
 BOOST_AUTO_TEST_CASE(address_in_use_is_an_error)
 {
   Fixture fixture;
@@ -528,11 +554,15 @@
   options.mListenAddress = "127.0.0.1:" + std::to_string(fixture.port());
   Metrics metrics;
   CallerServer second(
-    options, [](CallerRequest, AnswerFn) {}, metrics);
+    options,
+    [](const CallerRequest&, const AnswerFn&) { return CancelFn(); },
+    metrics);
   BOOST_TEST(!second.start().has_value());
   options.mListenAddress = "no address";
   CallerServer third(
-    options, [](CallerRequest, AnswerFn) {}, metrics);
+    options,
+    [](const CallerRequest&, const AnswerFn&) { return CancelFn(); },
+    metrics);
   BOOST_TEST(!third.start().has_value());
 }
 
