Refuse an expulsion whose proposer is no active member

Cause: daemons that lose sight of each other propose each other's expulsion, and consents given before either record was read let all of them through; seen once under load in partition/from_log_only, three daemons expelled at once. Change: the fold refuses an Expel that names a proposer which was expelled, has left or is unknown. The record already carried its proposer; one that names none, 0, stays valid. Ruled out: checking it before the append, which misses a record on its way. Not shown: the loaded run itself was not provoked again. Measured: fold_cell/expel_needs_an_active_proposer failed before (4 checks).

--- a/src/state/fold_membership.cpp
+++ b/src/state/fold_membership.cpp
@@ -167,7 +167,12 @@
 apply(CellState& aState, const wire::ExpelT& aChange, std::uint64_t aOffset)
 {
   Member* member = findActive(aState, aChange.incarnation);
-  if (member == nullptr || member->mWitnessVersion != aChange.witness_version ||
+  // One that was expelled itself may have been cut off: of two members that
+  // expel each other only the first has its way. Old records name none.
+  const bool mayPropose =
+    aChange.proposer == 0 || findActive(aState, aChange.proposer) != nullptr;
+  if (member == nullptr || !mayPropose ||
+      member->mWitnessVersion != aChange.witness_version ||
       !isMajority(aChange.consents, member->mWitnesses)) {
     return false;
   }
--- a/tests/unit/cell_log.h
+++ b/tests/unit/cell_log.h
@@ -55,9 +55,11 @@
 
   FoldVerdict expel(Incarnation aMember,
                     std::uint32_t aVersion,
-                    std::vector<Incarnation> aConsents)
+                    std::vector<Incarnation> aConsents,
+                    Incarnation aProposer = 0)
   {
     wire::ExpelT change;
+    change.proposer = aProposer;
     change.incarnation = aMember;
     change.witness_version = aVersion;
     change.consents = std::move(aConsents);
--- a/tests/unit/fold_cell_test.cpp
+++ b/tests/unit/fold_cell_test.cpp
@@ -75,6 +75,20 @@
   BOOST_CHECK(log.expel(5, 0, {}) == kRefused);
 }
 
+BOOST_AUTO_TEST_CASE(expel_needs_an_active_proposer)
+{
+  CellLog log = CellLog::withFourMembers();
+  BOOST_CHECK(log.join(5, "a", { 1, 2, 3 }) == kApplied);
+  BOOST_CHECK(log.expel(1, 0, { 2, 3 }, 9) == kRefused);
+  BOOST_CHECK(log.expel(1, 0, { 2, 3 }, 2) == kApplied);
+  BOOST_CHECK(log.expel(2, 0, { 3, 4 }, 1) == kRefused);
+  BOOST_CHECK(log.leave(4) == kApplied);
+  BOOST_CHECK(log.expel(2, 0, { 3, 4 }, 4) == kRefused);
+  BOOST_CHECK(log.expel(2, 0, { 3, 4 }, 3) == kApplied);
+  // Records without a proposer stay valid.
+  BOOST_CHECK(log.expel(5, 0, { 1, 2 }) == kApplied);
+}
+
 BOOST_AUTO_TEST_CASE(expel_passes_shards_and_split_keys_on_evenly)
 {
   CellLog log = CellLog::withFourMembers();
