Stop a whole fleet at once when nobody is left to take over

Cause: a leaving daemon learned only from the log that the others leave too. With the log down, as when all is stopped together, each waited 15 s for a hand-off that nobody could take; so did one whose peers had been lost. Change: a daemon that leaves tells its peers (a BeginLeave frame, each 250 ms) until the log shows it. It stops once every other member leaves, is drained, or has been suspected for 500 ms on end; a hand-off in doubt is then not waited for if the log does not answer. Ruled out: a shorter leave timeout, which would cut the hand-off of a single daemon during a short outage of the log; a flag in renewals, which reach the witnesses only.

--- a/include/radishroad/daemon/membership_duty.h
+++ b/include/radishroad/daemon/membership_duty.h
@@ -2,6 +2,10 @@
 #define RADISHROAD_DAEMON_MEMBERSHIP_DUTY_H
 
 #include "radishroad/base/millis.h"
+#include "radishroad/state/cell_state.h"
+
+#include <optional>
+#include <set>
 
 namespace radishroad {
 
@@ -21,6 +25,11 @@
   /// upstream is gone does so by itself.
   void beginLeave();
   bool leaving() const { return mLeaving; }
+  /// A peer tells that it leaves, for when the log cannot.
+  void onPeerLeaves(Incarnation aPeer);
+  /// Nobody is left to hand shards to: every other member of the cell leaves,
+  /// is drained or has gone silent.
+  bool isLastOfCell();
   bool joined() const;
   /// The log says that this incarnation is out: expelled or left.
   bool out() const;
@@ -30,6 +39,7 @@
   void watchUpstream();
   void stepLeave();
   void announceLeave();
+  void tellPeers();
   void leave();
 
   ControlContext& mContext;
@@ -37,6 +47,9 @@
   bool mProposing = false;
   bool mWasMember = false;
   bool mLeaving = false;
+  std::set<Incarnation> mLeavingPeers;
+  Millis mNextTell;
+  std::optional<Millis> mAloneSince;
   Millis mUnhealthySince;
   Millis mJoinFrom;
 };
--- a/src/daemon/membership_duty.cpp
+++ b/src/daemon/membership_duty.cpp
@@ -5,9 +5,12 @@
 #include "radishroad/daemon/fleet_state.h"
 #include "radishroad/daemon/recorder.h"
 #include "radishroad/daemon/settings.h"
+#include "radishroad/ownership/handoff.h"
 #include "radishroad/ownership/witness_keeper.h"
 #include "radishroad/state/placement.h"
 
+#include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 
 namespace radishroad {
@@ -16,6 +19,10 @@
 
 /// An upstream that does not answer for so long is gone.
 constexpr Millis kUpstreamLostAfter{ 700 };
+/// How often peers are told of a leave that the log does not show yet.
+constexpr Millis kTellInterval{ 250 };
+/// The others may seem silent for a moment, as after a pause of this process.
+constexpr Millis kAloneFor{ 500 };
 
 }
 
@@ -58,6 +65,9 @@
   if (joined()) {
     mWasMember = true;
     watchUpstream();
+    if (mLeaving && !mContext.self()->mLeaving) {
+      tellPeers();
+    }
     if (mLeaving && !mProposing) {
       stepLeave();
     }
@@ -136,6 +146,52 @@
     mContext.ownStream(), change, [this](ProposalEnd) { mProposing = false; });
 }
 
+void
+MembershipDuty::tellPeers()
+{
+  const Millis now = mContext.mNow();
+  if (now < mNextTell) {
+    return;
+  }
+  mNextTell = now + kTellInterval;
+  wire::BeginLeaveT change;
+  change.incarnation = mContext.mSelf;
+  for (const auto& [incarnation, member] : mContext.mFleet.ownCell().mMembers) {
+    if (incarnation != mContext.mSelf &&
+        member.mStatus == MemberStatus::Active) {
+      mContext.mSend(incarnation, makeBody(change));
+    }
+  }
+}
+
+void
+MembershipDuty::onPeerLeaves(Incarnation aPeer)
+{
+  if (mContext.mFleet.ownCell().mMembers.contains(aPeer)) {
+    mLeavingPeers.insert(aPeer);
+  }
+}
+
+bool
+MembershipDuty::isLastOfCell()
+{
+  const CellState& cell = mContext.mFleet.ownCell();
+  std::vector<Incarnation> gone(mLeavingPeers.begin(), mLeavingPeers.end());
+  if (planEvacuation(cell, mContext.mSelf, 1, gone).empty()) {
+    return true;
+  }
+  std::ranges::copy(mContext.mSuspects(), std::back_inserter(gone));
+  if (!planEvacuation(cell, mContext.mSelf, 1, gone).empty()) {
+    mAloneSince.reset();
+    return false;
+  }
+  const Millis now = mContext.mNow();
+  if (!mAloneSince) {
+    mAloneSince = now;
+  }
+  return now - *mAloneSince >= kAloneFor;
+}
+
 void
 MembershipDuty::leave()
 {
--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -163,9 +163,12 @@
 }
 
 bool
-Daemon::Parts::nobodyTakesOver() const
+Daemon::Parts::nobodyTakesOver()
 {
-  return !mHandoff.busy() && planEvacuation(mFleet.ownCell(), mSelf, 1).empty();
+  // A hand-off in doubt is not waited for without the log: nobody is left to
+  // serve what it hands off.
+  return mMembership.isLastOfCell() &&
+         (!mHandoff.busy() || !mFleet.logAnswers());
 }
 
 bool
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -104,7 +104,8 @@
                     const wire::RecordT& aRecord,
                     std::function<void(Result<std::uint64_t>)> aResult);
   bool draining() const;
-  bool nobodyTakesOver() const;
+  /// Waiting for a hand-off has no use.
+  bool nobodyTakesOver();
   bool configFresh() const;
 };
 
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -285,6 +285,9 @@
     case wire::FrameBody::LoadReport:
       mCoordinator.onReport(*aBody.AsLoadReport());
       break;
+    case wire::FrameBody::BeginLeave:
+      mMembership.onPeerLeaves(aFrom);
+      break;
     case wire::FrameBody::CrashReport:
       mCrashes.onReport(*aBody.AsCrashReport(), monotonicNow());
       break;
--- a/tests/process/drain_test.cpp
+++ b/tests/process/drain_test.cpp
@@ -2,8 +2,10 @@
 #include "support/scenario.h"
 #include "support/wait.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <iterator>
 
 namespace radishroad::test {
 
@@ -13,6 +15,8 @@
 
 /// "A few seconds" after a drain.
 constexpr Millis kDrainTime = 5_s;
+/// For all daemons, signalled at once, to end.
+constexpr Millis kFleetStopTime = 4_s;
 
 std::vector<ConfigText>
 guildWithout(const std::string& aZone)
@@ -29,6 +33,39 @@
   return files;
 }
 
+/// The daemons end by themselves within kFleetStopTime.
+void
+expectEnd(Fleet& aFleet, const std::vector<std::string>& aVms)
+{
+  const Millis start = monotonicNow();
+  for (const std::string& vm : aVms) {
+    const Millis left = start + kFleetStopTime - monotonicNow();
+    const std::optional<int> ec =
+      aFleet.process(vm, Role::Daemon)->waitForExit(left);
+    BOOST_TEST((ec == 0), vm << " still runs");
+  }
+  BOOST_TEST_MESSAGE("stopped after " << (monotonicNow() - start).mCount
+                                      << " ms");
+}
+
+/// Ends all daemons by SIGTERM at once under traffic.
+void
+stopWholeFleet(const std::string& aName, bool aLogOutage)
+{
+  Scenario scenario({ aName, 54 });
+  Fleet& fleet = scenario.fleet();
+  std::vector<std::string> vms = fleet.vmsOf("catalog");
+  std::ranges::copy(fleet.vmsOf("library"), std::back_inserter(vms));
+  scenario.startTraffic({}, "ms=50");
+  scenario.runOn(1_s, 2_s);
+  fleet.setLogFaults({ { "outage", aLogOutage } });
+  for (const std::string& vm : vms) {
+    fleet.signal(vm, Role::Daemon, SIGTERM);
+  }
+  expectEnd(fleet, vms);
+  checkAlways(scenario.stopTraffic());
+}
+
 /// Ends a daemon by SIGTERM under traffic, also through it. Requests that
 /// found its port closed are left out: it has stopped by then.
 Evidence
@@ -118,6 +155,29 @@
   expectNone(judgeAllAnswered(evidence.mResults));
 }
 
+BOOST_AUTO_TEST_CASE(of_a_whole_fleet_ends_soon)
+{
+  stopWholeFleet("sigterm_all", false);
+}
+
+BOOST_AUTO_TEST_CASE(of_a_whole_fleet_without_a_log_ends_soon)
+{
+  stopWholeFleet("sigterm_all_no_log", true);
+}
+
+BOOST_AUTO_TEST_CASE(of_the_last_daemon_left_ends_soon)
+{
+  Scenario scenario({ "sigterm_last", 55 });
+  Fleet& fleet = scenario.fleet();
+  const std::vector<std::string> vms = fleet.vmsOf("catalog");
+  fleet.setLogFaults({ { "outage", true } });
+  for (std::size_t i = 1; i < vms.size(); ++i) {
+    fleet.kill(vms[i], Role::Daemon);
+  }
+  fleet.signal(vms[0], Role::Daemon, SIGTERM);
+  expectEnd(fleet, { vms[0] });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
