Name all metrics by one prefix and Prometheus' conventions

Cause: three prefixes (gate_, caller_, radishroad_), times in milliseconds, byte counts exported as gauges, and most names in no page. Change: radishroad_ before all, _total for counters, _seconds for summaries, which take a Millis; control bytes are counters. Two gauges that said the same as the gate's (window, in flight) are gone. Values are written with 15 digits, since sums in seconds lost theirs at 6. Ruled out: a prefix added by Metrics, which would hide the full name from a search of the code. In base, the samples and the expected values are the same times in seconds instead of milliseconds.

--- a/benchmark/control.sh
+++ b/benchmark/control.sh
@@ -51,12 +51,12 @@
   wait_for 60 "the daemons to serve" all_ready
   sleep 5
   before=$(all_ticks)
-  sent=$(all_metric control_bytes_sent)
-  received=$(all_metric control_bytes_received)
+  sent=$(all_metric control_sent_bytes_total)
+  received=$(all_metric control_received_bytes_total)
   sleep "$seconds"
   after=$(all_ticks)
-  sent=$(($(all_metric control_bytes_sent) - sent))
-  received=$(($(all_metric control_bytes_received) - received))
+  sent=$(($(all_metric control_sent_bytes_total) - sent))
+  received=$(($(all_metric control_received_bytes_total) - received))
   awk -v n="$n" -v s="$seconds" -v hz="$ticks" -v t=$((after - before)) \
     -v out="$sent" -v in_="$received" -v kb="$(mean_memory)" \
     -v appends="$(grep -c '"append"' "$run/log.journal" || true)" 'BEGIN {
--- a/include/radishroad/base/metrics.h
+++ b/include/radishroad/base/metrics.h
@@ -1,6 +1,8 @@
 #ifndef RADISHROAD_BASE_METRICS_H
 #define RADISHROAD_BASE_METRICS_H
 
+#include "radishroad/base/millis.h"
+
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -10,7 +12,8 @@
 
 /// Counters, gauges and latency summaries of one process, kept with
 /// Boost.Accumulators and written in the Prometheus text format.
-/// All members may be called from any thread.
+/// Names begin with `radishroad_`; those of counters end with `_total`, those
+/// of summaries with `_seconds`. All members may be called from any thread.
 class Metrics
 {
 public:
@@ -19,11 +22,12 @@
   Metrics(const Metrics&) = delete;
   Metrics& operator=(const Metrics&) = delete;
 
-  /// aName may carry labels: requests_total{outcome="answered"}.
+  /// aName may carry labels: radishroad_requests_total{outcome="answered"}.
   void count(std::string_view aName, std::uint64_t aBy = 1);
   void gauge(std::string_view aName, double aValue);
-  /// Adds a sample in milliseconds to a summary (quantiles 0.5, 0.99, 0.999).
-  void observeMs(std::string_view aName, double aValue);
+  /// Adds a sample to a summary (quantiles 0.5, 0.99, 0.999), which is written
+  /// in seconds.
+  void observe(std::string_view aName, Millis aTime);
 
   std::uint64_t counter(std::string_view aName) const;
   std::string toPrometheus() const;
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -7,7 +7,7 @@
 #include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/tail_quantile.hpp>
-#include <cmath>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <sstream>
@@ -27,6 +27,7 @@
 /// The upper half of a window, so that quantiles from 0.5 on are exact.
 constexpr std::size_t kTailSamples = kWindowSamples / 2 + 1;
 constexpr std::array<double, 3> kQuantiles{ 0.5, 0.99, 0.999 };
+constexpr double kMillisPerSecond = 1000;
 
 using Window =
   acc::accumulator_set<double,
@@ -82,7 +83,7 @@
   return values;
 }
 
-/// Samples of one name.
+/// Samples of one name, in milliseconds.
 struct Summary
 {
   Window mWindow = makeWindow();
@@ -179,9 +180,10 @@
   const Quantiles values = aSummary.quantiles();
   for (std::size_t it = 0; it < kQuantiles.size(); ++it) {
     aOut << base << '{' << labels << separator << "quantile=\""
-         << kQuantiles[it] << "\"} " << values[it] << '\n';
+         << kQuantiles[it] << "\"} " << values[it] / kMillisPerSecond << '\n';
   }
-  aOut << base << "_sum" << braced << ' ' << aSummary.mSum << '\n';
+  aOut << base << "_sum" << braced << ' ' << aSummary.mSum / kMillisPerSecond
+       << '\n';
   aOut << base << "_count" << braced << ' ' << aSummary.mCount << '\n';
 }
 
@@ -248,13 +250,10 @@
 }
 
 void
-Metrics::observeMs(std::string_view aName, double aValue)
+Metrics::observe(std::string_view aName, Millis aTime)
 {
-  if (!std::isfinite(aValue)) {
-    return;
-  }
   std::lock_guard<std::mutex> lock(mImpl->mSummariesMutex);
-  findOrAdd(mImpl->mSummaries, aName).add(aValue);
+  findOrAdd(mImpl->mSummaries, aName).add(static_cast<double>(aTime.mCount));
 }
 
 std::uint64_t
@@ -273,6 +272,7 @@
 Metrics::toPrometheus() const
 {
   std::ostringstream out;
+  out.precision(std::numeric_limits<double>::digits10);
   writeValues(out, mImpl->sumCounters(), "counter");
   writeValues(out, mImpl->copyGauges(), "gauge");
   std::string lastBase;
--- a/src/caller/connection.cpp
+++ b/src/caller/connection.cpp
@@ -110,7 +110,7 @@
   }
   RequestReader::Outcome& front = mQueue.front();
   if (!front) {
-    mContext.mMetrics.count("caller_refused_total{reason=\"" +
+    mContext.mMetrics.count("radishroad_caller_refused_total{reason=\"" +
                             front.error().mReason + "\"}");
     Response response = makeRefusal(front.error(), makeRandomId(), false);
     write(std::move(response), true, aNow);
@@ -155,10 +155,10 @@
   const ReadRequest front = std::move(*mQueue.front());
   mQueue.pop_front();
   const std::string outcome(outcomeName(aAnswer.kind));
-  mContext.mMetrics.count("caller_requests_total{outcome=\"" + outcome + "\"}");
-  const Millis taken = aNow - front.mRequest.mReceivedAt;
-  mContext.mMetrics.observeMs("caller_latency_ms",
-                              static_cast<double>(taken.mCount));
+  mContext.mMetrics.count("radishroad_caller_requests_total{outcome=\"" +
+                          outcome + "\"}");
+  mContext.mMetrics.observe("radishroad_caller_latency_seconds",
+                            aNow - front.mRequest.mReceivedAt);
   const bool isLast = isLastAnswer(front);
   write(makeResponse(std::move(aAnswer),
                      front.mRequest.mId,
--- a/src/caller/server_context.cpp
+++ b/src/caller/server_context.cpp
@@ -18,7 +18,7 @@
 {
   std::lock_guard<std::mutex> lock(mMutex);
   ++mOpen;
-  mMetrics.gauge("caller_connections", static_cast<double>(mOpen));
+  mMetrics.gauge("radishroad_caller_connections", static_cast<double>(mOpen));
 }
 
 void
@@ -26,7 +26,7 @@
 {
   std::lock_guard<std::mutex> lock(mMutex);
   --mOpen;
-  mMetrics.gauge("caller_connections", static_cast<double>(mOpen));
+  mMetrics.gauge("radishroad_caller_connections", static_cast<double>(mOpen));
   mChanged.notify_all();
 }
 
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -336,9 +336,8 @@
   mMetrics.count(std::string("radishroad_requests_total{outcome=\"") +
                  wire::EnumNameAnswerKind(aAnswer.kind) + "\",reason=\"" +
                  wire::EnumNameNotRunReason(aAnswer.reason) + "\"}");
-  mMetrics.observeMs(
-    "radishroad_request_ms",
-    static_cast<double>((mHooks.mNow() - aFlight->mReceivedAt).mCount));
+  mMetrics.observe("radishroad_request_seconds",
+                   mHooks.mNow() - aFlight->mReceivedAt);
   aFlight->mAnswer(std::move(aAnswer));
 }
 
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -83,6 +83,8 @@
   TakeoverGuard mGuard;
   bool mGuardStarted = false;
   Millis mNextLoadReport;
+  /// Traffic that the metrics hold.
+  PeerLink::Traffic mCounted;
 
 private:
   FleetState::Hooks fleetHooks();
@@ -98,6 +100,7 @@
   void guardTakeovers(const CellState& aBefore, const CellState& aAfter);
   void onControlFrame(Incarnation aFrom, const wire::FrameBodyUnion& aBody);
   void reportLoad(Millis aNow);
+  void countTraffic();
   void spreadCrashReport(const wire::CrashReportT& aReport);
   void sendControl(Incarnation aTo, wire::FrameBodyUnion aBody);
   bool submitAppend(const std::string& aStream,
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -202,13 +202,7 @@
   }
   mNextLoadReport = aNow + kLoadReportInterval;
   Gate::Load load = mGate->takeLoad();
-  mMetrics.gauge("radishroad_window", load.mWindow);
-  const PeerLink::Traffic traffic = mLink->traffic();
-  mMetrics.gauge("radishroad_control_bytes_sent",
-                 static_cast<double>(traffic.mControlBytesSent));
-  mMetrics.gauge("radishroad_control_bytes_received",
-                 static_cast<double>(traffic.mControlBytesReceived));
-  mMetrics.gauge("radishroad_in_flight", load.mInFlight);
+  countTraffic();
   wire::LoadReportT report;
   report.incarnation = mSelf;
   report.window = static_cast<float>(load.mWindow);
@@ -224,6 +218,18 @@
   }
 }
 
+void
+Daemon::Parts::countTraffic()
+{
+  const PeerLink::Traffic traffic = mLink->traffic();
+  mMetrics.count("radishroad_control_sent_bytes_total",
+                 traffic.mControlBytesSent - mCounted.mControlBytesSent);
+  mMetrics.count("radishroad_control_received_bytes_total",
+                 traffic.mControlBytesReceived -
+                   mCounted.mControlBytesReceived);
+  mCounted = traffic;
+}
+
 void
 Daemon::Parts::spreadCrashReport(const wire::CrashReportT& aReport)
 {
--- a/src/upstream/gate_health.cpp
+++ b/src/upstream/gate_health.cpp
@@ -79,20 +79,20 @@
     case HealthChange::None:
       return;
     case HealthChange::CameUp:
-      mMetrics.count("gate_upstream_up_total");
+      mMetrics.count("radishroad_gate_upstream_up_total");
       mHooks.mOnHealth(true);
       return;
     case HealthChange::WentDown:
-      mMetrics.count("gate_upstream_down_total");
+      mMetrics.count("radishroad_gate_upstream_down_total");
       mHooks.mOnHealth(false);
       return;
     case HealthChange::Lost:
-      mMetrics.count("gate_upstream_down_total");
+      mMetrics.count("radishroad_gate_upstream_down_total");
       reportCrash();
       mHooks.mOnHealth(false);
       return;
     case HealthChange::Restarted:
-      mMetrics.count("gate_upstream_restarts_total");
+      mMetrics.count("radishroad_gate_upstream_restarts_total");
       reportCrash();
       forgetGivenUp();
       mHooks.mOnHealth(false);
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -101,11 +101,11 @@
       mRetries.onRequest();
       return true;
     case Verdict::Joined:
-      mMetrics.count("gate_copies_joined_total");
+      mMetrics.count("radishroad_gate_copies_joined_total");
       mQueuedCount.fetch_sub(1);
       return false;
     case Verdict::Replay:
-      mMetrics.count("gate_copies_replayed_total");
+      mMetrics.count("radishroad_gate_copies_replayed_total");
       answer(aQueued, std::move(admission.mAnswer));
       return false;
     case Verdict::Mismatch:
@@ -300,10 +300,11 @@
     return;
   }
   mGaugesAt = now;
-  mMetrics.gauge("gate_in_flight", n);
-  mMetrics.gauge("gate_queued", mQueuedCount.load());
-  mMetrics.gauge("gate_window", mWindowNow);
-  mMetrics.gauge("gate_connections", mExchanges.connections().open());
+  mMetrics.gauge("radishroad_gate_in_flight", n);
+  mMetrics.gauge("radishroad_gate_queued", mQueuedCount.load());
+  mMetrics.gauge("radishroad_gate_window", mWindowNow);
+  mMetrics.gauge("radishroad_gate_connections",
+                 mExchanges.connections().open());
 }
 
 }
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -161,7 +161,7 @@
   QueuedRequest& queued = aRun.mQueued;
   const NotRunReason reason = provenNotRun(aResponse);
   if (reason == NotRunReason::Shed) {
-    mMetrics.count("gate_shed_total");
+    mMetrics.count("radishroad_gate_shed_total");
     mWindow.onShed(now);
   }
   const bool again = reason == NotRunReason::Shed &&
@@ -181,7 +181,7 @@
   mAnswered.add(queued.mFingerprint, now);
   mQueue.charge(queued.mRequest.workspace, took);
   mLoad.add(queued.mRequest.shard, queued.mRequest.key_hash, took);
-  mMetrics.observeMs("gate_run_ms", static_cast<double>(took.mCount));
+  mMetrics.observe("radishroad_gate_run_seconds", took);
   answer(queued, makeAnswered(queued.mRequest, std::move(aResponse)));
 }
 
@@ -191,7 +191,7 @@
   const Millis now = mHooks.mNow();
   QueuedRequest& queued = aRun.mQueued;
   if (!aRun.mHeldBack) {
-    mMetrics.count("gate_connect_failures_total");
+    mMetrics.count("radishroad_gate_connect_failures_total");
     if (aEnd == ExchangeEnd::Refused) {
       onHealthChange(mHealth.onRefused());
     }
@@ -257,7 +257,7 @@
 Gate::Impl::answer(QueuedRequest& aQueued, Answer aAnswer)
 {
   mQueuedCount.fetch_sub(1);
-  mMetrics.count(std::string("gate_answers_total{kind=\"") +
+  mMetrics.count(std::string("radishroad_gate_answers_total{kind=\"") +
                  wire::EnumNameAnswerKind(aAnswer.kind) + "\"}");
   const std::vector<DuplicateMemory::Waiter> waiters =
     mDuplicates.finish(aQueued.mMemoryKey, aAnswer, mHooks.mNow());
--- a/src/upstream/gate_window.cpp
+++ b/src/upstream/gate_window.cpp
@@ -53,7 +53,7 @@
     pending.mCold += age >= ages.mCold ? 1 : 0;
   }
   if (mWindow.onPending(pending, aNow)) {
-    mMetrics.count("gate_cold_total");
+    mMetrics.count("radishroad_gate_cold_total");
     takeBack(aNow);
   }
 }
@@ -79,7 +79,7 @@
       trackGivenUp(run, aNow);
     }
     run.mQueued.mTakenBack = true;
-    mMetrics.count("gate_taken_back_total");
+    mMetrics.count("radishroad_gate_taken_back_total");
     mQueue.pushFront(std::move(run.mQueued));
   }
 }
--- /dev/null
+++ b/tests/unit/metric_names_test.cpp
@@ -0,0 +1,64 @@
+#include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <regex>
+#include <string>
+
+namespace {
+
+namespace fs = std::filesystem;
+
+const fs::path kSource = RADISHROAD_SOURCE_DIR;
+
+std::string
+readText(const fs::path& aFile)
+{
+  std::ifstream in(aFile);
+  return { std::istreambuf_iterator<char>(in), {} };
+}
+
+/// Names that the code gives to Metrics, with the call that takes them.
+std::map<std::string, std::string>
+exportedNames()
+{
+  const std::regex call(
+    R"re([mM]etrics\.(count|gauge|observe)\(\s*(?:std::string\()?"(\w+))re");
+  std::map<std::string, std::string> names;
+  for (const auto& entry : fs::recursive_directory_iterator(kSource / "src")) {
+    if (entry.path().extension() != ".cpp") {
+      continue;
+    }
+    const std::string text = readText(entry.path());
+    std::sregex_iterator it(text.begin(), text.end(), call);
+    for (; it != std::sregex_iterator(); ++it) {
+      names[(*it)[2]] = (*it)[1];
+    }
+  }
+  return names;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(metric_names)
+
+BOOST_AUTO_TEST_CASE(follow_the_conventions_and_stand_in_the_operators_page)
+{
+  const std::map<std::string, std::regex> forms = {
+    { "count", std::regex("radishroad_[a-z_]+_total") },
+    { "gauge", std::regex("radishroad_(?!.*_(total|seconds|ms)$)[a-z_]+") },
+    { "observe", std::regex("radishroad_[a-z_]+_seconds") },
+  };
+  const std::string page = readText(kSource / "docs" / "operators.md");
+  const std::map<std::string, std::string> names = exportedNames();
+  BOOST_TEST(names.size() > 20U);
+  for (const auto& [name, kind] : names) {
+    BOOST_TEST(std::regex_match(name, forms.at(kind)), name);
+    const bool listed = page.find("| `" + name + "`") != std::string::npos ||
+                        page.find("| `" + name + "{") != std::string::npos;
+    BOOST_TEST(listed, name << " is not in docs/operators.md");
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/metrics_test.cpp
+++ b/tests/unit/metrics_test.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 using namespace radishroad;
+using namespace radishroad::literals;
 
 BOOST_AUTO_TEST_SUITE(base)
 
@@ -18,7 +19,7 @@
     threads.emplace_back([&metrics] {
       for (int n = 0; n < 10000; ++n) {
         metrics.count("requests_total");
-        metrics.observeMs("wait_ms", n);
+        metrics.observe("wait_seconds", Millis{ n });
       }
     });
   }
@@ -27,7 +28,7 @@
   }
   BOOST_TEST(metrics.counter("requests_total") == 40000U);
   BOOST_TEST(metrics.counter("others_total") == 0U);
-  BOOST_TEST(metrics.toPrometheus().find("wait_ms_count 40000\n") !=
+  BOOST_TEST(metrics.toPrometheus().find("wait_seconds_count 40000\n") !=
              std::string::npos);
 }
 
@@ -37,18 +38,19 @@
   metrics.count("requests_total{outcome=\"answered\"}", 3);
   metrics.count("requests_total{outcome=\"unknown\"}");
   metrics.gauge("window", 2.5);
-  metrics.observeMs("latency_ms{hop=\"peer\"}", 4);
-  const std::string expected = "# TYPE requests_total counter\n"
-                               "requests_total{outcome=\"answered\"} 3\n"
-                               "requests_total{outcome=\"unknown\"} 1\n"
-                               "# TYPE window gauge\n"
-                               "window 2.5\n"
-                               "# TYPE latency_ms summary\n"
-                               "latency_ms{hop=\"peer\",quantile=\"0.5\"} 4\n"
-                               "latency_ms{hop=\"peer\",quantile=\"0.99\"} 4\n"
-                               "latency_ms{hop=\"peer\",quantile=\"0.999\"} 4\n"
-                               "latency_ms_sum{hop=\"peer\"} 4\n"
-                               "latency_ms_count{hop=\"peer\"} 1\n";
+  metrics.observe("latency_seconds{hop=\"peer\"}", Millis{ 4 });
+  const std::string expected =
+    "# TYPE requests_total counter\n"
+    "requests_total{outcome=\"answered\"} 3\n"
+    "requests_total{outcome=\"unknown\"} 1\n"
+    "# TYPE window gauge\n"
+    "window 2.5\n"
+    "# TYPE latency_seconds summary\n"
+    "latency_seconds{hop=\"peer\",quantile=\"0.5\"} 0.004\n"
+    "latency_seconds{hop=\"peer\",quantile=\"0.99\"} 0.004\n"
+    "latency_seconds{hop=\"peer\",quantile=\"0.999\"} 0.004\n"
+    "latency_seconds_sum{hop=\"peer\"} 0.004\n"
+    "latency_seconds_count{hop=\"peer\"} 1\n";
   BOOST_TEST(metrics.toPrometheus() == expected);
 }
 
@@ -56,25 +58,27 @@
 {
   Metrics metrics;
   for (int n = 1; n <= 1000; ++n) {
-    metrics.observeMs("latency_ms", (n * 7919) % 1000 + 1);
+    metrics.observe("latency_seconds", Millis{ (n * 7919) % 1000 + 1 });
   }
   const std::string text = metrics.toPrometheus();
-  BOOST_TEST(text.find("quantile=\"0.5\"} 501\n") != std::string::npos, text);
-  BOOST_TEST(text.find("quantile=\"0.99\"} 990\n") != std::string::npos, text);
-  BOOST_TEST(text.find("quantile=\"0.999\"} 999\n") != std::string::npos, text);
+  BOOST_TEST(text.find("quantile=\"0.5\"} 0.501\n") != std::string::npos, text);
+  BOOST_TEST(text.find("quantile=\"0.99\"} 0.99\n") != std::string::npos, text);
+  BOOST_TEST(text.find("quantile=\"0.999\"} 0.999\n") != std::string::npos,
+             text);
 }
 
 BOOST_AUTO_TEST_CASE(quantiles_follow_a_change)
 {
   Metrics metrics;
   for (int n = 0; n < 5000; ++n) {
-    metrics.observeMs("latency_ms", 1000);
+    metrics.observe("latency_seconds", 1_s);
   }
   for (int n = 0; n < 5000; ++n) {
-    metrics.observeMs("latency_ms", 2);
+    metrics.observe("latency_seconds", 2_ms);
   }
   const std::string text = metrics.toPrometheus();
-  BOOST_TEST(text.find("quantile=\"0.99\"} 2\n") != std::string::npos, text);
+  BOOST_TEST(text.find("quantile=\"0.99\"} 0.002\n") != std::string::npos,
+             text);
 }
 
 BOOST_AUTO_TEST_CASE(events_are_kept_as_json_lines)
