--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -88,7 +88,7 @@
       { .mListenAddress = mSettings.mCallerAddress,
         .mThreads = mSettings.callerThreads() },
       [this](CallerRequest aRequest, AnswerFn aAnswer) {
-        mIngress.handle(std::move(aRequest), std::move(aAnswer));
+        return mIngress.handle(std::move(aRequest), std::move(aAnswer));
       },
       mMetrics)
   , mAdmin(mSettings.mOperatorAddress,
@@ -170,9 +170,12 @@
 }
 
 bool
-Daemon::Parts::nobodyTakesOver() const
+Daemon::Parts::nobodyTakesOver()
 {
-  return !mHandoff.busy() && planEvacuation(mFleet.ownCell(), mSelf, 1).empty();
+  // A hand-off in doubt is not waited for without the log: nobody is left to
+  // serve what it hands off.
+  return mMembership.isLastOfCell() &&
+         (!mHandoff.busy() || !mFleet.logAnswers());
 }
 
 bool
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -88,6 +88,8 @@
   TakeoverGuard mGuard;
   bool mGuardStarted = false;
   Millis mNextLoadReport;
+  /// Traffic that the metrics hold.
+  PeerLink::Traffic mCounted;
 
 private:
   FleetState::Hooks fleetHooks();
@@ -103,6 +105,7 @@
   void guardTakeovers(const CellState& aBefore, const CellState& aAfter);
   void onControlFrame(Incarnation aFrom, const wire::FrameBodyUnion& aBody);
   void reportLoad(Millis aNow);
+  void countTraffic();
   void spreadCrashReport(const wire::CrashReportT& aReport);
   void sendControl(Incarnation aTo, wire::FrameBodyUnion aBody);
   bool submitAppend(const std::string& aStream,
@@ -110,7 +113,8 @@
                     std::function<void(Result<std::uint64_t>)> aResult);
   void probeLog(const std::function<void(bool)>& aDone);
   bool draining() const;
-  bool nobodyTakesOver() const;
+  /// Waiting for a hand-off has no use.
+  bool nobodyTakesOver();
   bool configFresh() const;
 };
 
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -139,6 +139,10 @@
                          AnswerFn aAnswer) {
     mLink->forward(aAddress, std::move(aRequest), std::move(aAnswer));
   };
+  hooks.mCancelOwn = [this](RandomId aId) { mGate->cancel(aId); };
+  hooks.mCancelAtPeer = [this](const std::string& aAddress, RandomId aId) {
+    mLink->cancel(aAddress, aId);
+  };
   hooks.mOnRequest = [this] { mCrashes.onRequest(); };
   hooks.mMayRetry = [this](const ForwardRequest& aRequest) {
     return mHooks.mMayRunTwice(aRequest) && mCrashes.mayRetry(monotonicNow());
@@ -208,13 +212,7 @@
   }
   mNextLoadReport = aNow + kLoadReportInterval;
   Gate::Load load = mGate->takeLoad();
-  mMetrics.gauge("radishroad_window", load.mWindow);
-  const PeerLink::Traffic traffic = mLink->traffic();
-  mMetrics.gauge("radishroad_control_bytes_sent",
-                 static_cast<double>(traffic.mControlBytesSent));
-  mMetrics.gauge("radishroad_control_bytes_received",
-                 static_cast<double>(traffic.mControlBytesReceived));
-  mMetrics.gauge("radishroad_in_flight", load.mInFlight);
+  countTraffic();
   wire::LoadReportT report;
   report.incarnation = mSelf;
   report.window = static_cast<float>(load.mWindow);
@@ -230,6 +228,18 @@
   }
 }
 
+void
+Daemon::Parts::countTraffic()
+{
+  const PeerLink::Traffic traffic = mLink->traffic();
+  mMetrics.count("radishroad_control_sent_bytes_total",
+                 traffic.mControlBytesSent - mCounted.mControlBytesSent);
+  mMetrics.count("radishroad_control_received_bytes_total",
+                 traffic.mControlBytesReceived -
+                   mCounted.mControlBytesReceived);
+  mCounted = traffic;
+}
+
 void
 Daemon::Parts::spreadCrashReport(const wire::CrashReportT& aReport)
 {
@@ -293,6 +303,9 @@
     case wire::FrameBody::LoadReport:
       mCoordinator.onReport(*aBody.AsLoadReport());
       break;
+    case wire::FrameBody::BeginLeave:
+      mMembership.onPeerLeaves(aFrom);
+      break;
     case wire::FrameBody::CrashReport:
       mCrashes.onReport(*aBody.AsCrashReport(), monotonicNow());
       break;
