Wait for the next request by timerfd in the load tool

The load tool looked for due requests every 50 us and ran all transfers each time. Each pass costs time for every transfer under way, so after a stall the tool took 55 to 60 % of a core for each of its two threads (15 % else) just when the stand-in had to catch up: in the worst burst of 111 ms each thread of both processes waited a third to a half of the time for a processor.

The engine now sleeps until the next request is due or a socket is ready. The switch between exact and whole-millisecond times is gone with it.

What is left of the tail in these trials is the wait of the threads for a processor; a run on a quiet machine is still to be made.

--- a/tests/process/support/http_call.cpp
+++ b/tests/process/support/http_call.cpp
@@ -5,10 +5,8 @@
 LoadResult
 call(LoadRequest aRequest)
 {
-  tools::LoadEngine engine({ .mMaxConnections = 1,
-                             .mBoundConnections = false,
-                             .mExactTimes = false,
-                             .mKeepBodies = true });
+  tools::LoadEngine engine(
+    { .mMaxConnections = 1, .mBoundConnections = false, .mKeepBodies = true });
   aRequest.mSendAt = std::chrono::steady_clock::now();
   std::optional<LoadRequest> next = std::move(aRequest);
   LoadResult result;
--- a/tests/process/support/traffic.cpp
+++ b/tests/process/support/traffic.cpp
@@ -16,7 +16,6 @@
   mThread = std::thread([this] {
     LoadEngine engine({ .mMaxConnections = 256,
                         .mBoundConnections = false,
-                        .mExactTimes = false,
                         .mKeepBodies = true });
     engine.run(
       [this] { return next(); },
--- /dev/null
+++ b/tests/process/wake_timer_test.cpp
@@ -0,0 +1,48 @@
+#include "common/wake_timer.h"
+
+#include <boost/test/unit_test.hpp>
+#include <poll.h>
+
+namespace radishroad::test {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+bool
+becomesReadable(const tools::WakeTimer& aTimer, int aTimeoutMs)
+{
+  pollfd entry{ aTimer.descriptor(), POLLIN, 0 };
+  return ::poll(&entry, 1, aTimeoutMs) == 1;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(wake_timer)
+
+BOOST_AUTO_TEST_CASE(wakes_at_its_time_and_not_before)
+{
+  constexpr std::chrono::microseconds kDelay(1500);
+  constexpr int kLongMs = 10000;
+  tools::WakeTimer timer;
+  const Clock::time_point at = Clock::now() + kDelay;
+  timer.arm(at);
+  BOOST_TEST(becomesReadable(timer, kLongMs));
+  BOOST_TEST((Clock::now() >= at));
+}
+
+BOOST_AUTO_TEST_CASE(a_passed_time_wakes_at_once_and_a_later_one_replaces_it)
+{
+  tools::WakeTimer timer;
+  timer.arm(Clock::now() - std::chrono::seconds(1));
+  BOOST_TEST(becomesReadable(timer, 0));
+  timer.arm(Clock::now() + std::chrono::hours(1));
+  BOOST_TEST(!becomesReadable(timer, 0));
+  timer.arm(Clock::now() - std::chrono::seconds(1));
+  timer.disarm();
+  BOOST_TEST(!becomesReadable(timer, 0));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- a/tools/common/load_engine.cpp
+++ b/tools/common/load_engine.cpp
@@ -1,9 +1,9 @@
 #include "common/load_engine.h"
 
-#include <algorithm>
+#include "common/wake_timer.h"
+
 #include <curl/curl.h>
 #include <string_view>
-#include <thread>
 
 namespace radishroad::tools {
 
@@ -12,7 +12,6 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr int kIdlePollMs = 1000;
-constexpr std::chrono::microseconds kExactSleep(50);
 
 /// One request under way.
 struct Transfer
@@ -100,6 +99,7 @@
 
   Options mOptions;
   CURLM* mMulti;
+  WakeTimer mTimer;
   std::vector<CURL*> mIdle;
   std::size_t mRunning = 0;
 };
@@ -196,21 +196,15 @@
 void
 LoadEngine::Impl::wait(std::optional<LoadRequest::TimePoint> aUntil)
 {
-  int timeoutMs = kIdlePollMs;
   if (aUntil) {
-    const Clock::duration left = *aUntil - Clock::now();
-    if (left <= Clock::duration::zero()) {
-      return;
-    }
-    if (mOptions.mExactTimes) {
-      std::this_thread::sleep_for(std::min<Clock::duration>(left, kExactSleep));
-      return;
-    }
-    const auto ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
-    timeoutMs = static_cast<int>(std::min<std::int64_t>(ms + 1, kIdlePollMs));
+    mTimer.arm(*aUntil);
+  } else {
+    mTimer.disarm();
   }
-  curl_multi_poll(mMulti, nullptr, 0, timeoutMs, nullptr);
+  curl_waitfd timer{};
+  timer.fd = mTimer.descriptor();
+  timer.events = CURL_WAIT_POLLIN;
+  curl_multi_poll(mMulti, &timer, 1, kIdlePollMs, nullptr);
 }
 
 void
--- a/tools/common/load_engine.h
+++ b/tools/common/load_engine.h
@@ -60,9 +60,6 @@
     std::size_t mMaxConnections = 256;
     /// Opens no more than mMaxConnections; else that many are kept for reuse.
     bool mBoundConnections = false;
-    /// Looks for due requests without sleeping for whole milliseconds, for
-    /// exact latencies at high rates.
-    bool mExactTimes = false;
     /// Keeps the bodies of answers.
     bool mKeepBodies = false;
   };
--- /dev/null
+++ b/tools/common/wake_timer.cpp
@@ -0,0 +1,50 @@
+#include "common/wake_timer.h"
+
+#include <cerrno>
+#include <cstdint>
+#include <sys/timerfd.h>
+#include <system_error>
+#include <unistd.h>
+
+namespace radishroad::tools {
+
+WakeTimer::WakeTimer()
+  : mDescriptor(::timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC))
+{
+  if (mDescriptor < 0) {
+    throw std::system_error(errno, std::generic_category(), "timerfd_create");
+  }
+}
+
+WakeTimer::~WakeTimer()
+{
+  ::close(mDescriptor);
+}
+
+int
+WakeTimer::descriptor() const
+{
+  return mDescriptor;
+}
+
+void
+WakeTimer::arm(std::chrono::steady_clock::time_point aAt)
+{
+  constexpr std::int64_t kNanosecondsInSecond = 1'000'000'000;
+  // steady_clock counts CLOCK_MONOTONIC.
+  const std::int64_t at =
+    std::chrono::nanoseconds(aAt.time_since_epoch()).count();
+  itimerspec setting{};
+  setting.it_value.tv_sec = at / kNanosecondsInSecond;
+  setting.it_value.tv_nsec = at % kNanosecondsInSecond;
+  ::timerfd_settime(mDescriptor, TFD_TIMER_ABSTIME, &setting, nullptr);
+}
+
+void
+WakeTimer::disarm()
+{
+  const itimerspec off{};
+  ::timerfd_settime(mDescriptor, 0, &off, nullptr);
+}
+
+}
--- a/tools/rr-load.cpp
+++ b/tools/rr-load.cpp
@@ -41,7 +41,6 @@
     options.mMaxConnections = static_cast<std::size_t>(
       std::max(aOptions.mConnections / aOptions.mThreads, 1));
     options.mBoundConnections = true;
-    options.mExactTimes = true;
     tools::LoadEngine engine(options);
     engine.run([this] { return mSchedule.next(); },
                [this](const tools::LoadResult& aResult) { count(aResult); });
