Spare the hot path copies, locales and streams

Cause, by profiles (perf, user time) of a daemon at 3,000 to 4,100 requests a second: 22 % of the gate thread's time went into rebuilding the queue in each turn of its loop though nothing had expired, more the longer the queue was; on the callers' threads 12 % into comparing header names by locale and into writing hex digits by streams, 14 % into two draws from the random source.

The queue now moves nothing if nothing matches, header names are compared as ASCII, hex digits are written without a stream, and an id is one draw.

--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -1,9 +1,9 @@
 #include "radishroad/base/hash.h"
 
 #include <array>
-#include <iomanip>
+#include <boost/algorithm/hex.hpp>
+#include <iterator>
 #include <openssl/sha.h>
-#include <sstream>
 #include <xxhash.h>
 
 namespace radishroad {
@@ -28,12 +28,10 @@
   SHA256(reinterpret_cast<const unsigned char*>(aBytes.data()),
          aBytes.size(),
          digest.data());
-  std::ostringstream out;
-  out << std::hex << std::setfill('0');
-  for (const unsigned char byte : digest) {
-    out << std::setw(2) << static_cast<unsigned>(byte);
-  }
-  return out.str();
+  std::string text;
+  text.reserve(digest.size() * 2);
+  boost::algorithm::hex_lower(digest, std::back_inserter(text));
+  return text;
 }
 
 }
--- a/src/base/random_id.cpp
+++ b/src/base/random_id.cpp
@@ -1,23 +1,30 @@
 #include "radishroad/base/random_id.h"
 
-#include <iomanip>
+#include <array>
+#include <cinttypes>
+#include <cstdio>
 #include <openssl/rand.h>
 #include <random>
-#include <sstream>
 
 namespace radishroad {
 
 namespace {
 
-std::uint64_t
-randomWord()
+using Words = std::array<std::uint64_t, 2>;
+
+Words
+randomWords()
 {
-  std::uint64_t word = 0;
-  if (RAND_bytes(reinterpret_cast<unsigned char*>(&word), sizeof(word)) == 1) {
-    return word;
+  Words words{};
+  if (RAND_bytes(reinterpret_cast<unsigned char*>(words.data()),
+                 sizeof(words)) == 1) {
+    return words;
   }
   std::random_device device;
-  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+  for (std::uint64_t& word : words) {
+    word = (static_cast<std::uint64_t>(device()) << 32U) | device();
+  }
+  return words;
 }
 
 }
@@ -25,24 +32,26 @@
 std::string
 RandomId::toString() const
 {
-  std::ostringstream out;
-  out << std::hex << std::setfill('0') << std::setw(16) << mHigh
-      << std::setw(16) << mLow;
-  return out.str();
+  constexpr std::size_t kDigits = 32;
+  std::array<char, kDigits + 1> buf{};
+  std::snprintf(
+    buf.data(), buf.size(), "%016" PRIx64 "%016" PRIx64, mHigh, mLow);
+  return { buf.data(), kDigits };
 }
 
 RandomId
 makeRandomId()
 {
-  return { randomWord(), randomWord() };
+  const Words words = randomWords();
+  return { words[0], words[1] };
 }
 
 std::uint64_t
 makeIncarnation()
 {
-  std::uint64_t word = randomWord();
+  std::uint64_t word = randomWords().front();
   while (word == 0) {
-    word = randomWord();
+    word = randomWords().front();
   }
   return word;
 }
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -2,12 +2,12 @@
 
 #include "radishroad/base/hash.h"
 #include "radishroad/base/timer.h"
+#include "radishroad/caller/header_filter.h"
 #include "radishroad/config/model.h"
 #include "radishroad/config/route_match.h"
 #include "radishroad/daemon/fleet_view.h"
 
 #include <algorithm>
-#include <boost/algorithm/string/predicate.hpp>
 
 namespace radishroad {
 
@@ -28,7 +28,7 @@
 findHeader(const std::vector<wire::HeaderT>& aHeaders, std::string_view aName)
 {
   for (const wire::HeaderT& header : aHeaders) {
-    if (boost::algorithm::iequals(header.name, aName)) {
+    if (equalsIgnoringCase(header.name, aName)) {
       return std::string_view(header.value);
     }
   }
@@ -42,7 +42,8 @@
 {
   const std::optional<std::string_view> value =
     findHeader(aHeaders, "authorization");
-  if (!value || !boost::algorithm::istarts_with(*value, kBearer)) {
+  if (!value ||
+      !equalsIgnoringCase(value->substr(0, kBearer.size()), kBearer)) {
     return std::nullopt;
   }
   const auto it =
@@ -156,7 +157,7 @@
   request.method = std::move(aRequest.mMethod);
   request.target = std::move(aRequest.mTarget);
   for (wire::HeaderT& header : aRequest.mHeaders) {
-    if (!boost::algorithm::iequals(header.name, "authorization")) {
+    if (!equalsIgnoringCase(header.name, "authorization")) {
       request.headers.push_back(
         std::make_unique<wire::HeaderT>(std::move(header)));
     }
--- a/src/upstream/request_queue.cpp
+++ b/src/upstream/request_queue.cpp
@@ -1,6 +1,8 @@
 #include "radishroad/upstream/request_queue.h"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 
 namespace radishroad {
 
@@ -131,15 +133,12 @@
 {
   std::vector<QueuedRequest> removed;
   for (Line& line : mLines) {
-    std::deque<QueuedRequest> kept;
-    for (QueuedRequest& request : line.mRequests) {
-      if (aMatches(request)) {
-        removed.push_back(std::move(request));
-      } else {
-        kept.push_back(std::move(request));
-      }
-    }
-    line.mRequests = std::move(kept);
+    // Moves nothing if nothing matches, which is the usual case.
+    std::deque<QueuedRequest>& requests = line.mRequests;
+    const auto first = std::stable_partition(
+      requests.begin(), requests.end(), std::not_fn(std::cref(aMatches)));
+    std::move(first, requests.end(), std::back_inserter(removed));
+    requests.erase(first, requests.end());
   }
   dropEmptyLines();
   return removed;
--- a/tests/unit/millis_test.cpp
+++ b/tests/unit/millis_test.cpp
@@ -36,4 +36,10 @@
   BOOST_TEST(makeIncarnation() != 0U);
 }
 
+BOOST_AUTO_TEST_CASE(random_id_as_text_keeps_leading_zeros)
+{
+  const RandomId id{ 0xAB, 0xFEDCBA9876543210 };
+  BOOST_TEST(id.toString() == "00000000000000abfedcba9876543210");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/request_queue_test.cpp
+++ b/tests/unit/request_queue_test.cpp
@@ -42,6 +42,30 @@
   BOOST_TEST(taken["small"] == 2);
 }
 
+BOOST_AUTO_TEST_CASE(removal_asks_once_for_each_and_keeps_the_order)
+{
+  RequestQueue queue;
+  for (int i = 0; i < 6; ++i) {
+    QueuedRequest queued = makeQueued("w");
+    queued.mDeadline = Millis{ i };
+    queue.pushBack(std::move(queued));
+  }
+  int asked = 0;
+  const std::vector<QueuedRequest> removed =
+    queue.removeIf([&asked](const QueuedRequest& aQueued) {
+      ++asked;
+      return aQueued.mDeadline.mCount % 2 == 1;
+    });
+  BOOST_TEST(asked == 6);
+  BOOST_REQUIRE(removed.size() == 3U);
+  BOOST_TEST(removed[0].mDeadline.mCount == 1);
+  BOOST_TEST(removed[2].mDeadline.mCount == 5);
+  BOOST_TEST(queue.pop(always)->mDeadline.mCount == 0);
+  BOOST_TEST(queue.pop(always)->mDeadline.mCount == 2);
+  BOOST_TEST(queue.pop(always)->mDeadline.mCount == 4);
+  BOOST_TEST(queue.empty());
+}
+
 BOOST_AUTO_TEST_CASE(workspace_with_long_requests_has_fewer_turns)
 {
   RequestQueue queue;
