--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -2,6 +2,7 @@
 
 #include "radishroad/base/hash.h"
 #include "radishroad/base/timer.h"
+#include "radishroad/caller/header_filter.h"
 #include "radishroad/config/model.h"
 #include "radishroad/config/route_match.h"
 #include "radishroad/daemon/caller_key.h"
@@ -9,7 +10,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <boost/algorithm/string/predicate.hpp>
 #include <mutex>
 #include <optional>
 
@@ -32,7 +32,7 @@
 findHeader(const std::vector<wire::HeaderT>& aHeaders, std::string_view aName)
 {
   for (const wire::HeaderT& header : aHeaders) {
-    if (boost::algorithm::iequals(header.name, aName)) {
+    if (equalsIgnoringCase(header.name, aName)) {
       return std::string_view(header.value);
     }
   }
@@ -45,7 +45,8 @@
 {
   const std::optional<std::string_view> value =
     findHeader(aHeaders, "authorization");
-  if (!value || !boost::algorithm::istarts_with(*value, kBearer)) {
+  if (!value ||
+      !equalsIgnoringCase(value->substr(0, kBearer.size()), kBearer)) {
     return {};
   }
   return sha256Hex(value->substr(kBearer.size()));
@@ -166,7 +167,7 @@
   request.method = std::move(aRequest.mMethod);
   request.target = std::move(aRequest.mTarget);
   for (wire::HeaderT& header : aRequest.mHeaders) {
-    if (!boost::algorithm::iequals(header.name, "authorization")) {
+    if (!equalsIgnoringCase(header.name, "authorization")) {
       request.headers.push_back(
         std::make_unique<wire::HeaderT>(std::move(header)));
     }
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -12,7 +12,8 @@
 
 /// What a run may take beyond its limit until the upstream has ended it.
 constexpr Millis kRunLimitMargin{ 100 };
-constexpr Millis kLoadReportInterval{ 1000 };
+constexpr Millis kLoadReportInterval{ 3000 };
+constexpr Millis kTrafficInterval{ 1000 };
 
 wire::CrashReportT
 makeCrashReport(Incarnation aReporter, std::uint64_t aFingerprint, RandomId aId)
@@ -60,7 +61,10 @@
     return mAuthority.decide(aRequest, monotonicNow());
   };
   hooks.mOnHealth = [this](bool aHealthy) {
-    mLoop.post([this, aHealthy] { mMembership.onUpstreamHealth(aHealthy); });
+    mLoop.post([this, aHealthy] {
+      mMembership.onUpstreamHealth(aHealthy);
+      mLoop.tickSoon();
+    });
   };
   hooks.mOnCrash = [this](std::uint64_t aFingerprint, RandomId aId) {
     // At once, since a copy of the request may be next in the gate's queue.
@@ -143,7 +147,10 @@
   hooks.mCancelAtPeer = [this](const std::string& aAddress, RandomId aId) {
     mLink->cancel(aAddress, aId);
   };
-  hooks.mOnRequest = [this] { mCrashes.onRequest(); };
+  hooks.mOnRequest = [this] {
+    mHadRequests = true;
+    mCrashes.onRequest();
+  };
   hooks.mMayRetry = [this](const ForwardRequest& aRequest) {
     return mHooks.mMayRunTwice(aRequest) && mCrashes.mayRetry(monotonicNow());
   };
@@ -212,7 +219,6 @@
   }
   mNextLoadReport = aNow + kLoadReportInterval;
   Gate::Load load = mGate->takeLoad();
-  countTraffic();
   wire::LoadReportT report;
   report.incarnation = mSelf;
   report.window = static_cast<float>(load.mWindow);
@@ -229,8 +235,12 @@
 }
 
 void
-Daemon::Parts::countTraffic()
+Daemon::Parts::countTraffic(Millis aNow)
 {
+  if (aNow < mNextTraffic) {
+    return;
+  }
+  mNextTraffic = aNow + kTrafficInterval;
   const PeerLink::Traffic traffic = mLink->traffic();
   mMetrics.count("radishroad_control_sent_bytes_total",
                  traffic.mControlBytesSent - mCounted.mControlBytesSent);
@@ -284,6 +294,8 @@
       break;
     case wire::FrameBody::Consent:
       mLease.onConsent(*aBody.AsConsent());
+      // It may complete an expulsion.
+      mLoop.tickSoon();
       break;
     case wire::FrameBody::MoveOrder:
       mHandoff.order(aBody.AsMoveOrder()->grants);
