Let split keys return to their shards, and wait for lost owners of keys

Cause: a key that was split out stayed split for good, since its epochs had left its shard's behind, and the daemon applied the wait after a lost owner to shards alone: the heir of a split key did not wait for the requests that the lost owner's unfenced upstream might still run, while a split key whose shard had been taken over waited for nothing.

A SplitKey record with `to` 0 returns the key; the shard's epoch rises as far as the key's next one. ServeAuthority asks the guard by key: a split key has its own wait, any other the later of the shard's and its own.

Ruled out: a record kind of its own (all daemons would have to know it before the first is written, for no other precondition than SplitKey's), and a move to the shard's owner followed by a merge (two appends, and the shard may move in between).

--- a/include/radishroad/daemon/serve_authority.h
+++ b/include/radishroad/daemon/serve_authority.h
@@ -2,11 +2,11 @@
 #define RADISHROAD_DAEMON_SERVE_AUTHORITY_H
 
 #include "radishroad/base/millis.h"
+#include "radishroad/ownership/takeover_guard.h"
 #include "radishroad/state/cell_state.h"
 #include "radishroad/upstream/gate.h"
 
 #include <atomic>
-#include <map>
 #include <mutex>
 #include <string>
 
@@ -27,8 +27,8 @@
 
   void setLeaseUntil(Millis aUntil);
   Millis leaseUntil() const;
-  /// Requests for the key are not run before this time.
-  void setWait(Shard aShard, Millis aServeFrom);
+  /// Waits after the loss of owners, as of now.
+  void setWaits(const TakeoverGuard& aGuard);
 
   ServeDecision decide(const ForwardRequest& aRequest, Millis aNow) const;
   /// Owner by the newest state and an unexpired lease; for keys that stand for
@@ -36,12 +36,14 @@
   bool servesKey(std::uint64_t aKeyHash, Millis aNow) const;
 
 private:
+  Millis serveFrom(const CellState& aCell, std::uint64_t aKeyHash) const;
+
   const ViewHolder& mViews;
   std::string mService;
   Incarnation mSelf;
   std::atomic<std::int64_t> mLeaseUntil{ 0 };
   mutable std::mutex mMutex;
-  std::map<Shard, Millis> mServeFrom;
+  TakeoverGuard mWaits;
 };
 
 }
--- a/include/radishroad/ownership/ownership_change.h
+++ b/include/radishroad/ownership/ownership_change.h
@@ -9,7 +9,8 @@
 
 namespace radishroad {
 
-/// A shard, or a split key, that has another owner than before.
+/// A shard, or a split key, that has another owner than before. A key that was
+/// merged into its shard counts as one, with the shard's owner as the new one.
 struct OwnershipChange
 {
   Shard mShard = 0;
--- a/include/radishroad/ownership/takeover_guard.h
+++ b/include/radishroad/ownership/takeover_guard.h
@@ -37,8 +37,11 @@
 
   /// Time from which the owner of a shard may serve it.
   Millis serveFrom(Shard aShard) const;
-  /// The same for a key that is split out of its shard.
+  /// The same for a key that is split out of its shard, or was until it was
+  /// merged back: it keeps its wait.
   Millis serveFromKey(std::uint64_t aKeyHash) const;
+  /// Time from which the owner of a key, split out or not, may serve it.
+  Millis serveFrom(const CellState& aState, std::uint64_t aKeyHash) const;
   /// Drops waits that have ended.
   void prune(Millis aNow);
 
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -182,11 +182,7 @@
   for (const OwnershipChange& change : ownershipChanges(aBefore, aAfter)) {
     mGuard.onOwnershipChange(change, now, wait);
   }
-  for (Shard shard = 0; shard < kShardCount; ++shard) {
-    if (mGuard.serveFrom(shard) > now) {
-      mAuthority.setWait(shard, mGuard.serveFrom(shard));
-    }
-  }
+  mAuthority.setWaits(mGuard);
 }
 
 void
--- a/src/daemon/serve_authority.cpp
+++ b/src/daemon/serve_authority.cpp
@@ -43,10 +43,17 @@
 }
 
 void
-ServeAuthority::setWait(Shard aShard, Millis aServeFrom)
+ServeAuthority::setWaits(const TakeoverGuard& aGuard)
 {
-  std::lock_guard<std::mutex> lock(mMutex);
-  mServeFrom[aShard] = aServeFrom;
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mWaits = aGuard;
+}
+
+Millis
+ServeAuthority::serveFrom(const CellState& aCell, std::uint64_t aKeyHash) const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mWaits.serveFrom(aCell, aKeyHash);
 }
 
 ServeDecision
@@ -67,12 +74,9 @@
   if (until <= aNow) {
     return refuse(NotRunReason::LeaseLapsed, ownership.mEpoch, soon);
   }
-  {
-    std::lock_guard<std::mutex> lock(mMutex);
-    const auto it = mServeFrom.find(shardOf(aRequest.key_hash));
-    if (it != mServeFrom.end() && it->second > aNow) {
-      return refuse(NotRunReason::LeaseLapsed, ownership.mEpoch, it->second);
-    }
+  const Millis from = serveFrom(*cell, aRequest.key_hash);
+  if (from > aNow) {
+    return refuse(NotRunReason::LeaseLapsed, ownership.mEpoch, from);
   }
   ServeDecision decision;
   decision.mEpoch = ownership.mEpoch;
--- a/src/ownership/ownership_change.cpp
+++ b/src/ownership/ownership_change.cpp
@@ -33,6 +33,39 @@
   return change;
 }
 
+/// A merge raises the epoch of a shard that keeps its owner. That there was no
+/// owner in between is certain for states one record apart only.
+bool
+raisedByMerge(const CellState& aBefore, const CellState& aAfter, Shard aShard)
+{
+  return aAfter.mNextOffset == aBefore.mNextOffset + 1 &&
+         aBefore.mShards[aShard].mOwner == aAfter.mShards[aShard].mOwner;
+}
+
+/// A split key that has gone back to its shard.
+void
+addMerge(const CellState& aBefore,
+         const CellState& aAfter,
+         std::uint64_t aKeyHash,
+         const SplitOwnership& aSplit,
+         std::vector<OwnershipChange>& aChanges)
+{
+  const Ownership& shard = aAfter.mShards[aSplit.mShard];
+  const Incarnation from = aSplit.mOwnership.mOwner;
+  const bool single = aAfter.mNextOffset == aBefore.mNextOffset + 1;
+  if (single && from == shard.mOwner) {
+    return;
+  }
+  OwnershipChange change;
+  change.mShard = aSplit.mShard;
+  change.mKeyHash = aKeyHash;
+  change.mFrom = from;
+  change.mTo = shard.mOwner;
+  change.mEpoch = shard.mEpoch;
+  change.mPlanned = single && handedOver(aAfter, from);
+  aChanges.push_back(change);
+}
+
 void
 addKeyChange(const CellState& aBefore,
              const CellState& aAfter,
@@ -65,7 +98,7 @@
   for (Shard shard = 0; shard < shards; ++shard) {
     const Ownership& before = aBefore.mShards[shard];
     const Ownership& now = aAfter.mShards[shard];
-    if (before.mEpoch != now.mEpoch) {
+    if (before.mEpoch != now.mEpoch && !raisedByMerge(aBefore, aAfter, shard)) {
       changes.push_back(describe(before, now, aAfter));
       changes.back().mShard = shard;
     }
@@ -73,6 +106,11 @@
   for (const auto& [keyHash, split] : aAfter.mSplitKeys) {
     addKeyChange(aBefore, aAfter, keyHash, split, changes);
   }
+  for (const auto& [keyHash, split] : aBefore.mSplitKeys) {
+    if (!aAfter.mSplitKeys.contains(keyHash)) {
+      addMerge(aBefore, aAfter, keyHash, split, changes);
+    }
+  }
   return changes;
 }
 
--- a/src/ownership/takeover_guard.cpp
+++ b/src/ownership/takeover_guard.cpp
@@ -80,6 +80,15 @@
   return std::max(mStart, waitOf(mKeys, aKeyHash));
 }
 
+Millis
+TakeoverGuard::serveFrom(const CellState& aState, std::uint64_t aKeyHash) const
+{
+  const Millis key = serveFromKey(aKeyHash);
+  return aState.mSplitKeys.contains(aKeyHash)
+           ? key
+           : std::max(key, serveFrom(shardOf(aKeyHash)));
+}
+
 void
 TakeoverGuard::prune(Millis aNow)
 {
--- a/src/state/fold_ownership.cpp
+++ b/src/state/fold_ownership.cpp
@@ -84,6 +84,28 @@
   return true;
 }
 
+/// Returns a key to its shard. The shard's epoch rises as far as the key's
+/// next one, so that the key's epoch never falls.
+bool
+mergeSplit(CellState& aState, const wire::SplitKeyT& aChange)
+{
+  const auto it = aState.mSplitKeys.find(aChange.key_hash);
+  if (it == aState.mSplitKeys.end()) {
+    return false;
+  }
+  const Ownership& key = it->second.mOwnership;
+  Ownership& shard = aState.mShards[aChange.shard];
+  const bool current =
+    key.mOwner == aChange.incarnation && key.mEpoch == aChange.base_epoch;
+  const bool sameOwner = shard.mOwner == aChange.incarnation;
+  if (!current || (!sameOwner && !mayOwn(aState, shard.mOwner))) {
+    return false;
+  }
+  shard.mEpoch = std::max(shard.mEpoch, key.mEpoch + (sameOwner ? 0 : 1));
+  aState.mSplitKeys.erase(it);
+  return true;
+}
+
 }
 
 bool
@@ -110,8 +132,13 @@
 bool
 apply(CellState& aState, const wire::SplitKeyT& aChange)
 {
-  if (aChange.incarnation == 0 || aChange.shard != shardOf(aChange.key_hash) ||
-      !mayOwn(aState, aChange.to)) {
+  if (aChange.incarnation == 0 || aChange.shard != shardOf(aChange.key_hash)) {
+    return false;
+  }
+  if (aChange.to == 0) {
+    return mergeSplit(aState, aChange);
+  }
+  if (!mayOwn(aState, aChange.to)) {
     return false;
   }
   const auto it = aState.mSplitKeys.find(aChange.key_hash);
--- a/tests/unit/fold_cell_test.cpp
+++ b/tests/unit/fold_cell_test.cpp
@@ -166,6 +166,32 @@
   BOOST_CHECK((log.mState.mShards[0] == Ownership{ 3, 2 }));
 }
 
+BOOST_AUTO_TEST_CASE(split_key_returns_to_its_shard_with_a_higher_epoch)
+{
+  CellLog log = CellLog::withFourMembers();
+  log.assign(3, 0, 1);
+  BOOST_CHECK(log.split(1, 3, 1, 0) == kRefused);
+  log.split(1, 3, 1, 2);
+  log.split(2, 3, 2, 4);
+  BOOST_CHECK(log.split(2, 3, 3, 0) == kRefused);
+  BOOST_CHECK(log.split(4, 3, 2, 0) == kRefused);
+  BOOST_CHECK(log.split(4, 3, 3, 0) == kApplied);
+  BOOST_TEST(log.mState.mSplitKeys.empty());
+  BOOST_TEST(log.mState.mShards[3].mOwner == 1U);
+  BOOST_TEST(log.mState.mShards[3].mEpoch == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(split_key_does_not_return_to_a_drained_owner)
+{
+  CellLog log = CellLog::withFourMembers();
+  log.assign(3, 0, 1);
+  log.split(1, 3, 1, 2);
+  log.drain("vm-1", true);
+  BOOST_CHECK(log.split(2, 3, 2, 0) == kRefused);
+  log.drain("vm-1", false);
+  BOOST_CHECK(log.split(2, 3, 2, 0) == kApplied);
+}
+
 BOOST_AUTO_TEST_CASE(split_key_moves_apart_from_its_shard)
 {
   CellLog log = CellLog::withFourMembers();
--- a/tests/unit/takeover_test.cpp
+++ b/tests/unit/takeover_test.cpp
@@ -126,6 +126,33 @@
   BOOST_TEST((cell.mGuard.serveFrom(cell.mShard) == 0_ms));
 }
 
+BOOST_AUTO_TEST_CASE(merge_needs_no_wait_for_the_key_or_its_shard)
+{
+  Followed cell;
+  cell.mLog.split(1, kKey, 1, 2);
+  cell.readBack(50_ms);
+  cell.mLog.split(2, kKey, 2, 0);
+  const std::vector<OwnershipChange> changes = cell.readBack(100_ms);
+  BOOST_REQUIRE(changes.size() == 1U);
+  BOOST_TEST((changes[0].mKeyHash == kKey));
+  BOOST_TEST(changes[0].mTo == 1U);
+  BOOST_TEST(changes[0].mPlanned);
+  BOOST_TEST((cell.mGuard.serveFromKey(kKey) == 0_ms));
+  BOOST_TEST((cell.mGuard.serveFrom(cell.mShard) == 0_ms));
+}
+
+BOOST_AUTO_TEST_CASE(merge_after_a_loss_that_was_not_seen_waits)
+{
+  Followed cell;
+  cell.mLog.split(1, kKey, 1, 2);
+  cell.readBack(50_ms);
+  cell.mLog.expel(2, 0, { 3, 4 });
+  const Ownership heir = ownerOf(cell.mLog.mState, kKey);
+  cell.mLog.split(heir.mOwner, kKey, heir.mEpoch, 0);
+  cell.readBack(100_ms);
+  BOOST_TEST((cell.mGuard.serveFromKey(kKey) == 100_ms + kDeadline));
+}
+
 BOOST_AUTO_TEST_CASE(start_after_a_loss_waits_for_all)
 {
   Followed cell;
