--- a/benchmark/balance_bench.cpp
+++ b/benchmark/balance_bench.cpp
@@ -9,8 +9,14 @@
 
 namespace {
 
+struct NamedLoad
+{
+  std::string mName;
+  CellLoad::Options mOptions;
+};
+
 void
-measure(const char* aName,
+measure(const std::string& aName,
         CellLoad::Options aOptions,
         CellLoad::Policy aPolicy,
         std::uint64_t aSeeds)
@@ -23,18 +29,36 @@
     sum.mWorstImbalance = std::max(sum.mWorstImbalance, one.mWorstImbalance);
     sum.mMoves += one.mMoves;
     sum.mSplits += one.mSplits;
+    sum.mMerges += one.mMerges;
+    sum.mMostSplitKeys = std::max(sum.mMostSplitKeys, one.mMostSplitKeys);
     sum.mChurnPerHour += one.mChurnPerHour;
   }
   const double n = static_cast<double>(aSeeds);
-  std::printf("%-24s %9.2f %9.2f %8.1f %8.1f %9.2f\n",
-              aName,
+  std::printf("%-24s %9.2f %9.2f %8.1f %8.1f %8.1f %8zu %9.2f\n",
+              aName.c_str(),
               sum.mMeanImbalance / n,
               sum.mWorstImbalance,
               sum.mMoves / n,
               sum.mSplits / n,
+              sum.mMerges / n,
+              sum.mMostSplitKeys,
               sum.mChurnPerHour / n);
 }
 
+void
+printHead(const char* aTrace)
+{
+  std::printf("%-24s %9s %9s %8s %8s %8s %8s %9s\n",
+              aTrace,
+              "mean",
+              "worst",
+              "moves",
+              "splits",
+              "merges",
+              "most",
+              "churn/h");
+}
+
 }
 
 int
@@ -42,23 +66,37 @@
 {
   const std::uint64_t seeds =
     aCount > 1 ? std::strtoull(aArguments[1], nullptr, 10) : 10;
-  std::printf("%-24s %9s %9s %8s %8s %9s\n",
-              "600 s, hot keys by 120 s",
-              "mean",
-              "worst",
-              "moves",
-              "splits",
-              "churn/h");
+  using Policy = CellLoad::Policy;
+  printHead("600 s, all by 120 s");
   CellLoad::Options guild;
   CellLoad::Options topos;
   topos.mMembers = 6;
   topos.mRequestsPerSecond = 600;
-  using Policy = CellLoad::Policy;
   measure("guild static hash", guild, Policy::StaticHash, seeds);
   measure("guild consistent hash", guild, Policy::ConsistentHash, seeds);
+  measure("guild shard moves", guild, Policy::ShardMoves, seeds);
   measure("guild balanced", guild, Policy::Balanced, seeds);
   measure("topos static hash", topos, Policy::StaticHash, seeds);
   measure("topos consistent hash", topos, Policy::ConsistentHash, seeds);
+  measure("topos shard moves", topos, Policy::ShardMoves, seeds);
   measure("topos balanced", topos, Policy::Balanced, seeds);
+  printHead("600 s, hot keys by 60 s");
+  guild.mHotChange = topos.mHotChange = 60;
+  guild.mHotKeys = topos.mHotKeys = 8;
+  guild.mHotShare = topos.mHotShare = 0.5;
+  CellLoad::Options large = guild;
+  large.mMembers = 64;
+  large.mRequestsPerSecond = 8000;
+  large.mHotKeys = 16;
+  large.mHotShare = 0.3;
+  large.mKeys = 20000;
+  const std::vector<NamedLoad> loads = { { "guild", guild },
+                                         { "topos", topos },
+                                         { "64 members", large } };
+  for (const auto& [name, options] : loads) {
+    measure(name + " static hash", options, Policy::StaticHash, seeds);
+    measure(name + " shard moves", options, Policy::ShardMoves, seeds);
+    measure(name + " balanced", options, Policy::Balanced, seeds);
+  }
   return EXIT_SUCCESS;
 }
--- a/include/radishroad/daemon/coordinator_duty.h
+++ b/include/radishroad/daemon/coordinator_duty.h
@@ -15,17 +15,21 @@
 struct ControlContext;
 
 /// What the cell's coordinator proposes: owners for shards without one, an
-/// even spread after arrivals, moves by measured load, and the availability
-/// zones out of service.
+/// even spread after arrivals, moves of shards and hot keys by measured load,
+/// and the availability zones out of service.
 /// Acts only while this daemon is the coordinator by its own state; every
 /// proposal carries a precondition. Control thread only.
 class CoordinatorDuty
 {
 public:
-  /// Moves of shards that this daemon owns itself.
-  using OrderFn = std::function<void(std::span<const wire::ShardGrant>)>;
+  /// Moves of what this daemon owns itself.
+  struct OrderHooks
+  {
+    std::function<void(std::span<const wire::ShardGrant>)> mShards;
+    std::function<void(std::span<const wire::SplitKeyT>)> mKeys;
+  };
 
-  CoordinatorDuty(ControlContext& aContext, OrderFn aOrderOwn);
+  CoordinatorDuty(ControlContext& aContext, OrderHooks aOrderOwn);
 
   /// What a member has counted since its last report.
   void onReport(const wire::LoadReportT& aReport);
@@ -35,11 +39,17 @@
   bool proposeZones();
   bool proposeOwners(Millis aNow);
   void orderMoves(Millis aNow);
-  std::vector<wire::ShardGrant> planMoves(Millis aNow);
-  void sendOrder(Incarnation aOwner, std::span<const wire::ShardGrant> aGrants);
+  void orderShards(Millis aNow);
+  void orderKeys(Millis aNow);
+  std::vector<wire::ShardGrant> planShards(Millis aNow);
+  /// May the member be given anything, by the state and by what answers?
+  Balancer::MayOwnFn mayBeGiven() const;
+  void sendShards(Incarnation aOwner,
+                  std::span<const wire::ShardGrant> aGrants);
+  void sendKeys(Incarnation aOwner, std::span<const wire::SplitKeyT> aKeys);
 
   ControlContext& mContext;
-  OrderFn mOrderOwn;
+  OrderHooks mOrderOwn;
   bool mProposing = false;
   std::size_t mMembersSeen = 0;
   Millis mMembersChangedAt;
--- a/include/radishroad/daemon/handoff_duty.h
+++ b/include/radishroad/daemon/handoff_duty.h
@@ -13,10 +13,10 @@
 
 struct ControlContext;
 
-/// Hands shards off to their next owners: holds back new requests, waits for
-/// those that run, appends the release, and lets the held requests go on to
-/// the new owner once the release has been read back. One batch at a time.
-/// Control thread only.
+/// Hands shards and single keys off to their next owners: holds back new
+/// requests, waits for those that run, appends the release, and lets the held
+/// requests go on to the new owner once the release has been read back. One
+/// batch at a time. Control thread only.
 class HandoffDuty
 {
 public:
@@ -33,20 +33,40 @@
   /// Moves that the coordinator asks for. Those that this daemon does not own
   /// at the epoch named are passed over.
   void order(std::span<const wire::ShardGrant> aGrants);
+  /// The same for keys to split out, to move, or to return to their shards.
+  void orderKeys(std::span<const wire::SplitKeyT> aKeys);
   /// aDraining: hand everything off.
   void tick(bool aDraining);
   bool busy() const { return !mCurrent.empty(); }
 
 private:
-  std::vector<wire::ShardGrant> nextBatch(bool aDraining);
-  void begin(std::vector<wire::ShardGrant> aGrants);
+  /// Shards or keys that are handed off together.
+  struct Batch
+  {
+    std::vector<wire::ShardGrant> mGrants;
+    std::vector<wire::SplitKeyT> mKeys;
+
+    bool empty() const { return mGrants.empty() && mKeys.empty(); }
+    /// Shards whose requests are held back meanwhile.
+    std::vector<Shard> shards() const;
+  };
+
+  Batch nextBatch(bool aDraining);
+  Batch nextEvacuated() const;
+  Batch nextOrdered();
+  void begin(Batch aBatch);
   void release();
+  void releaseShards();
+  void releaseKeys();
   void finish();
 
   ControlContext& mContext;
   Hooks mHooks;
   std::vector<wire::ShardGrant> mOrdered;
-  std::vector<wire::ShardGrant> mCurrent;
+  std::vector<wire::SplitKeyT> mOrderedKeys;
+  Batch mCurrent;
+  /// Records of the current batch that have not been read back.
+  std::size_t mPending = 0;
   Millis mNextBatch;
 };
 
--- a/include/radishroad/policy/balance.h
+++ b/include/radishroad/policy/balance.h
@@ -3,6 +3,7 @@
 
 #include "radishroad/base/millis.h"
 #include "radishroad/generated/peer_generated.h"
+#include "radishroad/policy/split_key_loads.h"
 #include "radishroad/state/cell_state.h"
 
 #include <array>
@@ -14,14 +15,16 @@
 
 namespace radishroad {
 
-/// Moves shards by measured load, with as few moves as it can. Pure.
+/// Moves shards and hot keys by measured load, with as few moves as it can.
+/// Pure.
 ///
 /// A shard's load is its requests times the mean cost of a request in the
 /// cell, so that a slow upstream does not make its shards look heavy. An
 /// upstream that answers slower than the others counts for less, but only
 /// once its slowness has outlasted a moment. Nothing moves while the most
 /// loaded upstream is within a band of the mean; once outside for a time,
-/// moves go on until it is well inside.
+/// moves go on until it is well inside. A key that has been split out and went
+/// cold returns to its shard.
 class Balancer
 {
 public:
@@ -35,15 +38,17 @@
   /// Forgets a member that is gone.
   void forget(Incarnation aMember);
 
-  /// Shards to hand off now, each with its next owner.
+  /// Shards to hand off now, each with its next owner. None while an earlier
+  /// plan for keys is not in the state yet.
   std::vector<wire::ShardGrant> planMoves(const CellState& aState,
                                           const MayOwnFn& aMayOwn,
                                           Millis aNow);
-  /// Keys to split out of shards that are too heavy for any upstream beside
-  /// its others. Those of planMoves come first.
-  std::vector<wire::SplitKeyT> planSplits(const CellState& aState,
-                                          const MayOwnFn& aMayOwn,
-                                          Millis aNow);
+  /// Keys to split out of their shards, to move, or to return to them (`to` 0)
+  /// now. Asked for before planMoves: the move of a key that does nearly as
+  /// much as that of a whole shard leaves more keys where they are.
+  std::vector<wire::SplitKeyT> planKeyMoves(const CellState& aState,
+                                            const MayOwnFn& aMayOwn,
+                                            Millis aNow);
 
 private:
   struct MemberView
@@ -52,10 +57,8 @@
     /// Milliseconds that a request takes, smoothed.
     double mCost = 0;
     std::optional<Millis> mSlowSince;
-    /// Requests a second for keys split out of others' shards, smoothed.
-    double mSplitRate = 0;
-    /// The key with most requests, if it makes up much of its shard.
-    std::optional<wire::HotKeyT> mHotKey;
+    /// Its hottest keys by the last report.
+    std::vector<wire::HotKeyT> mHotKeys;
   };
   struct ShardView
   {
@@ -71,8 +74,15 @@
     double used() const { return mLoad / mCapacity; }
   };
 
-  static std::optional<wire::HotKeyT> hotKeyOf(
-    const wire::LoadReportT& aReport);
+  void follow(const CellState& aState, Millis aNow);
+  double lastRateOf(std::uint64_t aKeyHash) const;
+  void countShards(const wire::LoadReportT& aReport,
+                   const CellState& aState,
+                   Millis aPassed);
+  /// The higher of the two loads after aRate has moved from one to the other.
+  static double peakAfter(const Standing& aFrom,
+                          const Standing& aTo,
+                          double aRate);
   double meanCost() const;
   double capacityOf(MemberView& aView, Millis aNow) const;
   std::vector<Standing> standings(const CellState& aState,
@@ -83,10 +93,35 @@
                                  const Standing& aFrom,
                                  const Standing& aTo,
                                  Millis aNow) const;
+  /// The key whose move lowers the higher of the two most.
+  std::optional<wire::HotKeyT> bestKey(const CellState& aPlanned,
+                                       const Standing& aFrom,
+                                       const Standing& aTo,
+                                       Millis aNow) const;
+  /// Does the move of a key do nearly as much as that of the best shard?
+  bool isWorthSplitting(const CellState& aPlanned,
+                        const Standing& aFrom,
+                        const Standing& aTo,
+                        double aRate,
+                        Millis aNow) const;
+  /// Keys of a member that may move, split out or not.
+  std::vector<wire::HotKeyT> movableKeys(const CellState& aPlanned,
+                                         Incarnation aOwner,
+                                         Millis aNow) const;
+  std::vector<wire::SplitKeyT> planMerges(const CellState& aState,
+                                          const MayOwnFn& aMayOwn,
+                                          Millis aNow) const;
+  std::vector<wire::SplitKeyT> planHotKeys(const CellState& aState,
+                                           std::vector<Standing> aStandings,
+                                           Millis aNow) const;
+  bool awaitsOrdered(const CellState& aState, Millis aNow) const;
   bool outOfBand(std::span<const Standing> aStandings, Millis aNow);
 
   std::map<Incarnation, MemberView> mMembers;
   std::array<ShardView, kShardCount> mShards{};
+  SplitKeyLoads mSplitKeys;
+  std::vector<wire::SplitKeyT> mOrderedKeys;
+  Millis mOrderedAt;
   std::optional<Millis> mHighSince;
   bool mMoving = false;
 };
--- a/include/radishroad/upstream/gate.h
+++ b/include/radishroad/upstream/gate.h
@@ -90,6 +90,7 @@
     bool mHealthy = false;
     /// Requests answered by shard since the last call of takeLoad.
     std::vector<wire::ShardLoad> mShards;
+    /// All keys that are counted, the hottest first.
     std::vector<wire::HotKeyT> mHotKeys;
   };
   /// Any thread. Resets the per-shard counts.
--- a/src/daemon/coordinator_duty.cpp
+++ b/src/daemon/coordinator_duty.cpp
@@ -61,7 +61,7 @@
 
 }
 
-CoordinatorDuty::CoordinatorDuty(ControlContext& aContext, OrderFn aOrderOwn)
+CoordinatorDuty::CoordinatorDuty(ControlContext& aContext, OrderHooks aOrderOwn)
   : mContext(aContext)
   , mOrderOwn(std::move(aOrderOwn))
 {
@@ -151,33 +151,64 @@
     return;
   }
   mNextMoves = aNow + kMovesInterval;
+  if (!hasNewcomer(mContext.mFleet.ownCell())) {
+    orderKeys(aNow);
+  }
+  orderShards(aNow);
+}
+
+void
+CoordinatorDuty::orderShards(Millis aNow)
+{
   const CellState& cell = mContext.mFleet.ownCell();
   std::map<Incarnation, std::vector<wire::ShardGrant>> byOwner;
-  for (const wire::ShardGrant& grant : planMoves(aNow)) {
+  for (const wire::ShardGrant& grant : planShards(aNow)) {
     byOwner[cell.mShards.at(grant.shard()).mOwner].push_back(grant);
   }
   for (const auto& [owner, grants] : byOwner) {
-    sendOrder(owner, grants);
+    sendShards(owner, grants);
   }
 }
 
+void
+CoordinatorDuty::orderKeys(Millis aNow)
+{
+  std::map<Incarnation, std::vector<wire::SplitKeyT>> byOwner;
+  for (const wire::SplitKeyT& move :
+       mBalancer.planKeyMoves(mContext.mFleet.ownCell(), mayBeGiven(), aNow)) {
+    byOwner[move.incarnation].push_back(move);
+  }
+  for (const auto& [owner, moves] : byOwner) {
+    sendKeys(owner, moves);
+  }
+}
+
+Balancer::MayOwnFn
+CoordinatorDuty::mayBeGiven() const
+{
+  const CellState& cell = mContext.mFleet.ownCell();
+  return [&cell, suspects = mContext.mSuspects()](Incarnation aMember) {
+    return mayOwn(cell, aMember) &&
+           std::ranges::find(suspects, aMember) == suspects.end();
+  };
+}
+
 std::vector<wire::ShardGrant>
-CoordinatorDuty::planMoves(Millis aNow)
+CoordinatorDuty::planShards(Millis aNow)
 {
   const CellState& cell = mContext.mFleet.ownCell();
   if (hasNewcomer(cell)) {
     return planEvenSpread(cell, kSpreadShards, mContext.mSuspects());
   }
-  return mBalancer.planMoves(
-    cell, [&cell](Incarnation aMember) { return mayOwn(cell, aMember); }, aNow);
+  return mBalancer.planMoves(cell, mayBeGiven(), aNow);
 }
 
 void
-CoordinatorDuty::sendOrder(Incarnation aOwner,
-                           std::span<const wire::ShardGrant> aGrants)
+CoordinatorDuty::sendShards(Incarnation aOwner,
+                            std::span<const wire::ShardGrant> aGrants)
 {
   if (aOwner == mContext.mSelf) {
-    mOrderOwn(aGrants);
+    mOrderOwn.mShards(aGrants);
     return;
   }
   wire::MoveOrderT order;
@@ -186,4 +217,20 @@
   mContext.mSend(aOwner, makeBody(std::move(order)));
 }
 
+void
+CoordinatorDuty::sendKeys(Incarnation aOwner,
+                          std::span<const wire::SplitKeyT> aKeys)
+{
+  if (aOwner == mContext.mSelf) {
+    mOrderOwn.mKeys(aKeys);
+    return;
+  }
+  wire::MoveOrderT order;
+  order.coordinator = mContext.mSelf;
+  for (const wire::SplitKeyT& key : aKeys) {
+    order.keys.push_back(std::make_unique<wire::SplitKeyT>(key));
+  }
+  mContext.mSend(aOwner, makeBody(std::move(order)));
+}
+
 }
--- a/src/daemon/handoff_duty.cpp
+++ b/src/daemon/handoff_duty.cpp
@@ -16,20 +16,11 @@
 
 /// Shards handed off at once.
 constexpr std::size_t kBatchShards = 32;
+/// Keys handed off at once; each takes an append.
+constexpr std::size_t kBatchKeys = 16;
 /// Pause between two batches, so that the next owners warm up.
 constexpr Millis kBatchInterval{ 100 };
 
-std::vector<Shard>
-shardsOf(std::span<const wire::ShardGrant> aGrants)
-{
-  std::vector<Shard> shards;
-  shards.reserve(aGrants.size());
-  for (const wire::ShardGrant& grant : aGrants) {
-    shards.push_back(grant.shard());
-  }
-  return shards;
-}
-
 bool
 isCurrent(const CellState& aCell,
           Incarnation aSelf,
@@ -43,6 +34,35 @@
          mayOwn(aCell, aGrant.to());
 }
 
+/// Does the move of the key build on the present state?
+bool
+isCurrent(const CellState& aCell,
+          Incarnation aSelf,
+          const wire::SplitKeyT& aMove)
+{
+  if (aMove.incarnation != aSelf || aMove.shard != shardOf(aMove.key_hash)) {
+    return false;
+  }
+  const Ownership key = ownerOf(aCell, aMove.key_hash);
+  const bool split = aCell.mSplitKeys.contains(aMove.key_hash);
+  const bool possible = split ? aMove.to != aSelf : aMove.to != 0;
+  return possible && key.mOwner == aSelf && key.mEpoch == aMove.base_epoch &&
+         (aMove.to == 0 || mayOwn(aCell, aMove.to));
+}
+
+}
+
+std::vector<Shard>
+HandoffDuty::Batch::shards() const
+{
+  std::vector<Shard> shards;
+  for (const wire::ShardGrant& grant : mGrants) {
+    shards.push_back(grant.shard());
+  }
+  for (const wire::SplitKeyT& key : mKeys) {
+    shards.push_back(key.shard);
+  }
+  return shards;
 }
 
 HandoffDuty::HandoffDuty(ControlContext& aContext, Hooks aHooks)
@@ -57,6 +77,12 @@
   mOrdered.assign(aGrants.begin(), aGrants.end());
 }
 
+void
+HandoffDuty::orderKeys(std::span<const wire::SplitKeyT> aKeys)
+{
+  mOrderedKeys.assign(aKeys.begin(), aKeys.end());
+}
+
 void
 HandoffDuty::tick(bool aDraining)
 {
@@ -68,61 +94,124 @@
   // none is begun while it does not. What was ordered meanwhile is out of date.
   if (!mContext.mFleet.logAnswers()) {
     mOrdered.clear();
+    mOrderedKeys.clear();
     return;
   }
-  std::vector<wire::ShardGrant> batch = nextBatch(aDraining);
+  Batch batch = nextBatch(aDraining);
   if (!batch.empty()) {
     begin(std::move(batch));
   }
 }
 
-std::vector<wire::ShardGrant>
+HandoffDuty::Batch
 HandoffDuty::nextBatch(bool aDraining)
+{
+  if (!aDraining) {
+    return nextOrdered();
+  }
+  mOrdered.clear();
+  mOrderedKeys.clear();
+  return nextEvacuated();
+}
+
+HandoffDuty::Batch
+HandoffDuty::nextEvacuated() const
 {
   const CellState& cell = mContext.mFleet.ownCell();
-  if (aDraining) {
-    mOrdered.clear();
-    return planEvacuation(
-      cell, mContext.mSelf, kBatchShards, mContext.mSuspects());
+  const std::vector<Incarnation> suspects = mContext.mSuspects();
+  Batch batch;
+  batch.mGrants = planEvacuation(cell, mContext.mSelf, kBatchShards, suspects);
+  if (batch.mGrants.empty()) {
+    batch.mKeys = planKeyEvacuation(cell, mContext.mSelf, kBatchKeys, suspects);
   }
-  std::vector<wire::ShardGrant> batch;
+  return batch;
+}
+
+HandoffDuty::Batch
+HandoffDuty::nextOrdered()
+{
+  const CellState& cell = mContext.mFleet.ownCell();
+  Batch batch;
   for (const wire::ShardGrant& grant : mOrdered) {
-    if (batch.size() < kBatchShards && isCurrent(cell, mContext.mSelf, grant)) {
-      batch.push_back(grant);
+    if (batch.mGrants.size() < kBatchShards &&
+        isCurrent(cell, mContext.mSelf, grant)) {
+      batch.mGrants.push_back(grant);
     }
   }
   mOrdered.clear();
+  if (!batch.empty()) {
+    return batch;
+  }
+  for (const wire::SplitKeyT& key : mOrderedKeys) {
+    if (batch.mKeys.size() < kBatchKeys &&
+        isCurrent(cell, mContext.mSelf, key)) {
+      batch.mKeys.push_back(key);
+    }
+  }
+  mOrderedKeys.clear();
   return batch;
 }
 
 void
-HandoffDuty::begin(std::vector<wire::ShardGrant> aGrants)
+HandoffDuty::begin(Batch aBatch)
 {
-  mCurrent = std::move(aGrants);
-  mHooks.mPause(shardsOf(mCurrent), [this] { release(); });
+  mCurrent = std::move(aBatch);
+  mHooks.mPause(mCurrent.shards(), [this] { release(); });
 }
 
 void
 HandoffDuty::release()
+{
+  if (mCurrent.mGrants.empty()) {
+    releaseKeys();
+  } else {
+    releaseShards();
+  }
+}
+
+void
+HandoffDuty::releaseShards()
 {
   wire::ReleaseT change;
   change.incarnation = mContext.mSelf;
-  change.grants = mCurrent;
+  change.grants = mCurrent.mGrants;
   mContext.mRecorder.propose(
     mContext.ownStream(), std::move(change), [this](ProposalEnd aEnd) {
       logEvent(LogLevel::Info,
                "handoff",
-               { { "shards", mCurrent.size() },
+               { { "shards", mCurrent.mGrants.size() },
                  { "applied", aEnd == ProposalEnd::Applied } });
       finish();
     });
 }
 
+void
+HandoffDuty::releaseKeys()
+{
+  mPending = mCurrent.mKeys.size();
+  // Copies, since the last answer clears the batch.
+  const std::vector<wire::SplitKeyT> keys = mCurrent.mKeys;
+  for (const wire::SplitKeyT& key : keys) {
+    mContext.mRecorder.propose(
+      mContext.ownStream(), key, [this, key](ProposalEnd aEnd) {
+        logEvent(LogLevel::Info,
+                 "key_handoff",
+                 { { "key_hash", std::to_string(key.key_hash) },
+                   { "shard", key.shard },
+                   { "to", std::to_string(key.to) },
+                   { "applied", aEnd == ProposalEnd::Applied } });
+        if (--mPending == 0) {
+          finish();
+        }
+      });
+  }
+}
+
 void
 HandoffDuty::finish()
 {
-  mHooks.mResume(shardsOf(mCurrent));
-  mCurrent.clear();
+  mHooks.mResume(mCurrent.shards());
+  mCurrent = {};
   mNextBatch = mContext.mNow() + kBatchInterval;
 }
 
--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -62,9 +62,14 @@
       })
   , mHandoff(mContext, handoffHooks())
   , mCoordinator(mContext,
-                 [this](std::span<const wire::ShardGrant> aGrants) {
-                   mHandoff.order(aGrants);
-                 })
+                 { .mShards =
+                     [this](std::span<const wire::ShardGrant> aGrants) {
+                       mHandoff.order(aGrants);
+                     },
+                   .mKeys =
+                     [this](std::span<const wire::SplitKeyT> aKeys) {
+                       mHandoff.orderKeys(aKeys);
+                     } })
   , mRate(mContext, mAuthority)
   , mRelay(
       mContext,
@@ -165,7 +170,9 @@
 bool
 Daemon::Parts::nobodyTakesOver() const
 {
-  return !mHandoff.busy() && planEvacuation(mFleet.ownCell(), mSelf, 1).empty();
+  return !mHandoff.busy() &&
+         planEvacuation(mFleet.ownCell(), mSelf, 1).empty() &&
+         planKeyEvacuation(mFleet.ownCell(), mSelf, 1).empty();
 }
 
 bool
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -98,6 +98,7 @@
   void guardTakeovers(const CellState& aBefore, const CellState& aAfter);
   void onControlFrame(Incarnation aFrom, const wire::FrameBodyUnion& aBody);
   void reportLoad(Millis aNow);
+  void onMoveOrder(const wire::MoveOrderT& aOrder);
   void spreadCrashReport(const wire::CrashReportT& aReport);
   void sendControl(Incarnation aTo, wire::FrameBodyUnion aBody);
   bool submitAppend(const std::string& aStream,
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -2,6 +2,7 @@
 
 #include "parts.h"
 #include "radishroad/ownership/ownership_change.h"
+#include "radishroad/policy/hot_key_report.h"
 
 #include <nlohmann/json.hpp>
 
@@ -206,7 +207,8 @@
   report.window = static_cast<float>(load.mWindow);
   report.in_flight = static_cast<float>(load.mInFlight);
   report.shards = std::move(load.mShards);
-  for (const wire::HotKeyT& key : load.mHotKeys) {
+  for (const wire::HotKeyT& key :
+       selectHotKeys(load.mHotKeys, mFleet.ownCell(), mSelf)) {
     report.hot_keys.push_back(std::make_unique<wire::HotKeyT>(key));
   }
   if (coordinator == mSelf) {
@@ -216,6 +218,21 @@
   }
 }
 
+void
+Daemon::Parts::onMoveOrder(const wire::MoveOrderT& aOrder)
+{
+  std::vector<wire::SplitKeyT> keys;
+  for (const std::unique_ptr<wire::SplitKeyT>& key : aOrder.keys) {
+    keys.push_back(*key);
+  }
+  if (!aOrder.grants.empty()) {
+    mHandoff.order(aOrder.grants);
+  }
+  if (!keys.empty()) {
+    mHandoff.orderKeys(keys);
+  }
+}
+
 void
 Daemon::Parts::spreadCrashReport(const wire::CrashReportT& aReport)
 {
@@ -260,7 +277,7 @@
       mLease.onConsent(*aBody.AsConsent());
       break;
     case wire::FrameBody::MoveOrder:
-      mHandoff.order(aBody.AsMoveOrder()->grants);
+      onMoveOrder(*aBody.AsMoveOrder());
       break;
     case wire::FrameBody::TokenAsk:
       mRate.onAsk(*aBody.AsTokenAsk());
--- a/src/operator/owner_table.cpp
+++ b/src/operator/owner_table.cpp
@@ -44,7 +44,7 @@
 TextTable
 OwnerTable::makeSummary()
 {
-  return TextTable({ "service", "owner", "zone", "shards" });
+  return TextTable({ "service", "owner", "zone", "shards", "split keys" });
 }
 
 TextTable
@@ -56,13 +56,25 @@
 void
 OwnerTable::addSummary(TextTable& aTable) const
 {
-  std::map<std::pair<std::string, Incarnation>, int> counts;
+  struct Counts
+  {
+    int mShards = 0;
+    int mKeys = 0;
+  };
+  std::map<std::pair<std::string, Incarnation>, Counts> counts;
   for (const Ownership& ownership : mCell.mShards) {
-    ++counts[{ vmOf(ownership.mOwner), ownership.mOwner }];
+    ++counts[{ vmOf(ownership.mOwner), ownership.mOwner }].mShards;
   }
-  for (const auto& [owner, n] : counts) {
-    aTable.add(
-      { mService, owner.first, zoneOf(owner.second), std::to_string(n) });
+  for (const auto& [hash, split] : mCell.mSplitKeys) {
+    const Incarnation owner = split.mOwnership.mOwner;
+    ++counts[{ vmOf(owner), owner }].mKeys;
+  }
+  for (const auto& [owner, count] : counts) {
+    aTable.add({ mService,
+                 owner.first,
+                 zoneOf(owner.second),
+                 std::to_string(count.mShards),
+                 std::to_string(count.mKeys) });
   }
 }
 
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -24,9 +24,17 @@
 constexpr double kSlowRatio = 2.0;
 constexpr Millis kStragglerPatience{ 10000 };
 
-/// A shard is heavy above this share of the mean load of an upstream.
-constexpr double kHeavyShard = 0.5;
-constexpr double kHotKeyPart = 0.4;
+/// A split key is cold below this share of the mean load of an upstream, and
+/// is returned to its shard once that has lasted.
+constexpr double kColdKey = 0.01;
+constexpr Millis kColdPatience{ 30000 };
+/// A split key that was moved rests.
+constexpr Millis kKeyRest{ 30000 };
+/// Split keys of a cell beyond which no more are made.
+constexpr std::size_t kMaxPlannedSplitKeys = 256;
+constexpr std::size_t kMaxKeyMoves = 4;
+/// A plan that has not come into effect by then is given up.
+constexpr Millis kOrderTimeout{ 2000 };
 
 double
 smoothed(double aOld, double aNew, Millis aPassed)
@@ -36,20 +44,44 @@
   return aOld + gain * (aNew - aOld);
 }
 
+/// The owner's record that gives a key to aTo; 0 returns it to its shard.
+wire::SplitKeyT
+makeMove(const CellState& aState, std::uint64_t aKeyHash, Incarnation aTo)
+{
+  const Ownership now = ownerOf(aState, aKeyHash);
+  wire::SplitKeyT move;
+  move.incarnation = now.mOwner;
+  move.key_hash = aKeyHash;
+  move.shard = shardOf(aKeyHash);
+  move.base_epoch = now.mEpoch;
+  move.to = aTo;
+  return move;
 }
 
-std::optional<wire::HotKeyT>
-Balancer::hotKeyOf(const wire::LoadReportT& aReport)
+}
+
+double
+Balancer::lastRateOf(std::uint64_t aKeyHash) const
 {
-  for (const auto& key : aReport.hot_keys) {
-    const auto it =
-      std::ranges::find(aReport.shards, key->shard, &wire::ShardLoad::shard);
-    if (it != aReport.shards.end() &&
-        key->requests >= kHotKeyPart * it->requests()) {
-      return *key;
+  double rate = 0;
+  for (const auto& [id, member] : mMembers) {
+    for (const wire::HotKeyT& key : member.mHotKeys) {
+      rate = key.key_hash == aKeyHash ? std::max<double>(rate, key.rate) : rate;
     }
   }
-  return std::nullopt;
+  return rate;
+}
+
+void
+Balancer::follow(const CellState& aState, Millis aNow)
+{
+  SplitKeyLoads::Hooks hooks;
+  hooks.mRateBefore = [this](std::uint64_t aHash) { return lastRateOf(aHash); };
+  hooks.mAddToShard = [this](Shard aShard, double aRate) {
+    ShardView& shard = mShards.at(aShard);
+    shard.mRate = std::max(0.0, shard.mRate + aRate);
+  };
+  mSplitKeys.follow(aState, hooks, aNow);
 }
 
 void
@@ -57,33 +89,26 @@
                    const CellState& aState,
                    Millis aNow)
 {
+  follow(aState, aNow);
   const bool first = !mMembers.contains(aReport.incarnation);
   MemberView& member = mMembers[aReport.incarnation];
   const Millis passed = aNow - member.mReportedAt;
   member.mReportedAt = aNow;
-  member.mHotKey = hotKeyOf(aReport);
+  member.mHotKeys.clear();
+  for (const std::unique_ptr<wire::HotKeyT>& key : aReport.hot_keys) {
+    member.mHotKeys.push_back(*key);
+  }
+  mSplitKeys.onReport(aReport, aNow);
   if (first || passed.mCount <= 0) {
     return;
   }
-  const double seconds = static_cast<double>(passed.mCount) / kMillisPerSecond;
+  countShards(aReport, aState, passed);
   double requests = 0;
   double busyMs = 0;
-  double splitRate = 0;
   for (const wire::ShardLoad& load : aReport.shards) {
-    if (load.shard() >= kShardCount) {
-      continue;
-    }
     requests += load.requests();
     busyMs += load.busy_ms();
-    const double rate = load.requests() / seconds;
-    if (aState.mShards[load.shard()].mOwner == aReport.incarnation) {
-      ShardView& shard = mShards[load.shard()];
-      shard.mRate = smoothed(shard.mRate, rate, passed);
-    } else {
-      splitRate += rate;
-    }
   }
-  member.mSplitRate = smoothed(member.mSplitRate, splitRate, passed);
   if (requests > 0) {
     const double cost = busyMs / requests;
     member.mCost =
@@ -91,12 +116,38 @@
   }
 }
 
+void
+Balancer::countShards(const wire::LoadReportT& aReport,
+                      const CellState& aState,
+                      Millis aPassed)
+{
+  const double seconds = static_cast<double>(aPassed.mCount) / kMillisPerSecond;
+  for (const wire::ShardLoad& load : aReport.shards) {
+    if (load.shard() >= kShardCount ||
+        aState.mShards[load.shard()].mOwner != aReport.incarnation) {
+      continue;
+    }
+    const double split = mSplitKeys.rateOf(aReport.incarnation, load.shard());
+    const double rate = std::max(0.0, load.requests() / seconds - split);
+    ShardView& shard = mShards[load.shard()];
+    shard.mRate = smoothed(shard.mRate, rate, aPassed);
+  }
+}
+
 void
 Balancer::forget(Incarnation aMember)
 {
   mMembers.erase(aMember);
 }
 
+double
+Balancer::peakAfter(const Standing& aFrom, const Standing& aTo, double aRate)
+{
+  const double left = (aFrom.mLoad - aRate) / aFrom.mCapacity;
+  const double given = (aTo.mLoad + aRate) / aTo.mCapacity;
+  return std::max(left, given);
+}
+
 double
 Balancer::meanCost() const
 {
@@ -139,7 +190,7 @@
   for (const auto& [id, member] : aState.mMembers) {
     if (aMayOwn(id)) {
       MemberView& view = mMembers[id];
-      all.push_back({ id, capacityOf(view, aNow), view.mSplitRate });
+      all.push_back({ id, capacityOf(view, aNow), mSplitKeys.rateOf(id) });
     }
   }
   for (Shard shard = 0; shard < kShardCount; ++shard) {
@@ -193,10 +244,7 @@
         !mayMove(shard, aNow)) {
       continue;
     }
-    const double rate = mShards[shard].mRate;
-    const double left = (aFrom.mLoad - rate) / aFrom.mCapacity;
-    const double given = (aTo.mLoad + rate) / aTo.mCapacity;
-    const double peak = std::max(left, given);
+    const double peak = peakAfter(aFrom, aTo, mShards[shard].mRate);
     if (peak < bestPeak) {
       bestPeak = peak;
       best = shard;
@@ -212,8 +260,9 @@
                     Millis aNow)
 {
   std::vector<wire::ShardGrant> moves;
+  follow(aState, aNow);
   std::vector<Standing> all = standings(aState, aMayOwn, aNow);
-  if (all.size() < 2 || !outOfBand(all, aNow)) {
+  if (all.size() < 2 || !outOfBand(all, aNow) || awaitsOrdered(aState, aNow)) {
     return moves;
   }
   CellState planned = aState;
@@ -235,46 +284,148 @@
   return moves;
 }
 
+bool
+Balancer::awaitsOrdered(const CellState& aState, Millis aNow) const
+{
+  if (aNow - mOrderedAt >= kOrderTimeout) {
+    return false;
+  }
+  return std::ranges::any_of(mOrderedKeys, [&](const wire::SplitKeyT& aMove) {
+    const Ownership now = ownerOf(aState, aMove.key_hash);
+    return now.mOwner == aMove.incarnation && now.mEpoch == aMove.base_epoch;
+  });
+}
+
 std::vector<wire::SplitKeyT>
-Balancer::planSplits(const CellState& aState,
-                     const MayOwnFn& aMayOwn,
-                     Millis aNow)
+Balancer::planKeyMoves(const CellState& aState,
+                       const MayOwnFn& aMayOwn,
+                       Millis aNow)
 {
-  std::vector<wire::SplitKeyT> splits;
-  std::vector<Standing> all = standings(aState, aMayOwn, aNow);
+  follow(aState, aNow);
+  const std::vector<Standing> all = standings(aState, aMayOwn, aNow);
+  if (all.size() < 2 || awaitsOrdered(aState, aNow)) {
+    return {};
+  }
   double sum = 0;
   for (const Standing& standing : all) {
     sum += standing.mLoad;
   }
-  const double mean =
-    sum / static_cast<double>(std::max<std::size_t>(1, all.size()));
-  for (const Standing& standing : all) {
-    if (standing.used() <= mean * kHighRatio) {
-      continue;
-    }
-    const std::optional<wire::HotKeyT>& key =
-      mMembers[standing.mMember].mHotKey;
-    const auto to = std::ranges::min_element(all, {}, &Standing::used);
-    if (!key || key->shard >= kShardCount || to->mMember == standing.mMember ||
-        aState.mSplitKeys.contains(key->key_hash)) {
-      continue;
+  mSplitKeys.noteCold(kColdKey * sum / static_cast<double>(all.size()), aNow);
+  mOrderedKeys = planMerges(aState, aMayOwn, aNow);
+  if (outOfBand(all, aNow) && mOrderedKeys.empty()) {
+    mOrderedKeys = planHotKeys(aState, all, aNow);
+  }
+  mOrderedAt = aNow;
+  return mOrderedKeys;
+}
+
+std::vector<wire::SplitKeyT>
+Balancer::planMerges(const CellState& aState,
+                     const MayOwnFn& aMayOwn,
+                     Millis aNow) const
+{
+  std::vector<wire::SplitKeyT> merges;
+  for (const auto& [hash, key] : mSplitKeys.keys()) {
+    const bool cold = key.mColdSince &&
+                      aNow - *key.mColdSince >= kColdPatience &&
+                      aNow - key.mOwnedSince >= kColdPatience;
+    const Incarnation to = aState.mShards[key.mShard].mOwner;
+    const bool possible = key.mOwner != 0 && (to == key.mOwner || aMayOwn(to));
+    if (cold && possible && merges.size() < kMaxKeyMoves) {
+      merges.push_back(makeMove(aState, hash, 0));
     }
-    const Ownership& owner = aState.mShards[key->shard];
-    const bool heavy = owner.mOwner == standing.mMember &&
-                       mShards[key->shard].mRate > mean * kHeavyShard;
-    if (heavy) {
-      wire::SplitKeyT split;
-      split.incarnation = standing.mMember;
-      split.key_hash = key->key_hash;
-      split.shard = key->shard;
-      split.base_epoch = owner.mEpoch;
-      split.to = to->mMember;
-      // One at a time: the next reports show what it brought.
-      splits.push_back(split);
+  }
+  return merges;
+}
+
+std::vector<wire::SplitKeyT>
+Balancer::planHotKeys(const CellState& aState,
+                      std::vector<Standing> aStandings,
+                      Millis aNow) const
+{
+  std::vector<wire::SplitKeyT> moves;
+  CellState planned = aState;
+  while (moves.size() < kMaxKeyMoves) {
+    std::ranges::sort(aStandings, {}, &Standing::used);
+    Standing& from = aStandings.back();
+    Standing& to = aStandings.front();
+    const std::optional<wire::HotKeyT> key = bestKey(planned, from, to, aNow);
+    if (!key || !isWorthSplitting(planned, from, to, key->rate, aNow)) {
       break;
     }
+    from.mLoad -= key->rate;
+    to.mLoad += key->rate;
+    moves.push_back(makeMove(aState, key->key_hash, to.mMember));
+    planned.mSplitKeys[key->key_hash] = { key->shard, { to.mMember, 0 } };
+  }
+  return moves;
+}
+
+bool
+Balancer::isWorthSplitting(const CellState& aPlanned,
+                           const Standing& aFrom,
+                           const Standing& aTo,
+                           double aRate,
+                           Millis aNow) const
+{
+  const std::optional<Shard> shard = bestShard(aPlanned, aFrom, aTo, aNow);
+  if (!shard) {
+    return true;
+  }
+  const double byShard = peakAfter(aFrom, aTo, mShards[*shard].mRate);
+  return peakAfter(aFrom, aTo, aRate) <= byShard + kMinGain * aFrom.used();
+}
+
+std::optional<wire::HotKeyT>
+Balancer::bestKey(const CellState& aPlanned,
+                  const Standing& aFrom,
+                  const Standing& aTo,
+                  Millis aNow) const
+{
+  std::optional<wire::HotKeyT> best;
+  double bestPeak = aFrom.used() * (1 - kMinGain);
+  for (const wire::HotKeyT& key : movableKeys(aPlanned, aFrom.mMember, aNow)) {
+    const double peak = peakAfter(aFrom, aTo, key.rate);
+    if (peak < bestPeak) {
+      bestPeak = peak;
+      best = key;
+    }
+  }
+  return best;
+}
+
+std::vector<wire::HotKeyT>
+Balancer::movableKeys(const CellState& aPlanned,
+                      Incarnation aOwner,
+                      Millis aNow) const
+{
+  std::vector<wire::HotKeyT> movable;
+  const auto member = mMembers.find(aOwner);
+  const bool room = aPlanned.mSplitKeys.size() < kMaxPlannedSplitKeys;
+  if (member != mMembers.end() && room) {
+    for (const wire::HotKeyT& key : member->second.mHotKeys) {
+      const bool inShard = !aPlanned.mSplitKeys.contains(key.key_hash) &&
+                           key.shard == shardOf(key.key_hash) &&
+                           aPlanned.mShards[key.shard].mOwner == aOwner;
+      if (inShard) {
+        movable.push_back(key);
+      }
+    }
+  }
+  for (const auto& [hash, key] : mSplitKeys.keys()) {
+    const auto it = aPlanned.mSplitKeys.find(hash);
+    const bool owned = it != aPlanned.mSplitKeys.end() &&
+                       it->second.mOwnership.mOwner == aOwner &&
+                       key.mOwner == aOwner;
+    if (owned && aNow - key.mOwnedSince >= kKeyRest) {
+      wire::HotKeyT move;
+      move.key_hash = hash;
+      move.shard = key.mShard;
+      move.rate = static_cast<float>(key.mRate);
+      movable.push_back(move);
+    }
   }
-  return splits;
+  return movable;
 }
 
 }
--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -127,7 +127,8 @@
   load.mInFlight = mImpl->mInFlight;
   load.mQueued = mImpl->mQueuedCount;
   load.mHealthy = mImpl->mHealthyNow;
-  load.mShards = mImpl->mLoad.take(load.mHotKeys);
+  load.mShards = mImpl->mLoad.takeShards();
+  load.mHotKeys = mImpl->mLoad.hotKeys(mImpl->mHooks.mNow());
   return load;
 }
 
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -180,7 +180,7 @@
   mWindow.onAnswer(took, aRun.mInFlight, now);
   mAnswered.add(queued.mFingerprint, now);
   mQueue.charge(queued.mRequest.workspace, took);
-  mLoad.add(queued.mRequest.shard, queued.mRequest.key_hash, took);
+  mLoad.add(queued.mRequest.shard, queued.mRequest.key_hash, took, now);
   mMetrics.observeMs("gate_run_ms", static_cast<double>(took.mCount));
   answer(queued, makeAnswered(queued.mRequest, std::move(aResponse)));
 }
--- a/tests/model/cell_load.h
+++ b/tests/model/cell_load.h
@@ -3,6 +3,8 @@
 
 #include "radishroad/base/hash.h"
 #include "radishroad/policy/balance.h"
+#include "radishroad/policy/hot_key_report.h"
+#include "radishroad/policy/hot_key_sketch.h"
 
 #include <algorithm>
 #include <cmath>
@@ -22,6 +24,8 @@
     StaticHash,
     /// Rendezvous hash, which knows no load.
     ConsistentHash,
+    /// Whole shards only.
+    ShardMoves,
     Balanced,
   };
 
@@ -35,6 +39,10 @@
     int mSeconds = 600;
     /// Seconds between changes of the hottest keys; 0 for none.
     int mHotChange = 120;
+    /// With hot keys, these take mHotShare of the requests in equal parts and
+    /// change, while the other keys' popularities stay.
+    std::size_t mHotKeys = 0;
+    double mHotShare = 0;
     /// A member is so many times slower in this span of seconds.
     std::size_t mSlowMember = 0;
     int mSlowFrom = 0;
@@ -47,8 +55,12 @@
     double mMeanImbalance = 0;
     double mWorstImbalance = 0;
     int mMoves = 0;
+    /// Keys split out or moved on, and keys returned to their shards.
     int mSplits = 0;
-    /// Share of the shards moved in an hour.
+    int mMerges = 0;
+    std::size_t mMostSplitKeys = 0;
+    std::size_t mSplitKeysAtEnd = 0;
+    /// Share of the keys moved in an hour.
     double mChurnPerHour = 0;
     /// Requests a second of the slow member at the end.
     double mSlowMemberRate = 0;
@@ -59,6 +71,7 @@
     , mPolicy(aPolicy)
     , mRandom(aOptions.mSeed)
     , mKeyRate(aOptions.mKeys)
+    , mSketches(aOptions.mMembers, HotKeySketch(256, Millis{ 5000 }))
   {
     for (Incarnation id = 1; id <= mOptions.mMembers; ++id) {
       mState.mMembers[id].mIncarnation = id;
@@ -67,6 +80,8 @@
       mState.mShards[shard] = { firstOwner(shard), 1 };
     }
     drawRates();
+    mBaseRate = mKeyRate;
+    drawHotKeys();
   }
 
   Result run()
@@ -74,18 +89,22 @@
     Result result;
     for (mSecond = 1; mSecond <= mOptions.mSeconds; ++mSecond) {
       if (mOptions.mHotChange > 0 && mSecond % mOptions.mHotChange == 0) {
-        drawRates();
+        change();
       }
       serve();
       const double imbalance = imbalanceNow();
       result.mMeanImbalance += imbalance / mOptions.mSeconds;
       result.mWorstImbalance = std::max(result.mWorstImbalance, imbalance);
-      if (mPolicy == Policy::Balanced) {
+      if (mPolicy == Policy::Balanced || mPolicy == Policy::ShardMoves) {
         plan(result);
       }
     }
     const double hours = mOptions.mSeconds / 3600.0;
-    result.mChurnPerHour = result.mMoves / hours / kShardCount;
+    const double moved =
+      static_cast<double>(result.mMoves) / kShardCount +
+      static_cast<double>(result.mSplits + result.mMerges) / mOptions.mKeys;
+    result.mChurnPerHour = moved / hours;
+    result.mSplitKeysAtEnd = mState.mSplitKeys.size();
     if (mOptions.mSlowMember > 0) {
       result.mSlowMemberRate = mServed[mOptions.mSlowMember - 1];
     }
@@ -126,6 +145,30 @@
     }
   }
 
+  void change()
+  {
+    if (mOptions.mHotKeys == 0) {
+      drawRates();
+    } else {
+      drawHotKeys();
+    }
+  }
+
+  void drawHotKeys()
+  {
+    if (mOptions.mHotKeys == 0) {
+      return;
+    }
+    mKeyRate = mBaseRate;
+    for (double& rate : mKeyRate) {
+      rate *= 1 - mOptions.mHotShare;
+    }
+    for (std::size_t i = 0; i < mOptions.mHotKeys; ++i) {
+      mKeyRate[mRandom() % mKeyRate.size()] +=
+        mOptions.mRequestsPerSecond * mOptions.mHotShare / mOptions.mHotKeys;
+    }
+  }
+
   static std::uint64_t keyHash(std::size_t aKey) { return hashPair(7, aKey); }
 
   Incarnation ownerOfKey(std::uint64_t aHash) const
@@ -141,7 +184,8 @@
     constexpr double kCostMs = 5;
     mServed.assign(mOptions.mMembers, 0);
     std::vector<std::map<Shard, std::uint32_t>> counts(mOptions.mMembers);
-    std::vector<wire::HotKeyT> hottest(mOptions.mMembers);
+    const Millis now{ mSecond * 1000 };
+    std::vector<std::uint64_t> arrivals;
     for (std::size_t key = 0; key < mKeyRate.size(); ++key) {
       std::poisson_distribution<std::uint32_t> draw(mKeyRate[key]);
       const std::uint32_t n = draw(mRandom);
@@ -150,11 +194,11 @@
       const Shard shard = hash % kShardCount;
       mServed[member] += n;
       counts[member][shard] += n;
-      if (n > hottest[member].requests) {
-        hottest[member].key_hash = hash;
-        hottest[member].shard = shard;
-        hottest[member].requests = n;
-      }
+      arrivals.insert(arrivals.end(), n, hash);
+    }
+    std::ranges::shuffle(arrivals, mRandom);
+    for (const std::uint64_t hash : arrivals) {
+      mSketches[ownerOfKey(hash) - 1].add(hash, now);
     }
     for (std::size_t i = 0; i < mOptions.mMembers; ++i) {
       const bool slow = i + 1 == mOptions.mSlowMember &&
@@ -167,9 +211,23 @@
         report.shards.emplace_back(
           shard, n, static_cast<std::uint32_t>(n * cost));
       }
-      report.hot_keys.push_back(std::make_unique<wire::HotKeyT>(hottest[i]));
-      mBalancer.onReport(report, mState, Millis{ mSecond * 1000 });
+      for (const wire::HotKeyT& key : hotKeys(i, now)) {
+        report.hot_keys.push_back(std::make_unique<wire::HotKeyT>(key));
+      }
+      mBalancer.onReport(report, mState, now);
+    }
+  }
+
+  std::vector<wire::HotKeyT> hotKeys(std::size_t aMember, Millis aNow) const
+  {
+    std::vector<wire::HotKeyT> counted;
+    for (const HotKeySketch::Entry& entry : mSketches[aMember].entries(aNow)) {
+      counted.emplace_back();
+      counted.back().key_hash = entry.mKeyHash;
+      counted.back().shard = shardOf(entry.mKeyHash);
+      counted.back().rate = static_cast<float>(entry.mRate);
     }
+    return selectHotKeys(counted, mState, aMember + 1);
   }
 
   double imbalanceNow() const
@@ -186,28 +244,40 @@
   {
     const auto any = [](Incarnation) { return true; };
     const Millis now{ mSecond * 1000 };
-    const std::vector<wire::ShardGrant> moves =
-      mBalancer.planMoves(mState, any, now);
-    for (const wire::ShardGrant& move : moves) {
+    if (mPolicy == Policy::Balanced) {
+      for (const wire::SplitKeyT& move :
+           mBalancer.planKeyMoves(mState, any, now)) {
+        apply(move, aResult);
+      }
+      aResult.mMostSplitKeys =
+        std::max(aResult.mMostSplitKeys, mState.mSplitKeys.size());
+    }
+    for (const wire::ShardGrant& move : mBalancer.planMoves(mState, any, now)) {
       mState.mShards[move.shard()] = { move.to(), move.base_epoch() + 1 };
       ++aResult.mMoves;
     }
-    if (!moves.empty()) {
+  }
+
+  void apply(const wire::SplitKeyT& aMove, Result& aResult)
+  {
+    if (aMove.to == 0) {
+      mState.mSplitKeys.erase(aMove.key_hash);
+      ++aResult.mMerges;
       return;
     }
-    for (const wire::SplitKeyT& split :
-         mBalancer.planSplits(mState, any, now)) {
-      mState.mSplitKeys[split.key_hash] = { split.shard, { split.to, 1 } };
-      ++aResult.mSplits;
-    }
+    const Ownership next{ aMove.to, aMove.base_epoch + 1 };
+    mState.mSplitKeys[aMove.key_hash] = { aMove.shard, next };
+    ++aResult.mSplits;
   }
 
   Options mOptions;
   Policy mPolicy;
   std::mt19937_64 mRandom;
   std::vector<double> mKeyRate;
+  std::vector<double> mBaseRate;
   std::vector<double> mServed;
   CellState mState;
+  std::vector<HotKeySketch> mSketches;
   Balancer mBalancer;
   int mSecond = 0;
 };
--- a/tests/unit/balance_test.cpp
+++ b/tests/unit/balance_test.cpp
@@ -9,6 +9,9 @@
 
 using Policy = CellLoad::Policy;
 
+/// A key of shard 0.
+constexpr std::uint64_t kHotKey = std::uint64_t{ 77 } * kShardCount;
+
 bool
 anyMember(Incarnation)
 {
@@ -40,6 +43,68 @@
   return report;
 }
 
+void
+addHotKey(wire::LoadReportT& aReport, std::uint64_t aKeyHash, float aRate)
+{
+  wire::HotKeyT key;
+  key.key_hash = aKeyHash;
+  key.shard = shardOf(aKeyHash);
+  key.rate = aRate;
+  aReport.hot_keys.push_back(std::make_unique<wire::HotKeyT>(key));
+}
+
+/// Two members; shard 0 of the first has a hot key beside other load.
+struct SplitCell
+{
+  /// Seconds with so many requests a second for the hot key.
+  void run(int aSeconds, std::uint32_t aHot)
+  {
+    for (int n = 0; n < aSeconds; ++n) {
+      mNow = mNow + 1_s;
+      report(aHot);
+      for (const wire::SplitKeyT& move :
+           mBalancer.planKeyMoves(mState, anyMember, mNow)) {
+        apply(move);
+      }
+      mShardMoves +=
+        static_cast<int>(mBalancer.planMoves(mState, anyMember, mNow).size());
+    }
+  }
+
+  void report(std::uint32_t aHot)
+  {
+    const bool split = mState.mSplitKeys.contains(kHotKey);
+    wire::LoadReportT first =
+      makeReport(1, { { 0, 150 + (split ? 0 : aHot) } });
+    wire::LoadReportT second =
+      makeReport(2, { { 0, split ? aHot : 0 }, { 1, 100 } });
+    addHotKey(split ? second : first, kHotKey, static_cast<float>(aHot));
+    mBalancer.onReport(first, mState, mNow);
+    mBalancer.onReport(second, mState, mNow);
+  }
+
+  void apply(const wire::SplitKeyT& aMove)
+  {
+    ++mMoves;
+    if (!mApply) {
+      return;
+    }
+    if (aMove.to == 0) {
+      mState.mSplitKeys.erase(aMove.key_hash);
+      return;
+    }
+    const Ownership next{ aMove.to, aMove.base_epoch + 1 };
+    mState.mSplitKeys[aMove.key_hash] = { aMove.shard, next };
+  }
+
+  CellState mState = makeState(2);
+  Balancer mBalancer;
+  Millis mNow;
+  bool mApply = true;
+  int mMoves = 0;
+  int mShardMoves = 0;
+};
+
 }
 
 BOOST_AUTO_TEST_SUITE(balance)
@@ -127,22 +192,115 @@
   for (int second = 1; second <= 20 && splits.empty(); ++second) {
     const Millis now{ second * 1000 };
     wire::LoadReportT heavy = makeReport(1, { { 0, 300 } });
-    wire::HotKeyT key;
-    key.key_hash = 77;
-    key.shard = 0;
-    key.requests = 150;
-    heavy.hot_keys.push_back(std::make_unique<wire::HotKeyT>(key));
+    addHotKey(heavy, kHotKey, 150);
     balancer.onReport(heavy, state, now);
     balancer.onReport(makeReport(2, { { 1, 100 } }), state, now);
     BOOST_TEST(balancer.planMoves(state, anyMember, now).empty());
-    splits = balancer.planSplits(state, anyMember, now);
+    splits = balancer.planKeyMoves(state, anyMember, now);
   }
   BOOST_REQUIRE(splits.size() == 1U);
-  BOOST_TEST(splits[0].key_hash == 77U);
+  BOOST_TEST(splits[0].key_hash == kHotKey);
   BOOST_TEST(splits[0].to == 2U);
   BOOST_TEST(splits[0].base_epoch == 5U);
 }
 
+BOOST_AUTO_TEST_CASE(keys_that_change_each_minute_move_instead_of_shards)
+{
+  double shardChurn = 0;
+  double keyChurn = 0;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    CellLoad::Options options;
+    options.mSeed = seed;
+    options.mSeconds = 300;
+    options.mHotChange = 60;
+    options.mHotKeys = 8;
+    options.mHotShare = 0.5;
+    const auto fixed = CellLoad(options, Policy::StaticHash).run();
+    const auto shards = CellLoad(options, Policy::ShardMoves).run();
+    const auto keys = CellLoad(options, Policy::Balanced).run();
+    BOOST_TEST_MESSAGE(
+      "seed " << seed << ": imbalance " << fixed.mMeanImbalance << " by hash, "
+              << shards.mMeanImbalance << " by shards, " << keys.mMeanImbalance
+              << " with keys; churn an hour " << shards.mChurnPerHour << " and "
+              << keys.mChurnPerHour << "; most split keys "
+              << keys.mMostSplitKeys);
+    BOOST_TEST(keys.mMeanImbalance < 0.85 * fixed.mMeanImbalance,
+               "seed " << seed);
+    BOOST_TEST(keys.mMeanImbalance < 1.05 * shards.mMeanImbalance,
+               "seed " << seed);
+    shardChurn += shards.mChurnPerHour;
+    keyChurn += keys.mChurnPerHour;
+    // Two sets of hot keys at most: those of before turn cold and return.
+    BOOST_TEST(keys.mMostSplitKeys <= 3 * options.mHotKeys, "seed " << seed);
+    BOOST_TEST(keys.mMerges > 0, "seed " << seed);
+  }
+  BOOST_TEST(keyChurn < 0.6 * shardChurn);
+}
+
+BOOST_AUTO_TEST_CASE(keys_hot_for_a_moment_are_left_where_they_are)
+{
+  const CellState state = makeState(2);
+  Balancer balancer;
+  std::size_t moves = 0;
+  for (int second = 1; second <= 120; ++second) {
+    // Now one member has the hot key, now the other.
+    const Incarnation hot = 1 + second / 2 % 2;
+    const Millis now{ second * 1000 };
+    for (Incarnation member = 1; member <= 2; ++member) {
+      const std::uint32_t n = member == hot ? 200 : 50;
+      const Shard shard = static_cast<Shard>(member) - 1;
+      wire::LoadReportT report = makeReport(member, { { shard, n } });
+      addHotKey(report, kHotKey + shard, n - 50);
+      balancer.onReport(report, state, now);
+    }
+    moves += balancer.planKeyMoves(state, anyMember, now).size();
+    moves += balancer.planMoves(state, anyMember, now).size();
+  }
+  BOOST_TEST(moves == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(split_key_returns_once_it_has_been_cold_for_a_while)
+{
+  SplitCell cell;
+  cell.run(20, 150);
+  BOOST_REQUIRE(cell.mState.mSplitKeys.contains(kHotKey));
+  BOOST_TEST(cell.mState.mSplitKeys[kHotKey].mOwnership.mOwner == 2U);
+  cell.run(60, 150);
+  BOOST_TEST(cell.mState.mSplitKeys.contains(kHotKey));
+  // Cold, but not for long enough.
+  cell.run(20, 0);
+  BOOST_TEST(cell.mState.mSplitKeys.contains(kHotKey));
+  cell.run(10, 150);
+  cell.run(20, 0);
+  BOOST_TEST(cell.mState.mSplitKeys.contains(kHotKey));
+  cell.run(20, 0);
+  BOOST_TEST(cell.mState.mSplitKeys.empty());
+  BOOST_TEST(cell.mMoves == 2);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_more_is_planned_until_a_key_has_moved)
+{
+  SplitCell cell;
+  cell.mApply = false;
+  cell.run(20, 150);
+  // Asked for again after 2 s, and never twice at once.
+  BOOST_TEST(cell.mMoves >= 5);
+  BOOST_TEST(cell.mMoves <= 9);
+  BOOST_TEST(cell.mShardMoves == 0);
+}
+
+BOOST_AUTO_TEST_CASE(split_keys_are_bounded)
+{
+  SplitCell cell;
+  for (std::uint64_t n = 0; n < 256; ++n) {
+    const std::uint64_t key = 1 + n * kShardCount;
+    cell.mState.mSplitKeys[key] = { 1, { 2, 6 } };
+  }
+  cell.run(20, 150);
+  BOOST_TEST(!cell.mState.mSplitKeys.contains(kHotKey));
+  BOOST_TEST(cell.mState.mSplitKeys.size() == 256U);
+}
+
 BOOST_AUTO_TEST_CASE(members_that_may_not_own_get_nothing)
 {
   const CellState state = makeState(3);
--- a/tests/unit/operator_test.cpp
+++ b/tests/unit/operator_test.cpp
@@ -241,6 +241,36 @@
   BOOST_TEST((codeOf({ "owners", "--service", "x" }) == ExitCode::Negative));
 }
 
+BOOST_FIXTURE_TEST_CASE(split_keys_are_shown_by_their_hash, Fixture)
+{
+  run({ "publish", kGuild });
+  mPlatform.putMember("catalog", "n1", 11);
+  mPlatform.putMember("catalog", "n2", 12);
+  const std::uint64_t hash = hash64("k");
+  wire::AssignT assign;
+  assign.proposer = 11;
+  assign.grants.emplace_back(shardOf(hash), 0, 11);
+  mPlatform.put(cellStream("catalog"), std::move(assign));
+  wire::SplitKeyT split;
+  split.incarnation = 11;
+  split.key_hash = hash;
+  split.shard = shardOf(hash);
+  split.base_epoch = 1;
+  split.to = 12;
+  mPlatform.put(cellStream("catalog"), split);
+  const nlohmann::json found = json({ "owners", "--service", "catalog" });
+  const nlohmann::json& keys =
+    found.at("services").at("catalog").at("split_keys");
+  BOOST_REQUIRE(keys.size() == 1U);
+  BOOST_TEST(keys[0].at("key_hash") == std::to_string(hash));
+  BOOST_TEST(keys[0].at("owner") == "n2");
+  BOOST_TEST(keys[0].at("epoch") == 2);
+  const std::string row =
+    std::to_string(shardOf(hash)) + " key " + std::to_string(hash);
+  BOOST_TEST(contains(run({ "owners", "--shards" }).mOut, row));
+  BOOST_TEST(contains(run({ "owners" }).mOut, "split keys"));
+}
+
 BOOST_FIXTURE_TEST_CASE(one_daemon_stands_in_for_the_log, Fixture)
 {
   mPlatform.mReadsFail = true;
