Run hand-offs of single keys through the ownership model

Cause: the model's daemons handed off shards alone, so nothing showed that at most one daemon serves a key that is split out, moved on or returned while daemons are cut off, freeze, crash and are expelled.

A second run has each daemon also split out, move on or return keys, and counts the servers of a key that may be split beside those of its shard. A rule left out is noticed: a key served on while its record is in doubt.

--- a/tests/unit/ownership_model.cpp
+++ b/tests/unit/ownership_model.cpp
@@ -16,6 +16,14 @@
   return std::string(1, static_cast<char>('a' + aIndex % 3));
 }
 
+/// The one key of a shard that is split out; the shard's number itself is the
+/// hash of one that never is.
+std::uint64_t
+splitKeyOf(Shard aShard)
+{
+  return aShard + std::uint64_t{ kShardCount };
+}
+
 std::vector<Member>
 membersOf(const CellState& aState)
 {
@@ -50,9 +58,10 @@
 
 }
 
-Model::Model(std::uint32_t aSeed, Mutant aMutant)
+Model::Model(std::uint32_t aSeed, Mutant aMutant, HandOffs aHandOffs)
   : mRandom(aSeed)
   , mMutant(aMutant)
+  , mHandOffs(aHandOffs)
 {
   setUp();
 }
@@ -115,6 +124,7 @@
   }
   mExpulsions += aRecord.change.type == wire::Change::Expel ? 1 : 0;
   mRewitnesses += aRecord.change.type == wire::Change::Rewitness ? 1 : 0;
+  mKeyMoves += aRecord.change.type == wire::Change::SplitKey ? 1 : 0;
 }
 
 /// What the daemon sees of an append is only what it reads back.
@@ -447,20 +457,53 @@
     }
     return;
   }
-  if (calm() || !chance(0.003)) {
+  if (calm()) {
     return;
   }
+  if (chance(0.003)) {
+    daemon.mRelease = shardRelease(aIndex);
+  } else if (mHandOffs == HandOffs::ShardsAndKeys && chance(0.01)) {
+    daemon.mRelease = keyRelease(aIndex);
+  }
+  daemon.mNextRelease = mNow;
+}
+
+std::optional<wire::RecordT>
+Model::shardRelease(int aIndex)
+{
+  Daemon& daemon = *mDaemons[aIndex];
   const std::vector<wire::ShardGrant> grants =
     planEvacuation(daemon.mState, daemon.mSelf, 1);
   if (grants.empty()) {
-    return;
+    return std::nullopt;
   }
   wire::ReleaseT release;
   release.incarnation = daemon.mSelf;
   release.grants = grants;
   daemon.mReleasing = grants[0].shard();
-  daemon.mRelease = recordOf(std::move(release));
-  daemon.mNextRelease = mNow;
+  return recordOf(std::move(release));
+}
+
+/// Splits out, moves on or returns any key that the daemon owns.
+std::optional<wire::RecordT>
+Model::keyRelease(int aIndex)
+{
+  Daemon& daemon = *mDaemons[aIndex];
+  const std::uint64_t key = splitKeyOf(static_cast<Shard>(mRandom() % kShards));
+  const Ownership owned = ownerOf(daemon.mState, key);
+  if (owned.mOwner != daemon.mSelf) {
+    return std::nullopt;
+  }
+  wire::SplitKeyT move;
+  move.incarnation = daemon.mSelf;
+  move.key_hash = key;
+  move.shard = shardOf(key);
+  move.base_epoch = owned.mEpoch;
+  const bool returns =
+    daemon.mState.mSplitKeys.contains(key) && mRandom() % 3 == 0;
+  move.to = returns ? 0 : mDaemons[mRandom() % kDaemons]->mSelf;
+  daemon.mReleasing = move.shard;
+  return recordOf(move);
 }
 
 void
@@ -490,12 +533,24 @@
   }
 }
 
-/// Counts who would serve each shard now, frozen daemons included: they look
-/// at their lease before they go on.
+bool
+Model::serves(int aIndex, std::uint64_t aKeyHash) const
+{
+  const Daemon& daemon = *mDaemons[aIndex];
+  const bool keyed =
+    daemon.mRelease && daemon.mRelease->change.type == wire::Change::SplitKey;
+  const bool held = daemon.mRelease && daemon.mReleasing == shardOf(aKeyHash) &&
+                    !(keyed && mMutant == Mutant::KeyNotHeldBack);
+  return !held && ownerOf(daemon.mState, aKeyHash).mOwner == daemon.mSelf;
+}
+
+/// Counts who would serve each shard, and a key of it that may be split out,
+/// now, frozen daemons included: they look at their lease before they go on.
 void
 Model::judge(Outcome& aOutcome)
 {
   std::array<int, kShards> servers{};
+  std::array<int, kShards> keyServers{};
   for (int n = 0; n < kDaemons; ++n) {
     const Daemon& daemon = *mDaemons[n];
     if (!isActive(daemon.mState, daemon.mSelf) ||
@@ -503,16 +558,17 @@
       continue;
     }
     for (Shard shard = 0; shard < kShards; ++shard) {
-      const bool releasing = daemon.mRelease && daemon.mReleasing == shard;
-      const bool owns = daemon.mState.mShards[shard].mOwner == daemon.mSelf;
-      servers[shard] += owns && !releasing ? 1 : 0;
+      servers[shard] += serves(n, shard) ? 1 : 0;
+      keyServers[shard] += serves(n, splitKeyOf(shard)) ? 1 : 0;
     }
   }
   bool all = true;
-  for (const int count : servers) {
-    mServed += count > 0 ? 1 : 0;
+  for (Shard shard = 0; shard < kShards; ++shard) {
+    const int count = std::max(servers[shard], keyServers[shard]);
+    const bool served = servers[shard] > 0 && keyServers[shard] > 0;
+    mServed += served ? 1 : 0;
     ++mJudged;
-    all = all && count > 0;
+    all = all && served;
     if (count > 1 && !aOutcome.mViolated) {
       aOutcome.mViolated = true;
       aOutcome.mViolatedAt = mNow;
@@ -543,6 +599,7 @@
   }
   outcome.mExpulsions = mExpulsions;
   outcome.mRewitnesses = mRewitnesses;
+  outcome.mKeyMoves = mKeyMoves;
   outcome.mServedShare =
     static_cast<double>(mServed) / static_cast<double>(mJudged);
   return outcome;
--- a/tests/unit/ownership_model.h
+++ b/tests/unit/ownership_model.h
@@ -30,6 +30,14 @@
   ConsentNotForGood,
   PromiseToExpelled,
   AbandonInDoubt,
+  KeyNotHeldBack,
+};
+
+/// What the owners hand off among themselves.
+enum class HandOffs
+{
+  Shards,
+  ShardsAndKeys,
 };
 
 constexpr int kDaemons = 7;
@@ -114,6 +122,8 @@
   std::optional<Millis> mRecovery;
   int mExpulsions = 0;
   int mRewitnesses = 0;
+  /// Keys split out, moved or returned.
+  int mKeyMoves = 0;
   double mServedShare = 0;
 };
 
@@ -130,7 +140,9 @@
 class Model
 {
 public:
-  Model(std::uint32_t aSeed, Mutant aMutant);
+  Model(std::uint32_t aSeed,
+        Mutant aMutant,
+        HandOffs aHandOffs = HandOffs::Shards);
   Outcome run();
   /// No faults, but aLost daemons are lost for good at the same moment.
   LossOutcome runLoss(int aLost);
@@ -156,6 +168,9 @@
   void stepKeeper(int aIndex);
   void stepShuffle(int aIndex);
   void stepRelease(int aIndex);
+  std::optional<wire::RecordT> shardRelease(int aIndex);
+  std::optional<wire::RecordT> keyRelease(int aIndex);
+  bool serves(int aIndex, std::uint64_t aKeyHash) const;
   void stepAssign(int aIndex);
   template<typename Change>
   wire::RecordT recordOf(Change aChange);
@@ -169,6 +184,7 @@
   std::mt19937 mRandom;
   std::uniform_real_distribution<double> mUniform{ 0, 1 };
   Mutant mMutant;
+  HandOffs mHandOffs;
   bool mAlwaysCalm = false;
   Millis mNow;
   std::uint64_t mSequence = 0;
@@ -190,6 +206,7 @@
   std::optional<Millis> mAllServedSince;
   int mExpulsions = 0;
   int mRewitnesses = 0;
+  int mKeyMoves = 0;
 };
 
 }
--- a/tests/unit/ownership_model_test.cpp
+++ b/tests/unit/ownership_model_test.cpp
@@ -24,10 +24,10 @@
 
 /// The first seed on which a rule left out lets two daemons serve at once.
 std::uint32_t
-firstViolation(Mutant aMutant)
+firstViolation(Mutant aMutant, HandOffs aHandOffs = HandOffs::Shards)
 {
   for (std::uint32_t seed = 1; seed <= kMutantSeeds; ++seed) {
-    const Outcome outcome = Model(seed, aMutant).run();
+    const Outcome outcome = Model(seed, aMutant, aHandOffs).run();
     if (outcome.mViolated) {
       BOOST_TEST_MESSAGE("violated by seed " << seed << " at "
                                              << outcome.mViolatedAt.mCount
@@ -74,6 +74,40 @@
   BOOST_TEST(share / seeds > 0.3);
 }
 
+BOOST_AUTO_TEST_CASE(no_split_key_has_two_servers_and_all_are_served_soon)
+{
+  int expulsions = 0;
+  int keyMoves = 0;
+  std::vector<Millis> recoveries;
+  const std::uint32_t seeds = seedCount();
+  for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+    const Outcome outcome =
+      Model(seed, Mutant::None, HandOffs::ShardsAndKeys).run();
+    BOOST_TEST(!outcome.mViolated,
+               "seed " << seed << ": two servers at "
+                       << outcome.mViolatedAt.mCount);
+    const Millis recovery = outcome.mRecovery.value_or(kEnd);
+    BOOST_TEST((recovery <= kRecoveryLimit),
+               "seed " << seed << ": recovery took " << recovery.mCount);
+    recoveries.push_back(recovery);
+    expulsions += outcome.mExpulsions;
+    keyMoves += outcome.mKeyMoves;
+  }
+  std::ranges::sort(recoveries);
+  BOOST_TEST_MESSAGE(seeds << " seeds, " << expulsions << " expulsions, "
+                           << keyMoves << " moves of keys; recovery median "
+                           << recoveries[seeds / 2].mCount << " ms, worst "
+                           << recoveries.back().mCount << " ms");
+  BOOST_TEST(expulsions > static_cast<int>(seeds));
+  BOOST_TEST(keyMoves > 3 * static_cast<int>(seeds));
+}
+
+BOOST_AUTO_TEST_CASE(with_a_key_served_while_its_move_is_in_doubt_two_serve)
+{
+  BOOST_TEST(firstViolation(Mutant::KeyNotHeldBack, HandOffs::ShardsAndKeys) !=
+             0U);
+}
+
 BOOST_AUTO_TEST_CASE(lost_daemons_shards_are_served_again_within_two_seconds)
 {
   constexpr std::uint32_t kLossSeeds = 200;
