--- a/include/radishroad/daemon/lease_log.h
+++ b/include/radishroad/daemon/lease_log.h
@@ -6,12 +6,19 @@
 
 namespace radishroad {
 
-/// Logs, at level debug, promises and consents as this daemon sends them, with
-/// the monotonic time. Other frames are passed over.
+/// Logs, at level debug, this witness's answer to a renewal, with the send time
+/// of the newest renewal that its holder names as answered.
+void
+logRenewalAnswer(const wire::PromiseT& aPromise,
+                 Millis aHeardSentAt,
+                 Millis aNow);
+
+/// Logs, at level debug, consents as this daemon sends them, with the monotonic
+/// time. Other frames are passed over.
 void
 logSentFrame(const wire::FrameBodyUnion& aBody, Millis aNow);
 
-/// The same for promises that it receives.
+/// The same for answers to its renewals as it receives them.
 void
 logReceivedFrame(const wire::FrameBodyUnion& aBody, Millis aNow);
 
--- a/src/daemon/lease_duty.cpp
+++ b/src/daemon/lease_duty.cpp
@@ -3,6 +3,7 @@
 #include "radishroad/base/json_log.h"
 #include "radishroad/daemon/control_context.h"
 #include "radishroad/daemon/fleet_state.h"
+#include "radishroad/daemon/lease_log.h"
 #include "radishroad/daemon/recorder.h"
 
 #include <algorithm>
@@ -41,7 +42,8 @@
   const ReceivedRenewal renewal{ { aRenew.incarnation, aRenew.version },
                                  Millis{ aRenew.sent_ms },
                                  Millis{ aRenew.heard_sent_ms } };
-  const RenewalAnswer answer = mDriver.onRenew(renewal, mContext.mNow());
+  const Millis now = mContext.mNow();
+  const RenewalAnswer answer = mDriver.onRenew(renewal, now);
   if (answer == RenewalAnswer::None) {
     return;
   }
@@ -52,6 +54,7 @@
   promise.sent_ms = aRenew.sent_ms;
   promise.withheld = answer == RenewalAnswer::Withheld;
   promise.positions = positions();
+  logRenewalAnswer(promise, renewal.mHeardSentAt, now);
   mContext.mSend(aFrom, makeBody(std::move(promise)));
 }
 
--- a/src/daemon/lease_log.cpp
+++ b/src/daemon/lease_log.cpp
@@ -15,6 +15,7 @@
            { "witness", std::to_string(aPromise.witness) },
            { "version", aPromise.version },
            { "sent_ms", aPromise.sent_ms },
+           { "withheld", aPromise.withheld },
            { "now_ms", aNow.mCount } };
 }
 
@@ -31,12 +32,20 @@
 
 }
 
+void
+logRenewalAnswer(const wire::PromiseT& aPromise,
+                 Millis aHeardSentAt,
+                 Millis aNow)
+{
+  nlohmann::json fields = describePromise(aPromise, aNow);
+  fields["heard_ms"] = aHeardSentAt.mCount;
+  logEvent(LogLevel::Debug, "promise_sent", fields);
+}
+
 void
 logSentFrame(const wire::FrameBodyUnion& aBody, Millis aNow)
 {
-  if (const wire::PromiseT* promise = aBody.AsPromise()) {
-    logEvent(LogLevel::Debug, "promise_sent", describePromise(*promise, aNow));
-  } else if (const wire::ConsentT* consent = aBody.AsConsent()) {
+  if (const wire::ConsentT* consent = aBody.AsConsent()) {
     logEvent(LogLevel::Debug, "consent_sent", describeConsent(*consent, aNow));
   }
 }
--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -72,9 +72,14 @@
       })
   , mHandoff(mContext, handoffHooks())
   , mCoordinator(mContext,
-                 [this](std::span<const wire::ShardGrant> aGrants) {
-                   mHandoff.order(aGrants);
-                 })
+                 { .mShards =
+                     [this](std::span<const wire::ShardGrant> aGrants) {
+                       mHandoff.order(aGrants);
+                     },
+                   .mKeys =
+                     [this](std::span<const wire::SplitKeyT> aKeys) {
+                       mHandoff.orderKeys(aKeys);
+                     } })
   , mRate(mContext, mAuthority)
   , mRelay(
       mContext,
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -110,6 +110,7 @@
   void onControlFrame(Incarnation aFrom, const wire::FrameBodyUnion& aBody);
   void reportLoad(Millis aNow);
   void countTraffic(Millis aNow);
+  void onMoveOrder(const wire::MoveOrderT& aOrder);
   void spreadCrashReport(const wire::CrashReportT& aReport);
   void sendControl(Incarnation aTo, wire::FrameBodyUnion aBody);
   bool submitAppend(const std::string& aStream,
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -3,6 +3,7 @@
 #include "parts.h"
 #include "radishroad/daemon/caller_key.h"
 #include "radishroad/ownership/ownership_change.h"
+#include "radishroad/policy/hot_key_report.h"
 
 #include <nlohmann/json.hpp>
 
@@ -203,11 +204,7 @@
   for (const OwnershipChange& change : ownershipChanges(aBefore, aAfter)) {
     mGuard.onOwnershipChange(change, now, wait);
   }
-  for (Shard shard = 0; shard < kShardCount; ++shard) {
-    if (mGuard.serveFrom(shard) > now) {
-      mAuthority.setWait(shard, mGuard.serveFrom(shard));
-    }
-  }
+  mAuthority.setWaits(mGuard);
 }
 
 void
@@ -224,7 +221,8 @@
   report.window = static_cast<float>(load.mWindow);
   report.in_flight = static_cast<float>(load.mInFlight);
   report.shards = std::move(load.mShards);
-  for (const wire::HotKeyT& key : load.mHotKeys) {
+  for (const wire::HotKeyT& key :
+       selectHotKeys(load.mHotKeys, mFleet.ownCell(), mSelf)) {
     report.hot_keys.push_back(std::make_unique<wire::HotKeyT>(key));
   }
   if (coordinator == mSelf) {
@@ -250,6 +248,21 @@
   mCounted = traffic;
 }
 
+void
+Daemon::Parts::onMoveOrder(const wire::MoveOrderT& aOrder)
+{
+  std::vector<wire::SplitKeyT> keys;
+  for (const std::unique_ptr<wire::SplitKeyT>& key : aOrder.keys) {
+    keys.push_back(*key);
+  }
+  if (!aOrder.grants.empty()) {
+    mHandoff.order(aOrder.grants);
+  }
+  if (!keys.empty()) {
+    mHandoff.orderKeys(keys);
+  }
+}
+
 void
 Daemon::Parts::spreadCrashReport(const wire::CrashReportT& aReport)
 {
@@ -298,7 +311,7 @@
       mLoop.tickSoon();
       break;
     case wire::FrameBody::MoveOrder:
-      mHandoff.order(aBody.AsMoveOrder()->grants);
+      onMoveOrder(*aBody.AsMoveOrder());
       break;
     case wire::FrameBody::TokenAsk:
       mRate.onAsk(*aBody.AsTokenAsk());
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -196,7 +196,7 @@
   mWindow.onAnswer(took, aRun.mInFlight, now);
   mAnswered.add(queued.mFingerprint, now);
   mQueue.charge(queued.mRequest.workspace, took);
-  mLoad.add(queued.mRequest.shard, queued.mRequest.key_hash, took);
+  mLoad.add(queued.mRequest.shard, queued.mRequest.key_hash, took, now);
   mMetrics.observe("radishroad_gate_run_seconds", took);
   answer(queued, makeAnswered(queued.mRequest, std::move(aResponse)));
 }
--- a/tests/process/hang_up_test.cpp
+++ b/tests/process/hang_up_test.cpp
@@ -43,7 +43,6 @@
   const auto start = std::chrono::steady_clock::now();
   tools::LoadEngine engine({ .mMaxConnections = kCallers,
                              .mBoundConnections = false,
-                             .mExactTimes = false,
                              .mKeepBodies = false });
   int sent = 0;
   std::vector<LoadResult> results;
--- a/tests/unit/replay_test.cpp
+++ b/tests/unit/replay_test.cpp
@@ -88,6 +88,7 @@
   lines = whole;
   json promise = *linesOf(lines, "promise_sent").at(0);
   const json consent = *linesOf(lines, "consent_sent").at(0);
+  promise["withheld"] = false;
   promise["witness"] = consent["witness"];
   promise["version"] = consent["version"];
   promise["now_ms"] = consent["now_ms"];
--- a/tests/unit/replay_trace.cpp
+++ b/tests/unit/replay_trace.cpp
@@ -204,6 +204,20 @@
   return events;
 }
 
+void
+ReplayTrace::receivePromise(const json& aLine, LeaseHolder& aHolder)
+{
+  const std::uint64_t witness = number(aLine, "witness");
+  const std::uint32_t version = aLine.at("version");
+  const Millis sentAt{ aLine.at("sent_ms") };
+  if (aLine.at("withheld")) {
+    aHolder.onWithheld(witness, version, sentAt);
+  } else {
+    aHolder.onPromise(
+      witness, version, sentAt, Millis{ aLine.at("now_ms") });
+  }
+}
+
 /// A daemon collects promises for its next set before it proposes that.
 void
 ReplayTrace::prepareNext(LeaseHolder& aHolder, std::uint32_t aVersion) const
@@ -234,9 +248,7 @@
   }
   const json& line = *aEvent.mLine;
   if (isKind(line, "promise_received")) {
-    aHolder.onPromise(number(line, "witness"),
-                      line.at("version"),
-                      Millis{ line.at("sent_ms") });
+    receivePromise(line, aHolder);
   } else if (isKind(line, "lease_held") && !aHolder.holds(aEvent.mAt)) {
     aFaults.push_back("the daemon held, the core does not" + at);
   } else if (isKind(line, "lease_lapsed") &&
@@ -290,7 +302,12 @@
     const LeaseLabel label{ number(line, "holder"), line.at("version") };
     const Millis now{ line.at("now_ms") };
     if (promised) {
-      if (!witness.onRenew(label, now)) {
+      const ReceivedRenewal renewal{ label,
+                                     Millis{ line.at("sent_ms") },
+                                     Millis{ line.at("heard_ms") } };
+      if (line.at("withheld")) {
+        witness.onFeedback(renewal);
+      } else if (!witness.onRenew(renewal, now)) {
         faults.push_back("promised after a consent: " + line.dump());
       }
       continue;
--- a/tests/unit/replay_trace.h
+++ b/tests/unit/replay_trace.h
@@ -58,6 +58,7 @@
     bool mServed = false;
   };
 
+  static void receivePromise(const nlohmann::json& aLine, LeaseHolder& aHolder);
   Millis toMonotonic(std::int64_t aWallMs) const;
   std::vector<Event> holderEvents() const;
   void checkHolderEvent(const Event& aEvent,
