Take no long requests among short ones for a cold upstream

Cause: the window started over when half of the requests in flight were older than four baselines, also while others were still answered fast. Change: a cold turn needs, besides, that no answer faster than two baselines has come for two baselines. Test changed: late_requests_stop_sending_and_very_late_ones_start_over lets 41 ms pass without an answer, as in a real turn, and checks that none is seen before.

--- a/benchmark/window_bench.cpp
+++ b/benchmark/window_bench.cpp
@@ -23,6 +23,7 @@
   std::int64_t mSlowFrom;
   std::int64_t mSlowUntil;
   double mSlowFactor;
+  std::int64_t mTimesFrom = 0;
 };
 
 /// Sizes of the two deployments at about seven tenths of their slots.
@@ -30,6 +31,8 @@
   { "guild fresh", 10, 20, 350, 0, 0, 0, 1 },
   { "guild turns cold", 10, 20, 350, 20000, 0, 0, 1 },
   { "guild slow moment", 10, 20, 350, 0, 20000, 20500, 5 },
+  { "guild steady", 10, 20, 350, 0, 0, 0, 1, 25000 },
+  { "topos steady", 6, 40, 105, 0, 0, 0, 1, 25000 },
   { "topos fresh", 6, 40, 105, 0, 0, 0, 1 },
   { "topos turns cold", 6, 40, 105, 20000, 0, 0, 1 },
   { "topos slow moment", 6, 40, 105, 0, 20000, 20500, 5 },
@@ -67,6 +70,7 @@
     options.mSlowFrom = Millis{ aScenario.mSlowFrom };
     options.mSlowUntil = Millis{ aScenario.mSlowUntil };
     options.mSlowFactor = aScenario.mSlowFactor;
+    options.mTimesFrom = Millis{ aScenario.mTimesFrom };
     const auto result = UpstreamModel<Window>(options, aWindow).run();
     fullAt.push_back(static_cast<double>(result.mFullRateAt.mCount) / 1000);
     p99.push_back(result.mP99Ms);
@@ -76,12 +80,13 @@
     offered += result.mOffered;
     falls += result.mFalls;
   }
-  std::printf("%-18s %-8s %6d %8.1f %8.1f %8.1f %7.2f%% %7.2f%%\n",
+  std::printf("%-18s %-8s %6d %8.1f %8.1f %8.1f %8.1f %7.2f%% %7.2f%%\n",
               aScenario.mName,
               aName,
               falls,
               median(fullAt),
               median(p99),
+              *std::ranges::max_element(p99),
               down / static_cast<double>(aSeeds),
               100 * notRun / offered,
               100 * lost / offered);
@@ -96,12 +101,13 @@
     aCount > 1 ? std::strtoull(aArguments[1], nullptr, 10) : 20;
   const std::uint64_t first =
     aCount > 2 ? std::strtoull(aArguments[2], nullptr, 10) : 1;
-  std::printf("%-18s %-8s %6s %8s %8s %8s %8s %8s\n",
+  std::printf("%-18s %-8s %6s %8s %8s %8s %8s %8s %8s\n",
               "scenario",
               "gate",
               "falls",
               "full s",
               "p99 ms",
+              "worst",
               "down s",
               "not run",
               "lost");
--- a/include/radishroad/policy/window.h
+++ b/include/radishroad/policy/window.h
@@ -82,6 +82,8 @@
   void judge(double aMedian, Millis aNow);
   /// Requests sent with the window full were answered as fast as others.
   bool fullIsFast() const;
+  /// An answer that was not late has come within the time that most take.
+  bool answersFast(Millis aNow) const;
   void forgetFull();
   void grow();
   void decayUnused();
@@ -100,6 +102,8 @@
   Millis mCountsFrom;
   Millis mRoundStart;
   Millis mLastShrink;
+  /// The last answer that was not late.
+  Millis mLastFast;
   std::vector<double> mSamples;
   /// Answer times of requests that filled the window when they were sent, the
   /// evidence for growth; kept over rounds until the window changes.
--- a/src/policy/window.cpp
+++ b/src/policy/window.cpp
@@ -33,6 +33,10 @@
 constexpr double kColdRatio = 4.0;
 constexpr double kColdSlackMs = 5.0;
 
+/// Baselines without an answer that is not late before late requests mean a
+/// cold upstream. A few long requests among short ones do not.
+constexpr double kFastAnswerRatio = 2.0;
+
 /// Room kept above what is in use, and the decay towards it.
 constexpr double kUnusedRoom = 1.25;
 constexpr double kUnusedFactor = 0.9;
@@ -159,6 +163,9 @@
     // Sent before the cold start or the dip; it tells of another state.
     return;
   }
+  if (aTook < ages().mLate) {
+    mLastFast = aNow;
+  }
   if (mSinceChange >= kMaxEvidence) {
     forgetFull();
   }
@@ -342,6 +349,13 @@
   return { age(kLateRatio, kLateSlackMs), age(kColdRatio, kColdSlackMs) };
 }
 
+bool
+ConcurrencyWindow::answersFast(Millis aNow) const
+{
+  const double since = static_cast<double>((aNow - mLastFast).mCount);
+  return mBaseline && since < kFastAnswerRatio * *mBaseline;
+}
+
 bool
 ConcurrencyWindow::onPending(const Pending& aPending, Millis aNow)
 {
@@ -349,7 +363,7 @@
     return aCount >= kLeastPending && aCount * 2 >= aPending.mAll;
   };
   mHold = most(aPending.mLate);
-  const bool cold = most(aPending.mCold);
+  const bool cold = most(aPending.mCold) && !answersFast(aNow);
   if (cold) {
     onCold(aNow);
   }
--- a/tests/model/upstream_model.h
+++ b/tests/model/upstream_model.h
@@ -41,6 +41,8 @@
     /// More than this at once is shed; 0 for never.
     std::uint32_t mShedAt = 0;
     Millis mDuration{ 40000 };
+    /// Answer times count from here on.
+    Millis mTimesFrom;
     /// It turns cold without a sign at this time; 0 for never.
     Millis mTurnsColdAt;
     /// It is so many times slower in this span.
@@ -208,7 +210,9 @@
       }
       ++mResult.mAnswered;
       ++mAnsweredInSpan;
-      mTimes.push_back((aNow - job.mArrived).mCount);
+      if (aNow >= mOptions.mTimesFrom) {
+        mTimes.push_back((aNow - job.mArrived).mCount);
+      }
       mWindow.onAnswer(aNow - job.mSent, job.mInFlight, aNow);
     }
     mRunning = std::move(left);
--- a/tests/unit/window_test.cpp
+++ b/tests/unit/window_test.cpp
@@ -179,10 +179,29 @@
   BOOST_TEST(window.limit() == 1U);
   BOOST_TEST(!window.onPending({ 8, 1, 0 }, now));
   BOOST_TEST(window.limit() == before);
+  // Answers of 20 ms have just come.
+  BOOST_TEST(!window.onPending({ 8, 8, 4 }, now));
+  now += 30_ms;
+  BOOST_TEST(!window.onPending({ 8, 8, 4 }, now));
+  now += 11_ms;
   BOOST_TEST(window.onPending({ 8, 8, 4 }, now));
   BOOST_TEST(window.limit() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(long_requests_among_short_ones_are_no_cold_turn)
+{
+  Millis now;
+  ConcurrencyWindow window = grownWindow(now);
+  const std::uint32_t before = window.limit();
+  for (int i = 0; i < 50; ++i) {
+    now += 20_ms;
+    window.onAnswer(20_ms, 4, now);
+    BOOST_TEST(!window.onPending({ 4, 2, 2 }, now));
+  }
+  BOOST_TEST(!window.onPending({ 4, 1, 1 }, now));
+  BOOST_TEST(window.limit() > before / 2);
+}
+
 BOOST_AUTO_TEST_CASE(shedding_shrinks_once_for_one_cause)
 {
   Millis now;
