--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -90,6 +90,7 @@
   TakeoverGuard mGuard;
   bool mGuardStarted = false;
   Millis mNextLoadReport;
+  Millis mNextIdleReport;
   Millis mNextTraffic;
   /// Traffic that the metrics hold.
   PeerLink::Traffic mCounted;
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -13,7 +13,9 @@
 
 /// What a run may take beyond its limit until the upstream has ended it.
 constexpr Millis kRunLimitMargin{ 100 };
-constexpr Millis kLoadReportInterval{ 3000 };
+constexpr Millis kLoadReportInterval{ 1000 };
+/// For reports of a gate that ran nothing.
+constexpr Millis kIdleReportInterval{ 3000 };
 constexpr Millis kTrafficInterval{ 1000 };
 
 wire::CrashReportT
@@ -27,6 +29,21 @@
   return report;
 }
 
+wire::LoadReportT
+makeLoadReport(Incarnation aReporter, const CellState& aCell, Gate::Load aLoad)
+{
+  wire::LoadReportT report;
+  report.incarnation = aReporter;
+  report.window = static_cast<float>(aLoad.mWindow);
+  report.in_flight = static_cast<float>(aLoad.mInFlight);
+  report.shards = std::move(aLoad.mShards);
+  for (const wire::HotKeyT& key :
+       selectHotKeys(aLoad.mHotKeys, aCell, aReporter)) {
+    report.hot_keys.push_back(std::make_unique<wire::HotKeyT>(key));
+  }
+  return report;
+}
+
 }
 
 FleetState::Hooks
@@ -216,15 +233,12 @@
   }
   mNextLoadReport = aNow + kLoadReportInterval;
   Gate::Load load = mGate->takeLoad();
-  wire::LoadReportT report;
-  report.incarnation = mSelf;
-  report.window = static_cast<float>(load.mWindow);
-  report.in_flight = static_cast<float>(load.mInFlight);
-  report.shards = std::move(load.mShards);
-  for (const wire::HotKeyT& key :
-       selectHotKeys(load.mHotKeys, mFleet.ownCell(), mSelf)) {
-    report.hot_keys.push_back(std::make_unique<wire::HotKeyT>(key));
+  if (load.mShards.empty() && aNow < mNextIdleReport) {
+    return;
   }
+  mNextIdleReport = aNow + kIdleReportInterval;
+  wire::LoadReportT report =
+    makeLoadReport(mSelf, mFleet.ownCell(), std::move(load));
   if (coordinator == mSelf) {
     mCoordinator.onReport(report);
   } else {
