Prove four more pairs of failures

Four of the pairs that two_failures can draw had been run. Seeds 75 to 78 add log down with a daemon frozen, log down with one lost, and answers of the log lost with a daemon lost and with one restarted. No code was changed for them.

--- a/tests/process/two_failures_test.cpp
+++ b/tests/process/two_failures_test.cpp
@@ -157,6 +157,26 @@
   checkTwoFailures(74);
 }
 
+BOOST_AUTO_TEST_CASE(seed_75)
+{
+  checkTwoFailures(75);
+}
+
+BOOST_AUTO_TEST_CASE(seed_76)
+{
+  checkTwoFailures(76);
+}
+
+BOOST_AUTO_TEST_CASE(seed_77)
+{
+  checkTwoFailures(77);
+}
+
+BOOST_AUTO_TEST_CASE(seed_78)
+{
+  checkTwoFailures(78);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
