--- a/include/radishroad/daemon/membership_duty.h
+++ b/include/radishroad/daemon/membership_duty.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <set>
+#include <span>
 
 namespace radishroad {
 
@@ -40,6 +41,8 @@
   void stepLeave();
   void announceLeave();
   void tellPeers();
+  /// Another member than those gone could take what this one owns.
+  bool hasSuccessor(std::span<const Incarnation> aGone) const;
   void leave();
 
   ControlContext& mContext;
--- a/src/daemon/membership_duty.cpp
+++ b/src/daemon/membership_duty.cpp
@@ -173,15 +173,21 @@
 }
 
 bool
-MembershipDuty::isLastOfCell()
+MembershipDuty::hasSuccessor(std::span<const Incarnation> aGone) const
 {
   const CellState& cell = mContext.mFleet.ownCell();
+  return !planEvacuation(cell, mContext.mSelf, 1, aGone).empty();
+}
+
+bool
+MembershipDuty::isLastOfCell()
+{
   std::vector<Incarnation> gone(mLeavingPeers.begin(), mLeavingPeers.end());
-  if (planEvacuation(cell, mContext.mSelf, 1, gone).empty()) {
+  if (!hasSuccessor(gone)) {
     return true;
   }
   std::ranges::copy(mContext.mSuspects(), std::back_inserter(gone));
-  if (!planEvacuation(cell, mContext.mSelf, 1, gone).empty()) {
+  if (hasSuccessor(gone)) {
     mAloneSince.reset();
     return false;
   }
