Split the callers' connection and request reader

Behaviour as before. Ruled out: a class for the connection's output, which shares the phase times and the queue with the rest.

--- a/include/radishroad/caller/request_reader.h
+++ b/include/radishroad/caller/request_reader.h
@@ -64,12 +64,9 @@
 private:
   struct Parser;
 
-  Outcome refuse(unsigned aStatus,
-                 std::string_view aReason,
-                 std::string aMessage);
+  Outcome refuse(Refusal aRefusal);
   std::optional<Outcome> step();
-  std::optional<Outcome> checkHead();
-  std::optional<Outcome> checkFields();
+  std::optional<Outcome> takeHead();
   std::optional<Outcome> checkPartialHead();
   Outcome finish(Millis aNow);
   Outcome parseFailure(int aError, std::string aMessage);
--- a/src/caller/connection.cpp
+++ b/src/caller/connection.cpp
@@ -10,8 +10,6 @@
 
 namespace radishroad {
 
-using namespace radishroad::literals;
-
 namespace {
 
 /// Requests of one connection that wait or run.
@@ -20,10 +18,6 @@
 constexpr std::size_t kMaxQueuedBytes = 1U << 20;
 /// A caller that sends more than this beyond a full queue loses the rest.
 constexpr std::size_t kMaxHeldBytes = 256U << 10;
-/// A caller that got its last answer has this long to close.
-constexpr Millis kLingerTime = 2_s;
-/// An answer that the caller does not take is given up after this time.
-constexpr Millis kWriteTimeout = 30_s;
 
 }
 
@@ -191,94 +185,6 @@
   return mContext.phase() != ServerContext::Phase::Serving && !moreToAnswer;
 }
 
-void
-CallerConnection::write(Response aResponse, bool aIsLast, Millis aNow)
-{
-  mSender.start(std::move(aResponse));
-  mOutput = Output::Pending;
-  mIsLastResponse = aIsLast;
-  mOutputSince = aNow;
-  if (aIsLast) {
-    mDiscardInput = true;
-  }
-  flush(aNow);
-}
-
-void
-CallerConnection::flush(Millis aNow)
-{
-  const std::size_t before = mSender.sent();
-  const ResponseSender::Progress progress = mSender.flush();
-  if (progress == ResponseSender::Progress::Done) {
-    finishOutput(aNow);
-    return;
-  }
-  if (mSender.sent() > before) {
-    mOutputSince = aNow;
-  }
-  if (progress == ResponseSender::Progress::Broken) {
-    abort();
-    return;
-  }
-  mWantWrite(true);
-}
-
-void
-CallerConnection::finishOutput(Millis aNow)
-{
-  mPhaseSince = aNow;
-  if (mIsLastResponse) {
-    endSending(aNow);
-    return;
-  }
-  mOutput = Output::None;
-  readRequests(aNow);
-  runNext(aNow);
-}
-
-void
-CallerConnection::onWritable(Millis aNow)
-{
-  if (mOutput != Output::Pending) {
-    return;
-  }
-  flush(aNow);
-  if (mOutput != Output::Pending) {
-    mWantWrite(false);
-  }
-  noteBusy();
-}
-
-void
-CallerConnection::sendContinue()
-{
-  // Lost if the socket is full, which it is not before a first answer; the
-  // caller then sends its body after a while all the same.
-  constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-  static_cast<void>(::send(
-    mSocket, kContinue.data(), kContinue.size(), MSG_NOSIGNAL | MSG_DONTWAIT));
-}
-
-void
-CallerConnection::endSending(Millis aNow)
-{
-  // Closing at once would make the kernel reset the connection if the caller
-  // still sends, and the caller could lose the answer.
-  mOutput = Output::Ended;
-  mOutputSince = aNow;
-  mDiscardInput = true;
-  mQueue.clear();
-  ::shutdown(mSocket, SHUT_WR);
-}
-
-void
-CallerConnection::abort()
-{
-  // The transport sees the end of the stream and drops the connection.
-  mDiscardInput = true;
-  ::shutdown(mSocket, SHUT_RDWR);
-}
-
 bool
 CallerConnection::isBusy() const
 {
@@ -307,56 +213,4 @@
   }
 }
 
-bool
-CallerConnection::hasTimedOut(Millis aNow) const
-{
-  const CallerServer::Options& options = mContext.mOptions;
-  const Millis waited = aNow - mPhaseSince;
-  switch (mReader.phase()) {
-    case RequestReader::Phase::Head:
-      return waited > options.mHeaderTimeout;
-    case RequestReader::Phase::Body:
-      return waited > options.mBodyTimeout;
-    default:
-      return false;
-  }
-}
-
-void
-CallerConnection::refuseSlowCaller(Millis aNow)
-{
-  mDiscardInput = true;
-  mQueue.emplace_back(tl::unexpected<Refusal>(
-    Refusal{ 408, "request-timeout", "the request did not arrive in time" }));
-  runNext(aNow);
-  noteBusy();
-}
-
-void
-CallerConnection::onTick(Millis aNow)
-{
-  if (mOutput == Output::Ended) {
-    if (aNow - mOutputSince > kLingerTime) {
-      abort();
-    }
-    return;
-  }
-  if (mOutput == Output::Pending) {
-    if (aNow - mOutputSince > kWriteTimeout) {
-      abort();
-    }
-    return;
-  }
-  if (isBusy()) {
-    if (!mDiscardInput && !mRunning && mQueue.empty() && hasTimedOut(aNow)) {
-      refuseSlowCaller(aNow);
-    }
-    return;
-  }
-  const bool closing = mContext.phase() == ServerContext::Phase::Closing;
-  if (closing || aNow - mPhaseSince > mContext.mOptions.mIdleTimeout) {
-    endSending(aNow);
-  }
-}
-
 }
--- a/src/caller/request_reader.cpp
+++ b/src/caller/request_reader.cpp
@@ -1,10 +1,8 @@
 #include "radishroad/caller/request_reader.h"
 
+#include "radishroad/caller/head_check.h"
 #include "radishroad/caller/header_filter.h"
-#include "radishroad/caller/target_check.h"
 
-#include <algorithm>
-#include <array>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -14,72 +12,6 @@
 
 namespace http = boost::beast::http;
 
-constexpr std::size_t kMaxTargetBytes = 8U << 10;
-constexpr std::size_t kMaxMethodBytes = 32;
-constexpr std::string_view kTokenMarks = "!#$%&'*+-.^_`|~";
-
-/// Fields whose meaning is lost if they come twice.
-constexpr std::array<http::field, 5> kSingleFields{
-  http::field::authorization,
-  http::field::content_length,
-  http::field::expect,
-  http::field::host,
-  http::field::transfer_encoding,
-};
-constexpr std::string_view kIdempotencyKey = "Idempotency-Key";
-
-std::string_view
-view(boost::beast::string_view aText)
-{
-  return { aText.data(), aText.size() };
-}
-
-bool
-isTokenByte(char aByte)
-{
-  return std::isalnum(static_cast<unsigned char>(aByte)) != 0 ||
-         kTokenMarks.find(aByte) != std::string_view::npos;
-}
-
-/// A request line may begin like this. Without the check, bytes that are no
-/// HTTP would wait for an end of line that never comes.
-bool
-mayBeginRequest(std::string_view aBytes)
-{
-  const std::size_t space = aBytes.find(' ');
-  const std::string_view method = aBytes.substr(0, space);
-  if (method.size() > kMaxMethodBytes || space == 0 ||
-      !std::all_of(method.begin(), method.end(), isTokenByte)) {
-    return false;
-  }
-  const std::size_t end = aBytes.find('\n');
-  if (end == std::string_view::npos) {
-    return true;
-  }
-  return aBytes.substr(0, end).find(" HTTP/1.") != std::string_view::npos;
-}
-
-/// The parser would wait for an end of line that it knows.
-bool
-hasBareLineFeed(std::string_view aBytes)
-{
-  char last = '\0';
-  for (const char byte : aBytes) {
-    if (byte == '\n' && last != '\r') {
-      return true;
-    }
-    last = byte;
-  }
-  return false;
-}
-
-bool
-isNumber(std::string_view aText)
-{
-  return !aText.empty() &&
-         aText.find_first_not_of("0123456789") == std::string_view::npos;
-}
-
 void
 skipEmptyLines(std::string& aInput)
 {
@@ -136,15 +68,12 @@
 }
 
 RequestReader::Outcome
-RequestReader::refuse(unsigned aStatus,
-                      std::string_view aReason,
-                      std::string aMessage)
+RequestReader::refuse(Refusal aRefusal)
 {
   mEnded = true;
   mInput.clear();
   mParser.reset();
-  return tl::unexpected<Refusal>(
-    Refusal{ aStatus, std::string(aReason), std::move(aMessage) });
+  return tl::unexpected<Refusal>(std::move(aRefusal));
 }
 
 std::optional<RequestReader::Outcome>
@@ -190,7 +119,7 @@
   if (parser.is_header_done() && !mHeadChecked) {
     mHeadChecked = true;
     mNeedMore = mInput.empty() && !parser.is_done();
-    return checkHead();
+    return takeHead();
   }
   mNeedMore = n == 0 || mInput.empty();
   return std::nullopt;
@@ -199,9 +128,8 @@
 std::optional<RequestReader::Outcome>
 RequestReader::checkPartialHead()
 {
-  const bool plausible = mParser->mHasStartLine || mayBeginRequest(mInput);
-  if (!plausible || hasBareLineFeed(mInput)) {
-    return refuse(400, "malformed", "the bytes are no HTTP/1.1 request");
+  if (!mayBeHead(mInput, mParser->mHasStartLine)) {
+    return refuse({ 400, "malformed", "the bytes are no HTTP/1.1 request" });
   }
   if (mInput.size() <= mLimits.mMaxHeaderBytes) {
     return std::nullopt;
@@ -214,82 +142,40 @@
 {
   switch (static_cast<http::error>(aError)) {
     case http::error::body_limit:
-      return refuse(413,
-                    "body-too-large",
-                    "the body is larger than " +
-                      std::to_string(mLimits.mMaxBodyBytes) + " bytes");
+      return refuse({ 413,
+                      "body-too-large",
+                      "the body is larger than " +
+                        std::to_string(mLimits.mMaxBodyBytes) + " bytes" });
     case http::error::header_limit:
       if (!mParser->mHasStartLine &&
           mInput.find('\n') >= mLimits.mMaxHeaderBytes) {
-        return refuse(414, "target-too-long", "the request line is too long");
+        return refuse(
+          { 414, "target-too-long", "the request line is too long" });
       }
-      return refuse(431,
-                    "header-too-large",
-                    "the header is larger than " +
-                      std::to_string(mLimits.mMaxHeaderBytes) + " bytes");
+      return refuse({ 431,
+                      "header-too-large",
+                      "the header is larger than " +
+                        std::to_string(mLimits.mMaxHeaderBytes) + " bytes" });
     default:
-      return refuse(400, "malformed", std::move(aMessage));
+      return refuse({ 400, "malformed", std::move(aMessage) });
   }
 }
 
 std::optional<RequestReader::Outcome>
-RequestReader::checkHead()
+RequestReader::takeHead()
 {
-  const auto& head = mParser->mParser.get();
-  if (head.target().size() > kMaxTargetBytes) {
-    return refuse(414, "target-too-long", "the request target is too long");
-  }
-  std::string problem = targetProblem(view(head.target()));
-  if (!problem.empty()) {
-    return refuse(400, "malformed", std::move(problem));
-  }
-  std::optional<Outcome> refusal = checkFields();
-  if (refusal) {
-    return refusal;
-  }
-  const auto expect = head.find(http::field::expect);
-  if (expect != head.end()) {
-    if (!equalsIgnoringCase(view(expect->value()), "100-continue")) {
-      return refuse(417, "expectation-failed", "only 100-continue is known");
-    }
-    mContinueWanted = !mParser->mParser.is_done();
+  const RequestHead& head = mParser->mParser.get();
+  if (std::optional<Refusal> refusal = checkHead(head)) {
+    return refuse(std::move(*refusal));
   }
+  const bool expects = head.count(http::field::expect) > 0;
+  mContinueWanted = expects && !mParser->mParser.is_done();
   mParser->mFieldCount = std::distance(head.begin(), head.end());
   // From here on one call takes all that is there of the body.
   mParser->mParser.eager(true);
   return std::nullopt;
 }
 
-std::optional<RequestReader::Outcome>
-RequestReader::checkFields()
-{
-  const auto& head = mParser->mParser.get();
-  const bool repeated =
-    std::any_of(kSingleFields.begin(),
-                kSingleFields.end(),
-                [&head](http::field aField) { return head.count(aField) > 1; });
-  if (repeated || head.count(boost::beast::string_view(
-                    kIdempotencyKey.data(), kIdempotencyKey.size())) > 1) {
-    return refuse(400, "malformed", "a field that may come once is repeated");
-  }
-  // The parser reads "1,1" as 1.
-  const auto length = head.find(http::field::content_length);
-  if (length != head.end() && !isNumber(view(length->value()))) {
-    return refuse(400, "malformed", "Content-Length is no number");
-  }
-  const auto encoding = head.find(http::field::transfer_encoding);
-  if (encoding == head.end()) {
-    return std::nullopt;
-  }
-  const bool understood =
-    equalsIgnoringCase(view(encoding->value()), "chunked") &&
-    head.version() == 11 && head.count(http::field::content_length) == 0;
-  if (!understood) {
-    return refuse(400, "malformed", "the transfer encoding is not chunked");
-  }
-  return std::nullopt;
-}
-
 RequestReader::Outcome
 RequestReader::finish(Millis aNow)
 {
