Read the end of a tool's arguments in one place

Cause: the lines that report a bad option and free popt's context stood in three tools; rr-relay did not report one at all. Change: common/arguments.h, used by rr-logd, rr-upstream, rr-relay and rr-load.

--- a/tools/rr-load/arguments.cpp
+++ b/tools/rr-load/arguments.cpp
@@ -1,5 +1,7 @@
 #include "rr-load/arguments.h"
 
+#include "common/arguments.h"
+
 #include <cstdio>
 #include <cstdlib>
 #include <popt.h>
@@ -90,16 +92,10 @@
     std::free(text);
     option = poptGetNextOpt(context);
   }
-  if (option < -1) {
-    std::fprintf(stderr,
-                 "%s: %s\n",
-                 poptBadOption(context, POPT_BADOPTION_NOALIAS),
-                 poptStrerror(option));
-  }
-  poptFreeContext(context);
+  const bool read = endArguments(context, option);
   out.mSeed = static_cast<std::uint64_t>(seed);
   out.mPoisson = poisson != 0;
-  if (option != -1 || !isSane(out)) {
+  if (!read || !isSane(out)) {
     std::fprintf(stderr, "rr-load: --target and numbers above 0 are needed\n");
     return std::nullopt;
   }
--- a/tools/rr-logd.cpp
+++ b/tools/rr-logd.cpp
@@ -1,5 +1,6 @@
 /// Stand-in of the platform's log service, for tests. See docs/log-service.md.
 
+#include "common/arguments.h"
 #include "common/http_endpoint.h"
 #include "common/journal.h"
 #include "rr-logd/log_service.h"
@@ -10,6 +11,8 @@
 
 namespace {
 
+namespace tools = radishroad::tools;
+
 struct Settings
 {
   char* mAddress = nullptr;
@@ -17,9 +20,6 @@
   int mKeep = 0;
 };
 
-/// Exit code for wrong arguments.
-constexpr int kUsageError = 2;
-
 bool
 parse(int aCount, const char** aValues, Settings& aSettings)
 {
@@ -30,15 +30,8 @@
     POPT_AUTOHELP POPT_TABLEEND
   };
   poptContext context = poptGetContext(nullptr, aCount, aValues, table, 0);
-  const int ec = poptGetNextOpt(context);
-  if (ec < -1) {
-    std::fprintf(stderr,
-                 "%s: %s\n",
-                 poptBadOption(context, POPT_BADOPTION_NOALIAS),
-                 poptStrerror(ec));
-  }
-  poptFreeContext(context);
-  return ec == -1 && aSettings.mAddress != nullptr;
+  const bool read = tools::endArguments(context, poptGetNextOpt(context));
+  return read && aSettings.mAddress != nullptr;
 }
 
 }
@@ -46,11 +39,10 @@
 int
 main(int aCount, char** aValues)
 {
-  namespace tools = radishroad::tools;
   Settings settings;
   if (!parse(aCount, const_cast<const char**>(aValues), settings)) {
     std::fprintf(stderr, "rr-logd: --address IP:PORT is needed\n");
-    return kUsageError;
+    return tools::kUsageError;
   }
   tools::blockStopSignals();
   tools::Journal journal(settings.mJournal ? settings.mJournal : "");
--- a/tools/rr-relay.cpp
+++ b/tools/rr-relay.cpp
@@ -2,6 +2,7 @@
 /// links. Started with --control IP:PORT and --link NAME=LISTEN,TARGET, the
 /// latter once for each link.
 
+#include "common/arguments.h"
 #include "common/http_endpoint.h"
 #include "rr-relay/control.h"
 #include "rr-relay/link.h"
@@ -21,9 +22,6 @@
 
 namespace tools = radishroad::tools;
 
-/// Exit code for wrong arguments.
-constexpr int kUsageError = 2;
-
 struct Settings
 {
   std::string mControl;
@@ -53,8 +51,7 @@
     std::free(text);
     option = poptGetNextOpt(context);
   }
-  poptFreeContext(context);
-  if (option != -1 || settings.mControl.empty()) {
+  if (!tools::endArguments(context, option) || settings.mControl.empty()) {
     return std::nullopt;
   }
   return settings;
@@ -85,7 +82,7 @@
     parse(aCount, const_cast<const char**>(aValues));
   if (!settings) {
     std::fprintf(stderr, "rr-relay: --control IP:PORT is needed\n");
-    return kUsageError;
+    return tools::kUsageError;
   }
   boost::asio::io_context context;
   const tools::RelayLinks links = makeLinks(context, settings->mLinks);
@@ -106,5 +103,5 @@
   return 0;
 } catch (const std::exception& aError) {
   std::fprintf(stderr, "rr-relay: %s\n", aError.what());
-  return kUsageError;
+  return tools::kUsageError;
 }
--- a/tools/rr-upstream.cpp
+++ b/tools/rr-upstream.cpp
@@ -1,5 +1,6 @@
 /// Stand-in of an upstream, for tests. See docs/upstream-protocol.md.
 
+#include "common/arguments.h"
 #include "common/http_endpoint.h"
 #include "common/journal.h"
 #include "rr-upstream/options.h"
@@ -13,13 +14,12 @@
 
 namespace {
 
+namespace tools = radishroad::tools;
+
 using radishroad::Millis;
 using radishroad::tools::LoadReport;
 using radishroad::tools::UpstreamOptions;
 
-/// Exit code for wrong arguments.
-constexpr int kUsageError = 2;
-
 /// Values as popt stores them.
 struct Arguments
 {
@@ -73,15 +73,8 @@
     POPT_AUTOHELP POPT_TABLEEND
   };
   poptContext context = poptGetContext(nullptr, aCount, aValues, table, 0);
-  const int ec = poptGetNextOpt(context);
-  if (ec < -1) {
-    std::fprintf(stderr,
-                 "%s: %s\n",
-                 poptBadOption(context, POPT_BADOPTION_NOALIAS),
-                 poptStrerror(ec));
-  }
-  poptFreeContext(context);
-  return ec == -1 && aOut.mAddress != nullptr && aOut.mVm != nullptr;
+  const bool read = tools::endArguments(context, poptGetNextOpt(context));
+  return read && aOut.mAddress != nullptr && aOut.mVm != nullptr;
 }
 
 std::optional<LoadReport>
@@ -125,17 +118,16 @@
 int
 main(int aCount, char** aValues)
 {
-  namespace tools = radishroad::tools;
   Arguments arguments;
   if (!parse(aCount, const_cast<const char**>(aValues), arguments)) {
     std::fprintf(stderr, "rr-upstream: --address and --vm are needed\n");
-    return kUsageError;
+    return tools::kUsageError;
   }
   const std::optional<LoadReport> loadReport =
     parseLoadReport(arguments.mLoadReport);
   if (!loadReport) {
     std::fprintf(stderr, "rr-upstream: --load-report is true, lag or lie\n");
-    return kUsageError;
+    return tools::kUsageError;
   }
   const UpstreamOptions options = toOptions(arguments, *loadReport);
   tools::blockStopSignals();
