Give a shard and its split keys one epoch at each owner

Cause: an upstream that checks fences keeps the highest epoch for a shard. When a second split key of a shard came to a VM, at a higher epoch than the one it had, all requests for the first were refused as stale for good.

The fold now gives a new owner the epoch after the highest of the shard and its split keys, and raises all that this owner has of them to it. ownershipChanges takes a raised epoch at the same owner, one record apart, as no change; a change over one record is exact whatever the epochs' distance.

Ruled out: a fence for each split key at the upstream (changes the protocol that upstreams implement), and a plan that never lets two of them meet at one member (heirs of a lost member are chosen in the fold).

--- a/src/ownership/ownership_change.cpp
+++ b/src/ownership/ownership_change.cpp
@@ -18,30 +18,41 @@
          it->second.mStatus != MemberStatus::Expelled;
 }
 
+bool
+oneRecordApart(const CellState& aBefore, const CellState& aAfter)
+{
+  return aAfter.mNextOffset == aBefore.mNextOffset + 1;
+}
+
+/// A split key that comes to the owner of its shard, or of others of its keys,
+/// raises their epochs. That there was no owner in between is certain for
+/// states one record apart only.
+bool
+keptOwner(const Ownership& aWas,
+          const Ownership& aNow,
+          const CellState& aBefore,
+          const CellState& aAfter)
+{
+  return aWas.mOwner == aNow.mOwner && oneRecordApart(aBefore, aAfter);
+}
+
 OwnershipChange
-describe(const Ownership& aBefore,
+describe(const Ownership& aWas,
          const Ownership& aNow,
+         const CellState& aBefore,
          const CellState& aAfter)
 {
   OwnershipChange change;
-  change.mFrom = aBefore.mOwner;
+  change.mFrom = aWas.mOwner;
   change.mTo = aNow.mOwner;
   change.mEpoch = aNow.mEpoch;
-  // More than one epoch: an owner in between is not known.
-  const bool single = aNow.mEpoch == aBefore.mEpoch + 1;
-  change.mPlanned = single && handedOver(aAfter, aBefore.mOwner);
+  // Otherwise an owner in between is not known.
+  const bool single =
+    aNow.mEpoch == aWas.mEpoch + 1 || oneRecordApart(aBefore, aAfter);
+  change.mPlanned = single && handedOver(aAfter, aWas.mOwner);
   return change;
 }
 
-/// A merge raises the epoch of a shard that keeps its owner. That there was no
-/// owner in between is certain for states one record apart only.
-bool
-raisedByMerge(const CellState& aBefore, const CellState& aAfter, Shard aShard)
-{
-  return aAfter.mNextOffset == aBefore.mNextOffset + 1 &&
-         aBefore.mShards[aShard].mOwner == aAfter.mShards[aShard].mOwner;
-}
-
 /// A split key that has gone back to its shard.
 void
 addMerge(const CellState& aBefore,
@@ -52,7 +63,7 @@
 {
   const Ownership& shard = aAfter.mShards[aSplit.mShard];
   const Incarnation from = aSplit.mOwnership.mOwner;
-  const bool single = aAfter.mNextOffset == aBefore.mNextOffset + 1;
+  const bool single = oneRecordApart(aBefore, aAfter);
   if (single && from == shard.mOwner) {
     return;
   }
@@ -77,10 +88,13 @@
   const bool newSplit = it == aBefore.mSplitKeys.end();
   const Ownership before =
     newSplit ? aBefore.mShards[aNow.mShard] : it->second.mOwnership;
-  if (before.mEpoch == aNow.mOwnership.mEpoch) {
+  // A new split is told of even with the same owner: it has a wait apart.
+  const bool kept =
+    !newSplit && keptOwner(before, aNow.mOwnership, aBefore, aAfter);
+  if (before.mEpoch == aNow.mOwnership.mEpoch || kept) {
     return;
   }
-  OwnershipChange change = describe(before, aNow.mOwnership, aAfter);
+  OwnershipChange change = describe(before, aNow.mOwnership, aBefore, aAfter);
   change.mShard = aNow.mShard;
   change.mKeyHash = aKeyHash;
   change.mNewSplit = newSplit;
@@ -98,8 +112,9 @@
   for (Shard shard = 0; shard < shards; ++shard) {
     const Ownership& before = aBefore.mShards[shard];
     const Ownership& now = aAfter.mShards[shard];
-    if (before.mEpoch != now.mEpoch && !raisedByMerge(aBefore, aAfter, shard)) {
-      changes.push_back(describe(before, now, aAfter));
+    if (before.mEpoch != now.mEpoch &&
+        !keptOwner(before, now, aBefore, aAfter)) {
+      changes.push_back(describe(before, now, aBefore, aAfter));
       changes.back().mShard = shard;
     }
   }
--- a/src/state/fold_ownership.cpp
+++ b/src/state/fold_ownership.cpp
@@ -5,6 +5,7 @@
 #include "radishroad/state/placement.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <span>
 
@@ -35,23 +36,74 @@
   return !aGrants.empty();
 }
 
+/// Epochs of the next changes: for each shard above its own epoch and those of
+/// its split keys.
+class NextEpochs
+{
+public:
+  explicit NextEpochs(const CellState& aState)
+    : mHighest(aState.mShards.size())
+  {
+    for (Shard shard = 0; shard < aState.mShards.size(); ++shard) {
+      mHighest[shard] = aState.mShards[shard].mEpoch;
+    }
+    for (const auto& [key, split] : aState.mSplitKeys) {
+      Epoch& highest = mHighest[split.mShard];
+      highest = std::max(highest, split.mOwnership.mEpoch);
+    }
+  }
+
+  Epoch take(Shard aShard) { return ++mHighest[aShard]; }
+
+private:
+  std::vector<Epoch> mHighest;
+};
+
+/// Raises the epochs of a shard and its split keys, as far as they have the
+/// same owner, to the highest of them. An upstream keeps one fence for a shard:
+/// what has come to an owner last must not shut out what it had before.
+void
+levelEpochs(CellState& aState)
+{
+  std::map<std::pair<Shard, Incarnation>, Epoch> highest;
+  for (const auto& [key, split] : aState.mSplitKeys) {
+    const Ownership& shard = aState.mShards[split.mShard];
+    Epoch& epoch = highest[{ split.mShard, split.mOwnership.mOwner }];
+    epoch = std::max(epoch, split.mOwnership.mEpoch);
+    if (shard.mOwner == split.mOwnership.mOwner) {
+      epoch = std::max(epoch, shard.mEpoch);
+    }
+  }
+  for (auto& [key, split] : aState.mSplitKeys) {
+    Ownership& shard = aState.mShards[split.mShard];
+    const Epoch epoch = highest[{ split.mShard, split.mOwnership.mOwner }];
+    split.mOwnership.mEpoch = epoch;
+    if (shard.mOwner == split.mOwnership.mOwner) {
+      shard.mEpoch = epoch;
+    }
+  }
+}
+
 void
 applyGrants(CellState& aState, std::span<const wire::ShardGrant> aGrants)
 {
+  NextEpochs epochs(aState);
   for (const wire::ShardGrant& grant : aGrants) {
-    aState.mShards[grant.shard()] = { grant.to(), grant.base_epoch() + 1 };
+    aState.mShards[grant.shard()] = { grant.to(), epochs.take(grant.shard()) };
   }
+  levelEpochs(aState);
 }
 
 void
 passOn(Ownership& aOwnership,
        Shard aShard,
        Incarnation aFrom,
-       HeirChooser& aHeirs)
+       HeirChooser& aHeirs,
+       NextEpochs& aEpochs)
 {
   if (aOwnership.mOwner == aFrom) {
     aOwnership.mOwner = aHeirs.choose(aShard, aFrom);
-    ++aOwnership.mEpoch;
+    aOwnership.mEpoch = aEpochs.take(aShard);
   }
 }
 
@@ -67,25 +119,27 @@
   }
   SplitOwnership split;
   split.mShard = aChange.shard;
-  split.mOwnership = { aChange.to, aChange.base_epoch + 1 };
+  split.mOwnership = { aChange.to, NextEpochs(aState).take(aChange.shard) };
   aState.mSplitKeys.emplace(aChange.key_hash, split);
   return true;
 }
 
 bool
-moveSplit(Ownership& aOwnership, const wire::SplitKeyT& aChange)
+moveSplit(CellState& aState,
+          Ownership& aOwnership,
+          const wire::SplitKeyT& aChange)
 {
   if (aOwnership.mOwner != aChange.incarnation ||
       aOwnership.mEpoch != aChange.base_epoch ||
       aChange.to == aChange.incarnation) {
     return false;
   }
-  aOwnership = { aChange.to, aChange.base_epoch + 1 };
+  aOwnership = { aChange.to, NextEpochs(aState).take(aChange.shard) };
   return true;
 }
 
-/// Returns a key to its shard. The shard's epoch rises as far as the key's
-/// next one, so that the key's epoch never falls.
+/// Returns a key to its shard. If that has another owner, its epoch rises to
+/// the next one, as for any change of a key's owner.
 bool
 mergeSplit(CellState& aState, const wire::SplitKeyT& aChange)
 {
@@ -101,7 +155,9 @@
   if (!current || (!sameOwner && !mayOwn(aState, shard.mOwner))) {
     return false;
   }
-  shard.mEpoch = std::max(shard.mEpoch, key.mEpoch + (sameOwner ? 0 : 1));
+  if (!sameOwner) {
+    shard.mEpoch = NextEpochs(aState).take(aChange.shard);
+  }
   aState.mSplitKeys.erase(it);
   return true;
 }
@@ -136,16 +192,21 @@
     return false;
   }
   if (aChange.to == 0) {
-    return mergeSplit(aState, aChange);
+    const bool merged = mergeSplit(aState, aChange);
+    levelEpochs(aState);
+    return merged;
   }
   if (!mayOwn(aState, aChange.to)) {
     return false;
   }
   const auto it = aState.mSplitKeys.find(aChange.key_hash);
-  if (it == aState.mSplitKeys.end()) {
-    return splitOut(aState, aChange);
+  const bool changed = it == aState.mSplitKeys.end()
+                         ? splitOut(aState, aChange)
+                         : moveSplit(aState, it->second.mOwnership, aChange);
+  if (changed) {
+    levelEpochs(aState);
   }
-  return moveSplit(it->second.mOwnership, aChange);
+  return changed;
 }
 
 void
@@ -162,21 +223,25 @@
   if (!heirs.any()) {
     return;
   }
+  NextEpochs epochs(aState);
   for (auto& [key, split] : aState.mSplitKeys) {
-    passOn(split.mOwnership, split.mShard, 0, heirs);
+    passOn(split.mOwnership, split.mShard, 0, heirs, epochs);
   }
+  levelEpochs(aState);
 }
 
 void
 passOnOwnership(CellState& aState, Incarnation aFrom)
 {
   HeirChooser heirs(aState);
+  NextEpochs epochs(aState);
   for (Shard shard = 0; shard < aState.mShards.size(); ++shard) {
-    passOn(aState.mShards[shard], shard, aFrom, heirs);
+    passOn(aState.mShards[shard], shard, aFrom, heirs, epochs);
   }
   for (auto& [key, split] : aState.mSplitKeys) {
-    passOn(split.mOwnership, split.mShard, aFrom, heirs);
+    passOn(split.mOwnership, split.mShard, aFrom, heirs, epochs);
   }
+  levelEpochs(aState);
 }
 
 }
--- a/tests/unit/split_key_property_test.cpp
+++ b/tests/unit/split_key_property_test.cpp
@@ -54,6 +54,7 @@
       const CellState before = mLog.mState;
       step();
       checkEpochs(before);
+      checkFences();
       noteLosses(before);
       if (mLog.mState.mNextOffset >= mSeen.mNextOffset + mBatch) {
         mGuard.prune(mNow);
@@ -130,6 +131,18 @@
     }
   }
 
+  /// Each member's upstream keeps the highest epoch that came with a shard; no
+  /// request of a present owner may be below it.
+  void checkFences()
+  {
+    for (const std::uint64_t key : allKeys()) {
+      const Ownership owned = ownerOf(mLog.mState, key);
+      Epoch& highest = mFences[{ owned.mOwner, shardOf(key) }];
+      BOOST_TEST(owned.mEpoch >= highest);
+      highest = std::max(highest, owned.mEpoch);
+    }
+  }
+
   /// Requests of a lost owner may run until the longest deadline has passed.
   void noteLosses(const CellState& aBefore)
   {
@@ -161,6 +174,7 @@
   Incarnation mLastMember = 0;
   std::map<std::pair<std::uint64_t, Epoch>, Incarnation> mOwners;
   std::map<std::uint64_t, Millis> mBusyUntil;
+  std::map<std::pair<Incarnation, Shard>, Epoch> mFences;
   int mSplits = 0;
   int mMerges = 0;
   int mLosses = 0;
