Relieve others beside a member that cannot be, and bound moves of shards

Cause: a plan ended when the most loaded member had nothing to give, as one whose load is a single key hotter than its share. Shown first by two failing tests (balance/member_that_cannot_be_relieved_..., hot_key_beside_...).

Plans now pass over such a member.

--- a/benchmark/balance_bench.cpp
+++ b/benchmark/balance_bench.cpp
@@ -90,6 +90,7 @@
   large.mHotKeys = 16;
   large.mHotShare = 0.3;
   large.mKeys = 20000;
+  large.mZipf = 0.6;
   const std::vector<NamedLoad> loads = { { "guild", guild },
                                          { "topos", topos },
                                          { "64 members", large } };
--- a/include/radishroad/policy/balance.h
+++ b/include/radishroad/policy/balance.h
@@ -88,17 +88,19 @@
   std::vector<Standing> standings(const CellState& aState,
                                   const MayOwnFn& aMayOwn,
                                   Millis aNow);
+  /// Shards that may still move now.
+  std::size_t moveBudget(Millis aNow) const;
   bool mayMove(Shard aShard, Millis aNow) const;
   std::optional<Shard> bestShard(const CellState& aState,
                                  const Standing& aFrom,
                                  const Standing& aTo,
                                  Millis aNow) const;
-  /// The key whose move lowers the higher of the two most.
+  /// The key whose move lowers the higher of the two most, if it does nearly
+  /// as much as that of the best shard.
   std::optional<wire::HotKeyT> bestKey(const CellState& aPlanned,
                                        const Standing& aFrom,
                                        const Standing& aTo,
                                        Millis aNow) const;
-  /// Does the move of a key do nearly as much as that of the best shard?
   bool isWorthSplitting(const CellState& aPlanned,
                         const Standing& aFrom,
                         const Standing& aTo,
@@ -115,6 +117,10 @@
                                            std::vector<Standing> aStandings,
                                            Millis aNow) const;
   bool awaitsOrdered(const CellState& aState, Millis aNow) const;
+  static double meanUsed(std::span<const Standing> aStandings);
+  /// Sorts the most loaded first and gives those above the band: one of them
+  /// may bear a single key that is hotter than its share, and is passed over.
+  static std::span<Standing> sortOutHigh(std::span<Standing> aStandings);
   bool outOfBand(std::span<const Standing> aStandings, Millis aNow);
 
   std::map<Incarnation, MemberView> mMembers;
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -17,6 +17,9 @@
 /// A shard that was moved rests.
 constexpr Millis kShardRest{ 30000 };
 constexpr std::size_t kMaxMoves = 4;
+/// Shards moved within the span at most.
+constexpr std::size_t kMoveBudget = 16;
+constexpr Millis kBudgetSpan{ 60000 };
 /// A move must lower the higher of the two by this share of the mean.
 constexpr double kMinGain = 0.03;
 
@@ -203,16 +206,32 @@
   return all;
 }
 
-bool
-Balancer::outOfBand(std::span<const Standing> aStandings, Millis aNow)
+double
+Balancer::meanUsed(std::span<const Standing> aStandings)
 {
   double sum = 0;
-  double most = 0;
   for (const Standing& standing : aStandings) {
     sum += standing.used();
-    most = std::max(most, standing.used());
   }
-  const double mean = sum / static_cast<double>(aStandings.size());
+  return sum / static_cast<double>(std::max<std::size_t>(aStandings.size(), 1));
+}
+
+std::span<Balancer::Standing>
+Balancer::sortOutHigh(std::span<Standing> aStandings)
+{
+  const double low = kLowRatio * meanUsed(aStandings);
+  std::ranges::sort(aStandings, std::ranges::greater{}, &Standing::used);
+  const auto end = std::ranges::find_if(
+    aStandings, [low](const Standing& aOne) { return aOne.used() <= low; });
+  return aStandings.first(static_cast<std::size_t>(end - aStandings.begin()));
+}
+
+bool
+Balancer::outOfBand(std::span<const Standing> aStandings, Millis aNow)
+{
+  const double mean = meanUsed(aStandings);
+  const double most =
+    std::ranges::max_element(aStandings, {}, &Standing::used)->used();
   if (most <= mean * kHighRatio) {
     mHighSince.reset();
     mMoving = mMoving && most > mean * kLowRatio;
@@ -254,6 +273,17 @@
   return gain > kMinGain * aFrom.used() ? best : std::nullopt;
 }
 
+std::size_t
+Balancer::moveBudget(Millis aNow) const
+{
+  const std::ptrdiff_t moved =
+    std::ranges::count_if(mShards, [aNow](const ShardView& aView) {
+      return aView.mMovedAt && aNow - *aView.mMovedAt < kBudgetSpan;
+    });
+  const std::size_t spent = static_cast<std::size_t>(moved);
+  return spent < kMoveBudget ? kMoveBudget - spent : 0;
+}
+
 std::vector<wire::ShardGrant>
 Balancer::planMoves(const CellState& aState,
                     const MayOwnFn& aMayOwn,
@@ -266,20 +296,23 @@
     return moves;
   }
   CellState planned = aState;
-  while (moves.size() < kMaxMoves) {
-    std::ranges::sort(all, {}, &Standing::used);
-    Standing& from = all.back();
-    Standing& to = all.front();
-    const std::optional<Shard> shard = bestShard(planned, from, to, aNow);
-    if (!shard) {
+  const std::size_t most = std::min(kMaxMoves, moveBudget(aNow));
+  while (moves.size() < most) {
+    const std::span<Standing> high = sortOutHigh(all);
+    Standing& to = all.back();
+    const auto from = std::ranges::find_if(high, [&](const Standing& aFrom) {
+      return bestShard(planned, aFrom, to, aNow).has_value();
+    });
+    if (from == high.end()) {
       break;
     }
-    const double rate = mShards[*shard].mRate;
-    from.mLoad -= rate;
+    const Shard shard = *bestShard(planned, *from, to, aNow);
+    const double rate = mShards[shard].mRate;
+    from->mLoad -= rate;
     to.mLoad += rate;
-    mShards[*shard].mMovedAt = aNow;
-    planned.mShards[*shard].mOwner = to.mMember;
-    moves.emplace_back(*shard, aState.mShards[*shard].mEpoch, to.mMember);
+    mShards[shard].mMovedAt = aNow;
+    planned.mShards[shard].mOwner = to.mMember;
+    moves.emplace_back(shard, aState.mShards[shard].mEpoch, to.mMember);
   }
   return moves;
 }
@@ -346,14 +379,16 @@
   std::vector<wire::SplitKeyT> moves;
   CellState planned = aState;
   while (moves.size() < kMaxKeyMoves) {
-    std::ranges::sort(aStandings, {}, &Standing::used);
-    Standing& from = aStandings.back();
-    Standing& to = aStandings.front();
-    const std::optional<wire::HotKeyT> key = bestKey(planned, from, to, aNow);
-    if (!key || !isWorthSplitting(planned, from, to, key->rate, aNow)) {
+    const std::span<Standing> high = sortOutHigh(aStandings);
+    Standing& to = aStandings.back();
+    const auto from = std::ranges::find_if(high, [&](const Standing& aFrom) {
+      return bestKey(planned, aFrom, to, aNow).has_value();
+    });
+    if (from == high.end()) {
       break;
     }
-    from.mLoad -= key->rate;
+    const std::optional<wire::HotKeyT> key = bestKey(planned, *from, to, aNow);
+    from->mLoad -= key->rate;
     to.mLoad += key->rate;
     moves.push_back(makeMove(aState, key->key_hash, to.mMember));
     planned.mSplitKeys[key->key_hash] = { key->shard, { to.mMember, 0 } };
@@ -391,6 +426,9 @@
       best = key;
     }
   }
+  if (best && !isWorthSplitting(aPlanned, aFrom, aTo, best->rate, aNow)) {
+    return std::nullopt;
+  }
   return best;
 }
 
--- a/tests/unit/balance_test.cpp
+++ b/tests/unit/balance_test.cpp
@@ -289,6 +289,72 @@
   BOOST_TEST(cell.mShardMoves == 0);
 }
 
+BOOST_AUTO_TEST_CASE(member_that_cannot_be_relieved_does_not_hold_up_others)
+{
+  const CellState state = makeState(3);
+  Balancer balancer;
+  std::vector<wire::ShardGrant> shards;
+  std::vector<wire::SplitKeyT> keys;
+  for (int second = 1; second <= 20 && shards.empty(); ++second) {
+    const Millis now{ second * 1000 };
+    // All that the first serves is one key, which is hotter than its share.
+    wire::LoadReportT first = makeReport(1, { { 0, 400 } });
+    addHotKey(first, kHotKey, 400);
+    balancer.onReport(first, state, now);
+    balancer.onReport(makeReport(2, { { 1, 150 }, { 4, 150 } }), state, now);
+    balancer.onReport(makeReport(3, { { 2, 20 } }), state, now);
+    keys = balancer.planKeyMoves(state, anyMember, now);
+    BOOST_TEST(keys.empty());
+    shards = balancer.planMoves(state, anyMember, now);
+  }
+  BOOST_REQUIRE(shards.size() == 1U);
+  BOOST_TEST((shards[0].shard() == 1U || shards[0].shard() == 4U));
+  BOOST_TEST(shards[0].to() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(hot_key_beside_a_member_that_cannot_be_relieved_moves)
+{
+  const CellState state = makeState(3);
+  Balancer balancer;
+  std::vector<wire::SplitKeyT> keys;
+  for (int second = 1; second <= 20 && keys.empty(); ++second) {
+    const Millis now{ second * 1000 };
+    balancer.onReport(makeReport(1, { { 0, 400 } }), state, now);
+    wire::LoadReportT hot = makeReport(2, { { 1, 300 } });
+    addHotKey(hot, kHotKey + 1, 150);
+    balancer.onReport(hot, state, now);
+    balancer.onReport(makeReport(3, { { 2, 20 } }), state, now);
+    keys = balancer.planKeyMoves(state, anyMember, now);
+    balancer.planMoves(state, anyMember, now);
+  }
+  BOOST_REQUIRE(keys.size() == 1U);
+  BOOST_TEST(keys[0].key_hash == kHotKey + 1);
+  BOOST_TEST(keys[0].to == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(few_shards_move_a_minute_when_the_load_changes_fast)
+{
+  const CellState state = makeState(8);
+  Balancer balancer;
+  std::size_t moves = 0;
+  for (int second = 1; second <= 60; ++second) {
+    const Millis now{ second * 1000 };
+    // Every 10 s another two members bear most of the load.
+    const Incarnation hot = 1 + 2 * (second / 10 % 4);
+    for (Incarnation member = 1; member <= 8; ++member) {
+      std::vector<std::pair<Shard, std::uint32_t>> loads;
+      for (Shard n = 0; n < 8; ++n) {
+        const Shard shard = static_cast<Shard>(member) - 1 + 8 * n;
+        loads.emplace_back(shard, member - hot < 2 ? 100 : 10);
+      }
+      balancer.onReport(makeReport(member, loads), state, now);
+    }
+    moves += balancer.planMoves(state, anyMember, now).size();
+  }
+  BOOST_TEST(moves > 8U);
+  BOOST_TEST(moves <= 16U);
+}
+
 BOOST_AUTO_TEST_CASE(split_keys_are_bounded)
 {
   SplitCell cell;
