--- a/include/radishroad/daemon/ingress.h
+++ b/include/radishroad/daemon/ingress.h
@@ -74,10 +74,9 @@
   void admit(const FlightPtr& aFlight);
   void dropHeld(const FlightPtr& aFlight);
   void send(const FlightPtr& aFlight);
-  /// Sends to the own upstream if aPeer is empty.
   void handOver(const FlightPtr& aFlight,
                 ForwardRequest aRequest,
-                const std::string& aPeer);
+                const Member& aOwner);
   void onAnswer(const FlightPtr& aFlight, Answer aAnswer);
   void sendLater(const FlightPtr& aFlight, NotRunReason aReason);
   void cancel(Flight& aFlight);
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -88,8 +88,9 @@
   std::atomic<bool> mCancelled{ false };
   /// Held while an attempt is handed over, so that its cancel cannot be first.
   std::mutex mAttemptMutex;
-  /// Peer that the last attempt went to; empty for the own upstream.
-  std::optional<std::string> mSentTo;
+  /// Daemon that the last attempt went to; 0 before the first.
+  Incarnation mSentTo = 0;
+  std::string mPeerAddress;
 };
 
 Ingress::Ingress(Incarnation aSelf,
@@ -252,29 +253,28 @@
   request.time_left_ms = left.mCount;
   request.epoch = ownership.mEpoch;
   request.view_offset = cell->mNextOffset;
-  const std::string peer = ownership.mOwner == mSelf
-                             ? std::string()
-                             : cell->mMembers.at(ownership.mOwner).mPeerAddress;
-  handOver(aFlight, std::move(request), peer);
+  handOver(aFlight, std::move(request), cell->mMembers.at(ownership.mOwner));
 }
 
 void
 Ingress::handOver(const FlightPtr& aFlight,
                   ForwardRequest aRequest,
-                  const std::string& aPeer)
+                  const Member& aOwner)
 {
   // A refusal may come in the call itself: onAnswer takes no lock.
   AnswerFn onAnswer = [this, aFlight](Answer aAnswer) {
     this->onAnswer(aFlight, std::move(aAnswer));
   };
   const std::lock_guard<std::mutex> lock(aFlight->mAttemptMutex);
-  aFlight->mSentTo = aPeer;
+  aFlight->mSentTo = aOwner.mIncarnation;
+  aFlight->mPeerAddress = aOwner.mPeerAddress;
   if (aFlight->mCancelled) {
     finishCancelled(aFlight);
-  } else if (aPeer.empty()) {
+  } else if (aOwner.mIncarnation == mSelf) {
     mHooks.mToOwnUpstream(std::move(aRequest), std::move(onAnswer));
   } else {
-    mHooks.mToPeer(aPeer, std::move(aRequest), std::move(onAnswer));
+    mHooks.mToPeer(
+      aOwner.mPeerAddress, std::move(aRequest), std::move(onAnswer));
   }
 }
 
@@ -283,13 +283,10 @@
 {
   aFlight.mCancelled = true;
   const std::lock_guard<std::mutex> lock(aFlight.mAttemptMutex);
-  if (!aFlight.mSentTo) {
-    return;
-  }
-  if (aFlight.mSentTo->empty()) {
+  if (aFlight.mSentTo == mSelf) {
     mHooks.mCancelOwn(idOf(aFlight.mRequest));
-  } else {
-    mHooks.mCancelAtPeer(*aFlight.mSentTo, idOf(aFlight.mRequest));
+  } else if (aFlight.mSentTo != 0) {
+    mHooks.mCancelAtPeer(aFlight.mPeerAddress, idOf(aFlight.mRequest));
   }
 }
 
