Make the folder of a test process's output

Cause: relay and log_standin write to build/test-logs, which only scripts/test.sh makes; run alone in a fresh build all 7 cases failed with "No such file or directory". Change: ChildProcess makes the folder. No assertion is touched. Measured: relay, log_standin, operators and whole_path (13 cases) without the folder: 7 errors before, none after.

--- a/tests/process/support/child_process.cpp
+++ b/tests/process/support/child_process.cpp
@@ -48,6 +48,7 @@
 ChildProcess::ChildProcess(const std::vector<std::string>& aCommand,
                            const std::filesystem::path& aOutput)
 {
+  std::filesystem::create_directories(aOutput.parent_path());
   std::vector<char*> arguments;
   for (const std::string& word : aCommand) {
     arguments.push_back(const_cast<char*>(word.c_str()));
