Measure the fold with split keys at their shards' present epochs

Cause: since a shard and its split keys share an epoch at each owner, the benchmark's later splits named an epoch that an earlier one had raised and were refused, so that the cell held fewer split keys than the row said.

--- a/benchmark/fold_bench.cpp
+++ b/benchmark/fold_bench.cpp
@@ -72,7 +72,7 @@
     split.key_hash = key;
     split.shard = shardOf(key);
     split.incarnation = cell.mState.mShards[split.shard].mOwner;
-    split.base_epoch = 1;
+    split.base_epoch = cell.mState.mShards[split.shard].mEpoch;
     split.to = 1 + key % aMembers;
     cell.add(split);
   }
