--- a/src/daemon/membership_duty.cpp
+++ b/src/daemon/membership_duty.cpp
@@ -176,7 +176,8 @@
 MembershipDuty::hasSuccessor(std::span<const Incarnation> aGone) const
 {
   const CellState& cell = mContext.mFleet.ownCell();
-  return !planEvacuation(cell, mContext.mSelf, 1, aGone).empty();
+  return !planEvacuation(cell, mContext.mSelf, 1, aGone).empty() ||
+         !planKeyEvacuation(cell, mContext.mSelf, 1, aGone).empty();
 }
 
 bool
--- a/tests/unit/ingress_test.cpp
+++ b/tests/unit/ingress_test.cpp
@@ -55,7 +55,7 @@
       mCancelled.tryPush(std::move(aId));
     };
     hooks.mOnRequest = [] {};
-    hooks.mMayRetry = [] { return true; };
+    hooks.mMayRetry = [](const ForwardRequest&) { return true; };
     hooks.mNow = monotonicNow;
     return hooks;
   }
