--- a/tests/unit/replay_trace.cpp
+++ b/tests/unit/replay_trace.cpp
@@ -213,8 +213,7 @@
   if (aLine.at("withheld")) {
     aHolder.onWithheld(witness, version, sentAt);
   } else {
-    aHolder.onPromise(
-      witness, version, sentAt, Millis{ aLine.at("now_ms") });
+    aHolder.onPromise(witness, version, sentAt, Millis{ aLine.at("now_ms") });
   }
 }
 
