--- a/include/radishroad/policy/balance.h
+++ b/include/radishroad/policy/balance.h
@@ -56,6 +56,9 @@
                                             Millis aNow);
 
 private:
+  /// A move must lower the higher of the two by this share of the mean.
+  static constexpr double kMinGain = 0.03;
+
   struct MemberView
   {
     Millis mReportedAt;
