--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -52,6 +52,28 @@
   return sha256Hex(value->substr(kBearer.size()));
 }
 
+/// Takes over what the caller sent, but for its key, and what the route says.
+void
+fillRequest(CallerRequest& aFrom,
+            const config::RouteMatch& aMatch,
+            ForwardRequest& aTo)
+{
+  aTo.service = aMatch.mRoute->mService;
+  aTo.key_hash = hash64(aMatch.mKey);
+  aTo.shard = shardOf(aTo.key_hash);
+  aTo.idempotent = aMatch.mRoute->mIdempotent;
+  aTo.idempotency_key =
+    findHeader(aFrom.mHeaders, "idempotency-key").value_or("");
+  aTo.method = std::move(aFrom.mMethod);
+  aTo.target = std::move(aFrom.mTarget);
+  for (wire::HeaderT& header : aFrom.mHeaders) {
+    if (!equalsIgnoringCase(header.name, "authorization")) {
+      aTo.headers.push_back(std::make_unique<wire::HeaderT>(std::move(header)));
+    }
+  }
+  aTo.body.assign(aFrom.mBody.begin(), aFrom.mBody.end());
+}
+
 /// Refusals that another try may overcome: the key moves or waits.
 bool
 mayPass(NotRunReason aReason)
@@ -159,21 +181,7 @@
       return reason;
     }
   }
-  request.service = route.mService;
-  request.key_hash = hash64(match->mKey);
-  request.shard = shardOf(request.key_hash);
-  request.idempotent = route.mIdempotent;
-  request.idempotency_key =
-    findHeader(aRequest.mHeaders, "idempotency-key").value_or("");
-  request.method = std::move(aRequest.mMethod);
-  request.target = std::move(aRequest.mTarget);
-  for (wire::HeaderT& header : aRequest.mHeaders) {
-    if (!equalsIgnoringCase(header.name, "authorization")) {
-      request.headers.push_back(
-        std::make_unique<wire::HeaderT>(std::move(header)));
-    }
-  }
-  request.body.assign(aRequest.mBody.begin(), aRequest.mBody.end());
+  fillRequest(aRequest, *match, request);
   aFlight.mDeadline =
     aFlight.mReceivedAt + model.mServices.at(route.mService).mDeadline;
   aFlight.mAdmitUntil = aFlight.mReceivedAt + kMaxAdmitWait;
