Count the events of upstreams' journals in one place

The drain tests had a twin of countEvents of the bounds tests, for one VM. Both call the one beside Scenario now; no assertion changed.

Checked: bounds/cold_upstream_is_not_overrun, bounds/request_that_crashes_* and drain/of_zone_and_back_with_a_cold_upstream pass, lint of the four files is clean.

--- a/tests/process/bounds_test.cpp
+++ b/tests/process/bounds_test.cpp
@@ -97,21 +97,6 @@
   BOOST_TEST(most <= kSmallBurst);
 }
 
-std::size_t
-countEvents(const Fleet& aFleet,
-            const std::vector<std::string>& aVms,
-            const std::string& aEvent)
-{
-  std::size_t n = 0;
-  for (const std::string& vm : aVms) {
-    for (const nlohmann::json& event :
-         readJournal(aFleet.folder() / (vm + ".journal"))) {
-      n += event.value("event", "") == aEvent ? 1 : 0;
-    }
-  }
-  return n;
-}
-
 }
 
 BOOST_AUTO_TEST_SUITE(bounds)
--- a/tests/process/drain_test.cpp
+++ b/tests/process/drain_test.cpp
@@ -76,19 +76,6 @@
   return vms;
 }
 
-std::size_t
-countEvents(const Fleet& aFleet,
-            const std::string& aVm,
-            const std::string& aEvent)
-{
-  std::size_t n = 0;
-  for (const nlohmann::json& event :
-       readJournal(aFleet.folder() / (aVm + ".journal"))) {
-    n += event.value("event", "") == aEvent ? 1 : 0;
-  }
-  return n;
-}
-
 /// Takes a zone out and back under traffic. aWhileOut: called while it has no
 /// work.
 Evidence
@@ -223,13 +210,13 @@
     fleet.kill(cold, Role::Upstream);
     fleet.start(cold, Role::Upstream);
     const auto hasStarted = [&] {
-      return countEvents(fleet, cold, "start") == 2U;
+      return countEvents(fleet, { cold }, "start") == 2U;
     };
     BOOST_TEST(waitFor(hasStarted, 5_s));
     fleet.setUpstreamFaults(cold, { { "cold_ms", 10000 } });
-    BOOST_TEST(countEvents(fleet, cold, "cold") == 1U);
+    BOOST_TEST(countEvents(fleet, { cold }, "cold") == 1U);
   });
-  BOOST_TEST(countEvents(fleet, cold, "fell_over") == 0U);
+  BOOST_TEST(countEvents(fleet, { cold }, "fell_over") == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(by_sigterm_cuts_no_request)
--- a/tests/process/support/scenario.cpp
+++ b/tests/process/support/scenario.cpp
@@ -169,6 +169,21 @@
   return vms[draw() % vms.size()];
 }
 
+std::size_t
+countEvents(const Fleet& aFleet,
+            const std::vector<std::string>& aVms,
+            const std::string& aEvent)
+{
+  std::size_t n = 0;
+  for (const std::string& vm : aVms) {
+    for (const nlohmann::json& event :
+         readJournal(aFleet.folder() / (vm + ".journal"))) {
+      n += event.value("event", "") == aEvent ? 1 : 0;
+    }
+  }
+  return n;
+}
+
 std::vector<std::string>
 guildGets()
 {
--- a/tests/process/support/scenario.h
+++ b/tests/process/support/scenario.h
@@ -69,6 +69,12 @@
   std::unique_ptr<Traffic> mTraffic;
 };
 
+/// How many events of a kind the journals of the VMs' upstreams hold.
+std::size_t
+countEvents(const Fleet& aFleet,
+            const std::vector<std::string>& aVms,
+            const std::string& aEvent);
+
 /// Paths of requests that are idempotent, and of such that are not.
 std::vector<std::string>
 guildGets();
