--- a/cmake/options.cmake
+++ b/cmake/options.cmake
@@ -11,7 +11,14 @@
 
 add_library(radishroad_options INTERFACE)
 target_compile_features(radishroad_options INTERFACE cxx_std_20)
-target_compile_options(radishroad_options INTERFACE -Wall -Wextra -Werror)
+target_compile_options(radishroad_options INTERFACE -Wall -Wextra)
+
+# A warning of another compiler must not keep the daemon from being deployed.
+option(RADISHROAD_DEPLOY "Build only what is deployed; warnings are no errors"
+       OFF)
+if(NOT RADISHROAD_DEPLOY)
+  target_compile_options(radishroad_options INTERFACE -Werror)
+endif()
 
 option(RADISHROAD_SANITIZE "Build with the address and undefined sanitizers"
        OFF)
--- a/include/radishroad/base/json_log.h
+++ b/include/radishroad/base/json_log.h
@@ -30,6 +30,14 @@
          std::string_view aEvent,
          const nlohmann::json& aFields);
 
+/// Writes one event that touches a request, at level info. At most a set number
+/// of them a second go out; those left out are counted, and the count follows
+/// as an event of its own.
+void
+logRequest(std::string_view aEvent,
+           std::string_view aRequestId,
+           nlohmann::json aFields);
+
 /// The newest events, oldest first, as JSON lines (bounded memory).
 std::vector<std::string>
 recentEvents();
--- a/include/radishroad/caller/response.h
+++ b/include/radishroad/caller/response.h
@@ -24,6 +24,11 @@
   bool mKeepAlive = true;
   /// Answers HEAD: the head as if there were a body, but no body.
   bool mIsHead = false;
+  /// Retry-After may have a fraction of a second.
+  bool mExactRetryAfter = false;
+  /// Whoever reads a refusal takes statuses of their word only: what was not
+  /// run for reasons of this system is 503.
+  bool mPlainStatuses = false;
 };
 
 /// The response for an answer: the upstream's own if there is one, else a
--- a/include/radishroad/caller/server.h
+++ b/include/radishroad/caller/server.h
@@ -33,6 +33,9 @@
     /// While draining, requests on open connections are served this long, and
     /// each answer ends its connection; idle ones are closed afterwards.
     Millis mDrainGrace{ 500 };
+    /// As in ResponseFraming.
+    bool mExactRetryAfter = false;
+    bool mPlainStatuses = false;
   };
 
   CallerServer(Options aOptions, CallerRequestFn aHandler, Metrics& aMetrics);
--- a/include/radishroad/daemon/crash_watch.h
+++ b/include/radishroad/daemon/crash_watch.h
@@ -14,6 +14,12 @@
 class CrashWatch
 {
 public:
+  CrashWatch() = default;
+  explicit CrashWatch(RetryBudget::Bounds aRetries)
+    : mBudget(aRetries)
+  {
+  }
+
   void onReport(const wire::CrashReportT& aReport, Millis aNow);
   bool isQuarantined(std::uint64_t aFingerprint, Millis aNow) const;
   void onRequest();
--- a/include/radishroad/daemon/daemon_hooks.h
+++ b/include/radishroad/daemon/daemon_hooks.h
@@ -2,6 +2,7 @@
 #define RADISHROAD_DAEMON_DAEMON_HOOKS_H
 
 #include "radishroad/base/millis.h"
+#include "radishroad/daemon/protocol.h"
 #include "radishroad/request/request.h"
 
 #include <functional>
@@ -20,6 +21,10 @@
   /// Whether a request whose outcome is unknown may run a second time.
   std::function<bool(const ForwardRequest&)> mMayRunTwice =
     [](const ForwardRequest& aRequest) { return aRequest.idempotent; };
+  /// The protocol that the daemon speaks; its own unless set.
+  MakeProtocolFn mMakeProtocol = [](const DaemonSettings&) {
+    return DaemonProtocol{};
+  };
 };
 
 }
--- a/include/radishroad/daemon/fleet_state.h
+++ b/include/radishroad/daemon/fleet_state.h
@@ -47,6 +47,16 @@
   /// over.
   void onRecords(const std::string& aStream,
                  std::span<const LogRecord> aRecords);
+  /// A whole newer state of a stream's cell; an older one is passed over.
+  void onState(const std::string& aStream,
+               std::uint64_t aVersion,
+               const CellState& aState);
+  /// A configuration from elsewhere than the log; versions rise.
+  void setModel(std::uint64_t aVersion,
+                std::shared_ptr<const config::Model> aModel,
+                Bytes aRaw);
+  /// Version of the configuration in force; 0 before the first.
+  std::uint64_t modelVersion() const { return mModelVersion; }
   /// The log has answered a read of this stream that was sent at aAskedAt.
   void onContact(const std::string& aStream, Millis aAskedAt);
   /// A read of this stream has failed.
@@ -92,6 +102,9 @@
   void reportVerdicts();
   StreamLoader<CellState>& addCell(const std::string& aService);
   void applyConfig();
+  /// The newest state of a stream as one record, for peers.
+  std::vector<LogRecord> wholeState(const std::string& aStream) const;
+  void followServices();
   void publishView();
 
   std::string mOwnService;
@@ -100,6 +113,11 @@
   StreamLoader<ConfigState> mConfig;
   std::shared_ptr<const config::Model> mModel;
   std::uint64_t mModelVersion = 0;
+  /// What the configuration was read from, for peers; with setModel only.
+  Bytes mRawModel;
+  bool mKeepsStates = false;
+  /// Versions of whole states at the store, by stream.
+  std::map<std::string, std::uint64_t> mVersions;
   std::map<std::string, StreamLoader<CellState>> mCells;
   std::map<std::string, RecordCache> mCaches;
   /// Of the batch being folded.
--- a/include/radishroad/daemon/handoff_duty.h
+++ b/include/radishroad/daemon/handoff_duty.h
@@ -44,6 +44,8 @@
   void orderKeys(std::span<const wire::SplitKeyT> aKeys);
   /// aDraining: hand everything off.
   void tick(bool aDraining);
+  /// To whom a shard of the present batch goes; 0 if it is not in the batch.
+  Incarnation nextOwner(Shard aShard) const;
   bool busy() const { return !mCurrent.empty(); }
 
 private:
--- a/include/radishroad/daemon/ingress.h
+++ b/include/radishroad/daemon/ingress.h
@@ -4,6 +4,8 @@
 #include "radishroad/base/metrics.h"
 #include "radishroad/base/millis.h"
 #include "radishroad/policy/token_wallet.h"
+#include "radishroad/policy/upstream_choice.h"
+#include "radishroad/request/caller_head.h"
 #include "radishroad/request/request.h"
 #include "radishroad/state/cell_state.h"
 
@@ -52,6 +54,14 @@
     std::function<void()> mOnRequest;
     /// May a request with an unknown outcome be sent again?
     std::function<bool(const ForwardRequest&)> mMayRetry;
+    /// Reads a request's head where it is not the daemon's own interface
+    /// that callers speak; empty where it is.
+    std::function<CallerHead(const CallerRequest&)> mReadHead;
+    /// Name of the header under which a refusal repeats the caller's id.
+    std::string mRequestIdHeader;
+    /// Service of the upstream on this VM, where requests begin.
+    std::string mOwnService;
+    std::string mOwnZone;
     ClockFn mNow;
   };
 
@@ -71,6 +81,26 @@
   NotRunReason prepare(CallerRequest& aRequest,
                        const FleetView& aView,
                        Flight& aFlight) const;
+  /// The same for a platform's callers (ingress_platform.cpp, as those marked).
+  NotRunReason prepareByHead(CallerRequest& aRequest,
+                             const FleetView& aView,
+                             Flight& aFlight) const;
+  NotRunReason takeKey(const CallerHead& aHead,
+                       const FleetView& aView,
+                       bool aOpen,
+                       Flight& aFlight) const;
+  /// Sends to the upstream that is likely to be done first.
+  void sendToAny(const FlightPtr& aFlight,
+                 const FleetView& aView,
+                 const CellState* aCell);
+  /// A request that any upstream may run goes to another after a refusal.
+  static bool triesAnother(Flight& aFlight, const Answer& aAnswer, Millis aNow);
+  bool mayTryAgain(Flight& aFlight) const;
+  void noteAnswer(const Flight& aFlight, const Answer& aAnswer);
+  void addRefusalHead(const Flight& aFlight, Answer& aAnswer) const;
+  void logOutcome(const Flight& aFlight, const Answer& aAnswer) const;
+  ForwardRequest makeAttempt(const Flight& aFlight,
+                             const FleetView& aView) const;
   /// Whether the caller's key still counts; asked before each attempt, as it
   /// may be withdrawn while the request waits.
   NotRunReason checkCaller(const ForwardRequest& aRequest,
@@ -92,6 +122,9 @@
   Timer& mTimer;
   Metrics& mMetrics;
   Hooks mHooks;
+  std::mutex mChoiceMutex;
+  /// By service.
+  std::map<std::string, UpstreamChoice> mChoices;
 };
 
 }
--- a/include/radishroad/daemon/membership_duty.h
+++ b/include/radishroad/daemon/membership_duty.h
@@ -21,6 +21,11 @@
   MembershipDuty(ControlContext& aContext, Millis aJoinFrom);
 
   void onUpstreamHealth(bool aHealthy);
+  /// Names the present start of an upstream that reports.
+  void onUpstreamLife(std::uint64_t aLife);
+  /// The upstream drains: its keys go elsewhere, and it does not come back
+  /// under its present life.
+  void onUpstreamDrains();
   void tick();
   /// Starts to leave: the hand-off empties the daemon first. A daemon whose
   /// upstream is gone does so by itself.
@@ -38,6 +43,9 @@
 private:
   void join();
   void watchUpstream();
+  /// With an upstream that reports: records whether it takes work.
+  void recordUpstream();
+  Incarnation followedProcess() const;
   void stepLeave();
   void announceLeave();
   void tellPeers();
@@ -47,6 +55,8 @@
 
   ControlContext& mContext;
   bool mUpstreamHealthy = false;
+  bool mUpstreamDrains = false;
+  std::uint64_t mUpstreamLife = 0;
   bool mProposing = false;
   bool mWasMember = false;
   bool mLeaving = false;
--- a/include/radishroad/daemon/serve_authority.h
+++ b/include/radishroad/daemon/serve_authority.h
@@ -2,17 +2,21 @@
 #define RADISHROAD_DAEMON_SERVE_AUTHORITY_H
 
 #include "radishroad/base/millis.h"
+#include "radishroad/ownership/grant_keeper.h"
 #include "radishroad/ownership/takeover_guard.h"
 #include "radishroad/state/cell_state.h"
 #include "radishroad/upstream/gate.h"
 
 #include <atomic>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace radishroad {
 
 class ViewHolder;
+struct FleetView;
 
 /// Decides whether this daemon may run a key at this moment: it owns the key
 /// by the newest state, its lease is unexpired, and, after the loss of the
@@ -30,12 +34,18 @@
   /// Waits after the loss of owners, as of now.
   void setWaits(const TakeoverGuard& aGuard);
 
+  /// Since when the own availability zone is out of service; nothing if it is
+  /// in. Keys are served on until aKeysUntil, so that they can be handed off.
+  void setZoneOut(std::optional<Millis> aKeysUntil);
+  /// Shards that the upstream may hold now.
+  std::vector<Holding> holdings(Millis aNow) const;
   ServeDecision decide(const ForwardRequest& aRequest, Millis aNow) const;
   /// Owner by the newest state and an unexpired lease; for keys that stand for
   /// the daemon's own duties, such as a workspace's bucket.
   bool servesKey(std::uint64_t aKeyHash, Millis aNow) const;
 
 private:
+  bool runsAnywhere(const FleetView& aView) const;
   Millis serveFrom(const CellState& aCell, std::uint64_t aKeyHash) const;
 
   const ViewHolder& mViews;
@@ -43,6 +53,7 @@
   Incarnation mSelf;
   std::atomic<std::int64_t> mLeaseUntil{ 0 };
   mutable std::mutex mMutex;
+  std::optional<Millis> mKeysUntil;
   TakeoverGuard mWaits;
 };
 
--- a/include/radishroad/daemon/settings.h
+++ b/include/radishroad/daemon/settings.h
@@ -4,6 +4,7 @@
 #include "radishroad/base/error.h"
 #include "radishroad/base/finding.h"
 #include "radishroad/base/json_log.h"
+#include "radishroad/base/millis.h"
 
 #include <functional>
 #include <optional>
@@ -27,9 +28,29 @@
   std::string mLogAddress;
   std::string mLogLevel = "info";
   std::string mCallerThreads = "2";
+  /// "own", or "platform" for the protocols of the users' platform.
+  std::string mProtocol = "own";
+  /// Where the platform asks whether this daemon is ready.
+  std::string mReadyAddress;
+  /// Where the upstream sends its reports.
+  std::string mReportAddress;
+  /// Bounds in milliseconds; see docs/operators.md.
+  std::string mStopTimeMs = "25000";
+  std::string mDrainTimeMs = "2000";
+  std::string mLongestHoldMs = "10000";
+  std::string mZoneOutTimeMs = "5000";
 
   LogLevel logLevel() const;
   unsigned callerThreads() const;
+  bool isPlatform() const { return mProtocol == "platform"; }
+  /// Time from a request to stop until the process has to be gone.
+  Millis stopTime() const;
+  /// Time from an upstream's notice that it drains until it may get nothing.
+  Millis drainTime() const;
+  /// Longest time for which an upstream may be granted keys.
+  Millis longestHold() const;
+  /// Time from taking an availability zone out until it may get nothing.
+  Millis zoneOutTime() const;
 };
 
 /// What the command line asks for.
--- a/include/radishroad/platform/backoff.h
+++ b/include/radishroad/log/backoff.h
@@ -1,5 +1,5 @@
-#ifndef RADISHROAD_PLATFORM_BACKOFF_H
-#define RADISHROAD_PLATFORM_BACKOFF_H
+#ifndef RADISHROAD_LOG_BACKOFF_H
+#define RADISHROAD_LOG_BACKOFF_H
 
 #include "radishroad/base/millis.h"
 
--- a/include/radishroad/platform/log_appender.h
+++ b/include/radishroad/log/log_appender.h
@@ -1,10 +1,10 @@
-#ifndef RADISHROAD_PLATFORM_LOG_APPENDER_H
-#define RADISHROAD_PLATFORM_LOG_APPENDER_H
+#ifndef RADISHROAD_LOG_LOG_APPENDER_H
+#define RADISHROAD_LOG_LOG_APPENDER_H
 
 #include "radishroad/base/error.h"
 #include "radishroad/base/millis.h"
 #include "radishroad/generated/records_generated.h"
-#include "radishroad/platform/backoff.h"
+#include "radishroad/log/backoff.h"
 
 #include <cstdint>
 #include <functional>
--- a/include/radishroad/platform/log_client.h
+++ b/include/radishroad/log/log_client.h
@@ -1,5 +1,5 @@
-#ifndef RADISHROAD_PLATFORM_LOG_CLIENT_H
-#define RADISHROAD_PLATFORM_LOG_CLIENT_H
+#ifndef RADISHROAD_LOG_LOG_CLIENT_H
+#define RADISHROAD_LOG_LOG_CLIENT_H
 
 #include "radishroad/base/error.h"
 #include "radishroad/base/millis.h"
--- a/include/radishroad/platform/log_follower.h
+++ b/include/radishroad/log/log_follower.h
@@ -1,8 +1,8 @@
-#ifndef RADISHROAD_PLATFORM_LOG_FOLLOWER_H
-#define RADISHROAD_PLATFORM_LOG_FOLLOWER_H
+#ifndef RADISHROAD_LOG_LOG_FOLLOWER_H
+#define RADISHROAD_LOG_LOG_FOLLOWER_H
 
 #include "radishroad/base/millis.h"
-#include "radishroad/platform/backoff.h"
+#include "radishroad/log/backoff.h"
 #include "radishroad/state/records.h"
 
 #include <cstdint>
--- a/include/radishroad/platform/read_body.h
+++ b/include/radishroad/log/read_body.h
@@ -1,5 +1,5 @@
-#ifndef RADISHROAD_PLATFORM_READ_BODY_H
-#define RADISHROAD_PLATFORM_READ_BODY_H
+#ifndef RADISHROAD_LOG_READ_BODY_H
+#define RADISHROAD_LOG_READ_BODY_H
 
 #include "radishroad/base/error.h"
 #include "radishroad/state/records.h"
--- a/include/radishroad/operator/surroundings.h
+++ b/include/radishroad/operator/surroundings.h
@@ -3,7 +3,7 @@
 
 #include "radishroad/base/error.h"
 #include "radishroad/base/millis.h"
-#include "radishroad/platform/log_client.h"
+#include "radishroad/log/log_client.h"
 #include "radishroad/state/records.h"
 
 #include <cstdint>
--- a/include/radishroad/policy/retry_budget.h
+++ b/include/radishroad/policy/retry_budget.h
@@ -14,20 +14,35 @@
 class RetryBudget
 {
 public:
-  /// aRatio: retries for each request, such as 0.1.
+  struct Bounds
+  {
+    /// Retries for each request, such as 0.1.
+    double mRatio = 0.1;
+    /// Retries that may come at once.
+    double mMost = 20;
+    /// Retries a second that need no requests.
+    double mPerSecond = 2;
+  };
+
+  /// aRatio: as Bounds::mRatio.
   explicit RetryBudget(double aRatio)
-    : mRatio(aRatio)
+    : RetryBudget(Bounds{ .mRatio = aRatio })
+  {
+  }
+  explicit RetryBudget(Bounds aBounds)
+    : mBounds(aBounds)
+    , mTokens(aBounds.mMost)
   {
   }
 
-  void onRequest() { add(mRatio); }
+  void onRequest() { add(mBounds.mRatio); }
 
   /// Takes a token if there is one.
   bool tryRetry(Millis aNow)
   {
     const Millis passed = std::max(Millis{ 0 }, aNow - mAllowedUntil);
     mAllowedUntil = std::max(mAllowedUntil, aNow);
-    add(kAllowancePerSecond * static_cast<double>(passed.mCount) /
+    add(mBounds.mPerSecond * static_cast<double>(passed.mCount) /
         kMillisPerSecond);
     if (mTokens < 1) {
       return false;
@@ -37,17 +52,15 @@
   }
 
 private:
-  static constexpr double kMaxTokens = 20;
-  static constexpr double kAllowancePerSecond = 2;
   static constexpr double kMillisPerSecond = 1000;
 
   void add(double aTokens)
   {
-    mTokens = std::min(kMaxTokens, mTokens + aTokens);
+    mTokens = std::min(mBounds.mMost, mTokens + aTokens);
   }
 
-  double mRatio;
-  double mTokens = kMaxTokens;
+  Bounds mBounds;
+  double mTokens;
   Millis mAllowedUntil;
 };
 
--- /dev/null
+++ b/include/radishroad/policy/work_order.h
@@ -0,0 +1,73 @@
+#ifndef RADISHROAD_POLICY_WORK_ORDER_H
+#define RADISHROAD_POLICY_WORK_ORDER_H
+
+#include "radishroad/base/millis.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace radishroad {
+
+/// What the order of work needs to know of a request that waits.
+struct WaitingWork
+{
+  /// Answered by then it meets its latency objective.
+  Millis mObjectiveAt;
+  /// Given up then.
+  Millis mDeadline;
+  Millis mQueuedAt;
+  /// 0 goes first.
+  std::uint8_t mRank = 0;
+};
+
+/// What an upstream does now.
+struct UpstreamPace
+{
+  /// Requests that it runs at once.
+  std::uint32_t mSlots = 1;
+  std::uint32_t mRunning = 0;
+  /// Mean time of a run; 0 while none has been seen.
+  double mRunMs = 0;
+  /// Requests a second that it bears while cold; 0 while it is warm.
+  double mColdPerSecond = 0;
+};
+
+/// Which of the waiting requests to run next, and which to refuse.
+///
+/// Load pattern: for seconds more is asked than the upstream can run, by a
+/// burst, a hot key or a slow upstream. Waiting in turn until the deadline
+/// would make every answer late. Here those that can still meet their
+/// objective go first, by the time left and a lead for each rank; late ones
+/// take what room is left; and what cannot be answered in a useful time is
+/// refused at once, while its caller can still come back. Pure.
+struct WorkPlan
+{
+  /// Indices of the waiting requests, the next to run first.
+  std::vector<std::size_t> mOrder;
+  /// Indices of those to refuse, and when each may come back.
+  struct Refusal
+  {
+    std::size_t mIndex = 0;
+    Millis mRetryAfter;
+  };
+  std::vector<Refusal> mRefused;
+};
+
+/// Time that a rank is worth in the order.
+constexpr Millis kRankLead{ 80 };
+
+WorkPlan
+planWork(std::span<const WaitingWork> aWaiting,
+         const UpstreamPace& aPace,
+         Millis aNow);
+
+/// Time until a request that comes now would start to run, with aAhead others
+/// before it.
+Millis
+expectedWait(const UpstreamPace& aPace, std::size_t aAhead);
+
+}
+
+#endif
--- a/include/radishroad/state/cell_state.h
+++ b/include/radishroad/state/cell_state.h
@@ -53,6 +53,10 @@
   /// A newer incarnation of its VM has joined, so that it is most likely lost:
   /// it keeps what it owns until it is expelled, but is given nothing more.
   bool mSuperseded = false;
+  /// Its upstream takes no work just now; it keeps its place and its duties.
+  bool mUpstreamDown = false;
+  /// Names a start of its upstream; 0 if not known.
+  std::uint64_t mUpstreamLife = 0;
 
   bool operator==(const Member&) const = default;
 };
--- a/include/radishroad/state/fold_rules.h
+++ b/include/radishroad/state/fold_rules.h
@@ -39,6 +39,8 @@
 bool
 apply(CellState& aState, const wire::ZonesOutT& aChange);
 
+bool
+apply(CellState& aState, const wire::UpstreamChangeT& aChange);
 bool
 apply(CellState& aState, const wire::AssignT& aChange);
 
@@ -56,6 +58,9 @@
 /// Moves all that aFrom owns to heirs, each with the next epoch.
 void
 passOnOwnership(CellState& aState, Incarnation aFrom);
+/// Moves all that aFrom owns to aTo, each with the next epoch. aTo may be aFrom.
+void
+moveOwnership(CellState& aState, Incarnation aFrom, Incarnation aTo);
 
 }
 
--- a/include/radishroad/state/stream_loader.h
+++ b/include/radishroad/state/stream_loader.h
@@ -36,6 +36,8 @@
   /// Records in offset order; those seen before are passed over.
   void add(std::span<const LogRecord> aRecords);
 
+  /// Takes over a whole newer state, as from a store that keeps them whole.
+  void adopt(State aState);
   /// Records before aOldest are no longer kept by the log.
   void onGap(std::uint64_t aOldest);
 
--- a/include/radishroad/upstream/exchange.h
+++ b/include/radishroad/upstream/exchange.h
@@ -34,6 +34,12 @@
   /// A connection that has been idle for longer is not used again.
   Millis mMaxIdle;
   std::size_t mMaxBodyBytes = 0;
+  /// A response whose header of this name has another value belongs to another
+  /// request, and its connection is closed. Not looked at if empty.
+  std::string mEchoHeader;
+  std::string mEchoValue;
+  /// A response without a length ends whole with its connection.
+  bool mTakesUnframed = false;
 };
 
 struct UpstreamResponse
@@ -88,6 +94,8 @@
   void setRequest(const UpstreamRequest& aRequest);
   void setCallbacks(ConnectionCounter& aConnections);
   bool framed() const;
+  /// At the end of a final response's headers: is it the request's own?
+  bool belongs() const;
   bool refused(CURLcode aCode) const;
   void onHeaderLine(std::string_view aLine);
 
@@ -106,6 +114,9 @@
 
   MaySendFn mMaySend;
   std::size_t mMaxBodyBytes;
+  std::string mEchoHeader;
+  std::string mEchoValue;
+  bool mTakesUnframed;
   bool mHead;
   bool mSent = false;
   std::size_t mHeaderBytes = 0;
--- a/include/radishroad/upstream/gate.h
+++ b/include/radishroad/upstream/gate.h
@@ -5,7 +5,10 @@
 #include "radishroad/base/millis.h"
 #include "radishroad/config/model.h"
 #include "radishroad/request/request.h"
+#include "radishroad/policy/work_order.h"
 #include "radishroad/state/cell_state.h"
+#include "radishroad/upstream/upstream_protocol.h"
+#include "radishroad/upstream/upstream_report.h"
 
 #include <functional>
 #include <memory>
@@ -46,6 +49,13 @@
     std::size_t mMaxBodyBytes = 20U << 20;
     /// Health and load endpoint polled by paced probes.
     std::string mHealthPath = "/health";
+    /// How the upstream is spoken to.
+    UpstreamProtocol mProtocol = ownUpstreamProtocol();
+    /// An upstream that reports is asked if no report came for so long.
+    Millis mReportSilence{ 2500 };
+    /// Time after an upstream's notice that it drains until it gets nothing
+    /// more, whatever it still owns.
+    Millis mDrainLimit{ 1500 };
     /// Baseline for measurements: no concurrency window, no pacing.
     bool mUnguarded = false;
   };
@@ -60,6 +70,17 @@
     std::function<void(std::uint64_t aFingerprint, RandomId aId)> mOnCrash;
     /// Is this fingerprint quarantined?
     std::function<bool(std::uint64_t aFingerprint)> mIsQuarantined;
+    /// Shards that the upstream is to hold now; for upstreams that are granted
+    /// keys. Called on the gate's thread.
+    std::function<std::vector<Holding>()> mHoldings;
+    /// A shard was given back by the upstream, with what it handed out for the
+    /// next holder of each of the shard's runs.
+    std::function<void(Shard, const std::vector<std::string>& aTokens)>
+      mOnReleased;
+    /// Names the upstream's present start, before mOnHealth tells of it.
+    std::function<void(std::uint64_t aLife)> mOnLife;
+    /// The upstream drains: its keys are to go elsewhere.
+    std::function<void()> mOnDraining;
     ClockFn mNow;
   };
 
@@ -79,6 +100,20 @@
   /// resumeShards and are then decided by mMayServe.
   void pauseShards(std::span<const Shard> aShards, std::function<void()> aDone);
   void resumeShards(std::span<const Shard> aShards);
+  /// Any thread: what the upstream says of itself. False if the report is of
+  /// an earlier start or out of order, and changes nothing.
+  bool onReport(const UpstreamReport& aReport);
+  /// Any thread: tokens that another upstream gave out for this one.
+  void onHandover(Shard aShard,
+                  Epoch aEpoch,
+                  std::vector<std::string> aTokens);
+  /// Any thread: how busy the upstream is.
+  struct Pace
+  {
+    UpstreamPace mPace;
+    std::uint32_t mQueued = 0;
+  };
+  Pace pace() const;
   /// Ends after what is queued and running has been answered.
   void stop();
 
--- a/include/radishroad/upstream/health_tracker.h
+++ b/include/radishroad/upstream/health_tracker.h
@@ -27,6 +27,8 @@
 {
 public:
   void setProbeCost(Millis aCost);
+  /// No probes but those asked for by probeSoon().
+  void stopProbes();
 
   HealthChange onProbeAnswer(int aStatus, std::string_view aInstance);
   HealthChange onProbeTimeout();
--- a/include/radishroad/upstream/queued_request.h
+++ b/include/radishroad/upstream/queued_request.h
@@ -21,6 +21,10 @@
   /// Not to be tried before, because the lease has lapsed for the moment.
   Millis mNotBefore;
   Millis mQueuedAt;
+  /// Tells requests in the queue apart.
+  std::uint64_t mTicket = 0;
+  /// Refused then if the key cannot be served yet.
+  Millis mHoldUntil;
   /// How often the upstream has shed it.
   int mSheds = 0;
   /// It was sent once and cancelled because the upstream turned cold.
--- a/include/radishroad/upstream/request_queue.h
+++ b/include/radishroad/upstream/request_queue.h
@@ -35,6 +35,10 @@
   std::vector<QueuedRequest> removeIf(const Predicate& aMatches);
   /// Earliest deadline or end of a hold that is past aNow.
   Millis nextEvent(Millis aNow, Millis aLatest) const;
+  /// All that waits, in no order of use. Valid until the next change.
+  std::vector<const QueuedRequest*> list() const;
+  /// Takes the request of this ticket out.
+  std::optional<QueuedRequest> take(std::uint64_t aTicket);
   bool empty() const;
   std::size_t size() const;
 
--- a/include/radishroad/upstream/upstream_headers.h
+++ b/include/radishroad/upstream/upstream_headers.h
@@ -6,7 +6,9 @@
 #include "radishroad/state/cell_state.h"
 #include "radishroad/upstream/exchange.h"
 
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace radishroad {
@@ -23,6 +25,16 @@
                     Epoch aEpoch,
                     Millis aTimeLeft);
 
+/// The caller's own header lines that go on to an upstream: without its key,
+/// those of one connection, and those named in aWithheld.
+std::vector<std::string>
+forwardedHeaderLines(const ForwardRequest& aRequest,
+                     std::span<const std::string_view> aWithheld);
+
+/// A line in libcurl's notation.
+std::string
+headerLine(std::string_view aName, std::string_view aValue);
+
 /// The answer to the caller made of an upstream's whole response.
 Answer
 makeAnswered(const ForwardRequest& aRequest, UpstreamResponse aResponse);
--- /dev/null
+++ b/include/radishroad/upstream/upstream_report.h
@@ -0,0 +1,48 @@
+#ifndef RADISHROAD_UPSTREAM_UPSTREAM_REPORT_H
+#define RADISHROAD_UPSTREAM_UPSTREAM_REPORT_H
+
+#include "radishroad/base/millis.h"
+
+#include <cstdint>
+#include <string>
+
+namespace radishroad {
+
+/// What an upstream says of itself, to the daemon beside it.
+struct UpstreamReport
+{
+  enum class Kind
+  {
+    Ready,
+    /// It stops soon and is to get nothing new.
+    Draining,
+    /// The same, and it reports no more.
+    Leaving,
+  };
+
+  Kind mKind = Kind::Ready;
+  /// Name of the upstream; a restart may keep it.
+  std::string mInstance;
+  /// Wall-clock time of its start; tells two starts of one name apart. 0 if it
+  /// is not told.
+  Millis mBorn;
+  /// Rises with each report of one start.
+  std::uint64_t mSequence = 0;
+  /// Requests that it runs at once; 0 if it is not told.
+  std::uint32_t mSlots = 0;
+  /// How much longer it is cold.
+  Millis mColdLeft;
+};
+
+/// Whether the second report may be taken after the first: not of an earlier
+/// start, nor an older one of the same start.
+bool
+isNewer(const UpstreamReport& aReport, const UpstreamReport& aThan);
+
+/// Names the start of an upstream; never 0.
+std::uint64_t
+lifeOf(const UpstreamReport& aReport);
+
+}
+
+#endif
--- a/src/base/json_log.cpp
+++ b/src/base/json_log.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t kKeptEvents = 2048;
 /// Longer lines lose their fields.
 constexpr std::size_t kLongestLine = 8192;
+/// Lines about single requests that one process writes in a second.
+constexpr std::uint64_t kRequestLinesPerSecond = 40;
+constexpr std::int64_t kMillisPerSecond = 1000;
 
 /// What startLog sets; empty before, and then nothing goes to the output.
 struct LogOutput
@@ -35,6 +38,20 @@
   boost::circular_buffer<std::string> mLines{ kKeptEvents };
 };
 
+/// Lines about requests in the present second.
+struct RequestBudget
+{
+  std::int64_t mSecond = 0;
+  std::uint64_t mWritten = 0;
+  std::uint64_t mLeftOut = 0;
+};
+
+struct SharedRequestBudget
+{
+  std::mutex mMutex;
+  RequestBudget mBudget;
+};
+
 std::unique_ptr<LogOutput>&
 output()
 {
@@ -158,6 +175,34 @@
   kept.mLines.push_back(std::move(line));
 }
 
+void
+logRequest(std::string_view aEvent,
+           std::string_view aRequestId,
+           nlohmann::json aFields)
+{
+  static SharedRequestBudget sShared;
+  RequestBudget& budget = sShared.mBudget;
+  const std::int64_t second = monotonicNow().mCount / kMillisPerSecond;
+  std::uint64_t leftOut = 0;
+  {
+    const std::lock_guard<std::mutex> lock(sShared.mMutex);
+    if (second != budget.mSecond) {
+      leftOut = budget.mLeftOut;
+      budget = { .mSecond = second };
+    }
+    if (budget.mWritten >= kRequestLinesPerSecond) {
+      ++budget.mLeftOut;
+      return;
+    }
+    ++budget.mWritten;
+  }
+  if (leftOut > 0) {
+    logEvent(LogLevel::Warn, "request_lines_left_out", { { "count", leftOut } });
+  }
+  aFields["request_id"] = aRequestId;
+  logEvent(LogLevel::Info, aEvent, aFields);
+}
+
 std::vector<std::string>
 recentEvents()
 {
--- a/src/caller/connection.cpp
+++ b/src/caller/connection.cpp
@@ -156,7 +156,10 @@
   const bool isLast = isLastAnswer(front);
   write(makeResponse(std::move(aAnswer),
                      front.mRequest.mId,
-                     { .mKeepAlive = !isLast, .mIsHead = front.mIsHead }),
+                     { .mKeepAlive = !isLast,
+                       .mIsHead = front.mIsHead,
+                       .mExactRetryAfter = mContext.mOptions.mExactRetryAfter,
+                       .mPlainStatuses = mContext.mOptions.mPlainStatuses }),
         isLast,
         aNow);
   noteBusy();
--- a/src/caller/response.cpp
+++ b/src/caller/response.cpp
@@ -3,6 +3,7 @@
 #include "radishroad/caller/header_filter.h"
 
 #include <algorithm>
+#include <span>
 #include <array>
 #include <boost/beast/http/status.hpp>
 #include <nlohmann/json.hpp>
@@ -190,8 +191,24 @@
   std::string_view mOutcome;
   std::string_view mMessage;
   Millis mRetryAfter;
+  /// Further fields of the head.
+  std::span<const std::unique_ptr<wire::HeaderT>> mHeaders;
 };
 
+/// Seconds, rounded up, or with three decimals.
+std::string
+retryAfterText(Millis aPause, bool aExact)
+{
+  if (!aExact) {
+    const std::int64_t seconds =
+      (aPause.mCount + kMillisPerSecond - 1) / kMillisPerSecond;
+    return std::to_string(seconds);
+  }
+  const std::string millis = std::to_string(aPause.mCount % kMillisPerSecond);
+  return std::to_string(aPause.mCount / kMillisPerSecond) + "." +
+         std::string(3 - millis.size(), '0') + millis;
+}
+
 Response
 writeRefusal(const RefusalText& aText, RandomId aId, ResponseFraming aFraming)
 {
@@ -207,9 +224,11 @@
     head.add("WWW-Authenticate", "Bearer");
   }
   if (aText.mRetryAfter.mCount > 0) {
-    const std::int64_t seconds =
-      (aText.mRetryAfter.mCount + kMillisPerSecond - 1) / kMillisPerSecond;
-    head.add("Retry-After", std::to_string(seconds));
+    head.add("Retry-After",
+             retryAfterText(aText.mRetryAfter, aFraming.mExactRetryAfter));
+  }
+  for (const auto& header : aText.mHeaders) {
+    head.add(header->name, header->value);
   }
   Response response;
   response.mHead = head.finish(aId, aText.mOutcome, aFraming.mKeepAlive);
@@ -261,7 +280,12 @@
                     reasonName(aAnswer.reason),
                     outcomeName(aAnswer.kind),
                     textOf(aAnswer.reason).mMessage,
-                    Millis{ aAnswer.retry_after_ms } };
+                    Millis{ aAnswer.retry_after_ms },
+                    aAnswer.headers };
+  const bool wordOfOwn = text.mStatus == 422 || text.mStatus == 409;
+  if (aFraming.mPlainStatuses && wordOfOwn) {
+    text.mStatus = 503;
+  }
   if (aAnswer.kind != AnswerKind::NotRun) {
     // An answer that cannot be passed on was run, but to what effect?
     text.mOutcome = outcomeName(AnswerKind::Unknown);
@@ -280,6 +304,7 @@
                         aRefusal.mReason,
                         outcomeName(AnswerKind::NotRun),
                         aRefusal.mMessage,
+                        {},
                         {} },
                       aId,
                       { .mKeepAlive = false, .mIsHead = aIsHead });
--- a/src/daemon/coordinator_duty.cpp
+++ b/src/daemon/coordinator_duty.cpp
@@ -4,6 +4,7 @@
 #include "radishroad/config/model.h"
 #include "radishroad/daemon/control_context.h"
 #include "radishroad/daemon/fleet_state.h"
+#include "radishroad/daemon/settings.h"
 #include "radishroad/daemon/recorder.h"
 #include "radishroad/ownership/handoff.h"
 #include "radishroad/state/placement.h"
@@ -91,7 +92,7 @@
 {
   const config::Model* model = mContext.mFleet.model();
   const CellState& cell = mContext.mFleet.ownCell();
-  const std::uint64_t version = mContext.mFleet.config().mVersion;
+  const std::uint64_t version = mContext.mFleet.modelVersion();
   if (model == nullptr || version <= cell.mZonesVersion) {
     return false;
   }
@@ -151,7 +152,9 @@
     return;
   }
   mNextMoves = aNow + kMovesInterval;
-  if (!hasNewcomer(mContext.mFleet.ownCell())) {
+  // Shards of a platform's numbered keys lie scattered, so that hot keys do.
+  if (!mContext.mSettings.isPlatform() &&
+      !hasNewcomer(mContext.mFleet.ownCell())) {
     orderKeys(aNow);
   }
   orderShards(aNow);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -15,9 +15,9 @@
 /// How often the end of this incarnation is looked for.
 constexpr Millis kEndWatchInterval{ 100 };
 constexpr std::chrono::milliseconds kDrainWatchInterval{ 20 };
-/// Longest time for handing everything off before a planned stop.
-constexpr Millis kLeaveTimeout{ 15000 };
-constexpr Millis kDrainTimeout{ 10000 };
+/// Part of the time for a planned stop in which everything is handed off; the
+/// rest is for callers' requests that run.
+constexpr std::int64_t kLeavePercent = 60;
 
 }
 
@@ -51,12 +51,14 @@
     logEvent(LogLevel::Info, "stopping", nlohmann::json::object());
     mParts->mLeaveRequested = true;
     mParts->mLoop.post([this] { mParts->mLoop.tickSoon(); });
-    const Millis limit = monotonicNow() + kLeaveTimeout;
+    const Millis limit =
+      monotonicNow() + mParts->mSettings.stopTime() * kLeavePercent / 100;
     while (!mParts->drained() && monotonicNow() < limit) {
       std::this_thread::sleep_for(kDrainWatchInterval);
     }
   }
-  mParts->mCallers.drain(kDrainTimeout);
+  const Millis stopTime = mParts->mSettings.stopTime();
+  mParts->mCallers.drain(stopTime - stopTime * kLeavePercent / 100);
   mParts->stop();
   logEvent(LogLevel::Info,
            end == RunEnd::Stopped ? "stop" : "rejoin",
--- a/src/daemon/fleet_state.cpp
+++ b/src/daemon/fleet_state.cpp
@@ -3,6 +3,7 @@
 #include "radishroad/base/json_log.h"
 #include "radishroad/config/folder.h"
 #include "radishroad/daemon/fleet_view.h"
+#include "radishroad/state/snapshot_codec.h"
 #include "radishroad/state/relay.h"
 
 #include <nlohmann/json.hpp>
@@ -118,16 +119,39 @@
 std::vector<LogRecord>
 FleetState::recordsFrom(const std::string& aStream, std::uint64_t aFrom) const
 {
+  if (mKeepsStates) {
+    return wholeState(aStream);
+  }
   const auto it = mCaches.find(aStream);
   return it == mCaches.end() ? std::vector<LogRecord>()
                              : it->second.get(aFrom, kMaxRelayBytes);
 }
 
+std::vector<LogRecord>
+FleetState::wholeState(const std::string& aStream) const
+{
+  LogRecord record;
+  if (aStream == kConfigStream) {
+    record.mData = mRawModel;
+  }
+  for (const auto& [service, loader] : mCells) {
+    if (cellStream(service) == aStream) {
+      record.mData = encodeState(loader.state());
+      const auto it = mVersions.find(aStream);
+      record.mOffset = it == mVersions.end() ? 0 : it->second;
+    }
+  }
+  if (record.mData.empty()) {
+    return {};
+  }
+  return { std::move(record) };
+}
+
 std::uint64_t
 FleetState::nextOffset(const std::string& aStream) const
 {
   if (aStream == kConfigStream) {
-    return mConfig.state().mNextOffset;
+    return mKeepsStates ? mModelVersion : mConfig.state().mNextOffset;
   }
   for (const auto& [service, loader] : mCells) {
     if (cellStream(service) == aStream) {
@@ -227,6 +251,32 @@
   reportVerdicts();
 }
 
+void
+FleetState::onState(const std::string& aStream,
+                    std::uint64_t aVersion,
+                    const CellState& aState)
+{
+  for (auto& [service, loader] : mCells) {
+    if (cellStream(service) != aStream) {
+      continue;
+    }
+    mKeepsStates = true;
+    if (aState.mNextOffset > loader.state().mNextOffset) {
+      mVersions[aStream] = aVersion;
+      const CellState before = loader.state();
+      loader.adopt(aState);
+      mHooks.mOnCell(service, before, loader.state());
+      mPublished[service] = std::make_shared<const CellState>(loader.state());
+      publishView();
+    }
+    // Settles proposals whose own answer was lost.
+    for (const RandomId& id : aState.mSeenIds.inOrder()) {
+      mHooks.mOnRecord(id, FoldVerdict::Applied);
+    }
+    return;
+  }
+}
+
 void
 FleetState::noteVerdict(const std::string& aStream,
                         const LogRecord& aRecord,
@@ -266,7 +316,33 @@
     return;
   }
   mModel = std::make_shared<const config::Model>(std::move(*model));
-  logEvent(LogLevel::Info, "config_in_force", { { "version", mModelVersion } });
+  followServices();
+}
+
+void
+FleetState::setModel(std::uint64_t aVersion,
+                     std::shared_ptr<const config::Model> aModel,
+                     Bytes aRaw)
+{
+  if (aVersion <= mModelVersion || aModel == nullptr) {
+    return;
+  }
+  mModelVersion = aVersion;
+  mModel = std::move(aModel);
+  mRawModel = std::move(aRaw);
+  mKeepsStates = true;
+  followServices();
+}
+
+void
+FleetState::followServices()
+{
+  logEvent(LogLevel::Info,
+           "config_in_force",
+           { { "version", mModelVersion },
+             { "routes", mModel->mRoutes.size() },
+             { "services", mModel->mServices.size() },
+             { "workspaces", mModel->mWorkspaces.size() } });
   for (const auto& [service, settings] : mModel->mServices) {
     if (!mCells.contains(service)) {
       addCell(service);
--- a/src/daemon/handoff_duty.cpp
+++ b/src/daemon/handoff_duty.cpp
@@ -85,6 +85,17 @@
   mOrderedKeys.assign(aKeys.begin(), aKeys.end());
 }
 
+Incarnation
+HandoffDuty::nextOwner(Shard aShard) const
+{
+  const auto it = std::ranges::find_if(
+    mCurrent.mGrants,
+    [aShard](const wire::ShardGrant& aGrant) {
+      return aGrant.shard() == aShard;
+    });
+  return it == mCurrent.mGrants.end() ? 0 : it->to();
+}
+
 void
 HandoffDuty::tick(bool aDraining)
 {
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -1,5 +1,7 @@
 #include "radishroad/daemon/ingress.h"
 
+#include "ingress_flight.h"
+
 #include "radishroad/base/hash.h"
 #include "radishroad/base/timer.h"
 #include "radishroad/caller/header_filter.h"
@@ -26,6 +28,8 @@
 /// Time that the answer needs to travel back within the deadline.
 constexpr Millis kReturnMargin{ 5 };
 constexpr Millis kRetryAfterOutage{ 1000 };
+/// For callers whose key changes its owner or has none.
+constexpr Millis kUnservedRetryAfter{ 250 };
 constexpr std::string_view kBearer = "Bearer ";
 
 std::optional<std::string_view>
@@ -87,32 +91,6 @@
 
 }
 
-/// One caller's request on its way.
-struct Ingress::Flight
-{
-  ForwardRequest mRequest;
-  AnswerFn mAnswer;
-  Millis mReceivedAt;
-  Millis mDeadline;
-  /// Time up to which the request waits for its workspace's tokens.
-  Millis mAdmitUntil;
-  /// The route is open and the caller has no known key.
-  bool mOpen = false;
-  /// Told to wait for tokens.
-  bool mHeldForToken = false;
-  /// An attempt ended with an unknown outcome: no refusal after it may claim
-  /// that the request was not run.
-  bool mMayHaveRun = false;
-  NotRunReason mLastReason = NotRunReason::None;
-  /// The caller has gone.
-  std::atomic<bool> mCancelled{ false };
-  /// Held while an attempt is handed over, so that its cancel cannot be first.
-  std::mutex mAttemptMutex;
-  /// Daemon that the last attempt went to; 0 before the first.
-  Incarnation mSentTo = 0;
-  std::string mPeerAddress;
-};
-
 Ingress::Ingress(Incarnation aSelf,
                  const ViewHolder& aViews,
                  Timer& aTimer,
@@ -135,7 +113,9 @@
   flight->mReceivedAt = aRequest.mReceivedAt;
   flight->mRequest.id_high = aRequest.mId.mHigh;
   flight->mRequest.id_low = aRequest.mId.mLow;
-  const NotRunReason reason = prepare(aRequest, *view, *flight);
+  const NotRunReason reason = mHooks.mReadHead
+                                ? prepareByHead(aRequest, *view, *flight)
+                                : prepare(aRequest, *view, *flight);
   if (reason != NotRunReason::None) {
     finish(flight, makeNotRun(aRequest.mId, reason));
     return {};
@@ -185,6 +165,8 @@
   aFlight.mDeadline =
     aFlight.mReceivedAt + model.mServices.at(route.mService).mDeadline;
   aFlight.mAdmitUntil = aFlight.mReceivedAt + kMaxAdmitWait;
+  aFlight.mObjectiveAt = aFlight.mDeadline;
+  aFlight.mResendUntil = aFlight.mDeadline;
   return NotRunReason::None;
 }
 
@@ -270,20 +252,36 @@
     return;
   }
   const CellState* cell = view->cell(aFlight->mRequest.service);
+  if (aFlight->mUnkeyed) {
+    sendToAny(aFlight, *view, cell);
+    return;
+  }
   const Ownership ownership =
     cell == nullptr ? Ownership{} : ownerOf(*cell, aFlight->mRequest.key_hash);
   if (ownership.mOwner == 0) {
     sendLater(aFlight, NotRunReason::NoOwner);
     return;
   }
-  ForwardRequest request = aFlight->mRequest;
-  request.time_left_ms = left.mCount;
-  request.config_version = view->mConfigVersion;
+  ForwardRequest request = makeAttempt(*aFlight, *view);
   request.epoch = ownership.mEpoch;
   request.view_offset = cell->mNextOffset;
   handOver(aFlight, std::move(request), cell->mMembers.at(ownership.mOwner));
 }
 
+ForwardRequest
+Ingress::makeAttempt(const Flight& aFlight, const FleetView& aView) const
+{
+  const Millis now = mHooks.mNow();
+  ForwardRequest request = aFlight.mRequest;
+  request.time_left_ms = (aFlight.mDeadline - now - kReturnMargin).mCount;
+  request.config_version = aView.mConfigVersion;
+  const bool hasObjective = aFlight.mObjectiveAt != aFlight.mDeadline;
+  const Millis left =
+    std::max(Millis{ 1 }, aFlight.mObjectiveAt - now - kReturnMargin);
+  request.objective_ms = hasObjective ? left.mCount : 0;
+  return request;
+}
+
 void
 Ingress::handOver(const FlightPtr& aFlight,
                   ForwardRequest aRequest,
@@ -297,7 +295,7 @@
   aFlight->mSentTo = aOwner.mIncarnation;
   aFlight->mPeerAddress = aOwner.mPeerAddress;
   if (aFlight->mCancelled) {
-    finishCancelled(aFlight);
+    onAnswer(makeNotRun(idOf(aRequest), NotRunReason::Cancelled));
   } else if (aOwner.mIncarnation == mSelf) {
     mHooks.mToOwnUpstream(std::move(aRequest), std::move(onAnswer));
   } else {
@@ -321,17 +319,25 @@
 void
 Ingress::onAnswer(const FlightPtr& aFlight, Answer aAnswer)
 {
+  noteAnswer(*aFlight, aAnswer);
   if (aFlight->mCancelled) {
     finish(aFlight, std::move(aAnswer));
     return;
   }
-  if (aAnswer.kind == AnswerKind::NotRun && mayPass(aAnswer.reason)) {
+  const Millis now = mHooks.mNow();
+  if (aFlight->mUnkeyed && triesAnother(*aFlight, aAnswer, now)) {
+    aFlight->mLastReason = aAnswer.reason;
+    mTimer.after(Millis{ 0 }, [this, aFlight] { send(aFlight); });
+    return;
+  }
+  const bool inTime = now < aFlight->mResendUntil;
+  if (aAnswer.kind == AnswerKind::NotRun && mayPass(aAnswer.reason) &&
+      !aFlight->mUnkeyed && inTime) {
     sendLater(aFlight, aAnswer.reason);
     return;
   }
-  if (aAnswer.kind == AnswerKind::Unknown &&
-      mHooks.mNow() < aFlight->mDeadline &&
-      mHooks.mMayRetry(aFlight->mRequest)) {
+  if (aAnswer.kind == AnswerKind::Unknown && now < aFlight->mDeadline &&
+      mayTryAgain(*aFlight) && mHooks.mMayRetry(aFlight->mRequest)) {
     aFlight->mMayHaveRun = true;
     mMetrics.count("radishroad_retries_total");
     sendLater(aFlight, NotRunReason::None);
@@ -344,6 +350,15 @@
 Ingress::sendLater(const FlightPtr& aFlight, NotRunReason aReason)
 {
   aFlight->mLastReason = aReason;
+  // Better refused now, while the caller can still come back, than held.
+  const bool held = aReason != NotRunReason::None &&
+                    mHooks.mNow() + kResendPause >= aFlight->mResendUntil &&
+                    aFlight->mResendUntil < aFlight->mDeadline;
+  if (held) {
+    finish(aFlight,
+           makeNotRun(idOf(aFlight->mRequest), aReason, kUnservedRetryAfter));
+    return;
+  }
   mTimer.after(kResendPause, [this, aFlight] { send(aFlight); });
 }
 
@@ -359,6 +374,10 @@
   if (aFlight->mMayHaveRun && aAnswer.kind == AnswerKind::NotRun) {
     aAnswer = makeUnknown(idOf(aFlight->mRequest));
   }
+  if (mHooks.mReadHead && aAnswer.kind != AnswerKind::Answered) {
+    addRefusalHead(*aFlight, aAnswer);
+  }
+  logOutcome(*aFlight, aAnswer);
   mMetrics.count(std::string("radishroad_requests_total{outcome=\"") +
                  wire::EnumNameAnswerKind(aAnswer.kind) + "\",reason=\"" +
                  wire::EnumNameNotRunReason(aAnswer.reason) + "\"}");
--- a/src/daemon/lease_duty.cpp
+++ b/src/daemon/lease_duty.cpp
@@ -199,7 +199,8 @@
     position->next_offset = aNext;
     list.push_back(std::move(position));
   };
-  add(std::string(kConfigStream), mContext.mFleet.config().mNextOffset);
+  const std::string config(kConfigStream);
+  add(config, mContext.mFleet.nextOffset(config));
   for (const auto& [service, cell] : mContext.mFleet.cells()) {
     add(cellStream(service), cell->mNextOffset);
   }
--- a/src/daemon/membership_duty.cpp
+++ b/src/daemon/membership_duty.cpp
@@ -64,7 +64,11 @@
 {
   if (joined()) {
     mWasMember = true;
-    watchUpstream();
+    if (mContext.mSettings.isPlatform()) {
+      recordUpstream();
+    } else {
+      watchUpstream();
+    }
     if (mLeaving && !mContext.self()->mLeaving) {
       tellPeers();
     }
@@ -73,7 +77,10 @@
     }
     return;
   }
-  if (!mWasMember && !mLeaving && !mProposing && mUpstreamHealthy &&
+  // One whose upstream reports takes its place at once; what it owns waits for
+  // the upstream.
+  const bool mayJoin = mUpstreamHealthy || mContext.mSettings.isPlatform();
+  if (!mWasMember && !mLeaving && !mProposing && mayJoin &&
       mContext.mNow() >= mJoinFrom && mContext.mFleet.ownCellRead()) {
     join();
   }
@@ -99,6 +106,10 @@
   change.operator_address = settings.mOperatorAddress;
   change.witnesses =
     chooseWitnesses(others, mContext.mSelf, settings.mZone, kWantedWitnesses);
+  if (settings.isPlatform()) {
+    change.awaits_upstream = true;
+    change.succeeds = followedProcess();
+  }
   mProposing = true;
   mContext.mRecorder.propose(
     mContext.ownStream(), std::move(change), [this](ProposalEnd aEnd) {
@@ -110,6 +121,65 @@
     });
 }
 
+Incarnation
+MembershipDuty::followedProcess() const
+{
+  const DaemonSettings& settings = mContext.mSettings;
+  for (const auto& [incarnation, member] : mContext.mFleet.ownCell().mMembers) {
+    if (member.mStatus == MemberStatus::Active &&
+        member.mVm == settings.mVm &&
+        member.mPeerAddress == settings.mAdvertisePeerAddress) {
+      return incarnation;
+    }
+  }
+  return 0;
+}
+
+void
+MembershipDuty::onUpstreamLife(std::uint64_t aLife)
+{
+  mUpstreamLife = aLife;
+  mUpstreamDrains = false;
+}
+
+void
+MembershipDuty::onUpstreamDrains()
+{
+  mUpstreamDrains = true;
+}
+
+void
+MembershipDuty::recordUpstream()
+{
+  const Millis now = mContext.mNow();
+  const bool up = mUpstreamHealthy && !mUpstreamDrains;
+  if (up || mUpstreamDrains) {
+    mUnhealthySince = now;
+  }
+  const Member* self = mContext.self();
+  const bool toDown =
+    !up && !self->mUpstreamDown &&
+    (mUpstreamDrains || now - mUnhealthySince > kUpstreamLostAfter);
+  const bool toUp = up && mUpstreamLife != 0 &&
+                    (self->mUpstreamDown ||
+                     self->mUpstreamLife != mUpstreamLife);
+  if (mProposing || mLeaving || (!toDown && !toUp)) {
+    return;
+  }
+  wire::UpstreamChangeT change;
+  change.incarnation = mContext.mSelf;
+  change.up = toUp;
+  change.life = toUp ? mUpstreamLife : self->mUpstreamLife;
+  mProposing = true;
+  mContext.mRecorder.propose(
+    mContext.ownStream(), change, [this, up = toUp](ProposalEnd aEnd) {
+      mProposing = false;
+      logEvent(LogLevel::Info,
+               "upstream_recorded",
+               { { "up", up }, { "applied", aEnd == ProposalEnd::Applied } });
+    });
+}
+
 void
 MembershipDuty::watchUpstream()
 {
--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -22,6 +22,15 @@
 constexpr Millis kProbeTimeout{ 1000 };
 /// The configuration is judged current if the log was read so recently.
 constexpr Millis kConfigFreshness{ 5000 };
+/// Part of the time for an upstream that drains after which nothing more is
+/// sent to it: what is on its way then arrives in time.
+constexpr std::int64_t kDrainPercent = 75;
+
+Millis
+drainLimit(const DaemonSettings& aSettings)
+{
+  return aSettings.drainTime() * kDrainPercent / 100;
+}
 
 }
 
@@ -31,11 +40,11 @@
                      DaemonHooks aHooks)
   : mSettings(aSettings)
   , mHooks(std::move(aHooks))
+  , mProtocol(mHooks.mMakeProtocol(mSettings))
   , mSelf(makeIncarnation())
   , mAuthority(mViews, mSettings.mService, mSelf)
   , mCrashes(aCrashes)
   , mLoop(kControlRingCapacity)
-  , mAppender(mSettings.mLogAddress, kAppendRingCapacity)
   , mFleet(mSettings.mService, mViews, fleetHooks())
   , mRecorder([this](const std::string& aStream,
                      const wire::RecordT& aRecord,
@@ -43,7 +52,9 @@
     return submitAppend(aStream, aRecord, std::move(aResult));
   })
   , mGate(std::make_unique<Gate>(
-      Gate::Options{ .mUpstream = mSettings.mUpstreamAddress },
+      Gate::Options{ .mUpstream = mSettings.mUpstreamAddress,
+                     .mProtocol = mProtocol.mUpstream,
+                     .mDrainLimit = drainLimit(mSettings) },
       gateHooks(),
       mMetrics))
   , mLink(std::make_unique<PeerLink>(
@@ -84,6 +95,10 @@
   , mRelay(
       mContext,
       [this](const std::string& aStream, std::span<const LogRecord> aRecords) {
+        if (mProtocol.isPlatform()) {
+          onRelayedState(aStream, aRecords);
+          return;
+        }
         mFleet.onRecords(aStream, aRecords);
         mFollowers.at(aStream)->skipTo(mFleet.nextOffset(aStream));
       })
@@ -94,7 +109,9 @@
   , mIngress(mSelf, mViews, mTimer, mMetrics, ingressHooks())
   , mCallers(
       { .mListenAddress = mSettings.mCallerAddress,
-        .mThreads = mSettings.callerThreads() },
+        .mThreads = mSettings.callerThreads(),
+        .mExactRetryAfter = mProtocol.isPlatform(),
+        .mPlainStatuses = mProtocol.isPlatform() },
       [this](CallerRequest aRequest, AnswerFn aAnswer) {
         return mIngress.handle(std::move(aRequest), std::move(aAnswer));
       },
@@ -104,6 +121,12 @@
              .mState = [this] { return describe(); } },
            mMetrics)
 {
+  if (mProtocol.isPlatform()) {
+    makePlatformServers();
+  } else {
+    mAppender = std::make_unique<LogAppender>(mSettings.mLogAddress,
+                                              kAppendRingCapacity);
+  }
 }
 
 Result<void>
@@ -119,10 +142,21 @@
   }
   mLoop.start([this] { return tick(); });
   mLoop.post([this] {
+    if (mProtocol.isPlatform()) {
+      followOperators();
+      followStates(cellStream(mSettings.mService));
+      return;
+    }
     follow(std::string(kConfigStream));
     follow(cellStream(mSettings.mService));
   });
   mGate->start();
+  for (CallerServer* server : { mReports.get(), mReadiness.get() }) {
+    const Result<void> begun = server ? server->start() : Result<void>{};
+    if (!begun) {
+      return begun;
+    }
+  }
   return mCallers.start();
 }
 
@@ -130,6 +164,11 @@
 Daemon::Parts::stop()
 {
   mCallers.stop();
+  for (CallerServer* server : { mReports.get(), mReadiness.get() }) {
+    if (server != nullptr) {
+      server->stop();
+    }
+  }
   mAdmin.stop();
   mGate->stop();
   // Followers post to the loop and the loop adds followers: the loop goes
@@ -138,8 +177,16 @@
   for (const auto& [stream, follower] : mFollowers) {
     follower->stop();
   }
+  for (const auto& [stream, feed] : mFeeds) {
+    feed->stop();
+  }
   mLink->stop();
-  mAppender.stop();
+  if (mAppender) {
+    mAppender->stop();
+  }
+  if (mWriter) {
+    mWriter->stop();
+  }
   mTimer.stop();
 }
 
@@ -155,7 +202,10 @@
   mHandoff.tick(draining());
   mCoordinator.tick();
   mRate.tick();
-  mSnapshots.tick();
+  if (!mProtocol.isPlatform()) {
+    mSnapshots.tick();
+  }
+  mStateRead = mFleet.ownCellRead();
   reportLoad(monotonicNow());
   countTraffic(monotonicNow());
   mRecorder.tick(monotonicNow());
@@ -177,7 +227,9 @@
 Daemon::Parts::draining() const
 {
   const CellState& cell = mFleet.ownCell();
-  return mMembership.leaving() || cell.mDrainedVms.contains(mSettings.mVm) ||
+  const Member* self = mContext.self();
+  const bool upstreamDown = self != nullptr && self->mUpstreamDown;
+  return mMembership.leaving() || upstreamDown || cell.mDrainedVms.contains(mSettings.mVm) ||
          cell.mDrainedZones.contains(mSettings.mZone);
 }
 
@@ -194,6 +246,10 @@
 Daemon::Parts::ready() const
 {
   const std::shared_ptr<const FleetView> view = mViews.get();
+  if (mProtocol.isPlatform()) {
+    // Callers are served wherever the upstreams are.
+    return view->mModel != nullptr && mStateRead && !mOut && !mLeaveRequested;
+  }
   return view->mModel != nullptr && !mOut && configFresh() &&
          mAuthority.leaseUntil() > monotonicNow();
 }
@@ -201,6 +257,10 @@
 bool
 Daemon::Parts::configFresh() const
 {
+  if (mProtocol.isPlatform()) {
+    // What was known last is served by: a daemon that is cut off cannot tell.
+    return true;
+  }
   const Millis now = monotonicNow();
   // A lease that is held says that a majority of the witnesses answered within
   // its TTL, and they would have told of a newer configuration.
@@ -242,7 +302,17 @@
 void
 Daemon::Parts::probeLog(const std::function<void(bool)>& aDone)
 {
-  const bool taken = mAppender.probe(
+  if (mWriter) {
+    const bool asked = mWriter->probe(
+      mContext.ownStream(), kProbeTimeout, [this, aDone](bool aAnswers) {
+        mLoop.post([aDone, aAnswers] { aDone(aAnswers); });
+      });
+    if (!asked) {
+      aDone(false);
+    }
+    return;
+  }
+  const bool taken = mAppender->probe(
     mContext.ownStream(),
     kProbeTimeout,
     [this, aDone](const Result<std::uint64_t>& aNext) {
@@ -259,7 +329,10 @@
                             std::function<void(Result<std::uint64_t>)> aResult)
 {
   mMetrics.count("radishroad_log_appends_total");
-  return mAppender.submit(
+  if (mWriter) {
+    return submitState(aStream, aRecord, std::move(aResult));
+  }
+  return mAppender->submit(
     aStream,
     aRecord,
     kAppendTimeout,
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -5,6 +5,7 @@
 #include "radishroad/base/timer.h"
 #include "radishroad/caller/server.h"
 #include "radishroad/daemon/control_context.h"
+#include "radishroad/config/operator_state.h"
 #include "radishroad/daemon/control_loop.h"
 #include "radishroad/daemon/coordinator_duty.h"
 #include "radishroad/daemon/crash_watch.h"
@@ -17,6 +18,7 @@
 #include "radishroad/daemon/lease_duty.h"
 #include "radishroad/daemon/lease_log.h"
 #include "radishroad/daemon/membership_duty.h"
+#include "radishroad/daemon/protocol.h"
 #include "radishroad/daemon/rate_duty.h"
 #include "radishroad/daemon/recorder.h"
 #include "radishroad/daemon/relay_duty.h"
@@ -25,8 +27,10 @@
 #include "radishroad/operator/admin_server.h"
 #include "radishroad/ownership/takeover_guard.h"
 #include "radishroad/peer/link.h"
-#include "radishroad/platform/log_appender.h"
-#include "radishroad/platform/log_follower.h"
+#include "radishroad/log/feed_follower.h"
+#include "radishroad/log/log_appender.h"
+#include "radishroad/log/log_follower.h"
+#include "radishroad/log/state_writer.h"
 #include "radishroad/upstream/gate.h"
 
 #include <atomic>
@@ -55,6 +59,7 @@
 
   const DaemonSettings mSettings;
   const DaemonHooks mHooks;
+  const DaemonProtocol mProtocol;
   const Incarnation mSelf;
   Metrics mMetrics;
   Timer mTimer;
@@ -69,7 +74,9 @@
   std::atomic<bool> mHadRequests{ false };
 
   ControlLoop mLoop;
-  LogAppender mAppender;
+  /// The one or the other, as the protocol keeps records or whole states.
+  std::unique_ptr<LogAppender> mAppender;
+  std::unique_ptr<StateWriter> mWriter;
   FleetState mFleet;
   Recorder mRecorder;
   std::unique_ptr<Gate> mGate;
@@ -86,7 +93,21 @@
   Ingress mIngress;
   CallerServer mCallers;
   AdminServer mAdmin;
+  /// Only with a platform's protocol.
+  std::unique_ptr<CallerServer> mReadiness;
+  std::unique_ptr<CallerServer> mReports;
+  /// What operators have in force; control thread.
+  config::OperatorState mOperators;
+  /// Position up to which operators' entries have been taken in.
+  std::uint64_t mOperatorsNext = 0;
+  /// Entries in force, by key, for peers.
+  std::map<std::string, Bytes> mEntries;
+  std::atomic<bool> mStateRead{ false };
+  /// Clients of the store that have no answer just now.
+  std::map<std::string, bool> mLostStores;
+  bool mZoneOut = false;
   std::map<std::string, std::unique_ptr<LogFollower>> mFollowers;
+  std::map<std::string, std::unique_ptr<FeedFollower>> mFeeds;
   TakeoverGuard mGuard;
   bool mGuardStarted = false;
   Millis mNextLoadReport;
@@ -102,6 +123,31 @@
   HandoffDuty::Hooks handoffHooks();
   Ingress::Hooks ingressHooks();
   void follow(const std::string& aStream);
+  // parts_platform.cpp: what only a platform's protocol needs.
+  void makePlatformServers();
+  void followStates(const std::string& aStream);
+  void takeState(const std::string& aStream,
+                 std::uint64_t aVersion,
+                 const CellState& aState);
+  /// Sends the newest state of a stream to all peers.
+  void passOnState(const std::string& aStream);
+  void followOperators();
+  void noteStore(const std::string& aWhat, bool aAnswers, const std::string& aError);
+  /// Takes in entries of operators, from the store or from a peer.
+  void onOperatorEntries(const OperatorEntries& aEntries);
+  void onRelayedState(const std::string& aStream,
+                      std::span<const LogRecord> aRecords);
+  bool submitState(const std::string& aStream,
+                   const wire::RecordT& aRecord,
+                   std::function<void(Result<std::uint64_t>)> aResult);
+  Answer answerReport(const CallerRequest& aRequest);
+  Answer answerReadiness(const CallerRequest& aRequest) const;
+  void setPlatformGateHooks(Gate::Hooks& aHooks);
+  void sendHandover(Shard aShard, const std::vector<std::string>& aTokens);
+  /// Puts what the gate bears on its answers.
+  AnswerFn withLoad(AnswerFn aAnswer);
+  void onZones();
+  Millis takeoverWait() const;
   /// Returns the time until the next tick.
   Millis tick();
   void onCell(const std::string& aService,
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-/// What a run may take beyond its limit until the upstream has ended it.
-constexpr Millis kRunLimitMargin{ 100 };
 constexpr Millis kLoadReportInterval{ 1000 };
 /// For reports of a gate that ran nothing.
 constexpr Millis kIdleReportInterval{ 3000 };
@@ -61,12 +59,17 @@
       mGate->configure(it->second);
     }
     mRate.onConfig(aModel);
+    onZones();
   };
   hooks.mOnRecord = [this](RandomId aId, FoldVerdict aVerdict) {
     mRecorder.onRecord(aId, aVerdict);
   };
   hooks.mFollowCell = [this](const std::string& aService) {
-    follow(cellStream(aService));
+    if (mProtocol.isPlatform()) {
+      followStates(cellStream(aService));
+    } else {
+      follow(cellStream(aService));
+    }
   };
   return hooks;
 }
@@ -94,6 +97,9 @@
     return mCrashes.isQuarantined(aFingerprint, monotonicNow());
   };
   hooks.mNow = monotonicNow;
+  if (mProtocol.isPlatform()) {
+    setPlatformGateHooks(hooks);
+  }
   return hooks;
 }
 
@@ -111,7 +117,7 @@
       aAnswer(makeNotRun(idOf(aRequest), NotRunReason::Unauthorized));
       return;
     }
-    mGate->submit(std::move(aRequest), std::move(aAnswer));
+    mGate->submit(std::move(aRequest), withLoad(std::move(aAnswer)));
   };
   hooks.mOnCancel = [this](RandomId aId) { mGate->cancel(aId); };
   return hooks;
@@ -154,7 +160,7 @@
   };
   hooks.mConfigFresh = [this] { return configFresh(); };
   hooks.mToOwnUpstream = [this](ForwardRequest aRequest, AnswerFn aAnswer) {
-    mGate->submit(std::move(aRequest), std::move(aAnswer));
+    mGate->submit(std::move(aRequest), withLoad(std::move(aAnswer)));
   };
   hooks.mToPeer = [this](const std::string& aAddress,
                          ForwardRequest aRequest,
@@ -172,6 +178,10 @@
   hooks.mMayRetry = [this](const ForwardRequest& aRequest) {
     return mHooks.mMayRunTwice(aRequest) && mCrashes.mayRetry(monotonicNow());
   };
+  hooks.mReadHead = mProtocol.mReadHead;
+  hooks.mRequestIdHeader = mProtocol.mRequestIdHeader;
+  hooks.mOwnService = mSettings.mService;
+  hooks.mOwnZone = mSettings.mZone;
   hooks.mNow = monotonicNow;
   return hooks;
 }
@@ -206,17 +216,20 @@
   const config::Model* model = mFleet.model();
   const bool known =
     model != nullptr && model->mServices.contains(mSettings.mService);
-  // Before the configuration is known, the longest wait is taken.
-  const config::Service service =
-    known ? model->mServices.at(mSettings.mService) : config::Service{};
-  if (service.mChecksFence) {
+  if (known && model->mServices.at(mSettings.mService).mChecksFence) {
     return;
   }
   const Millis now = monotonicNow();
-  const Millis wait = service.mRunLimit + kRunLimitMargin;
+  const Millis wait = takeoverWait();
   if (!mGuardStarted) {
     mGuardStarted = true;
-    mGuard.begin(aBefore, now, wait);
+    // Whole states show what was before only by the members that they name.
+    const bool whole = mProtocol.isPlatform();
+    mGuard.begin(whole ? aAfter : aBefore, now, wait);
+    if (whole) {
+      mAuthority.setWaits(mGuard);
+      return;
+    }
   }
   for (const OwnershipChange& change : ownershipChanges(aBefore, aAfter)) {
     mGuard.onOwnershipChange(change, now, wait);
@@ -345,6 +358,11 @@
     case wire::FrameBody::BeginLeave:
       mMembership.onPeerLeaves(aFrom);
       break;
+    case wire::FrameBody::Handover:
+      mGate->onHandover(aBody.AsHandover()->shard,
+                        aBody.AsHandover()->epoch,
+                        aBody.AsHandover()->tokens);
+      break;
     case wire::FrameBody::CrashReport:
       mCrashes.onReport(*aBody.AsCrashReport(), monotonicNow());
       break;
--- /dev/null
+++ b/src/daemon/parts_platform.cpp
@@ -0,0 +1,457 @@
+#include "parts.h"
+
+#include "radishroad/base/json_log.h"
+#include "radishroad/request/plain_answer.h"
+#include "radishroad/state/relay.h"
+#include "radishroad/state/snapshot_codec.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+namespace radishroad {
+
+namespace {
+
+constexpr std::size_t kWriterCapacity = 256;
+/// How long a poll waits for news, and what it may take beyond that. A
+/// connection that has gone silent is noticed after both.
+constexpr Millis kPollWait{ 15000 };
+constexpr Millis kPollMargin{ 2000 };
+/// Peers pass each new state on at once. The store is asked for what no peer
+/// could tell, and each call has its price.
+constexpr Millis kStateReadInterval{ 5000 };
+constexpr Millis kStateReadTimeout{ 1000 };
+/// Time for which the writer tries to settle a record.
+constexpr Millis kWriteTimeout{ 2000 };
+/// Part of the time for a zone taken out in which its keys are still served.
+constexpr std::int64_t kZonePercent = 80;
+/// What a run may take beyond its limit until the upstream has ended it.
+constexpr Millis kRunLimitMargin{ 100 };
+constexpr std::string_view kJson = "application/json";
+
+Bytes
+encodeEntries(std::uint64_t aNext, const std::map<std::string, Bytes>& aEntries)
+{
+  wire::PublishT publish;
+  publish.base_version = aNext;
+  for (const auto& [key, value] : aEntries) {
+    publish.files.push_back(std::make_unique<wire::ConfigFileT>());
+    publish.files.back()->name = key;
+    publish.files.back()->text.assign(value.begin(), value.end());
+  }
+  return encodeRecord(makeRecord(std::move(publish), {}, {}));
+}
+
+std::optional<OperatorEntries>
+decodeEntries(std::span<const std::uint8_t> aData)
+{
+  const Result<std::unique_ptr<wire::RecordT>> record = decodeRecord(aData);
+  const wire::PublishT* publish =
+    record ? (*record)->change.AsPublish() : nullptr;
+  if (publish == nullptr) {
+    return std::nullopt;
+  }
+  OperatorEntries entries;
+  entries.mNext = publish->base_version;
+  entries.mWhole = true;
+  for (const std::unique_ptr<wire::ConfigFileT>& file : publish->files) {
+    entries.mEntries.push_back(
+      { file->name, { file->text.begin(), file->text.end() } });
+  }
+  return entries;
+}
+
+}
+
+void
+Daemon::Parts::makePlatformServers()
+{
+  StateWriter::Hooks hooks;
+  hooks.mOnState = [this](const std::string& aStream,
+                          std::uint64_t aVersion,
+                          const CellState& aState) {
+    mLoop.post([this, aStream, aVersion, aState] {
+      mFleet.onState(aStream, aVersion, aState);
+    });
+  };
+  hooks.mOnWritten = [this](const std::string& aStream) {
+    mLoop.post([this, aStream] { passOnState(aStream); });
+  };
+  hooks.mOnStore = [this](bool aAnswers, const std::string& aError) {
+    noteStore("writer", aAnswers, aError);
+  };
+  mWriter = std::make_unique<StateWriter>(
+    mProtocol.mOpenStore, kWriterCapacity, std::move(hooks), systemRandom());
+  CallerServer::Options options;
+  options.mThreads = 1;
+  options.mListenAddress = mSettings.mReadyAddress;
+  mReadiness = std::make_unique<CallerServer>(
+    options,
+    [this](const CallerRequest& aRequest, const AnswerFn& aAnswer) {
+      aAnswer(answerReadiness(aRequest));
+      return CancelFn();
+    },
+    mMetrics);
+  options.mListenAddress = mSettings.mReportAddress;
+  mReports = std::make_unique<CallerServer>(
+    options,
+    [this](const CallerRequest& aRequest, const AnswerFn& aAnswer) {
+      aAnswer(answerReport(aRequest));
+      return CancelFn();
+    },
+    mMetrics);
+}
+
+Answer
+Daemon::Parts::answerReadiness(const CallerRequest& aRequest) const
+{
+  if (!mProtocol.mAsksReadiness(aRequest)) {
+    return makePlainAnswer(404, kJson, "{\"error\":\"unknown call\"}");
+  }
+  const bool isReady = ready();
+  return makePlainAnswer(isReady ? 200 : 503,
+                         kJson,
+                         isReady ? "{\"ready\":true}" : "{\"ready\":false}");
+}
+
+Answer
+Daemon::Parts::answerReport(const CallerRequest& aRequest)
+{
+  const Result<UpstreamReport> report = mProtocol.mReadReport(aRequest);
+  if (!report) {
+    logEvent(LogLevel::Warn,
+             "upstream_report_refused",
+             { { "error", report.error().mMessage },
+               { "target", aRequest.mTarget } });
+    return makePlainAnswer(400, kJson, "{}");
+  }
+  if (!mGate->onReport(*report)) {
+    logEvent(LogLevel::Info,
+             "upstream_report_outdated",
+             { { "instance", report->mInstance },
+               { "born_ms", report->mBorn.mCount },
+               { "sequence", report->mSequence } });
+  }
+  return makePlainAnswer(200, kJson, "{}");
+}
+
+void
+Daemon::Parts::setPlatformGateHooks(Gate::Hooks& aHooks)
+{
+  aHooks.mHoldings = [this] { return mAuthority.holdings(monotonicNow()); };
+  aHooks.mOnReleased = [this](Shard aShard,
+                              const std::vector<std::string>& aTokens) {
+    mLoop.post([this, aShard, aTokens] { sendHandover(aShard, aTokens); });
+  };
+  aHooks.mOnLife = [this](std::uint64_t aLife) {
+    mLoop.post([this, aLife] { mMembership.onUpstreamLife(aLife); });
+  };
+  aHooks.mOnDraining = [this] {
+    mLoop.post([this] {
+      mMembership.onUpstreamDrains();
+      mLoop.tickSoon();
+    });
+  };
+}
+
+void
+Daemon::Parts::sendHandover(Shard aShard,
+                            const std::vector<std::string>& aTokens)
+{
+  const Incarnation to = mHandoff.nextOwner(aShard);
+  const bool any = std::ranges::any_of(
+    aTokens, [](const std::string& aToken) { return !aToken.empty(); });
+  if (to == 0 || !any) {
+    return;
+  }
+  wire::HandoverT handover;
+  handover.shard = aShard;
+  handover.epoch = mFleet.ownCell().mShards.at(aShard).mEpoch;
+  handover.tokens = aTokens;
+  sendControl(to, makeBody(std::move(handover)));
+}
+
+AnswerFn
+Daemon::Parts::withLoad(AnswerFn aAnswer)
+{
+  if (!mProtocol.isPlatform()) {
+    return aAnswer;
+  }
+  return [this, answer = std::move(aAnswer)](Answer aTold) {
+    const Gate::Pace pace = mGate->pace();
+    aTold.load = std::make_unique<wire::GateLoadT>();
+    aTold.load->running = pace.mPace.mRunning;
+    aTold.load->queued = pace.mQueued;
+    aTold.load->slots = pace.mPace.mSlots;
+    aTold.load->run_ms = static_cast<float>(pace.mPace.mRunMs);
+    answer(std::move(aTold));
+  };
+}
+
+void
+Daemon::Parts::noteStore(const std::string& aWhat,
+                         bool aAnswers,
+                         const std::string& aError)
+{
+  mLoop.post([this, aWhat, aAnswers, aError] {
+    bool& lost = mLostStores[aWhat];
+    if (!aAnswers) {
+      mMetrics.count("radishroad_store_errors_total");
+    }
+    if (lost == !aAnswers) {
+      return;
+    }
+    lost = !aAnswers;
+    logEvent(lost ? LogLevel::Warn : LogLevel::Info,
+             lost ? "store_lost" : "store_regained",
+             { { "by", aWhat }, { "error", aError } });
+  });
+}
+
+void
+Daemon::Parts::takeState(const std::string& aStream,
+                         std::uint64_t aVersion,
+                         const CellState& aState)
+{
+  mWriter->learn(aStream, aVersion, aState);
+  mFleet.onState(aStream, aVersion, aState);
+}
+
+void
+Daemon::Parts::passOnState(const std::string& aStream)
+{
+  const std::vector<LogRecord> records = mFleet.recordsFrom(aStream, 0);
+  if (records.empty()) {
+    return;
+  }
+  const wire::RelayRecordsT relay = makeRelay(aStream, records);
+  for (const auto& [service, cell] : mFleet.cells()) {
+    for (const auto& [incarnation, member] : cell->mMembers) {
+      if (incarnation != mSelf && member.mStatus == MemberStatus::Active) {
+        sendControl(incarnation, makeBody(relay));
+      }
+    }
+  }
+}
+
+void
+Daemon::Parts::followStates(const std::string& aStream)
+{
+  const std::shared_ptr<StateStore> store =
+    std::make_shared<StateStore>(mProtocol.mOpenStore());
+  const std::shared_ptr<std::uint64_t> version =
+    std::make_shared<std::uint64_t>(0);
+  FeedFollower::Hooks hooks;
+  hooks.mPoll = [this, aStream, store, version]() -> Result<void> {
+    const Millis askedAt = monotonicNow();
+    const Result<StoredState> read =
+      store->mRead(aStream, *version, Millis{ 0 }, kStateReadTimeout);
+    if (!read) {
+      return tl::unexpected<Error>(read.error());
+    }
+    noteStore(aStream, true, {});
+    if (read->mVersion != *version) {
+      CellState state;
+      const Result<void> decoded = decodeState(read->mData, state);
+      if (!decoded) {
+        return tl::unexpected<Error>(decoded.error());
+      }
+      *version = read->mVersion;
+      mLoop.post([this, aStream, newest = *version, state] {
+        takeState(aStream, newest, state);
+      });
+    }
+    mLoop.post([this, aStream, askedAt] {
+      mFleet.onContact(aStream, askedAt);
+    });
+    return {};
+  };
+  hooks.mOnError = [this, aStream](const Error& aError) {
+    noteStore(aStream, false, aError.mMessage);
+    mLoop.post([this, aStream] { mFleet.onNoContact(aStream); });
+  };
+  hooks.mAbort = [store] { store->mAbort(); };
+  hooks.mInterval = kStateReadInterval;
+  mFeeds[aStream] =
+    std::make_unique<FeedFollower>(std::move(hooks), systemRandom());
+  mFeeds[aStream]->start();
+}
+
+void
+Daemon::Parts::followOperators()
+{
+  const std::string stream(kConfigStream);
+  const std::shared_ptr<OperatorFeed> feed =
+    std::make_shared<OperatorFeed>(mProtocol.mOpenFeed());
+  const std::shared_ptr<std::uint64_t> next =
+    std::make_shared<std::uint64_t>(0);
+  FeedFollower::Hooks hooks;
+  hooks.mPoll = [this, stream, feed, next]() -> Result<void> {
+    const Millis askedAt = monotonicNow();
+    const Result<OperatorEntries> read =
+      feed->mRead(*next, kPollWait, kPollWait + kPollMargin);
+    if (!read) {
+      return tl::unexpected<Error>(read.error());
+    }
+    noteStore(stream, true, {});
+    *next = read->mNext;
+    mLoop.post([this, stream, askedAt, entries = *read] {
+      onOperatorEntries(entries);
+      mFleet.onContact(stream, askedAt);
+    });
+    return {};
+  };
+  hooks.mOnError = [this, stream](const Error& aError) {
+    noteStore(stream, false, aError.mMessage);
+    mLoop.post([this, stream] { mFleet.onNoContact(stream); });
+  };
+  hooks.mAbort = [feed] { feed->mAbort(); };
+  mFeeds[stream] =
+    std::make_unique<FeedFollower>(std::move(hooks), systemRandom());
+  mFeeds[stream]->start();
+}
+
+void
+Daemon::Parts::onOperatorEntries(const OperatorEntries& aEntries)
+{
+  if (aEntries.mNext <= mOperatorsNext) {
+    return;
+  }
+  if (aEntries.mWhole) {
+    mOperators.setZonesOut({});
+    mEntries.clear();
+  }
+  for (const OperatorEntry& entry : aEntries.mEntries) {
+    Result<OperatorChange> change = mProtocol.mReadEntry(entry);
+    if (!change) {
+      mMetrics.count("radishroad_operator_entries_refused_total");
+      logEvent(LogLevel::Error,
+               "operator_entry_refused",
+               { { "key", entry.mKey },
+                 { "position", aEntries.mNext },
+                 { "error", change.error().mMessage },
+                 { "version_in_force", mOperators.version() } });
+      continue;
+    }
+    if (config::VersionedModel* model =
+          std::get_if<config::VersionedModel>(&change->mWhat)) {
+      const std::uint64_t version = model->mVersion;
+      if (mOperators.apply(std::move(*model)) ==
+          config::OperatorState::Verdict::Outdated) {
+        logEvent(LogLevel::Info,
+                 "config_outdated",
+                 { { "version", version },
+                   { "version_in_force", mOperators.version() } });
+        if (version != mOperators.version()) {
+          continue;
+        }
+      }
+      mEntries[entry.mKey] = entry.mValue;
+    }
+    if (const OperatorChange::ZoneState* zone =
+          std::get_if<OperatorChange::ZoneState>(&change->mWhat)) {
+      mOperators.setZone(zone->mZone, zone->mInService);
+      if (zone->mInService) {
+        mEntries.erase(entry.mKey);
+      } else {
+        mEntries[entry.mKey] = entry.mValue;
+      }
+      logEvent(LogLevel::Info,
+               "zone",
+               { { "zone", zone->mZone },
+                 { "in_service", zone->mInService } });
+    }
+  }
+  mOperatorsNext = aEntries.mNext;
+  mFleet.setModel(mOperatorsNext,
+                  mOperators.model(),
+                  encodeEntries(mOperatorsNext, mEntries));
+}
+
+void
+Daemon::Parts::onRelayedState(const std::string& aStream,
+                              std::span<const LogRecord> aRecords)
+{
+  for (const LogRecord& record : aRecords) {
+    if (aStream == kConfigStream) {
+      const std::optional<OperatorEntries> entries =
+        decodeEntries(record.mData);
+      if (entries) {
+        onOperatorEntries(*entries);
+      }
+      continue;
+    }
+    CellState state;
+    const Result<void> decoded = decodeState(record.mData, state);
+    if (decoded) {
+      takeState(aStream, record.mOffset, state);
+    } else {
+      logEvent(LogLevel::Warn,
+               "relayed_state_refused",
+               { { "stream", aStream },
+                 { "error", decoded.error().mMessage } });
+    }
+  }
+}
+
+bool
+Daemon::Parts::submitState(
+  const std::string& aStream,
+  const wire::RecordT& aRecord,
+  std::function<void(Result<std::uint64_t>)> aResult)
+{
+  const RandomId id{ aRecord.id_high, aRecord.id_low };
+  return mWriter->submit(
+    aStream,
+    aRecord,
+    kWriteTimeout,
+    [this, id, result = std::move(aResult)](
+      const Result<FoldVerdict>& aVerdict) {
+      mLoop.post([this, id, result, aVerdict] {
+        if (aVerdict) {
+          mRecorder.onRecord(id, *aVerdict);
+        } else {
+          result(tl::unexpected<Error>(aVerdict.error()));
+        }
+      });
+    });
+}
+
+void
+Daemon::Parts::onZones()
+{
+  const config::Model* model = mFleet.model();
+  if (!mProtocol.isPlatform() || model == nullptr) {
+    return;
+  }
+  const auto it = model->mZones.find(mSettings.mZone);
+  const bool out = it != model->mZones.end() && !it->second.mInService;
+  if (out == mZoneOut) {
+    return;
+  }
+  mZoneOut = out;
+  const Millis keysUntil =
+    monotonicNow() + mSettings.zoneOutTime() * kZonePercent / 100;
+  mAuthority.setZoneOut(out ? std::optional<Millis>(keysUntil) : std::nullopt);
+}
+
+Millis
+Daemon::Parts::takeoverWait() const
+{
+  const config::Model* model = mFleet.model();
+  const bool known =
+    model != nullptr && model->mServices.contains(mSettings.mService);
+  if (!known && mProtocol.isPlatform()) {
+    return GrantKeeper::longestHold(mSettings.longestHold());
+  }
+  // Before the configuration is known, the longest wait is taken.
+  const config::Service service =
+    known ? model->mServices.at(mSettings.mService) : config::Service{};
+  return service.mHoldTime > Millis{}
+           ? GrantKeeper::longestHold(service.mHoldTime)
+           : service.mRunLimit + kRunLimitMargin;
+}
+
+}
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -29,9 +29,15 @@
 /// An incarnation that lived so long did not fail at once.
 constexpr Millis kLongLife{ 60000 };
 constexpr Millis kJoinDelayStep{ 500 };
+/// The platform allows a fleet a fifth of its requests as repeats, and few
+/// besides; all daemons together stay well below.
+constexpr RetryBudget::Bounds kPlatformRetries{ .mRatio = 0.08,
+                                                .mMost = 4,
+                                                .mPerSecond = 0.1 };
 constexpr Millis kLongestJoinDelay{ 30000 };
 
 std::atomic<bool> sStopRequested{ false };
+std::atomic<bool> sReloadRequested{ false };
 /// Posted by the signal handler, which may call little else.
 sem_t sStopSignal;
 
@@ -42,6 +48,14 @@
   sem_post(&sStopSignal);
 }
 
+/// Settings come with the command line and stay; a reload is only told of.
+void
+onReloadSignal(int)
+{
+  sReloadRequested = true;
+  sem_post(&sStopSignal);
+}
+
 bool
 waitForStop(Millis aLongest)
 {
@@ -53,10 +67,13 @@
   timespec until{};
   until.tv_sec = std::chrono::duration_cast<seconds>(end).count();
   until.tv_nsec = (end % seconds(1)).count();
-  while (!sStopRequested &&
+  while (!sStopRequested && !sReloadRequested &&
          sem_clockwait(&sStopSignal, CLOCK_MONOTONIC, &until) != 0 &&
          errno == EINTR) {
   }
+  if (sReloadRequested.exchange(false)) {
+    logEvent(LogLevel::Info, "reload", { { "settings", "unchanged" } });
+  }
   return sStopRequested;
 }
 
@@ -67,6 +84,7 @@
   std::signal(SIGTERM, onStopSignal);
   std::signal(SIGINT, onStopSignal);
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, onReloadSignal);
 }
 
 std::optional<std::string>
@@ -80,7 +98,8 @@
 runDaemon(const DaemonSettings& aSettings, const DaemonHooks& aHooks)
 {
   // What crashes upstreams is remembered from one incarnation to the next.
-  CrashWatch crashes;
+  CrashWatch crashes(aSettings.isPlatform() ? kPlatformRetries
+                                            : RetryBudget::Bounds{});
   Millis joinDelay;
   while (true) {
     const Millis startedAt = monotonicNow();
--- a/src/daemon/relay_duty.cpp
+++ b/src/daemon/relay_duty.cpp
@@ -2,6 +2,7 @@
 
 #include "radishroad/daemon/control_context.h"
 #include "radishroad/daemon/fleet_state.h"
+#include "radishroad/daemon/settings.h"
 #include "radishroad/state/relay.h"
 
 namespace radishroad {
@@ -59,8 +60,12 @@
 RelayDuty::onRelayed(const wire::RelayRecordsT& aRecords)
 {
   const std::vector<LogRecord> records = relayedRecords(aRecords);
-  if (!records.empty() &&
-      records.front().mOffset <= mContext.mFleet.nextOffset(aRecords.stream)) {
+  // Whole states leave no gaps.
+  const bool whole = mContext.mSettings.isPlatform();
+  if (records.empty()) {
+    return;
+  }
+  if (whole || records.front().mOffset <= mContext.mFleet.nextOffset(aRecords.stream)) {
     mOnRecords(aRecords.stream, records);
   }
 }
--- a/src/daemon/serve_authority.cpp
+++ b/src/daemon/serve_authority.cpp
@@ -8,6 +8,8 @@
 
 /// Pause before a request that cannot run yet is looked at again.
 constexpr Millis kRecheckInterval{ 10 };
+/// Where any upstream may run a request, its run is looked at this often.
+constexpr Millis kUnkeyedRecheck{ 60000 };
 
 ServeDecision
 refuse(NotRunReason aReason, Epoch aEpoch, Millis aRetryAt)
@@ -56,11 +58,62 @@
   return mWaits.serveFrom(aCell, aKeyHash);
 }
 
+void
+ServeAuthority::setZoneOut(std::optional<Millis> aKeysUntil)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mKeysUntil = aKeysUntil;
+}
+
+std::vector<Holding>
+ServeAuthority::holdings(Millis aNow) const
+{
+  std::vector<Holding> holdings;
+  const std::shared_ptr<const FleetView> view = mViews.get();
+  const CellState* cell = view->cell(mService);
+  if (cell == nullptr || leaseUntil() <= aNow) {
+    return holdings;
+  }
+  const std::lock_guard<std::mutex> lock(mMutex);
+  for (Shard shard = 0; shard < kShardCount; ++shard) {
+    const Ownership& ownership = cell->mShards[shard];
+    if (ownership.mOwner == mSelf && mWaits.serveFrom(shard) <= aNow) {
+      holdings.push_back({ shard, ownership.mEpoch });
+    }
+  }
+  return holdings;
+}
+
+bool
+ServeAuthority::runsAnywhere(const FleetView& aView) const
+{
+  if (aView.mModel == nullptr) {
+    return false;
+  }
+  const auto it = aView.mModel->mServices.find(mService);
+  return it != aView.mModel->mServices.end() && !it->second.mKeyed;
+}
+
 ServeDecision
 ServeAuthority::decide(const ForwardRequest& aRequest, Millis aNow) const
 {
   const Millis soon = aNow + kRecheckInterval;
   const std::shared_ptr<const FleetView> view = mViews.get();
+  std::optional<Millis> keysUntil;
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    keysUntil = mKeysUntil;
+  }
+  if (runsAnywhere(*view)) {
+    ServeDecision decision;
+    decision.mRefusal =
+      keysUntil ? NotRunReason::Draining : NotRunReason::None;
+    decision.mServeUntil = aNow + kUnkeyedRecheck;
+    return decision;
+  }
+  if (keysUntil && aNow >= *keysUntil) {
+    return refuse(NotRunReason::Draining, 0, aNow);
+  }
   const CellState* cell = view->cell(mService);
   if (cell == nullptr || cell->mNextOffset < aRequest.view_offset) {
     // The sender knows more of the log than this daemon has folded yet.
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -20,6 +20,8 @@
   OptionalAddress,
   Level,
   Threads,
+  Protocol,
+  Duration,
 };
 
 /// One setting: its flag, where it is kept, and how it is checked.
@@ -32,7 +34,7 @@
   const char* mHelp;
 };
 
-constexpr std::array<Field, 11> kFields{ {
+constexpr std::array<Field, 18> kFields{ {
   { "vm", "RADISHROAD_VM", &DaemonSettings::mVm, Kind::Name, "name of the VM" },
   { "zone",
     "RADISHROAD_ZONE",
@@ -84,10 +86,46 @@
     &DaemonSettings::mCallerThreads,
     Kind::Threads,
     "threads that read callers' requests, 1 to 64 (2)" },
+  { "protocol",
+    "RADISHROAD_PROTOCOL",
+    &DaemonSettings::mProtocol,
+    Kind::Protocol,
+    "own or platform (own)" },
+  { "ready-address",
+    "RADISHROAD_READY_ADDRESS",
+    &DaemonSettings::mReadyAddress,
+    Kind::OptionalAddress,
+    "IP:PORT where the platform asks whether the daemon is ready" },
+  { "report-address",
+    "RADISHROAD_REPORT_ADDRESS",
+    &DaemonSettings::mReportAddress,
+    Kind::OptionalAddress,
+    "IP:PORT where the upstream reports its state" },
+  { "stop-time-ms",
+    "RADISHROAD_STOP_TIME_MS",
+    &DaemonSettings::mStopTimeMs,
+    Kind::Duration,
+    "time for a planned stop, hand-offs included (25000)" },
+  { "drain-time-ms",
+    "RADISHROAD_DRAIN_TIME_MS",
+    &DaemonSettings::mDrainTimeMs,
+    Kind::Duration,
+    "time after which an upstream that drains gets nothing (2000)" },
+  { "longest-hold-ms",
+    "RADISHROAD_LONGEST_HOLD_MS",
+    &DaemonSettings::mLongestHoldMs,
+    Kind::Duration,
+    "longest time for which an upstream is granted keys (10000)" },
+  { "zone-out-time-ms",
+    "RADISHROAD_ZONE_OUT_TIME_MS",
+    &DaemonSettings::mZoneOutTimeMs,
+    Kind::Duration,
+    "time after which a zone taken out gets nothing (5000)" },
 } };
 
 constexpr std::size_t kMaxNameLength = 64;
 constexpr unsigned kMaxThreads = 64;
+constexpr unsigned kMaxDurationMs = 600000;
 
 bool
 isName(const std::string& aText)
@@ -122,6 +160,13 @@
   return n >= 1 && n <= kMaxThreads;
 }
 
+bool
+isDuration(const std::string& aText)
+{
+  const unsigned n = toUnsigned(aText);
+  return n >= 1 && n <= kMaxDurationMs;
+}
+
 /// What the kind accepts, or empty if the text is accepted.
 std::string
 expectedOf(Kind aKind, const std::string& aText)
@@ -137,6 +182,10 @@
       return isLevel(aText) ? "" : "debug, info, warn or error";
     case Kind::Threads:
       return isThreads(aText) ? "" : "a number from 1 to 64";
+    case Kind::Protocol:
+      return aText == "own" || aText == "platform" ? "" : "own or platform";
+    case Kind::Duration:
+      return isDuration(aText) ? "" : "milliseconds from 1 to 600000";
   }
   return "";
 }
@@ -228,6 +277,30 @@
   return toUnsigned(mCallerThreads);
 }
 
+Millis
+DaemonSettings::stopTime() const
+{
+  return { toUnsigned(mStopTimeMs) };
+}
+
+Millis
+DaemonSettings::drainTime() const
+{
+  return { toUnsigned(mDrainTimeMs) };
+}
+
+Millis
+DaemonSettings::longestHold() const
+{
+  return { toUnsigned(mLongestHoldMs) };
+}
+
+Millis
+DaemonSettings::zoneOutTime() const
+{
+  return { toUnsigned(mZoneOutTimeMs) };
+}
+
 bool
 isSocketAddress(const std::string& aText)
 {
--- a/src/platform/append_limit.cpp
+++ b/src/log/append_limit.cpp
@@ -1,4 +1,4 @@
-#include "radishroad/platform/append_limit.h"
+#include "radishroad/log/append_limit.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/platform/backoff.cpp
+++ b/src/log/backoff.cpp
@@ -1,4 +1,4 @@
-#include "radishroad/platform/backoff.h"
+#include "radishroad/log/backoff.h"
 
 #include "radishroad/base/random_id.h"
 
--- a/src/platform/log_appender.cpp
+++ b/src/log/log_appender.cpp
@@ -1,8 +1,8 @@
-#include "radishroad/platform/log_appender.h"
+#include "radishroad/log/log_appender.h"
 
 #include "radishroad/base/ring.h"
-#include "radishroad/platform/append_limit.h"
-#include "radishroad/platform/log_client.h"
+#include "radishroad/log/append_limit.h"
+#include "radishroad/log/log_client.h"
 
 #include <algorithm>
 #include <condition_variable>
--- a/src/platform/log_follower.cpp
+++ b/src/log/log_follower.cpp
@@ -1,6 +1,6 @@
-#include "radishroad/platform/log_follower.h"
+#include "radishroad/log/log_follower.h"
 
-#include "radishroad/platform/log_client.h"
+#include "radishroad/log/log_client.h"
 
 #include <algorithm>
 #include <atomic>
--- a/src/platform/read_body.cpp
+++ b/src/log/read_body.cpp
@@ -1,4 +1,4 @@
-#include "radishroad/platform/read_body.h"
+#include "radishroad/log/read_body.h"
 
 #include <flatbuffers/base.h>
 
--- a/src/main/radishroadd.cpp
+++ b/src/main/radishroadd.cpp
@@ -1,7 +1,10 @@
+#include "platform/protocol.h"
 #include "radishroad/daemon/program.h"
 
 int
 main(int aCount, char** aArguments)
 {
-  return radishroad::runDaemonProgram(aCount, aArguments, {});
+  radishroad::DaemonHooks hooks;
+  hooks.mMakeProtocol = radishroad::platform::makeProtocol;
+  return radishroad::runDaemonProgram(aCount, aArguments, hooks);
 }
--- a/src/operator/admin_server.cpp
+++ b/src/operator/admin_server.cpp
@@ -2,6 +2,7 @@
 
 #include "radishroad/base/json_log.h"
 #include "radishroad/caller/server.h"
+#include "radishroad/request/plain_answer.h"
 
 #include <array>
 #include <nlohmann/json.hpp>
@@ -15,26 +16,12 @@
 constexpr std::string_view kJsonLines = "application/x-ndjson";
 constexpr std::string_view kPrometheusText = "text/plain; version=0.0.4";
 
-Answer
-makePage(unsigned aStatus, std::string_view aType, std::string_view aText)
-{
-  Answer answer;
-  answer.kind = AnswerKind::Answered;
-  answer.status = static_cast<std::uint16_t>(aStatus);
-  std::unique_ptr<wire::HeaderT> type = std::make_unique<wire::HeaderT>();
-  type->name = "Content-Type";
-  type->value = aType;
-  answer.headers.push_back(std::move(type));
-  answer.body.assign(aText.begin(), aText.end());
-  return answer;
-}
-
 Answer
 makeJsonPage(unsigned aStatus, const nlohmann::json& aJson)
 {
   const std::string text =
     aJson.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-  return makePage(aStatus, kJson, text + "\n");
+  return makePlainAnswer(aStatus, kJson, text + "\n");
 }
 
 std::string
@@ -95,10 +82,10 @@
       return makeJsonPage(200, mHooks.mState());
     }
     if (aPath == "/metrics") {
-      return makePage(200, kPrometheusText, mShown.toPrometheus());
+      return makePlainAnswer(200, kPrometheusText, mShown.toPrometheus());
     }
     if (aPath == "/events") {
-      return makePage(200, kJsonLines, joinLines(recentEvents()));
+      return makePlainAnswer(200, kJsonLines, joinLines(recentEvents()));
     }
     return makeJsonPage(
       404, { { "error", "known: /health /ready /state /metrics /events" } });
--- /dev/null
+++ b/src/policy/cold_limit.cpp
@@ -0,0 +1,82 @@
+#include "radishroad/policy/cold_limit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace radishroad {
+
+namespace {
+
+/// Requests that may go out at once. With the rate itself it stays below one
+/// and a half times the rate and five, the bound that upstreams are given.
+constexpr double kBurst = 3;
+constexpr double kMillisPerSecond = 1000;
+
+}
+
+void
+ColdLimit::setRate(double aPerSecond)
+{
+  mPerSecond = aPerSecond;
+}
+
+void
+ColdLimit::onCold(Millis aFor, Millis aNow)
+{
+  if (aFor <= Millis{}) {
+    mColdUntil.reset();
+    return;
+  }
+  if (!isCold(aNow)) {
+    mTokens = 1;
+    mRefilledAt = aNow;
+  }
+  mColdUntil = aNow + aFor;
+}
+
+bool
+ColdLimit::isCold(Millis aNow) const
+{
+  return mPerSecond > 0 && mColdUntil && aNow < *mColdUntil;
+}
+
+void
+ColdLimit::refill(Millis aNow)
+{
+  const double passed = static_cast<double>((aNow - mRefilledAt).mCount);
+  if (passed > 0) {
+    mTokens = std::min(kBurst, mTokens + mPerSecond * passed / kMillisPerSecond);
+    mRefilledAt = aNow;
+  }
+}
+
+bool
+ColdLimit::maySend(Millis aNow)
+{
+  if (!isCold(aNow)) {
+    return true;
+  }
+  refill(aNow);
+  return mTokens >= 1;
+}
+
+void
+ColdLimit::onSent(Millis aNow)
+{
+  if (isCold(aNow)) {
+    refill(aNow);
+    mTokens = std::max(0.0, mTokens - 1);
+  }
+}
+
+Millis
+ColdLimit::nextSend(Millis aNow)
+{
+  if (maySend(aNow)) {
+    return aNow;
+  }
+  const double wait = (1 - mTokens) / mPerSecond * kMillisPerSecond;
+  return aNow + Millis{ static_cast<std::int64_t>(std::ceil(wait)) };
+}
+
+}
--- /dev/null
+++ b/src/policy/upstream_choice.cpp
@@ -0,0 +1,118 @@
+#include "radishroad/policy/upstream_choice.h"
+
+#include "radishroad/base/hash.h"
+
+#include <algorithm>
+
+namespace radishroad {
+
+namespace {
+
+/// Taken for a member that has told nothing yet: it is tried soon, but does
+/// not draw all requests at once.
+constexpr double kUnknownRunMs = 30;
+constexpr std::uint32_t kUnknownSlots = 4;
+/// What another availability zone must save to be worth the crossing.
+constexpr double kZoneBonusMs = 12;
+/// What a gate told of its queue is worth less and less from then on.
+constexpr double kTellingMs = 400;
+/// A member that gave no answer rests for so long while others are there.
+constexpr Millis kRest{ 500 };
+/// Differences below this are drawn by lot.
+constexpr double kTieMs = 4;
+
+}
+
+void
+UpstreamChoice::onPace(Incarnation aMember,
+                       const UpstreamPace& aPace,
+                       std::uint32_t aQueued,
+                       Millis aNow)
+{
+  View& view = mViews[aMember];
+  view.mPace = aPace;
+  view.mQueued = aQueued;
+  view.mTold = aNow;
+  view.mSentWhenTold = view.mSent;
+}
+
+void
+UpstreamChoice::onSent(Incarnation aMember)
+{
+  ++mViews[aMember].mSent;
+}
+
+void
+UpstreamChoice::onEnded(Incarnation aMember, bool aFailed, Millis aNow)
+{
+  View& view = mViews[aMember];
+  view.mSent -= std::min(view.mSent, 1U);
+  view.mSentWhenTold = std::min(view.mSentWhenTold, view.mSent);
+  view.mRestUntil = aFailed ? aNow + kRest : Millis{};
+}
+
+double
+UpstreamChoice::expectedMs(const View& aView, Millis aNow) const
+{
+  const bool told = aView.mTold > Millis{};
+  const double run =
+    told && aView.mPace.mRunMs > 0 ? aView.mPace.mRunMs : kUnknownRunMs;
+  const double slots = told ? std::max(1U, aView.mPace.mSlots) : kUnknownSlots;
+  const double age = static_cast<double>((aNow - aView.mTold).mCount);
+  const double fresh = told ? std::max(0.0, 1 - age / kTellingMs) : 0;
+  const double there =
+    fresh * (static_cast<double>(aView.mPace.mRunning) + aView.mQueued);
+  const double since = aView.mSent - aView.mSentWhenTold * fresh;
+  const double ahead = there + std::max(0.0, since);
+  const double wait = std::max(0.0, ahead + 1 - slots) * run / slots;
+  // Short of its slots, a busy upstream still tends to be slower.
+  return run * (1 + 0.25 * std::min(1.0, ahead / slots)) + wait;
+}
+
+std::optional<Incarnation>
+UpstreamChoice::choose(std::span<const Candidate> aCandidates,
+                       std::uint64_t aDraw,
+                       Millis aNow) const
+{
+  struct Scored
+  {
+    Incarnation mMember = 0;
+    bool mRests = false;
+    double mMs = 0;
+    std::uint64_t mLot = 0;
+  };
+  std::optional<Scored> best;
+  for (const Candidate& candidate : aCandidates) {
+    const auto it = mViews.find(candidate.mMember);
+    const View view = it == mViews.end() ? View{} : it->second;
+    Scored scored;
+    scored.mMember = candidate.mMember;
+    scored.mRests = aNow < view.mRestUntil;
+    scored.mMs =
+      expectedMs(view, aNow) + (candidate.mSameZone ? 0 : kZoneBonusMs);
+    scored.mLot = hashPair(aDraw, candidate.mMember);
+    const auto better = [&] {
+      if (scored.mRests != best->mRests) {
+        return !scored.mRests;
+      }
+      const double gap = scored.mMs - best->mMs;
+      return std::abs(gap) < kTieMs ? scored.mLot > best->mLot : gap < 0;
+    };
+    if (!best || better()) {
+      best = scored;
+    }
+  }
+  return best ? std::optional<Incarnation>(best->mMember) : std::nullopt;
+}
+
+void
+UpstreamChoice::keepOnly(std::span<const Candidate> aCandidates)
+{
+  std::erase_if(mViews, [aCandidates](const auto& aEntry) {
+    return std::ranges::find(aCandidates,
+                             aEntry.first,
+                             &Candidate::mMember) == aCandidates.end();
+  });
+}
+
+}
--- /dev/null
+++ b/src/policy/work_order.cpp
@@ -0,0 +1,115 @@
+#include "radishroad/policy/work_order.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace radishroad {
+
+namespace {
+
+constexpr double kMillisPerSecond = 1000;
+/// Of the time up to the objective, how long a request may wait to start if it
+/// would miss the objective anyway: an answer that late is worth little, and
+/// those behind it would be late too.
+constexpr double kLateStretch = 2.0;
+/// The least and longest pause that a refused caller is asked for.
+constexpr Millis kLeastRetryAfter{ 100 };
+constexpr Millis kLongestRetryAfter{ 1000 };
+
+struct Ranked
+{
+  std::size_t mIndex = 0;
+  bool mLate = false;
+  Millis mUrgency;
+};
+
+/// Starts a millisecond that the upstream makes.
+double
+startRate(const UpstreamPace& aPace)
+{
+  const double run = std::max(1.0, aPace.mRunMs);
+  const double rate = std::max(1U, aPace.mSlots) / run;
+  return aPace.mColdPerSecond > 0
+           ? std::min(rate, aPace.mColdPerSecond / kMillisPerSecond)
+           : rate;
+}
+
+Ranked
+rankOf(const WaitingWork& aWork,
+       std::size_t aIndex,
+       const UpstreamPace& aPace,
+       Millis aNow)
+{
+  const Millis run{ static_cast<std::int64_t>(aPace.mRunMs) };
+  Ranked ranked;
+  ranked.mIndex = aIndex;
+  ranked.mLate = aNow + run > aWork.mObjectiveAt;
+  const Millis due = ranked.mLate ? aWork.mDeadline : aWork.mObjectiveAt;
+  ranked.mUrgency = due + kRankLead * aWork.mRank;
+  return ranked;
+}
+
+/// Latest useful start. A request that has not waited yet is always worth a
+/// try if there is room at once.
+Millis
+latestStart(const WaitingWork& aWork, const UpstreamPace& aPace)
+{
+  const double given = static_cast<double>(
+    (aWork.mObjectiveAt - aWork.mQueuedAt).mCount);
+  const Millis useful =
+    aWork.mQueuedAt +
+    Millis{ static_cast<std::int64_t>(std::max(0.0, given) * kLateStretch) };
+  const Millis run{ static_cast<std::int64_t>(aPace.mRunMs) };
+  return std::min(useful, aWork.mDeadline - run);
+}
+
+}
+
+Millis
+expectedWait(const UpstreamPace& aPace, std::size_t aAhead)
+{
+  const double busy =
+    static_cast<double>(aPace.mRunning) + static_cast<double>(aAhead);
+  const double free = std::max(0.0, static_cast<double>(aPace.mSlots) - busy);
+  const double over =
+    free >= 1 ? 0 : busy + 1 - static_cast<double>(aPace.mSlots);
+  const double cold = aPace.mColdPerSecond > 0
+                        ? static_cast<double>(aAhead) / startRate(aPace)
+                        : 0;
+  const double wait = std::max(cold, over / startRate(aPace));
+  return Millis{ static_cast<std::int64_t>(wait) };
+}
+
+WorkPlan
+planWork(std::span<const WaitingWork> aWaiting,
+         const UpstreamPace& aPace,
+         Millis aNow)
+{
+  std::vector<Ranked> ranked;
+  ranked.reserve(aWaiting.size());
+  for (std::size_t n = 0; n < aWaiting.size(); ++n) {
+    ranked.push_back(rankOf(aWaiting[n], n, aPace, aNow));
+  }
+  std::ranges::stable_sort(ranked, [](const Ranked& aLeft, const Ranked& aRight) {
+    return aLeft.mLate != aRight.mLate ? !aLeft.mLate
+                                       : aLeft.mUrgency < aRight.mUrgency;
+  });
+  WorkPlan plan;
+  for (const Ranked& each : ranked) {
+    const WaitingWork& work = aWaiting[each.mIndex];
+    const Millis wait = expectedWait(aPace, plan.mOrder.size());
+    if (wait > Millis{} && aNow + wait > latestStart(work, aPace)) {
+      const Millis pause = std::clamp(
+        wait - (latestStart(work, aPace) - aNow) / 2,
+        kLeastRetryAfter,
+        kLongestRetryAfter);
+      plan.mRefused.push_back({ each.mIndex, pause });
+    } else {
+      plan.mOrder.push_back(each.mIndex);
+    }
+  }
+  return plan;
+}
+
+}
--- /dev/null
+++ b/src/request/plain_answer.cpp
@@ -0,0 +1,23 @@
+#include "radishroad/request/plain_answer.h"
+
+#include <memory>
+
+namespace radishroad {
+
+Answer
+makePlainAnswer(unsigned aStatus,
+                std::string_view aType,
+                std::string_view aText)
+{
+  Answer answer;
+  answer.kind = AnswerKind::Answered;
+  answer.status = static_cast<std::uint16_t>(aStatus);
+  std::unique_ptr<wire::HeaderT> type = std::make_unique<wire::HeaderT>();
+  type->name = "Content-Type";
+  type->value = aType;
+  answer.headers.push_back(std::move(type));
+  answer.body.assign(aText.begin(), aText.end());
+  return answer;
+}
+
+}
--- a/src/state/fold_cell.cpp
+++ b/src/state/fold_cell.cpp
@@ -33,6 +33,8 @@
       return rules::apply(aState, *aChange.AsSplitKey());
     case wire::Change::ZonesOut:
       return rules::apply(aState, *aChange.AsZonesOut());
+    case wire::Change::UpstreamChange:
+      return rules::apply(aState, *aChange.AsUpstreamChange());
     case wire::Change::NONE:
     case wire::Change::SnapshotChunk:
     case wire::Change::Publish:
--- a/src/state/fold_membership.cpp
+++ b/src/state/fold_membership.cpp
@@ -120,6 +120,19 @@
   pruneRetired(aState);
 }
 
+/// The member whose process has ended for certain, since the one that joins
+/// runs at the same VM and listens at the same address; 0 if there is none.
+Incarnation
+followedProcess(const CellState& aState, const wire::JoinT& aChange)
+{
+  const auto it = aState.mMembers.find(aChange.succeeds);
+  const bool same = it != aState.mMembers.end() &&
+                    it->second.mStatus == MemberStatus::Active &&
+                    it->second.mVm == aChange.vm &&
+                    it->second.mPeerAddress == aChange.peer_address;
+  return same ? aChange.succeeds : 0;
+}
+
 }
 
 bool
@@ -144,8 +157,39 @@
   member.mOperatorAddress = aChange.operator_address;
   member.mWitnesses = aChange.witnesses;
   member.mJoinOffset = aOffset;
+  member.mUpstreamDown = aChange.awaits_upstream;
+  const Incarnation followed = followedProcess(aState, aChange);
+  if (followed != 0) {
+    member.mUpstreamDown = aState.mMembers.at(followed).mUpstreamDown;
+    member.mUpstreamLife = aState.mMembers.at(followed).mUpstreamLife;
+  }
   supersede(aState, aChange.vm);
   aState.mMembers.emplace(aChange.incarnation, std::move(member));
+  if (followed != 0) {
+    moveOwnership(aState, followed, aChange.incarnation);
+    retire(
+      aState, aState.mMembers.at(followed), MemberStatus::Left, aOffset);
+  }
+  adoptOwnerlessSplitKeys(aState);
+  return true;
+}
+
+bool
+apply(CellState& aState, const wire::UpstreamChangeT& aChange)
+{
+  Member* member = findActive(aState, aChange.incarnation);
+  if (member == nullptr) {
+    return false;
+  }
+  const bool newLife = aChange.life != member->mUpstreamLife;
+  if (member->mUpstreamDown == !aChange.up && !newLife) {
+    return false;
+  }
+  member->mUpstreamDown = !aChange.up;
+  member->mUpstreamLife = aChange.life;
+  if (newLife) {
+    moveOwnership(aState, aChange.incarnation, aChange.incarnation);
+  }
   adoptOwnerlessSplitKeys(aState);
   return true;
 }
--- a/src/state/fold_ownership.cpp
+++ b/src/state/fold_ownership.cpp
@@ -244,4 +244,21 @@
   levelEpochs(aState);
 }
 
+void
+moveOwnership(CellState& aState, Incarnation aFrom, Incarnation aTo)
+{
+  NextEpochs epochs(aState);
+  for (Shard shard = 0; shard < aState.mShards.size(); ++shard) {
+    if (aState.mShards[shard].mOwner == aFrom) {
+      aState.mShards[shard] = { aTo, epochs.take(shard) };
+    }
+  }
+  for (auto& [key, split] : aState.mSplitKeys) {
+    if (split.mOwnership.mOwner == aFrom) {
+      split.mOwnership = { aTo, epochs.take(split.mShard) };
+    }
+  }
+  levelEpochs(aState);
+}
+
 }
--- a/src/state/placement.cpp
+++ b/src/state/placement.cpp
@@ -35,7 +35,8 @@
   }
   const Member& member = it->second;
   return member.mStatus == MemberStatus::Active && !member.mLeaving &&
-         !member.mSuperseded && !aState.mDrainedVms.contains(member.mVm) &&
+         !member.mSuperseded && !member.mUpstreamDown &&
+         !aState.mDrainedVms.contains(member.mVm) &&
          !aState.mDrainedZones.contains(member.mZone);
 }
 
--- a/src/state/snapshot_codec.cpp
+++ b/src/state/snapshot_codec.cpp
@@ -77,6 +77,8 @@
   entry->end_offset = aMember.mEndOffset;
   entry->leaving = aMember.mLeaving;
   entry->superseded = aMember.mSuperseded;
+  entry->upstream_down = aMember.mUpstreamDown;
+  entry->upstream_life = aMember.mUpstreamLife;
   return entry;
 }
 
@@ -97,6 +99,8 @@
   member.mEndOffset = aEntry.end_offset;
   member.mLeaving = aEntry.leaving;
   member.mSuperseded = aEntry.superseded;
+  member.mUpstreamDown = aEntry.upstream_down;
+  member.mUpstreamLife = aEntry.upstream_life;
   return member;
 }
 
--- a/src/state/stream_loader.cpp
+++ b/src/state/stream_loader.cpp
@@ -116,6 +116,15 @@
   }
 }
 
+template<typename State>
+void
+StreamLoader<State>::adopt(State aState)
+{
+  if (aState.mNextOffset > mState.mNextOffset) {
+    startFrom(std::move(aState));
+  }
+}
+
 template class StreamLoader<CellState>;
 template class StreamLoader<ConfigState>;
 
--- a/src/upstream/exchange.cpp
+++ b/src/upstream/exchange.cpp
@@ -52,6 +52,9 @@
                    ConnectionCounter& aConnections)
   : mMaySend(std::move(aMaySend))
   , mMaxBodyBytes(aRequest.mMaxBodyBytes)
+  , mEchoHeader(aRequest.mEchoHeader)
+  , mEchoValue(aRequest.mEchoValue)
+  , mTakesUnframed(aRequest.mTakesUnframed)
   , mHead(aRequest.mMethod == "HEAD")
   , mHandle(curl_easy_init())
 {
@@ -181,8 +184,10 @@
   if (self->mHeaderBytes > kMaxHeaderBytes) {
     return 0;
   }
-  self->onHeaderLine({ aData, n });
-  return n;
+  const std::string_view line(aData, n);
+  self->onHeaderLine(line);
+  const bool isEnd = trimBlanks(line).empty();
+  return isEnd && !self->belongs() ? 0 : n;
 }
 
 std::size_t
@@ -201,6 +206,13 @@
   return n;
 }
 
+bool
+Exchange::belongs() const
+{
+  return mEchoHeader.empty() || mResponse.mStatus < 200 ||
+         mResponse.header(mEchoHeader) == mEchoValue;
+}
+
 bool
 Exchange::framed() const
 {
@@ -208,7 +220,8 @@
   // a cut cannot be told from the end.
   const bool bodyless =
     mHead || mResponse.mStatus == 204 || mResponse.mStatus == 304;
-  return bodyless || !mResponse.header("content-length").empty() ||
+  return bodyless || mTakesUnframed ||
+         !mResponse.header("content-length").empty() ||
          listContains(mResponse.header("transfer-encoding"), "chunked");
 }
 
--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -8,6 +8,22 @@
 
 namespace {
 
+/// Part of the time to the objective for which a request may wait for its key
+/// to be served here: longer than an ordinary hand-over of a key takes.
+constexpr std::int64_t kHoldPart = 6;
+constexpr Millis kLeastHold{ 30 };
+
+Millis
+longestHold(const ForwardRequest& aRequest)
+{
+  const Millis left{ aRequest.time_left_ms };
+  if (aRequest.objective_ms <= 0) {
+    return left;
+  }
+  const Millis part = Millis{ aRequest.objective_ms } / kHoldPart;
+  return std::min(left, std::max(kLeastHold, part));
+}
+
 QueuedRequest
 makeQueued(ForwardRequest aRequest, AnswerFn aAnswer, Millis aNow)
 {
@@ -15,6 +31,7 @@
   queued.mFingerprint = fingerprintOf(aRequest);
   queued.mDeadline = aNow + Millis{ aRequest.time_left_ms };
   queued.mQueuedAt = aNow;
+  queued.mHoldUntil = aNow + longestHold(aRequest);
   queued.mRequest = std::move(aRequest);
   queued.mAnswer = std::move(aAnswer);
   return queued;
@@ -100,6 +117,7 @@
   mImpl->post([impl = mImpl.get(), shards = std::move(shards)] {
     for (const Shard shard : shards) {
       impl->mPaused.erase(shard);
+      impl->mReleases.erase(shard);
     }
   });
 }
@@ -119,6 +137,36 @@
   impl.refuseSubmitted();
 }
 
+bool
+Gate::onReport(const UpstreamReport& aReport)
+{
+  {
+    const std::lock_guard<std::mutex> lock(mImpl->mPaceMutex);
+    const bool first = mImpl->mAccepted.mInstance.empty();
+    if (!first && !isNewer(aReport, mImpl->mAccepted)) {
+      return false;
+    }
+    mImpl->mAccepted = aReport;
+  }
+  mImpl->post([impl = mImpl.get(), aReport] { impl->takeReport(aReport); });
+  return true;
+}
+
+void
+Gate::onHandover(Shard aShard, Epoch aEpoch, std::vector<std::string> aTokens)
+{
+  mImpl->post([impl = mImpl.get(), aShard, aEpoch, tokens = std::move(aTokens)] {
+    impl->mGrants.onHandover(aShard, aEpoch, tokens, impl->mHooks.mNow());
+  });
+}
+
+Gate::Pace
+Gate::pace() const
+{
+  const std::lock_guard<std::mutex> lock(mImpl->mPaceMutex);
+  return mImpl->mPaceNow;
+}
+
 Gate::Load
 Gate::takeLoad()
 {
--- a/src/upstream/gate_cancel.cpp
+++ b/src/upstream/gate_cancel.cpp
@@ -9,6 +9,8 @@
 
 constexpr Millis kCancelTimeout{ 300 };
 constexpr Millis kCancelInterval{ 20 };
+/// An upstream notices the end of a connection within this time.
+constexpr Millis kCloseTime{ 60 };
 /// The upstream counts a deadline from when it has read the request.
 constexpr Millis kDeadlineGrace{ 50 };
 constexpr Millis kMaxIdle{ 30000 };
@@ -79,6 +81,12 @@
     forgetGivenUp();
     return;
   }
+  if (mOptions.mProtocol.mClosingCancels) {
+    std::erase_if(mGivenUp, [aNow](const auto& aEntry) {
+      return aNow >= aEntry.second.mNextCancel + kCloseTime;
+    });
+    return;
+  }
   for (auto& [id, given] : mGivenUp) {
     if (given.mCancelUnderWay || aNow < given.mNextCancel) {
       continue;
--- a/src/upstream/gate_health.cpp
+++ b/src/upstream/gate_health.cpp
@@ -9,7 +9,6 @@
 constexpr std::size_t kMaxProbeAnswer = 4096;
 constexpr std::uint64_t kLoadProbeEvery = 4;
 constexpr const char* kLoadPath = "/load";
-constexpr std::string_view kInstanceHeader = "X-Upstream-Instance";
 
 }
 
@@ -26,8 +25,11 @@
   probe.mUpstream = mOptions.mUpstream;
   probe.mMethod = "GET";
   // The load report is asked for along with health, less often.
-  const bool load = ++mProbes % kLoadProbeEvery == 0 && mHealth.healthy();
-  probe.mTarget = load ? kLoadPath : mOptions.mHealthPath;
+  const bool load =
+    !mOptions.mProtocol.mReports && ++mProbes % kLoadProbeEvery == 0 && mHealth.healthy();
+  const std::string& path =
+    mService.mHealthPath.empty() ? mOptions.mHealthPath : mService.mHealthPath;
+  probe.mTarget = load ? kLoadPath : path;
   probe.mTimeout = kProbeTimeout;
   probe.mMaxIdle = kMaxIdle;
   probe.mMaxBodyBytes = kMaxProbeAnswer;
@@ -49,8 +51,13 @@
 Gate::Impl::onProbeEnd(ExchangeEnd aEnd, const UpstreamResponse& aResponse)
 {
   mProbing = false;
+  if (aEnd == ExchangeEnd::Whole && mOptions.mProtocol.mReports) {
+    onUpstreamHealth(aResponse);
+    return;
+  }
   if (aEnd == ExchangeEnd::Whole) {
-    const std::string_view instance = aResponse.header(kInstanceHeader);
+    const std::string_view instance =
+      aResponse.header(mOptions.mProtocol.mInstanceHeader);
     const HealthChange change =
       mHealth.onProbeAnswer(aResponse.mStatus, instance);
     onHealthChange(change);
@@ -89,11 +96,13 @@
     case HealthChange::Lost:
       mMetrics.count("radishroad_gate_upstream_down_total");
       reportCrash();
+      mGrants.forget();
       mHooks.mOnHealth(false);
       return;
     case HealthChange::Restarted:
       mMetrics.count("radishroad_gate_upstream_restarts_total");
       reportCrash();
+      mGrants.forget();
       forgetGivenUp();
       mHooks.mOnHealth(false);
       if (mHealth.healthy()) {
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -3,6 +3,8 @@
 
 #include "radishroad/base/ring.h"
 #include "radishroad/policy/answered_set.h"
+#include "radishroad/ownership/grant_keeper.h"
+#include "radishroad/policy/cold_limit.h"
 #include "radishroad/policy/connection_pacer.h"
 #include "radishroad/policy/duplicate_memory.h"
 #include "radishroad/policy/retry_budget.h"
@@ -27,6 +29,9 @@
 {
   using RunId = std::uint64_t;
 
+  /// Taken until the upstream has told.
+  static constexpr std::uint32_t kUnknownSlots = 4;
+
   /// A request that was handed to libcurl.
   struct Run
   {
@@ -68,6 +73,27 @@
     Millis mAt;
   };
 
+  /// A grant or a release under way.
+  struct KeyCall
+  {
+    GrantOrder mOrder;
+    std::uint32_t mRun = 0;
+    Millis mSentAt;
+    /// Kept while libcurl reads it.
+    std::string mBody;
+  };
+  /// A shard that the upstream is giving back.
+  struct Release
+  {
+    /// Runs whose release was answered, or given up.
+    std::uint32_t mEnded = 0;
+    /// Runs whose release is still to be sent.
+    std::vector<std::uint32_t> mToSend;
+    Epoch mEpoch = 0;
+    std::vector<std::string> mTokens;
+    bool mTold = false;
+  };
+
   Impl(Options aOptions, Hooks aHooks, Metrics& aMetrics);
 
   // gate_loop.cpp: the thread.
@@ -114,15 +140,52 @@
   /// Aborts the transfer. aReason is for a request that was not yet written.
   void giveUp(RunId aId, NotRunReason aReason);
   void answer(QueuedRequest& aQueued, Answer aAnswer);
-  void refuse(QueuedRequest& aQueued, NotRunReason aReason, Epoch aEpoch = 0);
+  void refuse(QueuedRequest& aQueued,
+              NotRunReason aReason,
+              Epoch aEpoch = 0,
+              Millis aRetryAfter = {});
 
   // gate_window.cpp: what the upstream bears.
   void watchPending(Millis aNow);
   /// Cancels the newest idempotent runs beyond the window, to run later.
   void takeBack(Millis aNow);
+  /// Takes the time of one run into the mean.
+  void noteRun(Millis aTook);
   void onLoadAnswer(const UpstreamResponse& aResponse);
   void notePaidConnections(Millis aNow);
 
+  // gate_order.cpp: work for an upstream that reports its slots.
+  void dispatchByObjective(Millis aNow);
+  UpstreamPace currentPace(Millis aNow);
+  WaitingWork describeWaiting(const QueuedRequest& aQueued) const;
+  /// Refuses what waits in vain for its key.
+  void refuseUnserved(Millis aNow);
+  // gate_report.cpp: what the upstream says of itself.
+  void takeReport(const UpstreamReport& aReport);
+  void onUpstreamHealth(const UpstreamResponse& aResponse);
+  void watchReports(Millis aNow);
+  /// The response names another upstream than the one that reports here.
+  bool isAnotherUpstream(const UpstreamResponse& aResponse) const;
+  void noteResponse(const UpstreamResponse& aResponse);
+  /// Nothing more may be sent to an upstream that drains.
+  bool isClosed(Millis aNow) const;
+  // gate_grant.cpp: keys that the upstream holds.
+  bool grantsKeys() const;
+  using KeyCallEndFn = std::function<
+    void(std::uint64_t aCall, ExchangeEnd aEnd, const UpstreamResponse&)>;
+  void startKeyCall(UpstreamCall aCall,
+                    KeyCall aEntry,
+                    Millis aTimeout,
+                    KeyCallEndFn aEnd);
+  void sendGrants(Millis aNow);
+  void onGrantEnd(std::uint64_t aCall, ExchangeEnd aEnd, int aStatus);
+  /// May the key be sent to the upstream, by what it holds?
+  bool holdsKey(const ForwardRequest& aRequest, Epoch aEpoch) const;
+  /// Begins to give a shard back; true once nothing of it is held.
+  bool releaseShard(Shard aShard, Millis aNow);
+  void onReleaseEnd(std::uint64_t aCall,
+                    ExchangeEnd aEnd,
+                    const UpstreamResponse& aResponse);
   // gate_cancel.cpp: runs that were given up.
   void cancelRequest(RandomId aId);
   /// A copy must wait: the cancel of the one before would end it too.
@@ -163,6 +226,19 @@
   RetryBudget mRetries;
   DuplicateMemory mDuplicates;
   AnsweredSet mAnswered;
+  GrantKeeper mGrants;
+  std::map<std::uint64_t, KeyCall> mKeyCalls;
+  std::map<Shard, Release> mReleases;
+  std::uint64_t mNextKeyCall = 1;
+  ColdLimit mCold;
+  UpstreamReport mReport;
+  Millis mReportedAt;
+  Millis mNextSilenceProbe;
+  /// Set once the upstream has said that it drains.
+  std::optional<Millis> mClosedFrom;
+  std::uint32_t mSlots = kUnknownSlots;
+  double mRunMs = 0;
+  std::uint64_t mNextTicket = 1;
   /// Connections known to the pacer.
   std::uint64_t mPacedConnections = 0;
   std::uint64_t mProbes = 0;
@@ -176,6 +252,10 @@
   std::atomic<std::uint32_t> mInFlight{ 0 };
   std::atomic<bool> mHealthyNow{ false };
   std::atomic<double> mWindowNow{ 0 };
+  mutable std::mutex mPaceMutex;
+  Pace mPaceNow;
+  /// The newest report accepted; guarded by mPaceMutex.
+  UpstreamReport mAccepted;
   std::mutex mTaskMutex;
   std::vector<std::function<void()>> mTasks;
   config::Service mNewService;
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -14,6 +14,8 @@
 /// How often the ages of requests in flight are looked at.
 constexpr Millis kPendingCheck{ 10 };
 constexpr Millis kGaugeInterval{ 100 };
+/// How often the shards to be held are looked up.
+constexpr Millis kHoldingsCheck{ 50 };
 /// Retries of shed requests for each request.
 constexpr double kRetryRatio = 0.1;
 /// What may be handed over at once, in lengths of the queue.
@@ -42,7 +44,9 @@
     watchPending(now);
     expireQueued(now);
     sendCancels(now);
+    watchReports(now);
     probe(now);
+    sendGrants(now);
     dispatch(now);
     mExchanges.perform();
     notePaidConnections(mHooks.mNow());
@@ -61,6 +65,7 @@
   while (std::optional<QueuedRequest> queued = mSubmitted.pop(Millis{ 0 })) {
     // One that was set before this was submitted holds for it.
     applyConfiguration();
+    queued->mTicket = mNextTicket++;
     if (admit(*queued)) {
       mQueue.pushBack(std::move(*queued));
     }
@@ -82,7 +87,13 @@
     const std::lock_guard<std::mutex> lock(mTaskMutex);
     mService = mNewService;
   }
-  mHealth.setProbeCost(mService.mProbeCost);
+  if (mOptions.mProtocol.mReports) {
+    mHealth.stopProbes();
+  } else {
+    mHealth.setProbeCost(mService.mProbeCost);
+  }
+  mCold.setRate(mService.mColdPerSecond);
+  mGrants.setHoldTime(mService.mHoldTime);
   mWindow.setMax(mService.mMaxInFlight);
   mPacer.setCost(mService.mConnectionCost);
 }
@@ -186,7 +197,9 @@
     refuse(queued,
            down ? NotRunReason::UpstreamDown : NotRunReason::DeadlinePassed);
   }
-  if (down) {
+  if (mOptions.mProtocol.mReports) {
+    refuseUnserved(aNow);
+  } else if (down) {
     refuseMoved();
   }
 }
@@ -248,8 +261,11 @@
   std::vector<Drain> waiting;
   std::vector<Drain> done;
   for (Drain& drain : mDrains) {
-    const bool idle = std::ranges::none_of(
-      drain.mShards, [&busy](Shard aShard) { return busy.contains(aShard); });
+    const Millis now = mHooks.mNow();
+    bool idle = true;
+    for (const Shard shard : drain.mShards) {
+      idle = !busy.contains(shard) && releaseShard(shard, now) && idle;
+    }
     (idle ? done : waiting).push_back(std::move(drain));
   }
   mDrains = std::move(waiting);
@@ -275,7 +291,17 @@
     // Waits for a connection, if for anything.
     next = std::min(next, std::max(aNow + Millis{ 1 }, mPacer.nextOpen()));
   }
-  if (!mRuns.empty()) {
+  if (!mRuns.empty() && !mOptions.mProtocol.mReports) {
+    next = std::min(next, aNow + kPendingCheck);
+  }
+  if (!mDrains.empty()) {
+    next = std::min(next, aNow + kPendingCheck);
+  }
+  if (grantsKeys()) {
+    next = std::min(next, mGrants.nextDue(aNow).value_or(next));
+    next = std::min(next, aNow + kHoldingsCheck);
+  }
+  if (mOptions.mProtocol.mReports && !mQueue.empty()) {
     next = std::min(next, aNow + kPendingCheck);
   }
   if (!mProbing) {
@@ -300,6 +326,10 @@
   mHealthyNow = mHealth.healthy();
   mWindowNow = mWindow.size();
   const Millis now = mHooks.mNow();
+  if (mOptions.mProtocol.mReports) {
+    const std::lock_guard<std::mutex> lock(mPaceMutex);
+    mPaceNow = { currentPace(now), static_cast<std::uint32_t>(mQueue.size()) };
+  }
   if (now - mGaugesAt < kGaugeInterval) {
     return;
   }
--- /dev/null
+++ b/src/upstream/gate_order.cpp
@@ -0,0 +1,116 @@
+#include "gate_impl.h"
+
+#include "radishroad/policy/work_order.h"
+
+#include <algorithm>
+
+namespace radishroad {
+
+namespace {
+
+/// Weight of one run in the mean time.
+constexpr double kRunGain = 0.1;
+/// What is asked of callers whose key or upstream cannot be served just now.
+constexpr Millis kUnservedRetryAfter{ 200 };
+
+}
+
+void
+Gate::Impl::noteRun(Millis aTook)
+{
+  const double took = static_cast<double>(aTook.mCount);
+  mRunMs = mRunMs == 0 ? took : mRunMs + kRunGain * (took - mRunMs);
+}
+
+UpstreamPace
+Gate::Impl::currentPace(Millis aNow)
+{
+  UpstreamPace pace;
+  pace.mSlots = mSlots;
+  pace.mRunning = busy();
+  pace.mRunMs = mRunMs;
+  pace.mColdPerSecond = mCold.isCold(aNow) ? mService.mColdPerSecond : 0;
+  return pace;
+}
+
+WaitingWork
+Gate::Impl::describeWaiting(const QueuedRequest& aQueued) const
+{
+  const ForwardRequest& request = aQueued.mRequest;
+  WaitingWork work;
+  work.mDeadline = aQueued.mDeadline;
+  work.mObjectiveAt = request.objective_ms > 0
+                        ? aQueued.mQueuedAt + Millis{ request.objective_ms }
+                        : aQueued.mDeadline;
+  work.mQueuedAt = aQueued.mQueuedAt;
+  work.mRank = request.rank;
+  return work;
+}
+
+void
+Gate::Impl::dispatchByObjective(Millis aNow)
+{
+  if (mQueue.empty() || !mHealth.healthy()) {
+    return;
+  }
+  std::vector<WaitingWork> waiting;
+  std::vector<std::uint64_t> tickets;
+  for (const QueuedRequest* queued : mQueue.list()) {
+    waiting.push_back(describeWaiting(*queued));
+    tickets.push_back(queued->mTicket);
+  }
+  const WorkPlan plan = planWork(waiting, currentPace(aNow), aNow);
+  for (const WorkPlan::Refusal& refusal : plan.mRefused) {
+    std::optional<QueuedRequest> queued =
+      mQueue.take(tickets[refusal.mIndex]);
+    refuse(*queued, NotRunReason::QueueFull, 0, refusal.mRetryAfter);
+  }
+  for (const std::size_t index : plan.mOrder) {
+    if (!mayStart(aNow) || !mCold.maySend(aNow)) {
+      return;
+    }
+    std::optional<QueuedRequest> queued = mQueue.take(tickets[index]);
+    const bool mayGo = aNow >= queued->mNotBefore &&
+                       !mPaused.contains(queued->mRequest.shard) &&
+                       !isGivenUp(idOf(queued->mRequest));
+    if (mayGo) {
+      decide(std::move(*queued), aNow);
+    } else {
+      mQueue.pushFront(std::move(*queued));
+    }
+  }
+}
+
+void
+Gate::Impl::refuseUnserved(Millis aNow)
+{
+  const bool down = !mHealth.healthy();
+  const bool closed = isClosed(aNow);
+  const auto reasonOf = [&](const QueuedRequest& aQueued) {
+    if (down) {
+      return NotRunReason::UpstreamDown;
+    }
+    if (closed) {
+      return NotRunReason::Draining;
+    }
+    if (aNow < aQueued.mHoldUntil) {
+      return NotRunReason::None;
+    }
+    const ServeDecision decision = mHooks.mMayServe(aQueued.mRequest);
+    if (decision.mRefusal != NotRunReason::None) {
+      return decision.mRefusal;
+    }
+    const bool served = !mPaused.contains(aQueued.mRequest.shard) &&
+                        holdsKey(aQueued.mRequest, decision.mEpoch);
+    return served ? NotRunReason::None : NotRunReason::LeaseLapsed;
+  };
+  std::vector<QueuedRequest> unserved =
+    mQueue.removeIf([&reasonOf](const QueuedRequest& aQueued) {
+      return reasonOf(aQueued) != NotRunReason::None;
+    });
+  for (QueuedRequest& queued : unserved) {
+    refuse(queued, reasonOf(queued), 0, kUnservedRetryAfter);
+  }
+}
+
+}
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -18,9 +18,11 @@
 /// Pause before a request that could not be connected is tried again.
 constexpr Millis kReconnectPause{ 20 };
 constexpr Millis kShedPause{ 20 };
+/// Pause before a request whose key the upstream does not hold yet is looked
+/// at again.
+constexpr Millis kGrantWait{ 5 };
 constexpr int kMaxSheds = 3;
 
-constexpr std::string_view kInstanceHeader = "X-Upstream-Instance";
 
 }
 
@@ -47,6 +49,9 @@
   if (!mHealth.healthy()) {
     return false;
   }
+  if (mOptions.mProtocol.mReports) {
+    return busy() < mSlots && !isClosed(aNow);
+  }
   return mOptions.mUnguarded ||
          (busy() < mWindow.limit() && hasConnection(aNow));
 }
@@ -54,6 +59,10 @@
 void
 Gate::Impl::dispatch(Millis aNow)
 {
+  if (mOptions.mProtocol.mReports) {
+    dispatchByObjective(aNow);
+    return;
+  }
   bool roomForAny = false;
   const auto mayGo = [&](const QueuedRequest& aQueued) {
     return aNow >= aQueued.mNotBefore && aNow < lastSend(aQueued) &&
@@ -97,6 +106,11 @@
     refuse(aQueued, decision.mRefusal, decision.mEpoch);
     return;
   }
+  if (!holdsKey(aQueued.mRequest, decision.mEpoch)) {
+    aQueued.mNotBefore = aNow + kGrantWait;
+    mQueue.pushFront(std::move(aQueued));
+    return;
+  }
   startRun(std::move(aQueued), decision);
 }
 
@@ -104,6 +118,7 @@
 Gate::Impl::startRun(QueuedRequest aQueued, const ServeDecision& aDecision)
 {
   const Millis now = mHooks.mNow();
+  mCold.onSent(now);
   const RunId id = mNextRun++;
   Run& run = mRuns[id];
   run.mQueued = std::move(aQueued);
@@ -117,11 +132,15 @@
   upstream.mUpstream = mOptions.mUpstream;
   upstream.mMethod = request.method;
   upstream.mTarget = request.target;
-  upstream.mHeaderLines = upstreamHeaderLines(request, run.mEpoch, left);
+  upstream.mHeaderLines = mOptions.mProtocol.mHeaderLines(
+    request, mReport.mInstance, run.mEpoch, left);
   upstream.mBody = request.body;
   upstream.mTimeout = left + kTimeoutSlack;
   upstream.mMaxIdle = request.idempotent ? kMaxIdle : kMaxIdleNotIdempotent;
   upstream.mMaxBodyBytes = mOptions.mMaxBodyBytes;
+  upstream.mEchoHeader = mOptions.mProtocol.mEchoHeader;
+  upstream.mEchoValue = request.request_id;
+  upstream.mTakesUnframed = mOptions.mProtocol.mTakesUnframed;
   run.mExchange = mExchanges.start(
     upstream,
     [this, id] { return maySend(id); },
@@ -138,11 +157,13 @@
   const ServeDecision decision = mHooks.mMayServe(request);
   const bool served =
     decision.mRefusal == NotRunReason::None && decision.mEpoch == run.mEpoch;
-  const bool inTime = mHooks.mNow() < run.mEndBy;
-  run.mHeldBack = !served || !inTime || mPaused.contains(request.shard);
+  const Millis now = mHooks.mNow();
+  const bool inTime = now < run.mEndBy;
+  run.mHeldBack = !served || !inTime || mPaused.contains(request.shard) ||
+                  !holdsKey(request, run.mEpoch) || isClosed(now);
   run.mServeUntil = decision.mServeUntil;
   run.mSent = !run.mHeldBack;
-  run.mSentAt = mHooks.mNow();
+  run.mSentAt = now;
   run.mInFlight = busy();
   return run.mSent;
 }
@@ -173,14 +194,20 @@
 Gate::Impl::onWhole(Run aRun, UpstreamResponse aResponse)
 {
   const Millis now = mHooks.mNow();
-  onHealthChange(mHealth.onAnswer(aResponse.header(kInstanceHeader)));
+  const UpstreamProtocol& protocol = mOptions.mProtocol;
+  if (protocol.mReports) {
+    noteResponse(aResponse);
+  } else {
+    onHealthChange(
+      mHealth.onAnswer(aResponse.header(protocol.mInstanceHeader)));
+  }
   QueuedRequest& queued = aRun.mQueued;
-  const NotRunReason reason = provenNotRun(aResponse);
+  const NotRunReason reason = protocol.mProvenNotRun(aResponse);
   if (reason == NotRunReason::Shed) {
     mMetrics.count("radishroad_gate_shed_total");
     mWindow.onShed(now);
   }
-  const bool again = reason == NotRunReason::Shed &&
+  const bool again = reason == NotRunReason::Shed && !protocol.mReports &&
                      queued.mSheds < kMaxSheds && mRetries.tryRetry(now);
   if (again) {
     ++queued.mSheds;
@@ -188,15 +215,46 @@
     mQueue.pushFront(std::move(queued));
     return;
   }
+  const bool misdirected =
+    reason == NotRunReason::NotOwner && protocol.mReports;
+  if (misdirected && isAnotherUpstream(aResponse)) {
+    onHealthChange(mHealth.onRefused());
+    refuse(queued, NotRunReason::UpstreamDown);
+    return;
+  }
+  if (misdirected && queued.mSheds < kMaxSheds &&
+      queued.mRequest.shard < kShardCount) {
+    // A grant has run out, or a new start of the upstream has not reported.
+    mGrants.onNotHeld(queued.mRequest.key_hash, now);
+    ++queued.mSheds;
+    queued.mNotBefore = now + kGrantWait;
+    mQueue.pushFront(std::move(queued));
+    return;
+  }
   if (reason != NotRunReason::None) {
     refuse(queued, reason);
     return;
   }
+  if (!protocol.mIsGenuine(aResponse)) {
+    mMetrics.count("radishroad_gate_spoilt_answers_total");
+    answer(queued, makeUnknown(idOf(queued.mRequest)));
+    return;
+  }
   const Millis took = now - aRun.mSentAt;
   mWindow.onAnswer(took, aRun.mInFlight, now);
+  noteRun(took);
+  if (protocol.mReports) {
+    // It goes on: only connections had been cut.
+    std::erase_if(mSuspects, [&aRun](const CrashSuspect& aSuspect) {
+      return aSuspect.mAt < aRun.mSentAt;
+    });
+  }
   mAnswered.add(queued.mFingerprint, now);
   mQueue.charge(queued.mRequest.workspace, took);
-  mLoad.add(queued.mRequest.shard, queued.mRequest.key_hash, took, now);
+  if (queued.mRequest.shard < kShardCount) {
+    mLoad.add(
+      queued.mRequest.shard, queued.mRequest.key_hash, took, now);
+  }
   mMetrics.observe("radishroad_gate_run_seconds", took);
   answer(queued, makeAnswered(queued.mRequest, std::move(aResponse)));
 }
@@ -258,13 +316,20 @@
     mWindow.onTimeout(now - run.mSentAt, now);
   }
   trackGivenUp(run, now);
-  answer(run.mQueued, makeUnknown(idOf(run.mQueued.mRequest)));
+  Answer unknown = makeUnknown(idOf(run.mQueued.mRequest));
+  if (aReason == NotRunReason::DeadlinePassed) {
+    unknown.reason = aReason;
+  }
+  answer(run.mQueued, std::move(unknown));
 }
 
 void
-Gate::Impl::refuse(QueuedRequest& aQueued, NotRunReason aReason, Epoch aEpoch)
+Gate::Impl::refuse(QueuedRequest& aQueued,
+                   NotRunReason aReason,
+                   Epoch aEpoch,
+                   Millis aRetryAfter)
 {
-  Answer refusal = makeNotRun(idOf(aQueued.mRequest), aReason);
+  Answer refusal = makeNotRun(idOf(aQueued.mRequest), aReason, aRetryAfter);
   refusal.epoch = aEpoch;
   answer(aQueued, std::move(refusal));
 }
--- a/src/upstream/gate_window.cpp
+++ b/src/upstream/gate_window.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr std::string_view kInstanceHeader = "X-Upstream-Instance";
 
 std::uint32_t
 countOf(const nlohmann::json& aReport, const char* aName)
@@ -38,7 +37,7 @@
 void
 Gate::Impl::watchPending(Millis aNow)
 {
-  if (mOptions.mUnguarded) {
+  if (mOptions.mUnguarded || mOptions.mProtocol.mReports) {
     return;
   }
   const ConcurrencyWindow::Ages ages = mWindow.ages();
@@ -87,7 +86,8 @@
 void
 Gate::Impl::onLoadAnswer(const UpstreamResponse& aResponse)
 {
-  onHealthChange(mHealth.onAnswer(aResponse.header(kInstanceHeader)));
+  onHealthChange(mHealth.onAnswer(
+    aResponse.header(mOptions.mProtocol.mInstanceHeader)));
   const nlohmann::json report = nlohmann::json::parse(
     aResponse.mBody.begin(), aResponse.mBody.end(), nullptr, false);
   if (aResponse.mStatus != 200 || !report.is_object()) {
--- a/src/upstream/health_tracker.cpp
+++ b/src/upstream/health_tracker.cpp
@@ -1,6 +1,7 @@
 #include "radishroad/upstream/health_tracker.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace radishroad {
 
@@ -24,6 +25,14 @@
   mInterval = std::max(kMinProbeInterval, aCost * kProbeShare);
 }
 
+void
+HealthTracker::stopProbes()
+{
+  constexpr Millis kNever{ std::numeric_limits<std::int64_t>::max() / 2 };
+  mInterval = kNever;
+  mNextProbe = kNever;
+}
+
 HealthChange
 HealthTracker::adopt(std::string_view aInstance)
 {
--- a/src/upstream/request_queue.cpp
+++ b/src/upstream/request_queue.cpp
@@ -165,6 +165,34 @@
   return next;
 }
 
+std::vector<const QueuedRequest*>
+RequestQueue::list() const
+{
+  std::vector<const QueuedRequest*> all;
+  for (const Line& line : mLines) {
+    for (const QueuedRequest& request : line.mRequests) {
+      all.push_back(&request);
+    }
+  }
+  return all;
+}
+
+std::optional<QueuedRequest>
+RequestQueue::take(std::uint64_t aTicket)
+{
+  for (Line& line : mLines) {
+    const auto it = std::ranges::find(
+      line.mRequests, aTicket, &QueuedRequest::mTicket);
+    if (it != line.mRequests.end()) {
+      QueuedRequest taken = std::move(*it);
+      line.mRequests.erase(it);
+      dropEmptyLines();
+      return taken;
+    }
+  }
+  return std::nullopt;
+}
+
 bool
 RequestQueue::empty() const
 {
--- a/src/upstream/upstream_headers.cpp
+++ b/src/upstream/upstream_headers.cpp
@@ -40,14 +40,6 @@
          !listContains(aConnectionOptions, aName);
 }
 
-/// In libcurl's notation, where "Name:" alone would drop the header.
-std::string
-headerLine(std::string_view aName, std::string_view aValue)
-{
-  std::string line(aName);
-  return aValue.empty() ? line + ";" : line.append(": ").append(aValue);
-}
-
 void
 addOwnHeaders(std::vector<std::string>& aLines,
               const ForwardRequest& aRequest,
@@ -83,10 +75,17 @@
          isPlainTarget(aRequest.target) && isPlainLine(aRequest.workspace);
 }
 
+std::string
+headerLine(std::string_view aName, std::string_view aValue)
+{
+  // "Name:" alone would drop the header.
+  std::string line(aName);
+  return aValue.empty() ? line + ";" : line.append(": ").append(aValue);
+}
+
 std::vector<std::string>
-upstreamHeaderLines(const ForwardRequest& aRequest,
-                    Epoch aEpoch,
-                    Millis aTimeLeft)
+forwardedHeaderLines(const ForwardRequest& aRequest,
+                     std::span<const std::string_view> aWithheld)
 {
   const std::string_view options = connectionOptions(aRequest);
   // Headers that libcurl would add by itself.
@@ -94,7 +93,11 @@
   bool hasType = false;
   bool hasAccept = false;
   for (const auto& header : aRequest.headers) {
-    if (!isForwarded(header->name, options)) {
+    const bool withheld =
+      std::ranges::any_of(aWithheld, [&header](std::string_view aName) {
+        return sameHeaderName(header->name, aName);
+      });
+    if (withheld || !isForwarded(header->name, options)) {
       continue;
     }
     hasType = hasType || sameHeaderName(header->name, "content-type");
@@ -107,6 +110,15 @@
   if (!hasAccept) {
     lines.emplace_back("Accept:");
   }
+  return lines;
+}
+
+std::vector<std::string>
+upstreamHeaderLines(const ForwardRequest& aRequest,
+                    Epoch aEpoch,
+                    Millis aTimeLeft)
+{
+  std::vector<std::string> lines = forwardedHeaderLines(aRequest, {});
   addOwnHeaders(lines, aRequest, aEpoch, aTimeLeft);
   return lines;
 }
--- a/tests/process/standin_test.cpp
+++ b/tests/process/standin_test.cpp
@@ -1,4 +1,4 @@
-#include "radishroad/platform/log_client.h"
+#include "radishroad/log/log_client.h"
 #include "support/address_block.h"
 #include "support/child_process.h"
 #include "support/http_call.h"
--- a/tests/process/support/fleet.cpp
+++ b/tests/process/support/fleet.cpp
@@ -1,7 +1,7 @@
 #include "support/fleet.h"
 
 #include "radishroad/config/folder.h"
-#include "radishroad/platform/log_client.h"
+#include "radishroad/log/log_client.h"
 #include "radishroad/state/cell_state.h"
 #include "radishroad/state/records.h"
 #include "support/http_call.h"
--- a/tests/process/support/trace_recorder.cpp
+++ b/tests/process/support/trace_recorder.cpp
@@ -1,7 +1,7 @@
 #include "support/trace_recorder.h"
 
 #include "model/owner_history.h"
-#include "radishroad/platform/log_client.h"
+#include "radishroad/log/log_client.h"
 
 #include <algorithm>
 #include <boost/algorithm/hex.hpp>
--- a/tests/unit/log_client_test.cpp
+++ b/tests/unit/log_client_test.cpp
@@ -1,11 +1,11 @@
 #include "faulty_log.h"
 
-#include "radishroad/platform/append_limit.h"
-#include "radishroad/platform/backoff.h"
-#include "radishroad/platform/log_appender.h"
-#include "radishroad/platform/log_client.h"
-#include "radishroad/platform/log_follower.h"
-#include "radishroad/platform/read_body.h"
+#include "radishroad/log/append_limit.h"
+#include "radishroad/log/backoff.h"
+#include "radishroad/log/log_appender.h"
+#include "radishroad/log/log_client.h"
+#include "radishroad/log/log_follower.h"
+#include "radishroad/log/read_body.h"
 #include "radishroad/state/fold.h"
 
 #include <boost/asio/ip/tcp.hpp>
