Assume that an upstream holds keys from before the process began

Cause: after all processes were killed and had come back, a daemon handed shards off before its upstream's first report. Its gate knew nothing of the grants of the process before it and released them at epoch 0, which the upstream passes over. Probes with the default path ran until the first configuration and took the upstream for unhealthy.

--- a/include/radishroad/daemon/serve_authority.h
+++ b/include/radishroad/daemon/serve_authority.h
@@ -39,6 +39,8 @@
   void setZoneOut(std::optional<Millis> aKeysUntil);
   /// Shards that the upstream may hold now.
   std::vector<Holding> holdings(Millis aNow) const;
+  /// Epoch at which this daemon owns a shard; 0 if it does not.
+  Epoch epochOf(Shard aShard) const;
   ServeDecision decide(const ForwardRequest& aRequest, Millis aNow) const;
   /// Owner by the newest state and an unexpired lease; for keys that stand for
   /// the daemon's own duties, such as a workspace's bucket.
--- a/include/radishroad/ownership/grant_keeper.h
+++ b/include/radishroad/ownership/grant_keeper.h
@@ -58,6 +58,9 @@
   static Millis longestHold(Millis aHoldTime);
 
   void setHoldTime(Millis aHoldTime) { mHoldTime = aHoldTime; }
+  /// Whatever was granted before is not known, as after a start beside an
+  /// upstream that runs: all keys may be held for one hold time from now.
+  void assumeHeld(Millis aNow);
   /// Shards to be held from now on; others are not renewed.
   void setHoldings(std::span<const Holding> aHoldings);
   /// Tokens for the runs of a shard, for its first grant at a later epoch.
--- a/include/radishroad/upstream/gate.h
+++ b/include/radishroad/upstream/gate.h
@@ -73,6 +73,8 @@
     /// Shards that the upstream is to hold now; for upstreams that are granted
     /// keys. Called on the gate's thread.
     std::function<std::vector<Holding>()> mHoldings;
+    /// Epoch at which this daemon owns a shard, whether or not it may serve it.
+    std::function<Epoch(Shard)> mEpochOf;
     /// A shard was given back by the upstream, with what it handed out for the
     /// next holder of each of the shard's runs.
     std::function<void(Shard, const std::vector<std::string>& aTokens)>
--- a/src/daemon/membership_duty.cpp
+++ b/src/daemon/membership_duty.cpp
@@ -19,6 +19,9 @@
 
 /// An upstream that does not answer for so long is gone.
 constexpr Millis kUpstreamLostAfter{ 700 };
+/// The first report of an upstream that was there before this process may take
+/// so long: two of its intervals.
+constexpr Millis kFirstReport{ 1800 };
 /// How often peers are told of a leave that the log does not show yet.
 constexpr Millis kTellInterval{ 250 };
 /// The others may seem silent for a moment, as after a pause of this process.
@@ -28,6 +31,7 @@
 
 MembershipDuty::MembershipDuty(ControlContext& aContext, Millis aJoinFrom)
   : mContext(aContext)
+  , mUnhealthySince(aContext.mNow() + kFirstReport)
   , mJoinFrom(aJoinFrom)
 {
 }
--- a/src/daemon/parts_platform.cpp
+++ b/src/daemon/parts_platform.cpp
@@ -141,6 +141,7 @@
 Daemon::Parts::setPlatformGateHooks(Gate::Hooks& aHooks)
 {
   aHooks.mHoldings = [this] { return mAuthority.holdings(monotonicNow()); };
+  aHooks.mEpochOf = [this](Shard aShard) { return mAuthority.epochOf(aShard); };
   aHooks.mOnReleased = [this](Shard aShard,
                               const std::vector<std::string>& aTokens) {
     mLoop.post([this, aShard, aTokens] { sendHandover(aShard, aTokens); });
--- a/src/daemon/serve_authority.cpp
+++ b/src/daemon/serve_authority.cpp
@@ -84,6 +84,16 @@
   return holdings;
 }
 
+Epoch
+ServeAuthority::epochOf(Shard aShard) const
+{
+  const std::shared_ptr<const FleetView> view = mViews.get();
+  const CellState* cell = view->cell(mService);
+  const bool own = cell != nullptr && aShard < kShardCount &&
+                   cell->mShards[aShard].mOwner == mSelf;
+  return own ? cell->mShards[aShard].mEpoch : 0;
+}
+
 bool
 ServeAuthority::runsAnywhere(const FleetView& aView) const
 {
--- a/src/ownership/grant_keeper.cpp
+++ b/src/ownership/grant_keeper.cpp
@@ -51,6 +51,15 @@
   }
 }
 
+void
+GrantKeeper::assumeHeld(Millis aNow)
+{
+  for (Run& run : mRuns) {
+    run.mDoubtUntil = aNow + longestHold(mHoldTime);
+    run.mMayBeHeldUntil = run.mDoubtUntil;
+  }
+}
+
 void
 GrantKeeper::onHandover(Shard aShard,
                         Epoch aEpoch,
--- a/src/upstream/gate_grant.cpp
+++ b/src/upstream/gate_grant.cpp
@@ -146,9 +146,7 @@
     Release& begun = mReleases[aShard];
     begun.mToSend = runsOfShard(aShard);
     begun.mTokens.resize(kRunsPerShard);
-    for (const Holding& holding : mHooks.mHoldings()) {
-      begun.mEpoch = holding.mShard == aShard ? holding.mEpoch : begun.mEpoch;
-    }
+    begun.mEpoch = mHooks.mEpochOf(aShard);
   }
   Release& release = mReleases[aShard];
   if (mGrants.underWay(aShard)) {
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -227,6 +227,7 @@
   DuplicateMemory mDuplicates;
   AnsweredSet mAnswered;
   GrantKeeper mGrants;
+  bool mGrantsBegun = false;
   std::map<std::uint64_t, KeyCall> mKeyCalls;
   std::map<Shard, Release> mReleases;
   std::uint64_t mNextKeyCall = 1;
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -31,6 +31,9 @@
   , mRetries(kRetryRatio)
   , mSubmitted(mOptions.mMaxQueued * kInboxFactor)
 {
+  if (mOptions.mProtocol.mReports) {
+    mHealth.stopProbes();
+  }
 }
 
 void
@@ -87,13 +90,16 @@
     const std::lock_guard<std::mutex> lock(mTaskMutex);
     mService = mNewService;
   }
-  if (mOptions.mProtocol.mReports) {
-    mHealth.stopProbes();
-  } else {
+  if (!mOptions.mProtocol.mReports) {
     mHealth.setProbeCost(mService.mProbeCost);
   }
   mCold.setRate(mService.mColdPerSecond);
   mGrants.setHoldTime(mService.mHoldTime);
+  if (!mGrantsBegun && grantsKeys()) {
+    mGrantsBegun = true;
+    // An earlier process at this VM may have granted until just now.
+    mGrants.assumeHeld(mHooks.mNow());
+  }
   mWindow.setMax(mService.mMaxInFlight);
   mPacer.setCost(mService.mConnectionCost);
 }
