Take a notice to leave as one of the same start of an upstream

Cause: a notice to leave does not repeat the time of start. With a report before it, it was passed over as older; after one that said draining, it was taken for a new start and began the time to drain again.

--- a/include/radishroad/upstream/upstream_report.h
+++ b/include/radishroad/upstream/upstream_report.h
@@ -39,6 +39,11 @@
 bool
 isNewer(const UpstreamReport& aReport, const UpstreamReport& aThan);
 
+/// The report with what a notice to leave does not repeat, taken from the
+/// report before it of the same upstream.
+UpstreamReport
+completeReport(UpstreamReport aReport, const UpstreamReport& aBefore);
+
 /// Names the start of an upstream; never 0.
 std::uint64_t
 lifeOf(const UpstreamReport& aReport);
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -325,7 +325,9 @@
     return;
   }
   const Millis now = mHooks.mNow();
-  if (aFlight->mUnkeyed && triesAnother(*aFlight, aAnswer, now)) {
+  if (aFlight->mUnkeyed && triesAnother(*aFlight, aAnswer, now) &&
+      (aAnswer.reason != NotRunReason::Shed ||
+       (mayTryAgain(*aFlight) && mHooks.mMayRetry(aFlight->mRequest)))) {
     aFlight->mLastReason = aAnswer.reason;
     mTimer.after(Millis{ 0 }, [this, aFlight] { send(aFlight); });
     return;
--- a/src/daemon/ingress_platform.cpp
+++ b/src/daemon/ingress_platform.cpp
@@ -218,7 +218,8 @@
     return false;
   }
   left = left == 0 ? 0 : static_cast<std::uint8_t>(left - 1);
-  if (aFlight.mUnkeyed) {
+  if (aFlight.mUnkeyed &&
+      !isRefusedBy(aFlight.mRefusedBy, aFlight.mSentTo)) {
     aFlight.mRefusedBy.push_back(aFlight.mSentTo);
   }
   return true;
--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -140,15 +140,17 @@
 bool
 Gate::onReport(const UpstreamReport& aReport)
 {
+  UpstreamReport report;
   {
     const std::lock_guard<std::mutex> lock(mImpl->mPaceMutex);
+    report = completeReport(aReport, mImpl->mAccepted);
     const bool first = mImpl->mAccepted.mInstance.empty();
-    if (!first && !isNewer(aReport, mImpl->mAccepted)) {
+    if (!first && !isNewer(report, mImpl->mAccepted)) {
       return false;
     }
-    mImpl->mAccepted = aReport;
+    mImpl->mAccepted = report;
   }
-  mImpl->post([impl = mImpl.get(), aReport] { impl->takeReport(aReport); });
+  mImpl->post([impl = mImpl.get(), report] { impl->takeReport(report); });
   return true;
 }
 
--- a/src/upstream/upstream_report.cpp
+++ b/src/upstream/upstream_report.cpp
@@ -19,6 +19,19 @@
          aReport.mSequence > aThan.mSequence;
 }
 
+UpstreamReport
+completeReport(UpstreamReport aReport, const UpstreamReport& aBefore)
+{
+  const bool same = aReport.mInstance == aBefore.mInstance;
+  if (aReport.mKind == UpstreamReport::Kind::Leaving && same) {
+    aReport.mBorn = aBefore.mBorn;
+    aReport.mSequence = aBefore.mSequence;
+    aReport.mSlots = aBefore.mSlots;
+    aReport.mColdLeft = aBefore.mColdLeft;
+  }
+  return aReport;
+}
+
 std::uint64_t
 lifeOf(const UpstreamReport& aReport)
 {
