--- a/include/radishroad/policy/balance.h
+++ b/include/radishroad/policy/balance.h
@@ -29,6 +29,41 @@
 class Balancer
 {
 public:
+  /// How soon and how much is moved.
+  struct Pace
+  {
+    /// Moves begin above this share of the mean use and end below the other.
+    double mHighRatio = 1.3;
+    double mLowRatio = 1.15;
+    /// Use below which a member is never relieved; where use is a share of
+    /// capacity.
+    double mLeastUse = 0;
+    Millis mPatience{ 3000 };
+    /// A shard that was moved rests.
+    Millis mShardRest{ 30000 };
+    std::size_t mMaxMoves = 4;
+    /// Shards moved within the span at most.
+    std::size_t mMoveBudget = 16;
+    Millis mBudgetSpan{ 60000 };
+    /// Time constant of the smoothed loads.
+    double mSmoothSeconds = 5.0;
+    /// Members tell what they bear, and their use is measured by that.
+    bool mByCapacity = false;
+  };
+  /// For upstreams that differ in speed and tell what they bear, where a move
+  /// costs next to nothing.
+  ///
+  /// Load pattern: upstreams differ threefold in speed, some turn several
+  /// times slower for seconds, and the sum is close to what all bear. Even
+  /// shares overload the slow ones while others have room.
+  static Pace quickPace();
+
+  Balancer() = default;
+  explicit Balancer(Pace aPace)
+    : mPace(aPace)
+  {
+  }
+
   /// True if the member may be given shards.
   using MayOwnFn = std::function<bool(Incarnation)>;
 
@@ -66,6 +101,8 @@
     double mWindow = 0;
     /// Milliseconds that a request takes, smoothed.
     double mCost = 0;
+    /// Requests a second that it bears, smoothed; 0 for not told.
+    double mCapacity = 0;
     std::optional<Millis> mSlowSince;
     /// Its hottest keys by the last report.
     std::vector<wire::HotKeyT> mHotKeys;
@@ -96,6 +133,8 @@
   double meanCost() const;
   double costOf(const MemberView& aView) const;
   double capacityOf(MemberView& aView, Millis aNow) const;
+  /// Mean of the capacities that are told; 1 if there are none.
+  double meanCapacity() const;
   std::vector<Standing> standings(const CellState& aState,
                                   const MayOwnFn& aMayOwn,
                                   Millis aNow);
@@ -131,9 +170,10 @@
   static double meanUsed(std::span<const Standing> aStandings);
   /// Sorts the most loaded first and gives those above the band: one of them
   /// may bear a single key that is hotter than its share, and is passed over.
-  static std::span<Standing> sortOutHigh(std::span<Standing> aStandings);
+  std::span<Standing> sortOutHigh(std::span<Standing> aStandings) const;
   bool outOfBand(std::span<const Standing> aStandings, Millis aNow);
 
+  const Pace mPace;
   std::map<Incarnation, MemberView> mMembers;
   std::array<ShardView, kShardCount> mShards{};
   SplitKeyLoads mSplitKeys;
--- a/include/radishroad/upstream/gate.h
+++ b/include/radishroad/upstream/gate.h
@@ -122,6 +122,8 @@
   struct Load
   {
     double mWindow = 0;
+    /// Requests a second that the upstream bears; 0 if it does not report.
+    double mCapacity = 0;
     std::uint32_t mInFlight = 0;
     std::uint32_t mQueued = 0;
     bool mHealthy = false;
--- a/include/radishroad/upstream/load_counter.h
+++ b/include/radishroad/upstream/load_counter.h
@@ -22,6 +22,10 @@
 
   void add(Shard aShard, std::uint64_t aKeyHash, Millis aBusy, Millis aNow);
   /// Counts by shard; counting starts anew.
+  /// A request that has come, whether or not it will be run.
+  void addOffered(Shard aShard, std::uint64_t aKeyHash, Millis aNow);
+  /// Time that a request counted by addOffered has kept the upstream busy.
+  void addBusy(Shard aShard, Millis aBusy);
   std::vector<wire::ShardLoad> takeShards();
   /// The hottest keys, the hottest first.
   std::vector<wire::HotKeyT> hotKeys(Millis aNow);
--- a/src/daemon/coordinator_duty.cpp
+++ b/src/daemon/coordinator_duty.cpp
@@ -27,7 +27,7 @@
 /// shards? Smaller differences are left to the moves by load, which would
 /// otherwise be undone.
 bool
-hasNewcomer(const CellState& aCell)
+hasNewcomer(const CellState& aCell, bool aByCapacity)
 {
   std::map<Incarnation, std::size_t> counts;
   for (const auto& [incarnation, member] : aCell.mMembers) {
@@ -41,8 +41,10 @@
       ++it->second;
     }
   }
-  const std::size_t fewShards =
-    aCell.mShards.size() / (2 * std::max<std::size_t>(counts.size(), 1));
+  const std::size_t even =
+    aCell.mShards.size() / std::max<std::size_t>(counts.size(), 1);
+  // A slow member has few by its measured capacity.
+  const std::size_t fewShards = aByCapacity ? 1 : even / 2;
   return std::any_of(counts.begin(), counts.end(), [&](const auto& aCount) {
     return aCount.second < fewShards;
   });
@@ -65,6 +67,8 @@
 CoordinatorDuty::CoordinatorDuty(ControlContext& aContext, OrderHooks aOrderOwn)
   : mContext(aContext)
   , mOrderOwn(std::move(aOrderOwn))
+  , mBalancer(aContext.mSettings.isPlatform() ? Balancer::quickPace()
+                                              : Balancer::Pace{})
 {
 }
 
@@ -154,7 +158,7 @@
   mNextMoves = aNow + kMovesInterval;
   // Shards of a platform's numbered keys lie scattered, so that hot keys do.
   if (!mContext.mSettings.isPlatform() &&
-      !hasNewcomer(mContext.mFleet.ownCell())) {
+      !hasNewcomer(mContext.mFleet.ownCell(), false)) {
     orderKeys(aNow);
   }
   orderShards(aNow);
@@ -200,7 +204,7 @@
 CoordinatorDuty::planShards(Millis aNow)
 {
   const CellState& cell = mContext.mFleet.ownCell();
-  if (hasNewcomer(cell)) {
+  if (hasNewcomer(cell, mContext.mSettings.isPlatform())) {
     MoveAllowance allowance = mBalancer.allowance(cell);
     const auto take = [&](Shard aShard, Incarnation aMember) {
       return allowance.take(aMember, mBalancer.loadAt(aShard, aMember));
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -34,6 +34,7 @@
   report.incarnation = aReporter;
   report.window = static_cast<float>(aLoad.mWindow);
   report.in_flight = static_cast<float>(aLoad.mInFlight);
+  report.capacity = static_cast<float>(aLoad.mCapacity);
   report.shards = std::move(aLoad.mShards);
   for (const wire::HotKeyT& key :
        selectHotKeys(aLoad.mHotKeys, aCell, aReporter)) {
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -29,11 +29,13 @@
 /// An incarnation that lived so long did not fail at once.
 constexpr Millis kLongLife{ 60000 };
 constexpr Millis kJoinDelayStep{ 500 };
-/// The platform allows a fleet a fifth of its requests as repeats, and few
-/// besides; all daemons together stay well below.
-constexpr RetryBudget::Bounds kPlatformRetries{ .mRatio = 0.08,
-                                                .mMost = 4,
-                                                .mPerSecond = 0.1 };
+/// The platform allows a fifth of a service's requests as repeats, and few
+/// besides. A repeated run repeats its calls to other services, and all of a
+/// daemon's repeats may be for one service, so that each daemon takes a fifth
+/// of that share.
+constexpr RetryBudget::Bounds kPlatformRetries{ .mRatio = 0.04,
+                                                .mMost = 3,
+                                                .mPerSecond = 0.05 };
 constexpr Millis kLongestJoinDelay{ 30000 };
 
 std::atomic<bool> sStopRequested{ false };
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -8,19 +8,6 @@
 namespace {
 
 constexpr double kMillisPerSecond = 1000.0;
-/// Time constant of the smoothed loads.
-constexpr double kSmoothSeconds = 5.0;
-/// Moves begin above this share of the mean and end below the other.
-constexpr double kHighRatio = 1.3;
-constexpr double kLowRatio = 1.15;
-constexpr Millis kHighPatience{ 3000 };
-/// A shard that was moved rests.
-constexpr Millis kShardRest{ 30000 };
-constexpr std::size_t kMaxMoves = 4;
-/// Shards moved within the span at most.
-constexpr std::size_t kMoveBudget = 16;
-constexpr Millis kBudgetSpan{ 60000 };
-
 /// An upstream that takes so many times the median cost is a straggler.
 constexpr double kSlowRatio = 2.0;
 constexpr Millis kStragglerPatience{ 10000 };
@@ -29,10 +16,10 @@
 constexpr double kNewWindow = 1.0;
 
 double
-smoothed(double aOld, double aNew, Millis aPassed)
+smoothed(double aOld, double aNew, Millis aPassed, double aSeconds)
 {
   const double seconds = static_cast<double>(aPassed.mCount) / kMillisPerSecond;
-  const double gain = 1 - std::exp(-seconds / kSmoothSeconds);
+  const double gain = 1 - std::exp(-seconds / aSeconds);
   return aOld + gain * (aNew - aOld);
 }
 
@@ -73,6 +60,13 @@
   const Millis passed = aNow - member.mReportedAt;
   member.mReportedAt = aNow;
   member.mWindow = aReport.window;
+  if (aReport.capacity > 0) {
+    member.mCapacity =
+      member.mCapacity > 0
+        ? smoothed(
+            member.mCapacity, aReport.capacity, passed, mPace.mSmoothSeconds)
+        : aReport.capacity;
+  }
   member.mHotKeys.clear();
   for (const std::unique_ptr<wire::HotKeyT>& key : aReport.hot_keys) {
     member.mHotKeys.push_back(*key);
@@ -91,7 +85,7 @@
   if (requests > 0) {
     const double cost = busyMs / requests;
     member.mCost =
-      member.mCost > 0 ? smoothed(member.mCost, cost, passed) : cost;
+      member.mCost > 0 ? smoothed(member.mCost, cost, passed, mPace.mSmoothSeconds) : cost;
   }
 }
 
@@ -109,7 +103,7 @@
     const double split = mSplitKeys.rateOf(aReport.incarnation, load.shard());
     const double rate = std::max(0.0, load.requests() / seconds - split);
     ShardView& shard = mShards[load.shard()];
-    shard.mRate = smoothed(shard.mRate, rate, aPassed);
+    shard.mRate = smoothed(shard.mRate, rate, aPassed, mPace.mSmoothSeconds);
   }
 }
 
@@ -179,9 +173,41 @@
   return allowance;
 }
 
+Balancer::Pace
+Balancer::quickPace()
+{
+  Pace pace;
+  pace.mHighRatio = 1.12;
+  pace.mLowRatio = 1.05;
+  pace.mLeastUse = 0.4;
+  pace.mPatience = Millis{ 500 };
+  pace.mShardRest = Millis{ 2500 };
+  pace.mMaxMoves = 16;
+  pace.mMoveBudget = 128;
+  pace.mBudgetSpan = Millis{ 5000 };
+  pace.mSmoothSeconds = 1.5;
+  pace.mByCapacity = true;
+  return pace;
+}
+
+double
+Balancer::meanCapacity() const
+{
+  double sum = 0;
+  double told = 0;
+  for (const auto& [id, member] : mMembers) {
+    sum += member.mCapacity;
+    told += member.mCapacity > 0 ? 1 : 0;
+  }
+  return told > 0 ? sum / told : 1;
+}
+
 double
 Balancer::capacityOf(MemberView& aView, Millis aNow) const
 {
+  if (mPace.mByCapacity) {
+    return aView.mCapacity > 0 ? aView.mCapacity : meanCapacity();
+  }
   const double ratio = aView.mCost / meanCost();
   if (ratio < kSlowRatio) {
     aView.mSlowSince.reset();
@@ -227,9 +253,9 @@
 }
 
 std::span<Balancer::Standing>
-Balancer::sortOutHigh(std::span<Standing> aStandings)
+Balancer::sortOutHigh(std::span<Standing> aStandings) const
 {
-  const double low = kLowRatio * meanUsed(aStandings);
+  const double low = mPace.mLowRatio * meanUsed(aStandings);
   std::ranges::sort(aStandings, std::ranges::greater{}, &Standing::used);
   const auto end = std::ranges::find_if(
     aStandings, [low](const Standing& aOne) { return aOne.used() <= low; });
@@ -242,13 +268,13 @@
   const double mean = meanUsed(aStandings);
   const double most =
     std::ranges::max_element(aStandings, {}, &Standing::used)->used();
-  if (most <= mean * kHighRatio) {
+  if (most <= mean * mPace.mHighRatio || most < mPace.mLeastUse) {
     mHighSince.reset();
-    mMoving = mMoving && most > mean * kLowRatio;
+    mMoving = mMoving && most > mean * mPace.mLowRatio;
     return mMoving;
   }
   mHighSince = mHighSince.value_or(aNow);
-  mMoving = mMoving || aNow - *mHighSince >= kHighPatience;
+  mMoving = mMoving || aNow - *mHighSince >= mPace.mPatience;
   return mMoving;
 }
 
@@ -257,7 +283,7 @@
 {
   const ShardView& view = mShards[aShard];
   return view.mRate > 0 &&
-         (!view.mMovedAt || aNow - *view.mMovedAt >= kShardRest);
+         (!view.mMovedAt || aNow - *view.mMovedAt >= mPace.mShardRest);
 }
 
 std::optional<Shard>
@@ -287,11 +313,11 @@
 Balancer::moveBudget(Millis aNow) const
 {
   const std::ptrdiff_t moved =
-    std::ranges::count_if(mShards, [aNow](const ShardView& aView) {
-      return aView.mMovedAt && aNow - *aView.mMovedAt < kBudgetSpan;
+    std::ranges::count_if(mShards, [this, aNow](const ShardView& aView) {
+      return aView.mMovedAt && aNow - *aView.mMovedAt < mPace.mBudgetSpan;
     });
   const std::size_t spent = static_cast<std::size_t>(moved);
-  return spent < kMoveBudget ? kMoveBudget - spent : 0;
+  return spent < mPace.mMoveBudget ? mPace.mMoveBudget - spent : 0;
 }
 
 std::vector<wire::ShardGrant>
@@ -307,7 +333,7 @@
   }
   CellState planned = aState;
   MoveAllowance allowed = allowance(aState);
-  const std::size_t most = std::min(kMaxMoves, moveBudget(aNow));
+  const std::size_t most = std::min(mPace.mMaxMoves, moveBudget(aNow));
   while (moves.size() < most) {
     const std::span<Standing> high = sortOutHigh(all);
     Standing& to = all.back();
--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -24,6 +24,15 @@
   return std::min(left, std::max(kLeastHold, part));
 }
 
+double
+capacityOf(const UpstreamPace& aPace)
+{
+  constexpr double kMillisPerSecond = 1000;
+  const double warm =
+    aPace.mRunMs > 0 ? aPace.mSlots * kMillisPerSecond / aPace.mRunMs : 0;
+  return aPace.mColdPerSecond > 0 ? std::min(warm, aPace.mColdPerSecond) : warm;
+}
+
 QueuedRequest
 makeQueued(ForwardRequest aRequest, AnswerFn aAnswer, Millis aNow)
 {
@@ -174,6 +183,7 @@
 {
   Load load;
   load.mWindow = mImpl->mWindowNow;
+  load.mCapacity = capacityOf(pace().mPace);
   load.mInFlight = mImpl->mInFlight;
   load.mQueued = mImpl->mQueuedCount;
   load.mHealthy = mImpl->mHealthyNow;
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -69,6 +69,11 @@
     // One that was set before this was submitted holds for it.
     applyConfiguration();
     queued->mTicket = mNextTicket++;
+    const ForwardRequest& request = queued->mRequest;
+    if (mOptions.mProtocol.mReports && request.shard < kShardCount) {
+      // Those refused for lack of room count as well.
+      mLoad.addOffered(request.shard, request.key_hash, mHooks.mNow());
+    }
     if (admit(*queued)) {
       mQueue.pushBack(std::move(*queued));
     }
@@ -330,7 +335,8 @@
   const std::uint32_t n = busy();
   mInFlight = n;
   mHealthyNow = mHealth.healthy();
-  mWindowNow = mWindow.size();
+  // An upstream that reports bounds what moves to it by its capacity.
+  mWindowNow = mOptions.mProtocol.mReports ? 0 : mWindow.size();
   const Millis now = mHooks.mNow();
   if (mOptions.mProtocol.mReports) {
     const std::lock_guard<std::mutex> lock(mPaceMutex);
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -251,9 +251,10 @@
   }
   mAnswered.add(queued.mFingerprint, now);
   mQueue.charge(queued.mRequest.workspace, took);
-  if (queued.mRequest.shard < kShardCount) {
-    mLoad.add(
-      queued.mRequest.shard, queued.mRequest.key_hash, took, now);
+  if (queued.mRequest.shard < kShardCount && protocol.mReports) {
+    mLoad.addBusy(queued.mRequest.shard, took);
+  } else if (queued.mRequest.shard < kShardCount) {
+    mLoad.add(queued.mRequest.shard, queued.mRequest.key_hash, took, now);
   }
   mMetrics.observe("radishroad_gate_run_seconds", took);
   answer(queued, makeAnswered(queued.mRequest, std::move(aResponse)));
--- a/src/upstream/load_counter.cpp
+++ b/src/upstream/load_counter.cpp
@@ -27,6 +27,19 @@
   mKeys.add(aKeyHash, aNow);
 }
 
+void
+LoadCounter::addOffered(Shard aShard, std::uint64_t aKeyHash, Millis aNow)
+{
+  add(aShard, aKeyHash, Millis{}, aNow);
+}
+
+void
+LoadCounter::addBusy(Shard aShard, Millis aBusy)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mShards[aShard].mBusyMs += static_cast<std::uint32_t>(aBusy.mCount);
+}
+
 std::vector<wire::ShardLoad>
 LoadCounter::takeShards()
 {
