Share keys by what each upstream bears

Each gate now tells what it bears (slots by the mean time of a run), and the coordinator moves shards when an upstream is used an eighth more than the mean for half a second.

--- a/include/radishroad/policy/balance.h
+++ b/include/radishroad/policy/balance.h
@@ -71,6 +71,8 @@
   void onReport(const wire::LoadReportT& aReport,
                 const CellState& aState,
                 Millis aNow);
+  /// Enough is asked for that loads can be told from chance.
+  bool hasTraffic() const;
   /// Forgets a member that is gone.
   void forget(Incarnation aMember);
 
--- a/src/daemon/coordinator_duty.cpp
+++ b/src/daemon/coordinator_duty.cpp
@@ -22,6 +22,8 @@
 /// Pace of moves.
 constexpr Millis kMovesInterval{ 500 };
 constexpr std::size_t kSpreadShards = 16;
+/// Part of an even share that a member is given at once, however slow it is.
+constexpr std::size_t kFewPart = 8;
 
 /// Does a member that may own have less than half of an even share of the
 /// shards? Smaller differences are left to the moves by load, which would
@@ -43,8 +45,9 @@
   }
   const std::size_t even =
     aCell.mShards.size() / std::max<std::size_t>(counts.size(), 1);
-  // A slow member has few by its measured capacity.
-  const std::size_t fewShards = aByCapacity ? 1 : even / 2;
+  // With traffic a slow member has few by its measured capacity.
+  const std::size_t fewShards =
+    aByCapacity ? std::max<std::size_t>(1, even / kFewPart) : even / 2;
   return std::any_of(counts.begin(), counts.end(), [&](const auto& aCount) {
     return aCount.second < fewShards;
   });
@@ -204,7 +207,9 @@
 CoordinatorDuty::planShards(Millis aNow)
 {
   const CellState& cell = mContext.mFleet.ownCell();
-  if (hasNewcomer(cell, mContext.mSettings.isPlatform())) {
+  const bool byCapacity =
+    mContext.mSettings.isPlatform() && mBalancer.hasTraffic();
+  if (hasNewcomer(cell, byCapacity)) {
     MoveAllowance allowance = mBalancer.allowance(cell);
     const auto take = [&](Shard aShard, Incarnation aMember) {
       return allowance.take(aMember, mBalancer.loadAt(aShard, aMember));
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -8,6 +8,11 @@
 namespace {
 
 constexpr double kMillisPerSecond = 1000.0;
+/// Requests a second in a cell below which its loads are not judged.
+constexpr double kLeastTraffic = 20;
+/// Bounds of a member's capacity against the mean.
+constexpr double kLeastCapacity = 0.15;
+constexpr double kMostCapacity = 1.6;
 /// An upstream that takes so many times the median cost is a straggler.
 constexpr double kSlowRatio = 2.0;
 constexpr Millis kStragglerPatience{ 10000 };
@@ -107,6 +112,16 @@
   }
 }
 
+bool
+Balancer::hasTraffic() const
+{
+  double rate = 0;
+  for (const ShardView& shard : mShards) {
+    rate += shard.mRate;
+  }
+  return rate >= kLeastTraffic;
+}
+
 void
 Balancer::forget(Incarnation aMember)
 {
@@ -206,7 +221,10 @@
 Balancer::capacityOf(MemberView& aView, Millis aNow) const
 {
   if (mPace.mByCapacity) {
-    return aView.mCapacity > 0 ? aView.mCapacity : meanCapacity();
+    // A few lucky or unlucky runs must not make a member look out of range.
+    const double mean = meanCapacity();
+    const double told = aView.mCapacity > 0 ? aView.mCapacity : mean;
+    return std::clamp(told, mean * kLeastCapacity, mean * kMostCapacity);
   }
   const double ratio = aView.mCost / meanCost();
   if (ratio < kSlowRatio) {
--- a/src/upstream/gate_order.cpp
+++ b/src/upstream/gate_order.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Weight of one run in the mean time.
-constexpr double kRunGain = 0.1;
+constexpr double kRunGain = 0.03;
 /// What is asked of callers whose key or upstream cannot be served just now.
 constexpr Millis kUnservedRetryAfter{ 200 };
 
