--- a/include/radishroad/policy/balance.h
+++ b/include/radishroad/policy/balance.h
@@ -42,11 +42,16 @@
     /// A shard that was moved rests.
     Millis mShardRest{ 30000 };
     std::size_t mMaxMoves = 4;
+    /// A move must lower the higher of the two by this share.
+    double mMinGain = 0.03;
     /// Shards moved within the span at most.
     std::size_t mMoveBudget = 16;
     Millis mBudgetSpan{ 60000 };
     /// Time constant of the smoothed loads.
     double mSmoothSeconds = 5.0;
+    /// The same for a capacity that falls: a slow upstream is relieved sooner
+    /// than it is trusted again.
+    double mFallSeconds = 5.0;
     /// Members tell what they bear, and their use is measured by that.
     bool mByCapacity = false;
   };
@@ -93,9 +98,6 @@
                                             Millis aNow);
 
 private:
-  /// A move must lower the higher of the two by this share of the mean.
-  static constexpr double kMinGain = 0.03;
-
   struct MemberView
   {
     Millis mReportedAt;
--- a/include/radishroad/upstream/gate.h
+++ b/include/radishroad/upstream/gate.h
@@ -105,6 +105,8 @@
   /// Any thread: what the upstream says of itself. False if the report is of
   /// an earlier start or out of order, and changes nothing.
   bool onReport(const UpstreamReport& aReport);
+  /// Any thread: whether onReport would take the report.
+  bool isNews(const UpstreamReport& aReport) const;
   /// Any thread: tokens that another upstream gave out for this one.
   void onHandover(Shard aShard,
                   Epoch aEpoch,
--- a/include/radishroad/upstream/upstream_report.h
+++ b/include/radishroad/upstream/upstream_report.h
@@ -23,6 +23,8 @@
   Kind mKind = Kind::Ready;
   /// Name of the upstream; a restart may keep it.
   std::string mInstance;
+  /// Service that it belongs to; empty if it is not told.
+  std::string mService;
   /// Wall-clock time of its start; tells two starts of one name apart. 0 if it
   /// is not told.
   Millis mBorn;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -31,6 +31,13 @@
 
 Daemon::~Daemon() = default;
 
+std::string
+Daemon::nextService() const
+{
+  return mParts->mNextService.empty() ? mParts->mSettings.mService
+                                      : mParts->mNextService;
+}
+
 Result<Daemon::RunEnd>
 Daemon::run(const StopFn& aWaitForStop)
 {
--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -211,7 +211,9 @@
   mRecorder.tick(monotonicNow());
   mConfigContact = mFleet.lastConfigContact().mCount;
   mLeft = mMembership.leaving() && (!mMembership.joined() || nobodyTakesOver());
-  mOut = mMembership.out() && !mLeaveRequested;
+  if (mMembership.out() && !mLeaveRequested) {
+    mOut = true;
+  }
   const bool busy =
     mHadRequests.exchange(false) || mHandoff.busy() || draining();
   return busy ? kBusyTickInterval : kIdleTickInterval;
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -68,6 +68,9 @@
   CrashWatch& mCrashes;
   std::atomic<std::int64_t> mConfigContact{ 0 };
   std::atomic<bool> mOut{ false };
+  /// Service of an upstream that has taken the place of the one before; set
+  /// before mOut.
+  std::string mNextService;
   std::atomic<bool> mLeaveRequested{ false };
   std::atomic<bool> mLeft{ false };
   /// A caller's request came since the last tick.
@@ -141,6 +144,9 @@
                    const wire::RecordT& aRecord,
                    std::function<void(Result<std::uint64_t>)> aResult);
   Answer answerReport(const CallerRequest& aRequest);
+  /// An upstream of another service has the address: this daemon goes on as
+  /// one of that service. False if the report cannot be believed.
+  bool followService(const UpstreamReport& aReport);
   Answer answerReadiness(const CallerRequest& aRequest) const;
   void setPlatformGateHooks(Gate::Hooks& aHooks);
   void sendHandover(Shard aShard, const std::vector<std::string>& aTokens);
--- a/src/daemon/parts_platform.cpp
+++ b/src/daemon/parts_platform.cpp
@@ -1,6 +1,8 @@
 #include "parts.h"
 
 #include "radishroad/base/json_log.h"
+#include "radishroad/config/model.h"
+#include "radishroad/daemon/fleet_view.h"
 #include "radishroad/request/plain_answer.h"
 #include "radishroad/state/relay.h"
 #include "radishroad/state/snapshot_codec.h"
@@ -127,6 +129,11 @@
                { "target", aRequest.mTarget } });
     return makePlainAnswer(400, kJson, "{}");
   }
+  const bool foreign =
+    !report->mService.empty() && report->mService != mSettings.mService;
+  if (foreign) {
+    return makePlainAnswer(followService(*report) ? 200 : 400, kJson, "{}");
+  }
   if (!mGate->onReport(*report)) {
     logEvent(LogLevel::Info,
              "upstream_report_outdated",
@@ -137,6 +144,26 @@
   return makePlainAnswer(200, kJson, "{}");
 }
 
+bool
+Daemon::Parts::followService(const UpstreamReport& aReport)
+{
+  const std::shared_ptr<const FleetView> view = mViews.get();
+  const bool known = view->mModel != nullptr &&
+                     view->mModel->mServices.contains(aReport.mService);
+  const bool taken = known && mGate->isNews(aReport);
+  logEvent(LogLevel::Warn,
+           "upstream_of_another_service",
+           { { "instance", aReport.mInstance },
+             { "service", aReport.mService },
+             { "own_service", mSettings.mService },
+             { "followed", taken } });
+  if (taken && !mOut) {
+    mNextService = aReport.mService;
+    mOut = true;
+  }
+  return taken;
+}
+
 void
 Daemon::Parts::setPlatformGateHooks(Gate::Hooks& aHooks)
 {
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -103,9 +103,10 @@
   CrashWatch crashes(aSettings.isPlatform() ? kPlatformRetries
                                             : RetryBudget::Bounds{});
   Millis joinDelay;
+  DaemonSettings settings = aSettings;
   while (true) {
     const Millis startedAt = monotonicNow();
-    Daemon daemon(aSettings, crashes, joinDelay, aHooks);
+    Daemon daemon(settings, crashes, joinDelay, aHooks);
     const Result<Daemon::RunEnd> end = daemon.run(waitForStop);
     if (!end) {
       logEvent(
@@ -115,6 +116,7 @@
     if (*end == Daemon::RunEnd::Stopped) {
       return EXIT_SUCCESS;
     }
+    settings.mService = daemon.nextService();
     // A daemon that its peers cannot reach would join and be expelled again
     // and again, and take shards each time.
     const bool livedLong = monotonicNow() - startedAt > kLongLife;
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -66,10 +66,11 @@
   member.mReportedAt = aNow;
   member.mWindow = aReport.window;
   if (aReport.capacity > 0) {
+    const bool falls = aReport.capacity < member.mCapacity;
+    const double seconds = falls ? mPace.mFallSeconds : mPace.mSmoothSeconds;
     member.mCapacity =
       member.mCapacity > 0
-        ? smoothed(
-            member.mCapacity, aReport.capacity, passed, mPace.mSmoothSeconds)
+        ? smoothed(member.mCapacity, aReport.capacity, passed, seconds)
         : aReport.capacity;
   }
   member.mHotKeys.clear();
@@ -196,11 +197,13 @@
   pace.mLowRatio = 1.05;
   pace.mLeastUse = 0.4;
   pace.mPatience = Millis{ 500 };
-  pace.mShardRest = Millis{ 2500 };
-  pace.mMaxMoves = 16;
+  pace.mShardRest = Millis{ 1500 };
+  pace.mMaxMoves = 24;
+  pace.mMinGain = 0.002;
   pace.mMoveBudget = 128;
   pace.mBudgetSpan = Millis{ 5000 };
   pace.mSmoothSeconds = 1.5;
+  pace.mFallSeconds = 0.6;
   pace.mByCapacity = true;
   return pace;
 }
@@ -324,7 +327,7 @@
     }
   }
   const double gain = aFrom.used() - bestPeak;
-  return gain > kMinGain * aFrom.used() ? best : std::nullopt;
+  return gain > mPace.mMinGain * aFrom.used() ? best : std::nullopt;
 }
 
 std::size_t
--- a/src/policy/balance_keys.cpp
+++ b/src/policy/balance_keys.cpp
@@ -125,7 +125,7 @@
     return true;
   }
   const double byShard = peakAfter(aFrom, aTo, mShards[*shard].mRate);
-  return peakAfter(aFrom, aTo, aRate) <= byShard + kMinGain * aFrom.used();
+  return peakAfter(aFrom, aTo, aRate) <= byShard + mPace.mMinGain * aFrom.used();
 }
 
 std::optional<wire::HotKeyT>
@@ -135,7 +135,7 @@
                   Millis aNow) const
 {
   std::optional<wire::HotKeyT> best;
-  double bestPeak = aFrom.used() * (1 - kMinGain);
+  double bestPeak = aFrom.used() * (1 - mPace.mMinGain);
   for (const wire::HotKeyT& key : movableKeys(aPlanned, aFrom.mMember, aNow)) {
     const double peak = peakAfter(aFrom, aTo, key.rate);
     if (peak < bestPeak) {
--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -163,6 +163,14 @@
   return true;
 }
 
+bool
+Gate::isNews(const UpstreamReport& aReport) const
+{
+  const std::lock_guard<std::mutex> lock(mImpl->mPaceMutex);
+  return mImpl->mAccepted.mInstance.empty() ||
+         isNewer(aReport, mImpl->mAccepted);
+}
+
 void
 Gate::onHandover(Shard aShard, Epoch aEpoch, std::vector<std::string> aTokens)
 {
--- /dev/null
+++ b/tests/unit/balance_capacity_test.cpp
@@ -0,0 +1,174 @@
+#include "radishroad/policy/balance.h"
+
+#include "cell_log.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+using namespace radishroad;
+using namespace radishroad::literals;
+using radishroad::testing::CellLog;
+
+namespace {
+
+constexpr std::size_t kMembers = 7;
+/// Requests a second that the upstreams bear: their speeds differ threefold.
+constexpr std::array<double, kMembers> kCapacities{ 45, 90, 90, 135,
+                                                    45, 90, 90 };
+/// 85% of what all bear together.
+constexpr double kOffered = 500;
+
+/// A cell whose upstreams tell what they bear, with even shares at first.
+class Cell
+{
+public:
+  Cell(Balancer::Pace aPace, std::uint64_t aSeed)
+    : mBalancer(aPace)
+    , mRandom(aSeed)
+  {
+    for (Incarnation n = 1; n <= kMembers; ++n) {
+      mLog.join(n, "z");
+    }
+    for (Shard shard = 0; shard < kShardCount; ++shard) {
+      mLog.assign(shard, 0, 1 + shard % kMembers);
+    }
+  }
+
+  void slowDown(std::size_t aMember, double aFactor)
+  {
+    mSlowness.at(aMember) = aFactor;
+  }
+
+  /// Half a second of load and one round of moves.
+  void step()
+  {
+    mNow += 500_ms;
+    if (mNow.mCount % 1000 == 0) {
+      report();
+    }
+    const auto any = [](Incarnation) { return true; };
+    for (const wire::ShardGrant& move :
+         mBalancer.planMoves(mLog.mState, any, mNow)) {
+      mLog.release(mLog.mState.mShards[move.shard()].mOwner, { move });
+      ++mMoves;
+    }
+  }
+
+  double capacity(std::size_t aMember) const
+  {
+    return kCapacities.at(aMember) / mSlowness.at(aMember);
+  }
+
+  /// Use of the most used upstream, 1 for all that it bears.
+  double highestUse() const
+  {
+    double highest = 0;
+    for (std::size_t n = 0; n < kMembers; ++n) {
+      highest = std::max(highest, rateOf(n) / capacity(n));
+    }
+    return highest;
+  }
+
+  int moves() const { return mMoves; }
+
+private:
+  double rateOf(std::size_t aMember) const
+  {
+    const auto count =
+      std::ranges::count(mLog.mState.mShards, aMember + 1, &Ownership::mOwner);
+    return kOffered * static_cast<double>(count) / kShardCount;
+  }
+
+  void report()
+  {
+    std::uniform_real_distribution<double> noise(0.85, 1.15);
+    std::poisson_distribution<std::uint32_t> requests(kOffered / kShardCount);
+    for (std::size_t n = 0; n < kMembers; ++n) {
+      wire::LoadReportT told;
+      told.incarnation = n + 1;
+      told.capacity = static_cast<float>(capacity(n) * noise(mRandom));
+      for (Shard shard = 0; shard < kShardCount; ++shard) {
+        if (mLog.mState.mShards[shard].mOwner == n + 1) {
+          told.shards.emplace_back(shard, requests(mRandom), 0);
+        }
+      }
+      mBalancer.onReport(told, mLog.mState, mNow);
+    }
+  }
+
+  CellLog mLog;
+  Balancer mBalancer;
+  std::mt19937_64 mRandom;
+  std::array<double, kMembers> mSlowness{ 1, 1, 1, 1, 1, 1, 1 };
+  Millis mNow;
+  int mMoves = 0;
+};
+
+double
+useAfter(Balancer::Pace aPace, std::uint64_t aSeed, bool aSlowOne)
+{
+  Cell cell(aPace, aSeed);
+  for (int n = 0; n < 12; ++n) {
+    cell.step();
+  }
+  if (aSlowOne) {
+    cell.slowDown(3, 4);
+    for (int n = 0; n < 8; ++n) {
+      cell.step();
+    }
+  }
+  BOOST_TEST(cell.moves() < 250);
+  return cell.highestUse();
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(balance_capacity)
+
+BOOST_AUTO_TEST_CASE(unequal_upstreams_are_used_alike_within_seconds)
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    const double quick = useAfter(Balancer::quickPace(), seed, false);
+    const double plain = useAfter({}, seed, false);
+    BOOST_TEST(quick < 1.1, "seed " << seed << ": " << quick);
+    BOOST_TEST(plain > 1.4, "seed " << seed << ": " << plain);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_upstream_that_turns_slow_is_relieved_in_four_seconds)
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    // Its neighbours bear less than what is asked for now: 92% in all.
+    const double quick = useAfter(Balancer::quickPace(), seed, true);
+    const double plain = useAfter({}, seed, true);
+    BOOST_TEST(quick < 1.4, "seed " << seed << ": " << quick);
+    BOOST_TEST(quick < plain / 1.5, "seed " << seed << ": " << plain);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(equal_upstreams_with_little_load_are_left_alone)
+{
+  Balancer balancer(Balancer::quickPace());
+  CellLog log;
+  log.join(1, "z");
+  log.join(2, "z");
+  for (Shard shard = 0; shard < kShardCount; ++shard) {
+    log.assign(shard, 0, shard < 100 ? 1 : 2);
+  }
+  for (Millis now = 1000_ms; now < 20000_ms; now += 1000_ms) {
+    for (Incarnation member = 1; member <= 2; ++member) {
+      wire::LoadReportT told;
+      told.incarnation = member;
+      told.capacity = 1000;
+      told.shards.emplace_back(member == 1 ? 0 : 200, 50, 0);
+      balancer.onReport(told, log.mState, now);
+    }
+    BOOST_TEST(
+      balancer.planMoves(log.mState, [](Incarnation) { return true; }, now)
+        .empty());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/platform_configuration_test.cpp
@@ -0,0 +1,123 @@
+#include "platform/configuration.h"
+
+#include "radishroad/base/hash.h"
+
+#include <boost/algorithm/string/replace.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace radishroad;
+
+namespace {
+
+const std::string kDocument = R"({"Version":"r12",
+ "Routes":{"Columns":["Name","Host","Prefix","Kind","TimeoutMs",
+   "TargetLatencyMs","Priority","Service","MaxAttempts","Public",
+   "WeightedClusters"],
+  "Rows":[["buy","h.x","/buy/","non_idempotent",1200,400,1,"a",2,false,null],
+   ["see","h.x","/see/","idempotent",1000,300,2,null,2,true,
+    [{"Service":"a","Weight":90},{"Service":"b","Weight":10}]]]},
+ "Services":{"Columns":["Name","HealthPath","MaxConnections","Protocol","Tls",
+   "WarmupS","WarmupPerS","Sharded","WarmS","Grants"],
+  "Rows":[["a","/healthz",130,"h1",false,3.0,18.0,true,2.0,"call"],
+   ["b","/healthz",130,"h1",false,3.0,18.0,null,null,null]]},
+ "Limits":{"MaxHeaderBytes":16384},
+ "Tenants":{"Columns":["Name","ApiKeys","Priority","RatePerS","Burst"],
+  "Rows":[["t",["key-1","key-2"],1,112,224]]}})";
+
+Bytes
+bytesOf(const std::string& aText)
+{
+  return { aText.begin(), aText.end() };
+}
+
+Result<config::VersionedModel>
+readWith(const std::string& aFrom, const std::string& aTo)
+{
+  return platform::readConfiguration(
+    bytesOf(boost::replace_first_copy(kDocument, aFrom, aTo)));
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(platform_configuration)
+
+BOOST_AUTO_TEST_CASE(a_document_becomes_a_model)
+{
+  const Result<config::VersionedModel> read =
+    platform::readConfiguration(bytesOf(kDocument));
+  BOOST_REQUIRE(read.has_value());
+  const config::Model& model = read->mModel;
+  BOOST_TEST(read->mVersion == 12U);
+  BOOST_REQUIRE(model.mRoutes.size() == 2U);
+  BOOST_TEST(!model.mRoutes[0].mIdempotent);
+  BOOST_TEST(model.mRoutes[0].mObjective.mCount == 400);
+  BOOST_TEST(model.mRoutes[0].mMaxAttempts == 2U);
+  BOOST_TEST(model.mRoutes[1].mOpen);
+  BOOST_TEST(model.mRoutes[1].mTargets.size() == 2U);
+  BOOST_TEST(model.mServices.at("a").mKeyed);
+  BOOST_TEST(model.mServices.at("a").mHoldTime.mCount > 0);
+  BOOST_TEST(!model.mServices.at("b").mKeyed);
+  BOOST_TEST(model.mServices.at("b").mColdTime.mCount == 3000);
+  BOOST_TEST(model.mWorkspaces.at("t").mBurst == 224);
+  BOOST_TEST(model.mWorkspaceOfKey.at(sha256Hex("key-2")) == "t");
+  // No key is kept as it was sent.
+  BOOST_TEST(!model.mWorkspaceOfKey.contains("key-2"));
+}
+
+BOOST_AUTO_TEST_CASE(what_cannot_be_read_is_refused_with_its_place)
+{
+  const std::vector<std::array<std::string, 3>> cases{
+    { "\"r12\"", "\"12\"", "Version" },
+    { "\"r12\"", "12", "Version" },
+    { "\"non_idempotent\"", "\"maybe\"", "Routes[0].Kind" },
+    { "\"/buy/\"", "\"buy\"", "Routes[0].Prefix" },
+    { "1200", "-1", "Routes[0].TimeoutMs" },
+    { "400,1,\"a\"", "400,1,null", "Routes[0].Service" },
+    { "400,1,\"a\"", "400,1,\"none\"", "buy" },
+    { "\"Weight\":90", "\"Weight\":\"x\"", "Routes[1].WeightedClusters" },
+    { "[\"key-1\",\"key-2\"]", "[1]", "Tenants[0].ApiKeys" },
+    { "\"Rows\":[[\"a\"", "\"Rows\":[7,[\"a\"", "Services[0]" },
+  };
+  for (const auto& [from, to, place] : cases) {
+    const Result<config::VersionedModel> read = readWith(from, to);
+    BOOST_REQUIRE_MESSAGE(!read.has_value(), from << " -> " << to);
+    BOOST_TEST(read.error().mMessage.find(place) != std::string::npos,
+               read.error().mMessage);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_document_cut_short_anywhere_is_refused)
+{
+  for (std::size_t n = 0; n < kDocument.size(); ++n) {
+    BOOST_REQUIRE(
+      !platform::readConfiguration(bytesOf(kDocument.substr(0, n)))
+         .has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(fields_that_are_not_known_are_passed_over)
+{
+  BOOST_TEST(readWith("\"Limits\"", "\"New\":{\"a\":1},\"Limits\"").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_takes_a_zone_out_and_its_end_takes_it_back)
+{
+  const auto zoneOf = [](const std::string& aValue) {
+    const Result<OperatorChange> change =
+      platform::readOperatorEntry({ "evacuate/nashua", bytesOf(aValue) });
+    return std::get<OperatorChange::ZoneState>(change->mWhat);
+  };
+  BOOST_TEST(zoneOf("{}").mZone == "nashua");
+  BOOST_TEST(!zoneOf("{}").mInService);
+  BOOST_TEST(zoneOf("").mInService);
+}
+
+BOOST_AUTO_TEST_CASE(entries_of_other_kinds_change_nothing)
+{
+  const Result<OperatorChange> change =
+    platform::readOperatorEntry({ "something/else", bytesOf("x") });
+  BOOST_REQUIRE(change.has_value());
+  BOOST_TEST(std::holds_alternative<std::monostate>(change->mWhat));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/platform_gate_test.cpp
@@ -0,0 +1,218 @@
+#include "platform/protocol.h"
+
+#include "gate_fixture.h"
+#include "radishroad/daemon/settings.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <set>
+
+using namespace radishroad;
+using namespace radishroad::literals;
+
+namespace {
+
+constexpr Shard kOwnShard = 3;
+constexpr Epoch kEpoch = 6;
+
+/// A gate that speaks the platform's protocol with a stand-in upstream, which
+/// takes grants and runs only what it holds.
+struct PlatformGate
+{
+  PlatformGate()
+    : mUpstream([this](const Request& aRequest) { return answer(aRequest); })
+    , mGate(options(), hooks(), mMetrics)
+  {
+    config::Service service;
+    service.mDeadline = Millis{ 5000 };
+    service.mRunLimit = Millis{ 5000 };
+    service.mHoldTime = Millis{ 1000 };
+    service.mHealthPath = "/healthz";
+    mGate.configure(service);
+    mGate.start();
+  }
+
+  Gate::Options options() const
+  {
+    DaemonSettings settings;
+    settings.mProtocol = "platform";
+    Gate::Options options;
+    options.mUpstream = mUpstream.address();
+    options.mProtocol = platform::makeProtocol(settings).mUpstream;
+    options.mDrainLimit = 100_ms;
+    return options;
+  }
+
+  Gate::Hooks hooks()
+  {
+    Gate::Hooks hooks;
+    hooks.mMayServe = [](const ForwardRequest&) {
+      ServeDecision decision;
+      decision.mEpoch = kEpoch;
+      decision.mServeUntil = monotonicNow() + 60_s;
+      return decision;
+    };
+    hooks.mOnHealth = [this](bool aUp) { mUp = aUp; };
+    hooks.mHoldings = [] {
+      return std::vector<Holding>{ { kOwnShard, kEpoch } };
+    };
+    hooks.mEpochOf = [](Shard) { return kEpoch; };
+    hooks.mOnReleased = [this](Shard, const std::vector<std::string>& aTokens) {
+      mTokens.set_value(aTokens);
+    };
+    hooks.mOnLife = [this](std::uint64_t) { ++mLives; };
+    hooks.mOnDraining = [this] { mDraining = true; };
+    hooks.mNow = monotonicNow;
+    return hooks;
+  }
+
+  Reply answer(const Request& aRequest)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    if (aRequest.mTarget == "/api/grant") {
+      const nlohmann::json body = nlohmann::json::parse(aRequest.mBody);
+      mHeld.insert(body["From"].get<std::uint32_t>());
+      return FakeUpstream::ok("");
+    }
+    if (aRequest.mTarget == "/api/release") {
+      const nlohmann::json body = nlohmann::json::parse(aRequest.mBody);
+      mHeld.erase(body["From"].get<std::uint32_t>());
+      mReleasedEpoch = body["fence"].get<Epoch>();
+      return { "HTTP/1.1 200 OK\r\nX-Handover: t\r\nContent-Length: 0\r\n\r\n",
+               false };
+    }
+    if (aRequest.mTarget == "/healthz") {
+      return { "HTTP/1.1 200 OK\r\nX-Instance-Id: i-1\r\n"
+               "Content-Length: 0\r\n\r\n",
+               false };
+    }
+    const auto id = aRequest.mHeaders.find("x-request-id");
+    const std::string echo =
+      id == aRequest.mHeaders.end() ? "" : id->second;
+    if (mHeld.empty()) {
+      return { "HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\n"
+               "X-Request-Id: " +
+                 echo + "\r\nContent-Length: 0\r\n\r\n",
+               false };
+    }
+    return { mHead + "X-Request-Id: " + (mEcho.empty() ? echo : mEcho) +
+               "\r\nContent-Length: 2\r\n\r\nok",
+             false };
+  }
+
+  void report(UpstreamReport::Kind aKind, std::uint64_t aSequence)
+  {
+    UpstreamReport report;
+    report.mKind = aKind;
+    report.mInstance = "i-1";
+    report.mBorn = { 1000 };
+    report.mSequence = aSequence;
+    report.mSlots = 4;
+    BOOST_TEST(mGate.onReport(report));
+  }
+
+  Answer run(const std::string& aId)
+  {
+    ForwardRequest request = makeRequest("GET", hash(aId));
+    request.shard = kOwnShard;
+    request.key_hash = hashOfNumber(kOwnShard * kRunKeys);
+    request.request_id = aId;
+    request.objective_ms = 3000;
+    request.idempotent = true;
+    addHeader(request, "X-Request-Id", aId);
+    std::promise<Answer> promise;
+    mGate.submit(std::move(request), [&promise](Answer aAnswer) {
+      promise.set_value(std::move(aAnswer));
+    });
+    return promise.get_future().get();
+  }
+
+  static std::uint64_t hash(const std::string& aText)
+  {
+    return std::hash<std::string>{}(aText);
+  }
+
+  std::mutex mMutex;
+  std::set<std::uint32_t> mHeld;
+  Epoch mReleasedEpoch = 0;
+  std::string mHead =
+    "HTTP/1.1 200 OK\r\nX-Upstream-Signature: s\r\n";
+  std::string mEcho;
+  std::atomic<bool> mUp{ false };
+  std::atomic<int> mLives{ 0 };
+  std::atomic<bool> mDraining{ false };
+  std::promise<std::vector<std::string>> mTokens;
+  Metrics mMetrics;
+  FakeUpstream mUpstream;
+  Gate mGate;
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(platform_gate)
+
+BOOST_AUTO_TEST_CASE(a_request_runs_once_its_key_is_granted)
+{
+  PlatformGate gate;
+  // Nobody has reported: refused at once, not held.
+  const Millis from = monotonicNow();
+  BOOST_TEST((gate.run("early").reason == NotRunReason::UpstreamDown));
+  BOOST_TEST((monotonicNow() - from < 1000_ms));
+  gate.report(UpstreamReport::Kind::Ready, 1);
+  const Answer answer = gate.run("first");
+  BOOST_TEST((answer.kind == AnswerKind::Answered));
+  BOOST_TEST(answer.status == 200);
+  BOOST_TEST(gate.mHeld.size() == kRunsPerShard);
+}
+
+BOOST_AUTO_TEST_CASE(a_shard_is_given_back_at_its_epoch_before_it_is_handed_off)
+{
+  PlatformGate gate;
+  gate.report(UpstreamReport::Kind::Ready, 1);
+  BOOST_TEST((gate.run("first").kind == AnswerKind::Answered));
+  std::promise<void> done;
+  const Shard shard = kOwnShard;
+  gate.mGate.pauseShards({ &shard, 1 }, [&done] { done.set_value(); });
+  done.get_future().wait();
+  BOOST_TEST(gate.mHeld.empty());
+  BOOST_TEST(gate.mReleasedEpoch == kEpoch);
+  BOOST_TEST((gate.mTokens.get_future().get() ==
+              std::vector<std::string>(kRunsPerShard, "t")));
+}
+
+BOOST_AUTO_TEST_CASE(an_upstream_that_drains_gets_nothing_after_the_limit)
+{
+  PlatformGate gate;
+  gate.report(UpstreamReport::Kind::Ready, 1);
+  BOOST_TEST((gate.run("first").kind == AnswerKind::Answered));
+  gate.report(UpstreamReport::Kind::Draining, 2);
+  UpstreamReport notice;
+  notice.mKind = UpstreamReport::Kind::Leaving;
+  notice.mInstance = "i-1";
+  BOOST_TEST(gate.mGate.onReport(notice));
+  const Millis end = monotonicNow() + 150_ms;
+  while (monotonicNow() < end) {
+    gate.run("until");
+  }
+  BOOST_TEST((gate.run("after").reason == NotRunReason::Draining));
+  BOOST_TEST(gate.mDraining);
+  BOOST_TEST(gate.mLives == 1);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_to_another_request_reaches_nobody)
+{
+  PlatformGate gate;
+  gate.mEcho = "another";
+  gate.report(UpstreamReport::Kind::Ready, 1);
+  BOOST_TEST((gate.run("mine").kind == AnswerKind::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(a_success_without_a_signature_is_not_passed_on)
+{
+  PlatformGate gate;
+  gate.mHead = "HTTP/1.1 200 OK\r\n";
+  gate.report(UpstreamReport::Kind::Ready, 1);
+  BOOST_TEST((gate.run("mine").kind == AnswerKind::Unknown));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/platform_messages_test.cpp
@@ -0,0 +1,213 @@
+#include "platform/messages.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace radishroad;
+
+namespace {
+
+CallerRequest
+callOf(const std::string& aTarget, const std::string& aBody = {})
+{
+  CallerRequest request;
+  request.mMethod = "POST";
+  request.mTarget = aTarget;
+  request.mBody = aBody;
+  return request;
+}
+
+void
+addHeader(CallerRequest& aRequest, std::string aName, std::string aValue)
+{
+  wire::HeaderT header;
+  header.name = std::move(aName);
+  header.value = std::move(aValue);
+  aRequest.mHeaders.push_back(std::move(header));
+}
+
+UpstreamResponse
+responseOf(int aStatus, std::initializer_list<const char*> aNamesAndValues)
+{
+  UpstreamResponse response;
+  response.mStatus = aStatus;
+  for (auto it = aNamesAndValues.begin(); it != aNamesAndValues.end(); it += 2) {
+    wire::HeaderT header;
+    header.name = *it;
+    header.value = *(it + 1);
+    response.mHeaders.push_back(std::move(header));
+  }
+  return response;
+}
+
+const std::string kReport =
+  R"({"Address":"10.0.0.9:80","born":1700000000123,
+  "Info":{"Service":"s","Version":"v1","Zone":"z","Slots":9},
+  "Status":{"State":"ready","Seq":4,"WarmupLeftMs":250}})";
+const std::string kReportTarget = "/api/rpc?call=instances.heartbeat&of=i-7";
+
+}
+
+BOOST_AUTO_TEST_SUITE(platform_messages)
+
+BOOST_AUTO_TEST_CASE(the_head_of_a_request)
+{
+  CallerRequest request = callOf("/p/1");
+  addHeader(request, "host", "h.x");
+  addHeader(request, "X-Request-ID", "id-1");
+  addHeader(request, "X-Deadline-Ms", "500");
+  addHeader(request, "Authorization", "Token secret");
+  addHeader(request, "x-shard-key", "65535");
+  const CallerHead head = platform::readCallerHead(request);
+  BOOST_TEST(head.mRequestId == "id-1");
+  BOOST_TEST(head.mHost == "h.x");
+  BOOST_TEST(head.mTimeLeft->mCount == 500);
+  BOOST_TEST(*head.mKey == "secret");
+  BOOST_TEST(*head.mKeyNumber == 65535U);
+}
+
+BOOST_AUTO_TEST_CASE(numbers_that_are_none_are_not_there)
+{
+  for (const char* text : { "", "x", "-1", "65536", "1.5", "9999999999999999" }) {
+    CallerRequest request = callOf("/p/1");
+    addHeader(request, "X-Shard-Key", text);
+    BOOST_TEST(!platform::readCallerHead(request).mKeyNumber.has_value(), text);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_key_of_another_scheme_is_no_known_key)
+{
+  CallerRequest request = callOf("/p/1");
+  addHeader(request, "Authorization", "Bearer secret");
+  BOOST_TEST(platform::readCallerHead(request).mKey->empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_report)
+{
+  const Result<UpstreamReport> report =
+    platform::readUpstreamReport(callOf(kReportTarget, kReport));
+  BOOST_REQUIRE(report.has_value());
+  BOOST_TEST(report->mInstance == "i-7");
+  BOOST_TEST(report->mBorn.mCount == 1700000000123);
+  BOOST_TEST(report->mSlots == 9U);
+  BOOST_TEST(report->mSequence == 4U);
+  BOOST_TEST(report->mColdLeft.mCount == 250);
+  BOOST_TEST((report->mKind == UpstreamReport::Kind::Ready));
+}
+
+BOOST_AUTO_TEST_CASE(a_report_from_another_writer_is_refused)
+{
+  for (const std::string& body :
+       { std::string("no json"),
+         std::string("[]"),
+         std::string("{}"),
+         std::string(R"({"Info":{"Service":"s"},"Status":{"State":"odd"}})"),
+         std::string(R"({"Info":{"Service":7},"Status":{"State":"ready"}})"),
+         kReport.substr(0, kReport.size() - 1) }) {
+    BOOST_TEST(
+      !platform::readUpstreamReport(callOf(kReportTarget, body)).has_value(),
+      body);
+  }
+  BOOST_TEST(!platform::readUpstreamReport(
+                callOf("/api/rpc?call=instances.heartbeat", kReport))
+                .has_value());
+  BOOST_TEST(!platform::readUpstreamReport(
+                callOf("/api/rpc?call=other&of=i-7", kReport))
+                .has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_notice_to_leave_needs_no_body)
+{
+  const Result<UpstreamReport> report = platform::readUpstreamReport(
+    callOf("/api/rpc?call=instances.deregister&of=i-7"));
+  BOOST_REQUIRE(report.has_value());
+  BOOST_TEST((report->mKind == UpstreamReport::Kind::Leaving));
+}
+
+BOOST_AUTO_TEST_CASE(only_the_upstream_proves_that_it_did_not_run)
+{
+  using platform::provenNotRun;
+  BOOST_TEST((provenNotRun(responseOf(503, { "X-Not-Executed", "1" })) ==
+              NotRunReason::Shed));
+  BOOST_TEST((provenNotRun(responseOf(421, {})) == NotRunReason::NotOwner));
+  BOOST_TEST((provenNotRun(responseOf(400, { "X-Not-Executed", "1" })) ==
+              NotRunReason::Malformed));
+  for (const int status : { 200, 429, 500, 503, 504 }) {
+    BOOST_TEST(
+      (provenNotRun(responseOf(status, {})) == NotRunReason::None));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_success_without_a_signature_is_not_the_upstreams)
+{
+  BOOST_TEST(!platform::isGenuine(responseOf(200, {})));
+  BOOST_TEST(
+    platform::isGenuine(responseOf(200, { "X-Upstream-Signature", "s" })));
+  BOOST_TEST(platform::isGenuine(responseOf(500, {})));
+}
+
+BOOST_AUTO_TEST_CASE(what_a_response_tells_of_the_load)
+{
+  const std::optional<UpstreamLoad> load =
+    platform::readLoad(responseOf(200, { "X-Upstream-Load", "3,1,9,140" }));
+  BOOST_REQUIRE(load.has_value());
+  BOOST_TEST(load->mRunning == 3U);
+  BOOST_TEST(load->mWaiting == 1U);
+  BOOST_TEST(load->mSlots == 9U);
+  for (const char* text : { "", "3", "3,1", "a,b,c", "3,,9" }) {
+    BOOST_TEST(
+      !platform::readLoad(responseOf(200, { "X-Upstream-Load", text }))
+         .has_value(),
+      text);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(callers_cannot_set_what_the_daemon_sets)
+{
+  ForwardRequest request;
+  request.workspace = "t";
+  request.caller_service = "front";
+  for (const char* name :
+       { "X-Tenant-Id", "x-caller-service", "X-TARGET-INSTANCE",
+         "X-Deadline-Ms", "Authorization", "X-Own" }) {
+    auto header = std::make_unique<wire::HeaderT>();
+    header->name = name;
+    header->value = "forged";
+    request.headers.push_back(std::move(header));
+  }
+  const std::vector<std::string> lines =
+    platform::upstreamHeaderLines(request, "i-7", Millis{ 321 });
+  const auto forged = std::ranges::count_if(lines, [](const std::string& it) {
+    return it.find("forged") != std::string::npos;
+  });
+  BOOST_TEST(forged == 1);
+  for (const char* line : { "X-Tenant-Id: t",
+                            "X-Caller-Service: front",
+                            "X-Target-Instance: i-7",
+                            "X-Deadline-Ms: 321" }) {
+    BOOST_TEST(std::ranges::count(lines, line) == 1, line);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(orders_to_hold_and_to_give_back_keys)
+{
+  GrantOrder order;
+  order.mKeys = { 64, 95 };
+  order.mEpoch = 12;
+  order.mHoldTime = Millis{ 3000 };
+  nlohmann::json body =
+    nlohmann::json::parse(platform::makeGrant(order).mBody);
+  BOOST_TEST((body == nlohmann::json{ { "From", 64 },
+                                      { "To", 95 },
+                                      { "fence", 12 },
+                                      { "HoldMs", 3000 } }));
+  order.mHandover = "token";
+  body = nlohmann::json::parse(platform::makeGrant(order).mBody);
+  BOOST_TEST(body["Handover"] == "token");
+  body = nlohmann::json::parse(platform::makeRelease({ 64, 95 }, 12).mBody);
+  BOOST_TEST((body == nlohmann::json{
+                        { "From", 64 }, { "To", 95 }, { "fence", 12 } }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/support/store_standin.cpp
@@ -0,0 +1,182 @@
+#include "store_standin.h"
+
+#include "radishroad/request/plain_answer.h"
+
+#include <boost/algorithm/string.hpp>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+#include <optional>
+
+namespace radishroad::test {
+
+namespace {
+
+constexpr std::string_view kJson = "application/json";
+
+std::optional<std::string>
+parameter(const std::string& aTarget, const std::string& aName)
+{
+  const std::size_t mark = aTarget.find('?');
+  std::vector<std::string> pairs;
+  const std::string query =
+    mark == std::string::npos ? "" : aTarget.substr(mark + 1);
+  boost::split(pairs, query, boost::is_any_of("&"));
+  for (const std::string& pair : pairs) {
+    if (pair.starts_with(aName + "=")) {
+      return pair.substr(aName.size() + 1);
+    }
+  }
+  return std::nullopt;
+}
+
+std::string
+bigEndian(std::uint64_t aValue, int aBytes)
+{
+  std::string text;
+  for (int shift = aBytes - 1; shift >= 0; --shift) {
+    text += static_cast<char>(aValue >> (8 * shift) & 0xFFU);
+  }
+  return text;
+}
+
+std::string
+base64(const std::string& aText)
+{
+  std::string encoded(4 * ((aText.size() + 2) / 3), '\0');
+  EVP_EncodeBlock(reinterpret_cast<unsigned char*>(encoded.data()),
+                  reinterpret_cast<const unsigned char*>(aText.data()),
+                  static_cast<int>(aText.size()));
+  return encoded;
+}
+
+}
+
+StoreStandin::StoreStandin()
+  : mServer({ .mListenAddress = "127.0.0.1:0", .mThreads = 1 },
+            [this](const CallerRequest& aRequest, const AnswerFn& aAnswer) {
+              aAnswer(handle(aRequest));
+              return CancelFn();
+            },
+            mMetrics)
+{
+  BOOST_REQUIRE(mServer.start().has_value());
+}
+
+StoreStandin::~StoreStandin()
+{
+  mServer.stop();
+}
+
+std::string
+StoreStandin::address() const
+{
+  return "127.0.0.1:" + std::to_string(mServer.port());
+}
+
+void
+StoreStandin::add(Topic& aTopic, std::string aKey, std::string aValue)
+{
+  const Item item{ aTopic.mEnd++, std::move(aKey), std::move(aValue) };
+  aTopic.mItems.push_back(item);
+  if (item.mValue.empty()) {
+    aTopic.mNewest.erase(item.mKey);
+  } else {
+    aTopic.mNewest[item.mKey] = item;
+  }
+}
+
+void
+StoreStandin::put(const std::string& aTopic,
+                  const std::string& aKey,
+                  const std::string& aValue)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  add(mTopics[aTopic], aKey, aValue);
+}
+
+void
+StoreStandin::compact(const std::string& aTopic)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  Topic& topic = mTopics[aTopic];
+  topic.mItems.clear();
+  topic.mFirst = topic.mEnd;
+}
+
+Answer
+StoreStandin::handle(const CallerRequest& aRequest)
+{
+  ++mCalls;
+  if (mFault == Fault::Busy) {
+    return makePlainAnswer(503, kJson, "{}");
+  }
+  const std::lock_guard<std::mutex> lock(mMutex);
+  Topic& topic = mTopics[parameter(aRequest.mTarget, "Topic").value_or("")];
+  const std::string path =
+    aRequest.mTarget.substr(0, aRequest.mTarget.find('?'));
+  if (path == "/api/log-append") {
+    return append(topic, aRequest);
+  }
+  if (path == "/api/log-read") {
+    return read(topic, aRequest);
+  }
+  return path == "/api/log-newest" ? newest(topic)
+                                   : makePlainAnswer(404, kJson, "{}");
+}
+
+Answer
+StoreStandin::append(Topic& aTopic, const CallerRequest& aRequest)
+{
+  const std::optional<std::string> at = parameter(aRequest.mTarget, "At");
+  if (at && std::stoull(*at) != aTopic.mEnd) {
+    return makePlainAnswer(
+      412, kJson, nlohmann::json{ { "End", aTopic.mEnd } }.dump());
+  }
+  const std::uint64_t offset = aTopic.mEnd;
+  const std::string& body = aRequest.mBody;
+  const std::size_t n = static_cast<unsigned char>(body.at(4));
+  add(aTopic, body.substr(5, n), body.substr(5 + n));
+  if (mFault == Fault::LosesAnswers) {
+    return makePlainAnswer(502, kJson, "{}");
+  }
+  const nlohmann::json answer = { { "Offset", offset },
+                                  { "End", aTopic.mEnd } };
+  return makePlainAnswer(200, kJson, answer.dump());
+}
+
+Answer
+StoreStandin::read(const Topic& aTopic, const CallerRequest& aRequest)
+{
+  const std::uint64_t from =
+    std::stoull(parameter(aRequest.mTarget, "From").value_or("0"));
+  if (from < aTopic.mFirst) {
+    return makePlainAnswer(
+      410, kJson, nlohmann::json{ { "First", aTopic.mFirst } }.dump());
+  }
+  std::string body = bigEndian(aTopic.mEnd, 8) + bigEndian(aTopic.mFirst, 8);
+  for (const Item& item : aTopic.mItems) {
+    if (item.mOffset >= from) {
+      body += bigEndian(1 + item.mKey.size() + item.mValue.size(), 4);
+      body += bigEndian(item.mKey.size(), 1) + item.mKey + item.mValue;
+    }
+  }
+  return makePlainAnswer(200, "application/octet-stream", body);
+}
+
+Answer
+StoreStandin::newest(const Topic& aTopic)
+{
+  nlohmann::json items = nlohmann::json::array();
+  for (const auto& [key, item] : aTopic.mNewest) {
+    items.push_back({ { "Key", key },
+                      { "Value", base64(item.mValue) },
+                      { "Offset", item.mOffset } });
+  }
+  const nlohmann::json answer = { { "items", items },
+                                  { "More", false },
+                                  { "End", aTopic.mEnd } };
+  return makePlainAnswer(200, kJson, answer.dump());
+}
+
+}
--- /dev/null
+++ b/tests/unit/upstream_choice_test.cpp
@@ -0,0 +1,150 @@
+#include "radishroad/policy/upstream_choice.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
+
+using namespace radishroad;
+using namespace radishroad::literals;
+
+namespace {
+
+constexpr std::uint32_t kSlots = 9;
+
+/// An upstream with slots and a queue; knows when each request will end.
+class Server
+{
+public:
+  explicit Server(double aSlowness)
+    : mSlowness(aSlowness)
+    , mFree(kSlots)
+  {
+  }
+
+  Millis run(double aWorkMs, Millis aNow)
+  {
+    const auto slot = std::ranges::min_element(mFree);
+    const Millis start = std::max(*slot, aNow);
+    const double took = aWorkMs * mSlowness;
+    *slot = start + Millis{ static_cast<std::int64_t>(took) + 1 };
+    mRunMs += 0.1 * (took - mRunMs);
+    mStarts.push_back(start);
+    return *slot;
+  }
+
+  UpstreamPace pace(Millis aNow) const
+  {
+    UpstreamPace pace;
+    pace.mSlots = kSlots;
+    pace.mRunMs = mRunMs;
+    pace.mRunning = static_cast<std::uint32_t>(std::ranges::count_if(
+      mFree, [aNow](Millis aUntil) { return aUntil > aNow; }));
+    return pace;
+  }
+
+  std::uint32_t queued(Millis aNow) const
+  {
+    return static_cast<std::uint32_t>(std::ranges::count_if(
+      mStarts, [aNow](Millis aStart) { return aStart > aNow; }));
+  }
+
+  void setSlowness(double aSlowness) { mSlowness = aSlowness; }
+
+private:
+  double mSlowness;
+  std::vector<Millis> mFree;
+  std::vector<Millis> mStarts;
+  double mRunMs = 30;
+};
+
+/// Share of requests answered within 100 ms, over ten seconds at 85% of what
+/// four upstreams of unequal speed can run; one is three times slower for a
+/// while.
+double
+inTime(bool aChosen, std::uint64_t aSeed)
+{
+  std::mt19937_64 random(aSeed);
+  std::vector<Server> servers;
+  for (const double slowness : { 0.7, 0.7, 1.0, 1.6 }) {
+    servers.emplace_back(slowness);
+  }
+  std::vector<UpstreamChoice::Candidate> candidates;
+  for (Incarnation n = 1; n <= servers.size(); ++n) {
+    candidates.push_back({ n, n == 1 });
+  }
+  UpstreamChoice choice;
+  std::multimap<Millis, Incarnation> answers;
+  std::exponential_distribution<double> work(1 / 25.0);
+  std::exponential_distribution<double> gap(1.05);
+  int good = 0;
+  int all = 0;
+  for (double at = 0; at < 10000; at += gap(random)) {
+    const Millis now{ static_cast<std::int64_t>(at) + 1 };
+    servers[1].setSlowness(at > 4000 && at < 6000 ? 2.1 : 0.7);
+    while (!answers.empty() && answers.begin()->first <= now) {
+      const Incarnation from = answers.begin()->second;
+      choice.onEnded(from, false, now);
+      const Server& server = servers[from - 1];
+      choice.onPace(from, server.pace(now), server.queued(now), now);
+      answers.erase(answers.begin());
+    }
+    const Incarnation to =
+      aChosen ? *choice.choose(candidates, random(), now)
+              : 1 + static_cast<Incarnation>(all) % servers.size();
+    choice.onSent(to);
+    const Millis end = servers[to - 1].run(work(random), now);
+    answers.emplace(end, to);
+    good += end - now <= 100_ms ? 1 : 0;
+    ++all;
+  }
+  return static_cast<double>(good) / all;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(upstream_choice)
+
+BOOST_AUTO_TEST_CASE(unequal_upstreams_answer_sooner_than_in_turn)
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    const double chosen = inTime(true, seed);
+    const double inTurn = inTime(false, seed);
+    BOOST_TEST(chosen > inTurn + 0.1,
+               "seed " << seed << ": " << chosen << " against " << inTurn);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(the_own_zone_goes_first_while_it_is_as_good)
+{
+  UpstreamChoice choice;
+  const std::vector<UpstreamChoice::Candidate> candidates{ { 1, false },
+                                                           { 2, true } };
+  UpstreamPace pace;
+  pace.mSlots = kSlots;
+  pace.mRunMs = 30;
+  choice.onPace(1, pace, 0, 1_ms);
+  choice.onPace(2, pace, 0, 1_ms);
+  BOOST_TEST(*choice.choose(candidates, 3, 2_ms) == 2U);
+  choice.onPace(2, pace, 40, 2_ms);
+  BOOST_TEST(*choice.choose(candidates, 3, 3_ms) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(one_that_fails_rests_while_another_is_there)
+{
+  UpstreamChoice choice;
+  const std::vector<UpstreamChoice::Candidate> both{ { 1, true },
+                                                     { 2, false } };
+  choice.onSent(1);
+  choice.onEnded(1, true, 10_ms);
+  BOOST_TEST(*choice.choose(both, 1, 20_ms) == 2U);
+  BOOST_TEST(*choice.choose({ both.data(), 1 }, 1, 20_ms) == 1U);
+  BOOST_TEST(*choice.choose(both, 1, 900_ms) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(nobody_is_chosen_of_none)
+{
+  BOOST_TEST(!UpstreamChoice().choose({}, 1, 1_ms).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/work_order_test.cpp
@@ -0,0 +1,180 @@
+#include "radishroad/policy/work_order.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
+
+using namespace radishroad;
+using namespace radishroad::literals;
+
+namespace {
+
+/// What callers got in a replay.
+struct Outcome
+{
+  int mInTime = 0;
+  int mLate = 0;
+  int mRefused = 0;
+  /// Held past half of the deadline and then not served.
+  int mHeldInVain = 0;
+};
+
+struct Job
+{
+  WaitingWork mWork;
+  Millis mRun;
+};
+
+/// Requests of two ranks for eight seconds; between the second and the fifth
+/// of them, 1.6 times as many as the upstream can run.
+std::vector<Job>
+burst(std::uint32_t aSlots, std::uint64_t aSeed)
+{
+  std::mt19937_64 random(aSeed);
+  const double run = 100;
+  std::exponential_distribution<double> work(1 / run);
+  std::vector<Job> jobs;
+  double at = 0;
+  while (at < 8000) {
+    const double load = at >= 2000 && at < 5000 ? 1.6 : 0.7;
+    std::exponential_distribution<double> gap(load * aSlots / run);
+    at += gap(random);
+    Job job;
+    job.mWork.mQueuedAt = { static_cast<std::int64_t>(at) };
+    job.mWork.mObjectiveAt = job.mWork.mQueuedAt + 300_ms;
+    job.mWork.mDeadline = job.mWork.mQueuedAt + 2000_ms;
+    job.mWork.mRank = random() % 4 == 0 ? 1 : 2;
+    job.mRun = { static_cast<std::int64_t>(work(random)) + 1 };
+    jobs.push_back(job);
+  }
+  return jobs;
+}
+
+/// Runs the jobs on an upstream. aInOrder: by planWork; otherwise first come,
+/// first served, until the deadline.
+std::map<int, Outcome>
+replay(const std::vector<Job>& aJobs, std::uint32_t aSlots, bool aInOrder)
+{
+  std::map<int, Outcome> outcomes;
+  std::vector<Job> waiting;
+  std::vector<Millis> running;
+  std::size_t next = 0;
+  double runMs = 100;
+  for (Millis now; now < 12000_ms; now += 1_ms) {
+    std::erase_if(running, [now](Millis aEnd) { return aEnd <= now; });
+    while (next < aJobs.size() && aJobs[next].mWork.mQueuedAt <= now) {
+      waiting.push_back(aJobs[next++]);
+    }
+    std::vector<WaitingWork> works;
+    for (const Job& job : waiting) {
+      works.push_back(job.mWork);
+    }
+    WorkPlan plan;
+    if (aInOrder) {
+      UpstreamPace pace;
+      pace.mSlots = aSlots;
+      pace.mRunning = static_cast<std::uint32_t>(running.size());
+      pace.mRunMs = runMs;
+      plan = planWork(works, pace, now);
+    } else {
+      for (std::size_t n = 0; n < works.size(); ++n) {
+        plan.mOrder.push_back(n);
+      }
+    }
+    std::vector<bool> gone(waiting.size(), false);
+    for (const WorkPlan::Refusal& refusal : plan.mRefused) {
+      ++outcomes[waiting[refusal.mIndex].mWork.mRank].mRefused;
+      gone[refusal.mIndex] = true;
+    }
+    for (const std::size_t index : plan.mOrder) {
+      const Job& job = waiting[index];
+      Outcome& outcome = outcomes[job.mWork.mRank];
+      if (now >= job.mWork.mDeadline) {
+        ++outcome.mHeldInVain;
+        gone[index] = true;
+      } else if (running.size() < aSlots) {
+        const Millis end = now + job.mRun;
+        running.push_back(end);
+        ++(end <= job.mWork.mObjectiveAt ? outcome.mInTime : outcome.mLate);
+        runMs += 0.03 * (static_cast<double>(job.mRun.mCount) - runMs);
+        gone[index] = true;
+      }
+    }
+    std::vector<Job> left;
+    for (std::size_t n = 0; n < waiting.size(); ++n) {
+      if (!gone[n]) {
+        left.push_back(waiting[n]);
+      }
+    }
+    waiting = std::move(left);
+  }
+  return outcomes;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(work_order)
+
+BOOST_AUTO_TEST_CASE(a_burst_leaves_more_answers_in_time_than_waiting_in_turn)
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    const std::vector<Job> jobs = burst(9, seed);
+    std::map<int, Outcome> planned = replay(jobs, 9, true);
+    std::map<int, Outcome> inTurn = replay(jobs, 9, false);
+    const int inTime = planned[1].mInTime + planned[2].mInTime;
+    const int inTimeInTurn = inTurn[1].mInTime + inTurn[2].mInTime;
+    BOOST_TEST(inTime > inTimeInTurn * 5 / 4, "seed " << seed);
+    // What is refused learns it at once.
+    BOOST_TEST(planned[1].mHeldInVain + planned[2].mHeldInVain == 0);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(no_rank_is_starved_and_the_urgent_one_is_not_behind)
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    std::map<int, Outcome> planned = replay(burst(9, seed), 9, true);
+    const auto served = [&planned](int aRank) {
+      const Outcome& outcome = planned[aRank];
+      const double answered = outcome.mInTime + outcome.mLate;
+      return answered / (answered + outcome.mRefused);
+    };
+    BOOST_TEST(served(1) >= served(2) - 0.05);
+    BOOST_TEST(served(2) > 0.5);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_finds_a_free_slot_is_never_refused)
+{
+  WaitingWork work;
+  work.mQueuedAt = 0_ms;
+  work.mObjectiveAt = 10_ms;
+  work.mDeadline = 2000_ms;
+  UpstreamPace pace;
+  pace.mSlots = 4;
+  pace.mRunning = 3;
+  pace.mRunMs = 500;
+  const WorkPlan plan = planWork({ &work, 1 }, pace, 0_ms);
+  BOOST_TEST(plan.mOrder.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_caller_is_told_when_to_come_back)
+{
+  std::vector<WaitingWork> waiting(200);
+  for (WaitingWork& work : waiting) {
+    work.mObjectiveAt = 300_ms;
+    work.mDeadline = 2000_ms;
+  }
+  UpstreamPace pace;
+  pace.mSlots = 9;
+  pace.mRunning = 9;
+  pace.mRunMs = 100;
+  const WorkPlan plan = planWork(waiting, pace, 0_ms);
+  BOOST_TEST(!plan.mRefused.empty());
+  for (const WorkPlan::Refusal& refusal : plan.mRefused) {
+    BOOST_TEST((refusal.mRetryAfter >= 100_ms));
+    BOOST_TEST((refusal.mRetryAfter <= 1000_ms));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
