Refuse a peer's request for another service at a reused address

Daemons that did not know it yet sent requests of the old service there, and the new daemon passed them to its upstream without looking at their service.

A fuzz target reads damaged messages of the platform.

--- /dev/null
+++ b/fuzz/fuzz_platform.cpp
@@ -0,0 +1,97 @@
+// Reads damaged messages of the platform: configurations, reports, log reads
+// and request heads. Whatever they hold, they are read or refused.
+#include "mutator.h"
+
+#include "platform/configuration.h"
+#include "platform/messages.h"
+#include "platform/store.h"
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+
+using namespace radishroad;
+using namespace radishroad::fuzz;
+
+namespace {
+
+constexpr std::string_view kConfiguration =
+  R"({"Version":"r7","Routes":{"Columns":["Name","Host","Prefix","Kind",)"
+  R"("TimeoutMs","Service","WeightedClusters"],"Rows":[["r","h.x","/p/",)"
+  R"("idempotent",1000,null,[{"Service":"s","Weight":9}]]]},"Services":)"
+  R"({"Columns":["Name","Sharded","WarmupS"],"Rows":[["s",true,3.0]]},)"
+  R"("Tenants":{"Columns":["Name","ApiKeys","RatePerS","Burst"],)"
+  R"("Rows":[["t",["k"],112,112]]}})";
+constexpr std::string_view kReport =
+  R"({"born":1700000000123,"Info":{"Service":"s","Slots":9},)"
+  R"("Status":{"State":"ready","Seq":4,"WarmupLeftMs":0}})";
+
+Bytes
+bytesOf(std::string_view aText)
+{
+  return { aText.begin(), aText.end() };
+}
+
+std::string
+textOf(const Bytes& aBytes)
+{
+  return { aBytes.begin(), aBytes.end() };
+}
+
+/// Services that routes name are there; otherwise requests would have no way.
+bool
+isConsistent(const config::Model& aModel)
+{
+  return std::ranges::all_of(
+    aModel.mRoutes, [&aModel](const config::Route& aRoute) {
+      const bool own =
+        !aRoute.mTargets.empty() || aModel.mServices.contains(aRoute.mService);
+      return own &&
+             std::ranges::all_of(
+               aRoute.mTargets, [&aModel](const config::RouteTarget& aTarget) {
+                 return aModel.mServices.contains(aTarget.mService);
+               });
+    });
+}
+
+}
+
+int
+main(int aCount, char** aArguments)
+{
+  const Arguments arguments =
+    parseArguments({ aArguments, static_cast<std::size_t>(aCount) });
+  Mutator mutator(arguments.mSeed);
+  const Bytes raw = platform::frameKeyedRecord("key", bytesOf(kReport));
+  const std::string log =
+    std::string(16, '\0') + textOf(raw) + textOf(raw) + textOf(raw);
+  std::uint64_t accepted = 0;
+  for (std::uint64_t round = 0; round < arguments.mRounds; ++round) {
+    const Result<config::VersionedModel> model =
+      platform::readConfiguration(mutator.mutate(bytesOf(kConfiguration)));
+    if (model) {
+      ++accepted;
+      require(isConsistent(model->mModel), "a route without service", round);
+    } else {
+      require(!model.error().mMessage.empty(), "no place of the fault", round);
+    }
+    CallerRequest request;
+    request.mMethod = "POST";
+    request.mTarget = "/api/rpc?call=instances.heartbeat&of=i-1";
+    request.mBody = textOf(mutator.mutate(bytesOf(kReport)));
+    const Result<UpstreamReport> report = platform::readUpstreamReport(request);
+    require(!report || !report->mInstance.empty(), "a nameless report", round);
+    const Result<platform::KeyedRecords> records =
+      platform::parseRawRecords(textOf(mutator.mutate(bytesOf(log))), round);
+    require(!records || records->mRecords.size() <= log.size(),
+            "records out of nothing",
+            round);
+    UpstreamResponse response;
+    wire::HeaderT load;
+    load.name = "X-Upstream-Load";
+    load.value = textOf(mutator.mutate(bytesOf("3,0,9,140")));
+    response.mHeaders.push_back(load);
+    static_cast<void>(platform::readLoad(response));
+  }
+  require(accepted > 0, "nothing was accepted", arguments.mRounds);
+}
--- a/include/radishroad/daemon/daemon.h
+++ b/include/radishroad/daemon/daemon.h
@@ -41,8 +41,6 @@
   /// Runs until asked to stop or out of the cell. Fails if an address cannot
   /// be bound.
   Result<RunEnd> run(const StopFn& aWaitForStop);
-  /// After RunEnd::Rejoin: the service to go on with.
-  std::string nextService() const;
 
 private:
   struct Parts;
--- a/include/radishroad/log/state_store.h
+++ b/include/radishroad/log/state_store.h
@@ -71,9 +71,8 @@
 struct OperatorFeed
 {
   /// Entries past aFrom (0: all), waiting up to aWait for the first.
-  std::function<Result<OperatorEntries>(std::uint64_t aFrom,
-                                        Millis aWait,
-                                        Millis aTimeout)>
+  std::function<
+    Result<OperatorEntries>(std::uint64_t aFrom, Millis aWait, Millis aTimeout)>
     mRead;
   std::function<void()> mAbort;
 };
--- a/include/radishroad/policy/upstream_choice.h
+++ b/include/radishroad/policy/upstream_choice.h
@@ -30,7 +30,10 @@
   };
 
   /// What a member's gate told with an answer.
-  void onPace(Incarnation aMember, const UpstreamPace& aPace, std::uint32_t aQueued, Millis aNow);
+  void onPace(Incarnation aMember,
+              const UpstreamPace& aPace,
+              std::uint32_t aQueued,
+              Millis aNow);
   void onSent(Incarnation aMember);
   /// aFailed: no answer, or a refusal; the member rests for a moment.
   void onEnded(Incarnation aMember, bool aFailed, Millis aNow);
--- a/include/radishroad/state/fold_rules.h
+++ b/include/radishroad/state/fold_rules.h
@@ -58,7 +58,8 @@
 /// Moves all that aFrom owns to heirs, each with the next epoch.
 void
 passOnOwnership(CellState& aState, Incarnation aFrom);
-/// Moves all that aFrom owns to aTo, each with the next epoch. aTo may be aFrom.
+/// Moves all that aFrom owns to aTo, each with the next epoch. aTo may be
+/// aFrom.
 void
 moveOwnership(CellState& aState, Incarnation aFrom, Incarnation aTo);
 
--- a/include/radishroad/upstream/gate.h
+++ b/include/radishroad/upstream/gate.h
@@ -4,8 +4,8 @@
 #include "radishroad/base/metrics.h"
 #include "radishroad/base/millis.h"
 #include "radishroad/config/model.h"
-#include "radishroad/request/request.h"
 #include "radishroad/policy/work_order.h"
+#include "radishroad/request/request.h"
 #include "radishroad/state/cell_state.h"
 #include "radishroad/upstream/upstream_protocol.h"
 #include "radishroad/upstream/upstream_report.h"
@@ -105,12 +105,8 @@
   /// Any thread: what the upstream says of itself. False if the report is of
   /// an earlier start or out of order, and changes nothing.
   bool onReport(const UpstreamReport& aReport);
-  /// Any thread: whether onReport would take the report.
-  bool isNews(const UpstreamReport& aReport) const;
   /// Any thread: tokens that another upstream gave out for this one.
-  void onHandover(Shard aShard,
-                  Epoch aEpoch,
-                  std::vector<std::string> aTokens);
+  void onHandover(Shard aShard, Epoch aEpoch, std::vector<std::string> aTokens);
   /// Any thread: how busy the upstream is.
   struct Pace
   {
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -11,7 +11,7 @@
 fi
 clang-format --dry-run -Werror "${files[@]}"
 mapfile -t units < <(printf '%s\n' "${files[@]}" |
-  grep -E '^(src|tools|benchmark|fuzz)/.*\.cpp$' || true)
+  grep -E '^(src|platform|tools|benchmark|fuzz)/.*\.cpp$' || true)
 [ ${#units[@]} -eq 0 ] && exit 0
 printf '%s\n' "${units[@]}" |
   xargs -P "$(nproc)" -n 2 clang-tidy -p "$build" --quiet 2>"$build/tidy.log" ||
--- a/src/base/json_log.cpp
+++ b/src/base/json_log.cpp
@@ -197,7 +197,8 @@
     ++budget.mWritten;
   }
   if (leftOut > 0) {
-    logEvent(LogLevel::Warn, "request_lines_left_out", { { "count", leftOut } });
+    logEvent(
+      LogLevel::Warn, "request_lines_left_out", { { "count", leftOut } });
   }
   aFields["request_id"] = aRequestId;
   logEvent(LogLevel::Info, aEvent, aFields);
--- a/src/caller/response.cpp
+++ b/src/caller/response.cpp
@@ -3,10 +3,10 @@
 #include "radishroad/caller/header_filter.h"
 
 #include <algorithm>
-#include <span>
 #include <array>
 #include <boost/beast/http/status.hpp>
 #include <nlohmann/json.hpp>
+#include <span>
 
 namespace radishroad {
 
--- a/src/daemon/coordinator_duty.cpp
+++ b/src/daemon/coordinator_duty.cpp
@@ -4,8 +4,8 @@
 #include "radishroad/config/model.h"
 #include "radishroad/daemon/control_context.h"
 #include "radishroad/daemon/fleet_state.h"
-#include "radishroad/daemon/settings.h"
 #include "radishroad/daemon/recorder.h"
+#include "radishroad/daemon/settings.h"
 #include "radishroad/ownership/handoff.h"
 #include "radishroad/state/placement.h"
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -31,13 +31,6 @@
 
 Daemon::~Daemon() = default;
 
-std::string
-Daemon::nextService() const
-{
-  return mParts->mNextService.empty() ? mParts->mSettings.mService
-                                      : mParts->mNextService;
-}
-
 Result<Daemon::RunEnd>
 Daemon::run(const StopFn& aWaitForStop)
 {
--- a/src/daemon/fleet_state.cpp
+++ b/src/daemon/fleet_state.cpp
@@ -3,8 +3,8 @@
 #include "radishroad/base/json_log.h"
 #include "radishroad/config/folder.h"
 #include "radishroad/daemon/fleet_view.h"
-#include "radishroad/state/snapshot_codec.h"
 #include "radishroad/state/relay.h"
+#include "radishroad/state/snapshot_codec.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/daemon/handoff_duty.cpp
+++ b/src/daemon/handoff_duty.cpp
@@ -89,8 +89,7 @@
 HandoffDuty::nextOwner(Shard aShard) const
 {
   const auto it = std::ranges::find_if(
-    mCurrent.mGrants,
-    [aShard](const wire::ShardGrant& aGrant) {
+    mCurrent.mGrants, [aShard](const wire::ShardGrant& aGrant) {
       return aGrant.shard() == aShard;
     });
   return it == mCurrent.mGrants.end() ? 0 : it->to();
--- a/src/daemon/ingress_platform.cpp
+++ b/src/daemon/ingress_platform.cpp
@@ -170,8 +170,7 @@
     const std::lock_guard<std::mutex> lock(mChoiceMutex);
     UpstreamChoice& choice = mChoices[aFlight->mRequest.service];
     choice.keepOnly(all);
-    chosen =
-      choice.choose(candidates, aFlight->mRequest.id_low, mHooks.mNow());
+    chosen = choice.choose(candidates, aFlight->mRequest.id_low, mHooks.mNow());
     if (chosen) {
       choice.onSent(*chosen);
     }
@@ -180,14 +179,11 @@
     const NotRunReason reason = aFlight->mLastReason == NotRunReason::None
                                   ? NotRunReason::NoOwner
                                   : aFlight->mLastReason;
-    finish(
-      aFlight,
-      makeNotRun(idOf(aFlight->mRequest), reason, kDefaultRetryAfter));
+    finish(aFlight,
+           makeNotRun(idOf(aFlight->mRequest), reason, kDefaultRetryAfter));
     return;
   }
-  handOver(aFlight,
-           makeAttempt(*aFlight, aView),
-           aCell->mMembers.at(*chosen));
+  handOver(aFlight, makeAttempt(*aFlight, aView), aCell->mMembers.at(*chosen));
 }
 
 bool
@@ -218,8 +214,7 @@
     return false;
   }
   left = left == 0 ? 0 : static_cast<std::uint8_t>(left - 1);
-  if (aFlight.mUnkeyed &&
-      !isRefusedBy(aFlight.mRefusedBy, aFlight.mSentTo)) {
+  if (aFlight.mUnkeyed && !isRefusedBy(aFlight.mRefusedBy, aFlight.mSentTo)) {
     aFlight.mRefusedBy.push_back(aFlight.mSentTo);
   }
   return true;
@@ -232,11 +227,10 @@
     return;
   }
   const Millis now = mHooks.mNow();
-  const bool failed =
-    aAnswer.kind == AnswerKind::Unknown ||
-    (aAnswer.kind == AnswerKind::NotRun &&
-     aAnswer.reason != NotRunReason::QueueFull &&
-     aAnswer.reason != NotRunReason::Cancelled);
+  const bool failed = aAnswer.kind == AnswerKind::Unknown ||
+                      (aAnswer.kind == AnswerKind::NotRun &&
+                       aAnswer.reason != NotRunReason::QueueFull &&
+                       aAnswer.reason != NotRunReason::Cancelled);
   const std::lock_guard<std::mutex> lock(mChoiceMutex);
   UpstreamChoice& choice = mChoices[aFlight.mRequest.service];
   choice.onEnded(aFlight.mSentTo, failed, now);
@@ -274,20 +268,20 @@
   if (!mHooks.mReadHead || (answered && !late && !sampled)) {
     return;
   }
-  logRequest("request",
-             request.request_id,
-             { { "outcome", outcomeName(aAnswer.kind) },
-               { "reason", reasonName(aAnswer.reason) },
-               { "status", aAnswer.status },
-               { "service", request.service },
-               { "workspace", request.workspace },
-               { "shard", request.shard },
-               { "sent_to", std::to_string(aFlight.mSentTo) },
-               { "config_version", request.config_version },
-               { "took_ms", (now - aFlight.mReceivedAt).mCount },
-               { "objective_ms",
-                 (aFlight.mObjectiveAt - aFlight.mReceivedAt).mCount },
-               { "retry_after_ms", aAnswer.retry_after_ms } });
+  logRequest(
+    "request",
+    request.request_id,
+    { { "outcome", outcomeName(aAnswer.kind) },
+      { "reason", reasonName(aAnswer.reason) },
+      { "status", aAnswer.status },
+      { "service", request.service },
+      { "workspace", request.workspace },
+      { "shard", request.shard },
+      { "sent_to", std::to_string(aFlight.mSentTo) },
+      { "config_version", request.config_version },
+      { "took_ms", (now - aFlight.mReceivedAt).mCount },
+      { "objective_ms", (aFlight.mObjectiveAt - aFlight.mReceivedAt).mCount },
+      { "retry_after_ms", aAnswer.retry_after_ms } });
 }
 
 }
--- a/src/daemon/membership_duty.cpp
+++ b/src/daemon/membership_duty.cpp
@@ -130,8 +130,7 @@
 {
   const DaemonSettings& settings = mContext.mSettings;
   for (const auto& [incarnation, member] : mContext.mFleet.ownCell().mMembers) {
-    if (member.mStatus == MemberStatus::Active &&
-        member.mVm == settings.mVm &&
+    if (member.mStatus == MemberStatus::Active && member.mVm == settings.mVm &&
         member.mPeerAddress == settings.mAdvertisePeerAddress) {
       return incarnation;
     }
@@ -164,9 +163,9 @@
   const bool toDown =
     !up && !self->mUpstreamDown &&
     (mUpstreamDrains || now - mUnhealthySince > kUpstreamLostAfter);
-  const bool toUp = up && mUpstreamLife != 0 &&
-                    (self->mUpstreamDown ||
-                     self->mUpstreamLife != mUpstreamLife);
+  const bool toUp =
+    up && mUpstreamLife != 0 &&
+    (self->mUpstreamDown || self->mUpstreamLife != mUpstreamLife);
   if (mProposing || mLeaving || (!toDown && !toUp)) {
     return;
   }
--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -124,8 +124,8 @@
   if (mProtocol.isPlatform()) {
     makePlatformServers();
   } else {
-    mAppender = std::make_unique<LogAppender>(mSettings.mLogAddress,
-                                              kAppendRingCapacity);
+    mAppender =
+      std::make_unique<LogAppender>(mSettings.mLogAddress, kAppendRingCapacity);
   }
 }
 
@@ -231,7 +231,8 @@
   const CellState& cell = mFleet.ownCell();
   const Member* self = mContext.self();
   const bool upstreamDown = self != nullptr && self->mUpstreamDown;
-  return mMembership.leaving() || upstreamDown || cell.mDrainedVms.contains(mSettings.mVm) ||
+  return mMembership.leaving() || upstreamDown ||
+         cell.mDrainedVms.contains(mSettings.mVm) ||
          cell.mDrainedZones.contains(mSettings.mZone);
 }
 
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -4,8 +4,8 @@
 #include "radishroad/base/metrics.h"
 #include "radishroad/base/timer.h"
 #include "radishroad/caller/server.h"
-#include "radishroad/daemon/control_context.h"
 #include "radishroad/config/operator_state.h"
+#include "radishroad/daemon/control_context.h"
 #include "radishroad/daemon/control_loop.h"
 #include "radishroad/daemon/coordinator_duty.h"
 #include "radishroad/daemon/crash_watch.h"
@@ -24,13 +24,13 @@
 #include "radishroad/daemon/relay_duty.h"
 #include "radishroad/daemon/serve_authority.h"
 #include "radishroad/daemon/snapshot_duty.h"
-#include "radishroad/operator/admin_server.h"
-#include "radishroad/ownership/takeover_guard.h"
-#include "radishroad/peer/link.h"
 #include "radishroad/log/feed_follower.h"
 #include "radishroad/log/log_appender.h"
 #include "radishroad/log/log_follower.h"
 #include "radishroad/log/state_writer.h"
+#include "radishroad/operator/admin_server.h"
+#include "radishroad/ownership/takeover_guard.h"
+#include "radishroad/peer/link.h"
 #include "radishroad/upstream/gate.h"
 
 #include <atomic>
@@ -68,9 +68,6 @@
   CrashWatch& mCrashes;
   std::atomic<std::int64_t> mConfigContact{ 0 };
   std::atomic<bool> mOut{ false };
-  /// Service of an upstream that has taken the place of the one before; set
-  /// before mOut.
-  std::string mNextService;
   std::atomic<bool> mLeaveRequested{ false };
   std::atomic<bool> mLeft{ false };
   /// A caller's request came since the last tick.
@@ -135,7 +132,9 @@
   /// Sends the newest state of a stream to all peers.
   void passOnState(const std::string& aStream);
   void followOperators();
-  void noteStore(const std::string& aWhat, bool aAnswers, const std::string& aError);
+  void noteStore(const std::string& aWhat,
+                 bool aAnswers,
+                 const std::string& aError);
   /// Takes in entries of operators, from the store or from a peer.
   void onOperatorEntries(const OperatorEntries& aEntries);
   void onRelayedState(const std::string& aStream,
@@ -144,9 +143,6 @@
                    const wire::RecordT& aRecord,
                    std::function<void(Result<std::uint64_t>)> aResult);
   Answer answerReport(const CallerRequest& aRequest);
-  /// An upstream of another service has the address: this daemon goes on as
-  /// one of that service. False if the report cannot be believed.
-  bool followService(const UpstreamReport& aReport);
   Answer answerReadiness(const CallerRequest& aRequest) const;
   void setPlatformGateHooks(Gate::Hooks& aHooks);
   void sendHandover(Shard aShard, const std::vector<std::string>& aTokens);
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -1,7 +1,7 @@
 #include "radishroad/base/json_log.h"
 
 #include "parts.h"
-#include "radishroad/daemon/caller_key.h"
+#include "radishroad/daemon/peer_check.h"
 #include "radishroad/ownership/ownership_change.h"
 #include "radishroad/policy/hot_key_report.h"
 
@@ -114,8 +114,10 @@
     mLoop.tryPost([this, aFrom, body] { onControlFrame(aFrom, *body); });
   };
   hooks.mOnRequest = [this](ForwardRequest aRequest, AnswerFn aAnswer) {
-    if (isKeyWithdrawn(*mViews.get(), aRequest)) {
-      aAnswer(makeNotRun(idOf(aRequest), NotRunReason::Unauthorized));
+    const NotRunReason reason =
+      checkPeerRequest(*mViews.get(), mSettings.mService, aRequest);
+    if (reason != NotRunReason::None) {
+      aAnswer(makeNotRun(idOf(aRequest), reason));
       return;
     }
     mGate->submit(std::move(aRequest), withLoad(std::move(aAnswer)));
--- a/src/daemon/parts_platform.cpp
+++ b/src/daemon/parts_platform.cpp
@@ -1,8 +1,6 @@
 #include "parts.h"
 
 #include "radishroad/base/json_log.h"
-#include "radishroad/config/model.h"
-#include "radishroad/daemon/fleet_view.h"
 #include "radishroad/request/plain_answer.h"
 #include "radishroad/state/relay.h"
 #include "radishroad/state/snapshot_codec.h"
@@ -123,16 +121,21 @@
 {
   const Result<UpstreamReport> report = mProtocol.mReadReport(aRequest);
   if (!report) {
-    logEvent(LogLevel::Warn,
-             "upstream_report_refused",
-             { { "error", report.error().mMessage },
-               { "target", aRequest.mTarget } });
+    logEvent(
+      LogLevel::Warn,
+      "upstream_report_refused",
+      { { "error", report.error().mMessage }, { "target", aRequest.mTarget } });
     return makePlainAnswer(400, kJson, "{}");
   }
   const bool foreign =
     !report->mService.empty() && report->mService != mSettings.mService;
   if (foreign) {
-    return makePlainAnswer(followService(*report) ? 200 : 400, kJson, "{}");
+    logEvent(LogLevel::Warn,
+             "upstream_of_another_service",
+             { { "instance", report->mInstance },
+               { "service", report->mService },
+               { "own_service", mSettings.mService } });
+    return makePlainAnswer(400, kJson, "{}");
   }
   if (!mGate->onReport(*report)) {
     logEvent(LogLevel::Info,
@@ -144,26 +147,6 @@
   return makePlainAnswer(200, kJson, "{}");
 }
 
-bool
-Daemon::Parts::followService(const UpstreamReport& aReport)
-{
-  const std::shared_ptr<const FleetView> view = mViews.get();
-  const bool known = view->mModel != nullptr &&
-                     view->mModel->mServices.contains(aReport.mService);
-  const bool taken = known && mGate->isNews(aReport);
-  logEvent(LogLevel::Warn,
-           "upstream_of_another_service",
-           { { "instance", aReport.mInstance },
-             { "service", aReport.mService },
-             { "own_service", mSettings.mService },
-             { "followed", taken } });
-  if (taken && !mOut) {
-    mNextService = aReport.mService;
-    mOut = true;
-  }
-  return taken;
-}
-
 void
 Daemon::Parts::setPlatformGateHooks(Gate::Hooks& aHooks)
 {
@@ -291,9 +274,8 @@
         takeState(aStream, newest, state);
       });
     }
-    mLoop.post([this, aStream, askedAt] {
-      mFleet.onContact(aStream, askedAt);
-    });
+    mLoop.post(
+      [this, aStream, askedAt] { mFleet.onContact(aStream, askedAt); });
     return {};
   };
   hooks.mOnError = [this, aStream](const Error& aError) {
@@ -388,8 +370,7 @@
       }
       logEvent(LogLevel::Info,
                "zone",
-               { { "zone", zone->mZone },
-                 { "in_service", zone->mInService } });
+               { { "zone", zone->mZone }, { "in_service", zone->mInService } });
     }
   }
   mOperatorsNext = aEntries.mNext;
@@ -416,35 +397,33 @@
     if (decoded) {
       takeState(aStream, record.mOffset, state);
     } else {
-      logEvent(LogLevel::Warn,
-               "relayed_state_refused",
-               { { "stream", aStream },
-                 { "error", decoded.error().mMessage } });
+      logEvent(
+        LogLevel::Warn,
+        "relayed_state_refused",
+        { { "stream", aStream }, { "error", decoded.error().mMessage } });
     }
   }
 }
 
 bool
-Daemon::Parts::submitState(
-  const std::string& aStream,
-  const wire::RecordT& aRecord,
-  std::function<void(Result<std::uint64_t>)> aResult)
+Daemon::Parts::submitState(const std::string& aStream,
+                           const wire::RecordT& aRecord,
+                           std::function<void(Result<std::uint64_t>)> aResult)
 {
   const RandomId id{ aRecord.id_high, aRecord.id_low };
-  return mWriter->submit(
-    aStream,
-    aRecord,
-    kWriteTimeout,
-    [this, id, result = std::move(aResult)](
-      const Result<FoldVerdict>& aVerdict) {
-      mLoop.post([this, id, result, aVerdict] {
-        if (aVerdict) {
-          mRecorder.onRecord(id, *aVerdict);
-        } else {
-          result(tl::unexpected<Error>(aVerdict.error()));
-        }
-      });
-    });
+  return mWriter->submit(aStream,
+                         aRecord,
+                         kWriteTimeout,
+                         [this, id, result = std::move(aResult)](
+                           const Result<FoldVerdict>& aVerdict) {
+                           mLoop.post([this, id, result, aVerdict] {
+                             if (aVerdict) {
+                               mRecorder.onRecord(id, *aVerdict);
+                             } else {
+                               result(tl::unexpected<Error>(aVerdict.error()));
+                             }
+                           });
+                         });
 }
 
 void
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -103,10 +103,9 @@
   CrashWatch crashes(aSettings.isPlatform() ? kPlatformRetries
                                             : RetryBudget::Bounds{});
   Millis joinDelay;
-  DaemonSettings settings = aSettings;
   while (true) {
     const Millis startedAt = monotonicNow();
-    Daemon daemon(settings, crashes, joinDelay, aHooks);
+    Daemon daemon(aSettings, crashes, joinDelay, aHooks);
     const Result<Daemon::RunEnd> end = daemon.run(waitForStop);
     if (!end) {
       logEvent(
@@ -116,7 +115,6 @@
     if (*end == Daemon::RunEnd::Stopped) {
       return EXIT_SUCCESS;
     }
-    settings.mService = daemon.nextService();
     // A daemon that its peers cannot reach would join and be expelled again
     // and again, and take shards each time.
     const bool livedLong = monotonicNow() - startedAt > kLongLife;
--- a/src/daemon/relay_duty.cpp
+++ b/src/daemon/relay_duty.cpp
@@ -65,7 +65,8 @@
   if (records.empty()) {
     return;
   }
-  if (whole || records.front().mOffset <= mContext.mFleet.nextOffset(aRecords.stream)) {
+  if (whole ||
+      records.front().mOffset <= mContext.mFleet.nextOffset(aRecords.stream)) {
     mOnRecords(aRecords.stream, records);
   }
 }
--- a/src/daemon/serve_authority.cpp
+++ b/src/daemon/serve_authority.cpp
@@ -116,8 +116,7 @@
   }
   if (runsAnywhere(*view)) {
     ServeDecision decision;
-    decision.mRefusal =
-      keysUntil ? NotRunReason::Draining : NotRunReason::None;
+    decision.mRefusal = keysUntil ? NotRunReason::Draining : NotRunReason::None;
     decision.mServeUntil = aNow + kUnkeyedRecheck;
     return decision;
   }
--- a/src/log/http_caller.cpp
+++ b/src/log/http_caller.cpp
@@ -137,8 +137,8 @@
       curl_off_t connectedAfter = 0;
       curl_easy_getinfo(mEasy, CURLINFO_CONNECT_TIME_T, &connectedAfter);
       answer.mNeverSent = connectedAfter <= 0;
-      answer.mTimedOut = code == CURLE_OPERATION_TIMEDOUT ||
-                         code == CURLE_ABORTED_BY_CALLBACK;
+      answer.mTimedOut =
+        code == CURLE_OPERATION_TIMEDOUT || code == CURLE_ABORTED_BY_CALLBACK;
       answer.mProblem = curl_easy_strerror(code);
     }
     curl_multi_remove_handle(mMulti, mEasy);
--- a/src/log/log_client.cpp
+++ b/src/log/log_client.cpp
@@ -49,8 +49,8 @@
 {
   explicit Impl(std::string aAddress)
     : mBase("http://" + std::move(aAddress) + "/v1/streams/")
-    , mHttp({ .mMaxBodyBytes = kMaxAnswerBytes,
-              .mWantedHeader = kOldestHeader })
+    , mHttp(
+        { .mMaxBodyBytes = kMaxAnswerBytes, .mWantedHeader = kOldestHeader })
   {
   }
 
--- a/src/log/state_writer.cpp
+++ b/src/log/state_writer.cpp
@@ -243,9 +243,8 @@
       if (!stopped && now < aTask.mGiveUpAt) {
         return false;
       }
-      aTask.mDone(
-        fail(aInDoubt ? ErrorCode::Unknown : ErrorCode::Unavailable,
-             "the store did not settle the record in time"));
+      aTask.mDone(fail(aInDoubt ? ErrorCode::Unknown : ErrorCode::Unavailable,
+                       "the store did not settle the record in time"));
       return true;
     });
   }
--- a/src/ownership/grant_keeper.cpp
+++ b/src/ownership/grant_keeper.cpp
@@ -19,8 +19,7 @@
 Millis
 GrantKeeper::longestHold(Millis aHoldTime)
 {
-  return aHoldTime + aHoldTime / kSlowClockPart + kTravelTime +
-         kEndMargin;
+  return aHoldTime + aHoldTime / kSlowClockPart + kTravelTime + kEndMargin;
 }
 
 template<typename Visit>
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -91,7 +91,9 @@
   if (requests > 0) {
     const double cost = busyMs / requests;
     member.mCost =
-      member.mCost > 0 ? smoothed(member.mCost, cost, passed, mPace.mSmoothSeconds) : cost;
+      member.mCost > 0
+        ? smoothed(member.mCost, cost, passed, mPace.mSmoothSeconds)
+        : cost;
   }
 }
 
--- a/src/policy/balance_keys.cpp
+++ b/src/policy/balance_keys.cpp
@@ -125,7 +125,8 @@
     return true;
   }
   const double byShard = peakAfter(aFrom, aTo, mShards[*shard].mRate);
-  return peakAfter(aFrom, aTo, aRate) <= byShard + mPace.mMinGain * aFrom.used();
+  return peakAfter(aFrom, aTo, aRate) <=
+         byShard + mPace.mMinGain * aFrom.used();
 }
 
 std::optional<wire::HotKeyT>
--- a/src/policy/cold_limit.cpp
+++ b/src/policy/cold_limit.cpp
@@ -45,7 +45,8 @@
 {
   const double passed = static_cast<double>((aNow - mRefilledAt).mCount);
   if (passed > 0) {
-    mTokens = std::min(kBurst, mTokens + mPerSecond * passed / kMillisPerSecond);
+    mTokens =
+      std::min(kBurst, mTokens + mPerSecond * passed / kMillisPerSecond);
     mRefilledAt = aNow;
   }
 }
--- a/src/policy/upstream_choice.cpp
+++ b/src/policy/upstream_choice.cpp
@@ -109,9 +109,8 @@
 UpstreamChoice::keepOnly(std::span<const Candidate> aCandidates)
 {
   std::erase_if(mViews, [aCandidates](const auto& aEntry) {
-    return std::ranges::find(aCandidates,
-                             aEntry.first,
-                             &Candidate::mMember) == aCandidates.end();
+    return std::ranges::find(aCandidates, aEntry.first, &Candidate::mMember) ==
+           aCandidates.end();
   });
 }
 
--- a/src/policy/work_order.cpp
+++ b/src/policy/work_order.cpp
@@ -55,8 +55,8 @@
 Millis
 latestStart(const WaitingWork& aWork, const UpstreamPace& aPace)
 {
-  const double given = static_cast<double>(
-    (aWork.mObjectiveAt - aWork.mQueuedAt).mCount);
+  const double given =
+    static_cast<double>((aWork.mObjectiveAt - aWork.mQueuedAt).mCount);
   const Millis useful =
     aWork.mQueuedAt +
     Millis{ static_cast<std::int64_t>(std::max(0.0, given) * kLateStretch) };
@@ -91,19 +91,20 @@
   for (std::size_t n = 0; n < aWaiting.size(); ++n) {
     ranked.push_back(rankOf(aWaiting[n], n, aPace, aNow));
   }
-  std::ranges::stable_sort(ranked, [](const Ranked& aLeft, const Ranked& aRight) {
-    return aLeft.mLate != aRight.mLate ? !aLeft.mLate
-                                       : aLeft.mUrgency < aRight.mUrgency;
-  });
+  std::ranges::stable_sort(
+    ranked, [](const Ranked& aLeft, const Ranked& aRight) {
+      return aLeft.mLate != aRight.mLate ? !aLeft.mLate
+                                         : aLeft.mUrgency < aRight.mUrgency;
+    });
   WorkPlan plan;
   for (const Ranked& each : ranked) {
     const WaitingWork& work = aWaiting[each.mIndex];
     const Millis wait = expectedWait(aPace, plan.mOrder.size());
     if (wait > Millis{} && aNow + wait > latestStart(work, aPace)) {
-      const Millis pause = std::clamp(
-        wait - (latestStart(work, aPace) - aNow) / 2,
-        kLeastRetryAfter,
-        kLongestRetryAfter);
+      const Millis pause =
+        std::clamp(wait - (latestStart(work, aPace) - aNow) / 2,
+                   kLeastRetryAfter,
+                   kLongestRetryAfter);
       plan.mRefused.push_back({ each.mIndex, pause });
     } else {
       plan.mOrder.push_back(each.mIndex);
--- a/src/state/fold_membership.cpp
+++ b/src/state/fold_membership.cpp
@@ -167,8 +167,7 @@
   aState.mMembers.emplace(aChange.incarnation, std::move(member));
   if (followed != 0) {
     moveOwnership(aState, followed, aChange.incarnation);
-    retire(
-      aState, aState.mMembers.at(followed), MemberStatus::Left, aOffset);
+    retire(aState, aState.mMembers.at(followed), MemberStatus::Left, aOffset);
   }
   adoptOwnerlessSplitKeys(aState);
   return true;
--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -163,20 +163,13 @@
   return true;
 }
 
-bool
-Gate::isNews(const UpstreamReport& aReport) const
-{
-  const std::lock_guard<std::mutex> lock(mImpl->mPaceMutex);
-  return mImpl->mAccepted.mInstance.empty() ||
-         isNewer(aReport, mImpl->mAccepted);
-}
-
 void
 Gate::onHandover(Shard aShard, Epoch aEpoch, std::vector<std::string> aTokens)
 {
-  mImpl->post([impl = mImpl.get(), aShard, aEpoch, tokens = std::move(aTokens)] {
-    impl->mGrants.onHandover(aShard, aEpoch, tokens, impl->mHooks.mNow());
-  });
+  mImpl->post(
+    [impl = mImpl.get(), aShard, aEpoch, tokens = std::move(aTokens)] {
+      impl->mGrants.onHandover(aShard, aEpoch, tokens, impl->mHooks.mNow());
+    });
 }
 
 Gate::Pace
--- a/src/upstream/gate_grant.cpp
+++ b/src/upstream/gate_grant.cpp
@@ -89,9 +89,8 @@
   mExchanges.start(
     request,
     [] { return true; },
-    [id, end = std::move(aEnd)](ExchangeEnd aExchangeEnd,
-                                CURLcode,
-                                const UpstreamResponse& aResponse) {
+    [id, end = std::move(aEnd)](
+      ExchangeEnd aExchangeEnd, CURLcode, const UpstreamResponse& aResponse) {
       end(id, aExchangeEnd, aResponse);
     });
 }
--- a/src/upstream/gate_health.cpp
+++ b/src/upstream/gate_health.cpp
@@ -25,8 +25,8 @@
   probe.mUpstream = mOptions.mUpstream;
   probe.mMethod = "GET";
   // The load report is asked for along with health, less often.
-  const bool load =
-    !mOptions.mProtocol.mReports && ++mProbes % kLoadProbeEvery == 0 && mHealth.healthy();
+  const bool load = !mOptions.mProtocol.mReports &&
+                    ++mProbes % kLoadProbeEvery == 0 && mHealth.healthy();
   const std::string& path =
     mService.mHealthPath.empty() ? mOptions.mHealthPath : mService.mHealthPath;
   probe.mTarget = load ? kLoadPath : path;
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -2,8 +2,8 @@
 #define RADISHROAD_SRC_UPSTREAM_GATE_IMPL_H
 
 #include "radishroad/base/ring.h"
-#include "radishroad/policy/answered_set.h"
 #include "radishroad/ownership/grant_keeper.h"
+#include "radishroad/policy/answered_set.h"
 #include "radishroad/policy/cold_limit.h"
 #include "radishroad/policy/connection_pacer.h"
 #include "radishroad/policy/duplicate_memory.h"
--- a/src/upstream/gate_order.cpp
+++ b/src/upstream/gate_order.cpp
@@ -61,8 +61,7 @@
   }
   const WorkPlan plan = planWork(waiting, currentPace(aNow), aNow);
   for (const WorkPlan::Refusal& refusal : plan.mRefused) {
-    std::optional<QueuedRequest> queued =
-      mQueue.take(tickets[refusal.mIndex]);
+    std::optional<QueuedRequest> queued = mQueue.take(tickets[refusal.mIndex]);
     refuse(*queued, NotRunReason::QueueFull, 0, refusal.mRetryAfter);
   }
   for (const std::size_t index : plan.mOrder) {
--- a/src/upstream/gate_report.cpp
+++ b/src/upstream/gate_report.cpp
@@ -71,8 +71,7 @@
   if (protocol.mColdLeft) {
     mCold.onCold(protocol.mColdLeft(aResponse), mHooks.mNow());
   }
-  onHealthChange(
-    mHealth.onProbeAnswer(aResponse.mStatus, lifeName(mReport)));
+  onHealthChange(mHealth.onProbeAnswer(aResponse.mStatus, lifeName(mReport)));
 }
 
 void
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -23,7 +23,6 @@
 constexpr Millis kGrantWait{ 5 };
 constexpr int kMaxSheds = 3;
 
-
 }
 
 std::uint32_t
--- a/src/upstream/gate_window.cpp
+++ b/src/upstream/gate_window.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-
 std::uint32_t
 countOf(const nlohmann::json& aReport, const char* aName)
 {
@@ -86,8 +85,8 @@
 void
 Gate::Impl::onLoadAnswer(const UpstreamResponse& aResponse)
 {
-  onHealthChange(mHealth.onAnswer(
-    aResponse.header(mOptions.mProtocol.mInstanceHeader)));
+  onHealthChange(
+    mHealth.onAnswer(aResponse.header(mOptions.mProtocol.mInstanceHeader)));
   const nlohmann::json report = nlohmann::json::parse(
     aResponse.mBody.begin(), aResponse.mBody.end(), nullptr, false);
   if (aResponse.mStatus != 200 || !report.is_object()) {
--- a/src/upstream/request_queue.cpp
+++ b/src/upstream/request_queue.cpp
@@ -181,8 +181,8 @@
 RequestQueue::take(std::uint64_t aTicket)
 {
   for (Line& line : mLines) {
-    const auto it = std::ranges::find(
-      line.mRequests, aTicket, &QueuedRequest::mTicket);
+    const auto it =
+      std::ranges::find(line.mRequests, aTicket, &QueuedRequest::mTicket);
     if (it != line.mRequests.end()) {
       QueuedRequest taken = std::move(*it);
       line.mRequests.erase(it);
--- a/tests/unit/balance_capacity_test.cpp
+++ b/tests/unit/balance_capacity_test.cpp
@@ -15,8 +15,9 @@
 
 constexpr std::size_t kMembers = 7;
 /// Requests a second that the upstreams bear: their speeds differ threefold.
-constexpr std::array<double, kMembers> kCapacities{ 45, 90, 90, 135,
-                                                    45, 90, 90 };
+constexpr std::array<double, kMembers> kCapacities{
+  45, 90, 90, 135, 45, 90, 90
+};
 /// 85% of what all bear together.
 constexpr double kOffered = 500;
 
@@ -165,9 +166,10 @@
       told.shards.emplace_back(member == 1 ? 0 : 200, 50, 0);
       balancer.onReport(told, log.mState, now);
     }
-    BOOST_TEST(
-      balancer.planMoves(log.mState, [](Incarnation) { return true; }, now)
-        .empty());
+    BOOST_TEST(balancer
+                 .planMoves(
+                   log.mState, [](Incarnation) { return true; }, now)
+                 .empty());
   }
 }
 
--- a/tests/unit/cold_limit_test.cpp
+++ b/tests/unit/cold_limit_test.cpp
@@ -29,9 +29,8 @@
     }
   }
   for (const Millis from : sent) {
-    const auto within = std::ranges::count_if(sent, [from](Millis aAt) {
-      return aAt >= from && aAt < from + 1000_ms;
-    });
+    const auto within = std::ranges::count_if(
+      sent, [from](Millis aAt) { return aAt >= from && aAt < from + 1000_ms; });
     BOOST_TEST(static_cast<double>(within) <= kPerSecond * 1.5 + 5);
   }
   BOOST_TEST(static_cast<double>(sent.size()) >= kPerSecond * 2.5);
--- a/tests/unit/grant_keeper_test.cpp
+++ b/tests/unit/grant_keeper_test.cpp
@@ -127,8 +127,8 @@
     keeper.onReleased(run);
   }
   BOOST_TEST((keeper.freeFrom(7, 400_ms) >= 300_ms + kHold));
-  BOOST_TEST((keeper.freeFrom(7, 400_ms) <=
-             300_ms + GrantKeeper::longestHold(kHold)));
+  BOOST_TEST(
+    (keeper.freeFrom(7, 400_ms) <= 300_ms + GrantKeeper::longestHold(kHold)));
 }
 
 BOOST_AUTO_TEST_CASE(a_new_process_takes_the_keys_for_held)
--- /dev/null
+++ b/tests/unit/peer_check_test.cpp
@@ -0,0 +1,36 @@
+#include "radishroad/daemon/peer_check.h"
+
+#include "radishroad/config/model.h"
+#include "radishroad/daemon/fleet_view.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace radishroad;
+
+BOOST_AUTO_TEST_SUITE(peer_check)
+
+BOOST_AUTO_TEST_CASE(
+  a_request_for_another_service_at_a_reused_address_is_refused)
+{
+  ForwardRequest request;
+  request.service = "catalog";
+  BOOST_TEST((checkPeerRequest({}, "catalog", request) == NotRunReason::None));
+  BOOST_TEST(
+    (checkPeerRequest({}, "library", request) == NotRunReason::NotOwner));
+}
+
+BOOST_AUTO_TEST_CASE(a_key_withdrawn_on_the_way_is_refused)
+{
+  FleetView view;
+  view.mConfigVersion = 5;
+  view.mModel = std::make_shared<config::Model>();
+  ForwardRequest request;
+  request.service = "catalog";
+  request.workspace = "guild";
+  request.caller_key = "hash";
+  request.config_version = 4;
+  BOOST_TEST(
+    (checkPeerRequest(view, "catalog", request) == NotRunReason::Unauthorized));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/platform_configuration_test.cpp
+++ b/tests/unit/platform_configuration_test.cpp
@@ -89,15 +89,15 @@
 BOOST_AUTO_TEST_CASE(a_document_cut_short_anywhere_is_refused)
 {
   for (std::size_t n = 0; n < kDocument.size(); ++n) {
-    BOOST_REQUIRE(
-      !platform::readConfiguration(bytesOf(kDocument.substr(0, n)))
-         .has_value());
+    BOOST_REQUIRE(!platform::readConfiguration(bytesOf(kDocument.substr(0, n)))
+                     .has_value());
   }
 }
 
 BOOST_AUTO_TEST_CASE(fields_that_are_not_known_are_passed_over)
 {
-  BOOST_TEST(readWith("\"Limits\"", "\"New\":{\"a\":1},\"Limits\"").has_value());
+  BOOST_TEST(
+    readWith("\"Limits\"", "\"New\":{\"a\":1},\"Limits\"").has_value());
 }
 
 BOOST_AUTO_TEST_CASE(an_entry_takes_a_zone_out_and_its_end_takes_it_back)
--- a/tests/unit/platform_gate_test.cpp
+++ b/tests/unit/platform_gate_test.cpp
@@ -87,8 +87,7 @@
                false };
     }
     const auto id = aRequest.mHeaders.find("x-request-id");
-    const std::string echo =
-      id == aRequest.mHeaders.end() ? "" : id->second;
+    const std::string echo = id == aRequest.mHeaders.end() ? "" : id->second;
     if (mHeld.empty()) {
       return { "HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\n"
                "X-Request-Id: " +
@@ -135,8 +134,7 @@
   std::mutex mMutex;
   std::set<std::uint32_t> mHeld;
   Epoch mReleasedEpoch = 0;
-  std::string mHead =
-    "HTTP/1.1 200 OK\r\nX-Upstream-Signature: s\r\n";
+  std::string mHead = "HTTP/1.1 200 OK\r\nX-Upstream-Signature: s\r\n";
   std::string mEcho;
   std::atomic<bool> mUp{ false };
   std::atomic<int> mLives{ 0 };
--- a/tests/unit/platform_messages_test.cpp
+++ b/tests/unit/platform_messages_test.cpp
@@ -32,7 +32,8 @@
 {
   UpstreamResponse response;
   response.mStatus = aStatus;
-  for (auto it = aNamesAndValues.begin(); it != aNamesAndValues.end(); it += 2) {
+  for (auto it = aNamesAndValues.begin(); it != aNamesAndValues.end();
+       it += 2) {
     wire::HeaderT header;
     header.name = *it;
     header.value = *(it + 1);
@@ -69,7 +70,8 @@
 
 BOOST_AUTO_TEST_CASE(numbers_that_are_none_are_not_there)
 {
-  for (const char* text : { "", "x", "-1", "65536", "1.5", "9999999999999999" }) {
+  for (const char* text :
+       { "", "x", "-1", "65536", "1.5", "9999999999999999" }) {
     CallerRequest request = callOf("/p/1");
     addHeader(request, "X-Shard-Key", text);
     BOOST_TEST(!platform::readCallerHead(request).mKeyNumber.has_value(), text);
@@ -112,9 +114,9 @@
   BOOST_TEST(!platform::readUpstreamReport(
                 callOf("/api/rpc?call=instances.heartbeat", kReport))
                 .has_value());
-  BOOST_TEST(!platform::readUpstreamReport(
-                callOf("/api/rpc?call=other&of=i-7", kReport))
-                .has_value());
+  BOOST_TEST(
+    !platform::readUpstreamReport(callOf("/api/rpc?call=other&of=i-7", kReport))
+       .has_value());
 }
 
 BOOST_AUTO_TEST_CASE(a_notice_to_leave_needs_no_body)
@@ -134,8 +136,7 @@
   BOOST_TEST((provenNotRun(responseOf(400, { "X-Not-Executed", "1" })) ==
               NotRunReason::Malformed));
   for (const int status : { 200, 429, 500, 503, 504 }) {
-    BOOST_TEST(
-      (provenNotRun(responseOf(status, {})) == NotRunReason::None));
+    BOOST_TEST((provenNotRun(responseOf(status, {})) == NotRunReason::None));
   }
 }
 
@@ -156,10 +157,9 @@
   BOOST_TEST(load->mWaiting == 1U);
   BOOST_TEST(load->mSlots == 9U);
   for (const char* text : { "", "3", "3,1", "a,b,c", "3,,9" }) {
-    BOOST_TEST(
-      !platform::readLoad(responseOf(200, { "X-Upstream-Load", text }))
-         .has_value(),
-      text);
+    BOOST_TEST(!platform::readLoad(responseOf(200, { "X-Upstream-Load", text }))
+                  .has_value(),
+               text);
   }
 }
 
@@ -168,9 +168,12 @@
   ForwardRequest request;
   request.workspace = "t";
   request.caller_service = "front";
-  for (const char* name :
-       { "X-Tenant-Id", "x-caller-service", "X-TARGET-INSTANCE",
-         "X-Deadline-Ms", "Authorization", "X-Own" }) {
+  for (const char* name : { "X-Tenant-Id",
+                            "x-caller-service",
+                            "X-TARGET-INSTANCE",
+                            "X-Deadline-Ms",
+                            "Authorization",
+                            "X-Own" }) {
     auto header = std::make_unique<wire::HeaderT>();
     header->name = name;
     header->value = "forged";
@@ -196,8 +199,7 @@
   order.mKeys = { 64, 95 };
   order.mEpoch = 12;
   order.mHoldTime = Millis{ 3000 };
-  nlohmann::json body =
-    nlohmann::json::parse(platform::makeGrant(order).mBody);
+  nlohmann::json body = nlohmann::json::parse(platform::makeGrant(order).mBody);
   BOOST_TEST((body == nlohmann::json{ { "From", 64 },
                                       { "To", 95 },
                                       { "fence", 12 },
@@ -206,8 +208,8 @@
   body = nlohmann::json::parse(platform::makeGrant(order).mBody);
   BOOST_TEST(body["Handover"] == "token");
   body = nlohmann::json::parse(platform::makeRelease({ 64, 95 }, 12).mBody);
-  BOOST_TEST((body == nlohmann::json{
-                        { "From", 64 }, { "To", 95 }, { "fence", 12 } }));
+  BOOST_TEST(
+    (body == nlohmann::json{ { "From", 64 }, { "To", 95 }, { "fence", 12 } }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/platform_store_test.cpp
+++ b/tests/unit/platform_store_test.cpp
@@ -39,21 +39,22 @@
 struct Writer
 {
   explicit Writer(const StoreStandin& aStore)
-    : mWriter([address = aStore.address()] {
-        return platform::openStateStore(address);
-      },
-              64,
-              { .mOnState =
-                  [this](const std::string&,
-                         std::uint64_t aVersion,
-                         const CellState& aState) {
-                    const std::lock_guard<std::mutex> lock(mMutex);
-                    mVersion = aVersion;
-                    mMembers = aState.mMembers.size();
-                  },
-                .mOnWritten = [this](const std::string&) { ++mWrites; },
-                .mOnStore = [](bool, const std::string&) {} },
-              [] { return 0.5; })
+    : mWriter(
+        [address = aStore.address()] {
+          return platform::openStateStore(address);
+        },
+        64,
+        { .mOnState =
+            [this](const std::string&,
+                   std::uint64_t aVersion,
+                   const CellState& aState) {
+              const std::lock_guard<std::mutex> lock(mMutex);
+              mVersion = aVersion;
+              mMembers = aState.mMembers.size();
+            },
+          .mOnWritten = [this](const std::string&) { ++mWrites; },
+          .mOnStore = [](bool, const std::string&) {} },
+        [] { return 0.5; })
   {
   }
 
@@ -135,8 +136,7 @@
     each.get();
   }
   StateStore reader = platform::openStateStore(store.address());
-  const Result<StoredState> stored =
-    reader.mRead(kStream, 0, 0_ms, 2000_ms);
+  const Result<StoredState> stored = reader.mRead(kStream, 0, 0_ms, 2000_ms);
   BOOST_REQUIRE(stored.has_value());
   CellState state;
   BOOST_REQUIRE(decodeState(stored->mData, state).has_value());
--- a/tests/unit/state_change_test.cpp
+++ b/tests/unit/state_change_test.cpp
@@ -52,10 +52,10 @@
                                     recordOf(2, 3) };
   const StateChange change = changeState({}, records);
   BOOST_TEST(change.mChanged);
-  BOOST_TEST((change.mVerdicts ==
-              std::vector<FoldVerdict>{ FoldVerdict::Applied,
-                                        FoldVerdict::Refused,
-                                        FoldVerdict::Applied }));
+  BOOST_TEST(
+    (change.mVerdicts == std::vector<FoldVerdict>{ FoldVerdict::Applied,
+                                                   FoldVerdict::Refused,
+                                                   FoldVerdict::Applied }));
   BOOST_TEST(change.mState.mMembers.size() == 2U);
   BOOST_TEST(change.mState.mNextOffset == 2U);
   // The writer whose answer was lost finds its record again.
--- a/tests/unit/support/store_standin.cpp
+++ b/tests/unit/support/store_standin.cpp
@@ -53,12 +53,13 @@
 }
 
 StoreStandin::StoreStandin()
-  : mServer({ .mListenAddress = "127.0.0.1:0", .mThreads = 1 },
-            [this](const CallerRequest& aRequest, const AnswerFn& aAnswer) {
-              aAnswer(handle(aRequest));
-              return CancelFn();
-            },
-            mMetrics)
+  : mServer(
+      { .mListenAddress = "127.0.0.1:0", .mThreads = 1 },
+      [this](const CallerRequest& aRequest, const AnswerFn& aAnswer) {
+        aAnswer(handle(aRequest));
+        return CancelFn();
+      },
+      mMetrics)
 {
   BOOST_REQUIRE(mServer.start().has_value());
 }
