--- a/include/radishroad/log/state_writer.h
+++ b/include/radishroad/log/state_writer.h
@@ -44,7 +44,7 @@
   /// ErrorCode::Unavailable if it never will.
   using DoneFn = std::function<void(Result<FoldVerdict>)>;
 
-  StateWriter(OpenStateStoreFn aOpen,
+  StateWriter(const OpenStateStoreFn& aOpen,
               std::size_t aCapacity,
               Hooks aHooks,
               Backoff::RandomFn aRandom);
--- a/include/radishroad/policy/balance.h
+++ b/include/radishroad/policy/balance.h
@@ -63,7 +63,10 @@
   /// shares overload the slow ones while others have room.
   static Pace quickPace();
 
-  Balancer() = default;
+  Balancer()
+    : Balancer(Pace{})
+  {
+  }
   explicit Balancer(Pace aPace)
     : mPace(aPace)
   {
--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -152,7 +152,7 @@
   });
   mGate->start();
   for (CallerServer* server : { mReports.get(), mReadiness.get() }) {
-    const Result<void> begun = server ? server->start() : Result<void>{};
+    Result<void> begun = server ? server->start() : Result<void>{};
     if (!begun) {
       return begun;
     }
--- a/src/log/state_writer.cpp
+++ b/src/log/state_writer.cpp
@@ -52,7 +52,7 @@
     bool mFresh = false;
   };
 
-  Impl(OpenStateStoreFn aOpen,
+  Impl(const OpenStateStoreFn& aOpen,
        std::size_t aCapacity,
        Hooks aHooks,
        Backoff::RandomFn aRandom)
@@ -141,6 +141,7 @@
                    std::vector<Task>& aBatch)
   {
     std::vector<Bytes> records;
+    records.reserve(aBatch.size());
     for (const Task& task : aBatch) {
       records.push_back(task.mData);
     }
@@ -295,11 +296,11 @@
   std::thread mThread;
 };
 
-StateWriter::StateWriter(OpenStateStoreFn aOpen,
+StateWriter::StateWriter(const OpenStateStoreFn& aOpen,
                          std::size_t aCapacity,
                          Hooks aHooks,
                          Backoff::RandomFn aRandom)
-  : mImpl(std::make_unique<Impl>(std::move(aOpen),
+  : mImpl(std::make_unique<Impl>(aOpen,
                                  aCapacity,
                                  std::move(aHooks),
                                  std::move(aRandom)))
