--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -205,6 +205,25 @@
   aFindings.push_back({ aSource, 0, problem, expected });
 }
 
+/// The platform's callers and upstreams come to addresses of their own.
+void
+checkPlatform(const DaemonSettings& aSettings, Findings& aFindings)
+{
+  if (!aSettings.isPlatform()) {
+    return;
+  }
+  for (const Field& field : kFields) {
+    const bool needed = field.mTarget == &DaemonSettings::mReadyAddress ||
+                        field.mTarget == &DaemonSettings::mReportAddress;
+    if (needed && (aSettings.*field.mTarget).empty()) {
+      aFindings.push_back({ std::string("--") + field.mFlag,
+                            0,
+                            "not set",
+                            "IP:PORT, with --protocol platform" });
+    }
+  }
+}
+
 constexpr int kCheckOption = 1000;
 
 struct PoptFree
@@ -354,6 +373,7 @@
     checkField(
       field, command.mSettings.*field.mTarget, sources.at(n), findings);
   }
+  checkPlatform(command.mSettings, findings);
   if (!findings.empty()) {
     return tl::unexpected<Findings>(findings);
   }
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -47,6 +47,36 @@
   BOOST_TEST(command->mCheckOnly);
 }
 
+BOOST_AUTO_TEST_CASE(the_platform_needs_two_more_addresses)
+{
+  const auto bare = read({ "--protocol", "platform" }, kWhole);
+  BOOST_REQUIRE(!bare.has_value());
+  BOOST_TEST(bare.error().size() == 2U);
+  BOOST_TEST(bare.error()[0].mSource == "--ready-address");
+  const auto whole = read({ "--protocol",
+                            "platform",
+                            "--ready-address",
+                            "127.0.0.1:1",
+                            "--report-address",
+                            "127.0.0.1:2",
+                            "--drain-time-ms",
+                            "1500" },
+                          kWhole);
+  BOOST_REQUIRE(whole.has_value());
+  BOOST_TEST(whole->mSettings.isPlatform());
+  BOOST_TEST(whole->mSettings.drainTime().mCount == 1500);
+}
+
+BOOST_AUTO_TEST_CASE(durations_and_protocols_are_checked)
+{
+  const auto wrong =
+    read({ "--protocol", "other", "--stop-time-ms", "6s" }, kWhole);
+  BOOST_REQUIRE(!wrong.has_value());
+  BOOST_TEST(wrong.error().size() == 2U);
+  BOOST_TEST(wrong.error()[0].mExpected == "own or platform");
+  BOOST_TEST(!read({ "--drain-time-ms", "0" }, kWhole).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(all_mistakes_are_reported_together)
 {
   Environment environment = kWhole;
