--- a/tests/process/drain_test.cpp
+++ b/tests/process/drain_test.cpp
@@ -214,7 +214,10 @@
     };
     BOOST_TEST(waitFor(hasStarted, 5_s));
     fleet.setUpstreamFaults(cold, { { "cold_ms", 10000 } });
-    BOOST_TEST(countEvents(fleet, { cold }, "cold") == 1U);
+    const auto isCold = [&] {
+      return countEvents(fleet, { cold }, "cold") == 1U;
+    };
+    BOOST_TEST(waitFor(isCold, 5_s));
   });
   BOOST_TEST(countEvents(fleet, { cold }, "fell_over") == 0U);
 }
