--- a/src/log/state_writer.cpp
+++ b/src/log/state_writer.cpp
@@ -32,7 +32,6 @@
 struct Task
 {
   std::string mStream;
-  RandomId mId;
   /// The record; empty for a probe.
   Bytes mData;
   Millis mGiveUpAt;
@@ -319,7 +318,6 @@
                     DoneFn aDone)
 {
   return mImpl->mTasks.tryPush({ std::move(aStream),
-                                 { aRecord.id_high, aRecord.id_low },
                                  encodeRecord(aRecord),
                                  monotonicNow() + aGiveUpAfter,
                                  std::move(aDone) });
@@ -332,7 +330,6 @@
 {
   return mImpl->mTasks.tryPush(
     { std::move(aStream),
-      {},
       {},
       monotonicNow() + aGiveUpAfter,
       [done = std::move(aDone)](const Result<FoldVerdict>& aAnswer) {
--- a/src/upstream/gate_order.cpp
+++ b/src/upstream/gate_order.cpp
@@ -103,12 +103,17 @@
                         holdsKey(aQueued.mRequest, decision.mEpoch);
     return served ? NotRunReason::None : NotRunReason::LeaseLapsed;
   };
+  std::vector<NotRunReason> reasons;
   std::vector<QueuedRequest> unserved =
-    mQueue.removeIf([&reasonOf](const QueuedRequest& aQueued) {
-      return reasonOf(aQueued) != NotRunReason::None;
+    mQueue.removeIf([&](const QueuedRequest& aQueued) {
+      const NotRunReason reason = reasonOf(aQueued);
+      if (reason != NotRunReason::None) {
+        reasons.push_back(reason);
+      }
+      return reason != NotRunReason::None;
     });
-  for (QueuedRequest& queued : unserved) {
-    refuse(queued, reasonOf(queued), 0, kUnservedRetryAfter);
+  for (std::size_t n = 0; n < unserved.size(); ++n) {
+    refuse(unserved[n], reasons[n], 0, kUnservedRetryAfter);
   }
 }
 
