--- a/src/ownership/expel_driver.cpp
+++ b/src/ownership/expel_driver.cpp
@@ -171,7 +171,11 @@
 {
   std::set<Incarnation> members;
   for (const LeaseLabel& label : mWitness.suspects(aNow)) {
-    members.insert(label.mIncarnation);
+    // A renewal may arrive after its label has been replaced. Nothing renews
+    // that label again, and its lapse says nothing of the member.
+    if (mCurrent.contains(label)) {
+      members.insert(label.mIncarnation);
+    }
   }
   return members;
 }
