Give out shards once the first reports are in; log the balance

It now waits for first reports, for two intervals at most, while no shard has an owner. Members that are gone no longer count for the mean capacity. A line "balance" tells each plan with its inputs: without it, a coordinator that moved nothing could not be told from one that need not.

--- a/include/radishroad/daemon/coordinator_duty.h
+++ b/include/radishroad/daemon/coordinator_duty.h
@@ -41,6 +41,8 @@
   void orderMoves(Millis aNow);
   void orderShards(Millis aNow);
   void orderKeys(Millis aNow);
+  /// One line for each plan that moves something, and now and then without.
+  void logBalance(std::size_t aMoves, std::size_t aOwners, Millis aNow);
   std::vector<wire::ShardGrant> planShards(Millis aNow);
   /// May the member be given anything, by the state and by what answers?
   Balancer::MayOwnFn mayBeGiven() const;
@@ -54,6 +56,7 @@
   std::size_t mMembersSeen = 0;
   Millis mMembersChangedAt;
   Millis mNextMoves;
+  Millis mNextBalanceLog;
   Balancer mBalancer;
 };
 
--- a/include/radishroad/ownership/handoff.h
+++ b/include/radishroad/ownership/handoff.h
@@ -36,6 +36,15 @@
 planInitialAssignment(const CellState& aState,
                       std::span<const Incarnation> aAvoid = {});
 
+/// No shard has an owner yet, and an active member has still to hear from its
+/// upstream for the first time.
+///
+/// Load pattern: all daemons of a cell start at once, and their upstreams
+/// report one after the other. Who gave all shards to those that were first
+/// would move most of them again while the traffic comes. Pure.
+bool
+awaitsFirstReports(const CellState& aState);
+
 /// Takes a shard's load out of what the member bears; false if it bears no
 /// more.
 using TakeShardFn = std::function<bool(Shard, Incarnation)>;
--- a/include/radishroad/policy/balance.h
+++ b/include/radishroad/policy/balance.h
@@ -81,9 +81,21 @@
                 Millis aNow);
   /// Enough is asked for that loads can be told from chance.
   bool hasTraffic() const;
-  /// Forgets a member that is gone.
-  void forget(Incarnation aMember);
-
+  /// How evenly the members are used, for a log line.
+  struct Summary
+  {
+    std::size_t mMembers = 0;
+    /// Requests a second, of the whole cell.
+    double mRate = 0;
+    /// Use is load by capacity.
+    double mHighestUse = 0;
+    double mMeanUse = 0;
+    /// Requests a second that the members bear on average; 1 if none has told.
+    double mMeanCapacity = 0;
+  };
+  Summary summarize(const CellState& aState,
+                    const MayOwnFn& aMayOwn,
+                    Millis aNow);
   /// Shards to hand off now, each with its next owner. None while an earlier
   /// plan for keys is not in the state yet.
   std::vector<wire::ShardGrant> planMoves(const CellState& aState,
--- a/src/daemon/coordinator_duty.cpp
+++ b/src/daemon/coordinator_duty.cpp
@@ -19,9 +19,14 @@
 
 /// Members that start together are all there before shards are given out.
 constexpr Millis kSettleTime{ 500 };
+/// Longest wait for the first reports of upstreams that started with their
+/// daemons: two intervals of their reports, and the writes that record them.
+constexpr Millis kFirstReportsWait{ 2500 };
 /// Pace of moves.
 constexpr Millis kMovesInterval{ 500 };
 constexpr std::size_t kSpreadShards = 16;
+/// How often the balance is logged while nothing moves.
+constexpr Millis kBalanceLogInterval{ 5000 };
 /// Part of an even share that a member is given at once, however slow it is.
 constexpr std::size_t kFewPart = 8;
 
@@ -127,8 +132,13 @@
   if (aNow - mMembersChangedAt < kSettleTime) {
     return false;
   }
+  const CellState& cell = mContext.mFleet.ownCell();
+  if (awaitsFirstReports(cell) &&
+      aNow - mMembersChangedAt < kFirstReportsWait) {
+    return false;
+  }
   std::vector<wire::ShardGrant> grants =
-    planInitialAssignment(mContext.mFleet.ownCell(), mContext.mSuspects());
+    planInitialAssignment(cell, mContext.mSuspects());
   if (grants.empty()) {
     return false;
   }
@@ -172,14 +182,41 @@
 {
   const CellState& cell = mContext.mFleet.ownCell();
   std::map<Incarnation, std::vector<wire::ShardGrant>> byOwner;
-  for (const wire::ShardGrant& grant : planShards(aNow)) {
+  const std::vector<wire::ShardGrant> moves = planShards(aNow);
+  for (const wire::ShardGrant& grant : moves) {
     byOwner[cell.mShards.at(grant.shard()).mOwner].push_back(grant);
   }
+  logBalance(moves.size(), byOwner.size(), aNow);
   for (const auto& [owner, grants] : byOwner) {
     sendShards(owner, grants);
   }
 }
 
+void
+CoordinatorDuty::logBalance(std::size_t aMoves,
+                            std::size_t aOwners,
+                            Millis aNow)
+{
+  if (aMoves == 0 && aNow < mNextBalanceLog) {
+    return;
+  }
+  mNextBalanceLog = aNow + kBalanceLogInterval;
+  const CellState& cell = mContext.mFleet.ownCell();
+  const Balancer::Summary summary =
+    mBalancer.summarize(cell, mayBeGiven(), aNow);
+  logEvent(LogLevel::Info,
+           "balance",
+           { { "moves", aMoves },
+             { "from_members", aOwners },
+             { "members", summary.mMembers },
+             { "suspects", mContext.mSuspects().size() },
+             { "state_version", cell.mNextOffset },
+             { "rate", summary.mRate },
+             { "highest_use", summary.mHighestUse },
+             { "mean_use", summary.mMeanUse },
+             { "mean_capacity", summary.mMeanCapacity } });
+}
+
 void
 CoordinatorDuty::orderKeys(Millis aNow)
 {
--- a/src/ownership/handoff.cpp
+++ b/src/ownership/handoff.cpp
@@ -176,6 +176,19 @@
   return giveAway(aState, 0, countShards(aState, 0, aAvoid), all);
 }
 
+bool
+awaitsFirstReports(const CellState& aState)
+{
+  const bool anyOwned = std::ranges::any_of(
+    aState.mShards, [](const Ownership& aShard) { return aShard.mOwner != 0; });
+  return !anyOwned &&
+         std::ranges::any_of(aState.mMembers, [](const auto& aEntry) {
+           const Member& member = aEntry.second;
+           return member.mStatus == MemberStatus::Active &&
+                  member.mUpstreamDown && member.mUpstreamLife == 0;
+         });
+}
+
 std::vector<wire::ShardGrant>
 planEvenSpread(const CellState& aState,
                std::size_t aMax,
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -125,12 +125,6 @@
   return rate >= kLeastTraffic;
 }
 
-void
-Balancer::forget(Incarnation aMember)
-{
-  mMembers.erase(aMember);
-}
-
 double
 Balancer::peakAfter(const Standing& aFrom, const Standing& aTo, double aRate)
 {
@@ -248,6 +242,10 @@
                     const MayOwnFn& aMayOwn,
                     Millis aNow)
 {
+  // What those that are gone bore does not count for the mean.
+  std::erase_if(mMembers, [&aState](const auto& aEntry) {
+    return !aState.mMembers.contains(aEntry.first);
+  });
   std::vector<Standing> all;
   for (const auto& [id, member] : aState.mMembers) {
     if (aMayOwn(id)) {
@@ -275,6 +273,23 @@
   return sum / static_cast<double>(std::max<std::size_t>(aStandings.size(), 1));
 }
 
+Balancer::Summary
+Balancer::summarize(const CellState& aState,
+                    const MayOwnFn& aMayOwn,
+                    Millis aNow)
+{
+  const std::vector<Standing> all = standings(aState, aMayOwn, aNow);
+  Summary summary;
+  summary.mMembers = all.size();
+  summary.mMeanUse = meanUsed(all);
+  summary.mMeanCapacity = meanCapacity();
+  for (const Standing& standing : all) {
+    summary.mRate += standing.mLoad;
+    summary.mHighestUse = std::max(summary.mHighestUse, standing.used());
+  }
+  return summary;
+}
+
 std::span<Balancer::Standing>
 Balancer::sortOutHigh(std::span<Standing> aStandings) const
 {
--- a/tests/unit/handoff_test.cpp
+++ b/tests/unit/handoff_test.cpp
@@ -66,6 +66,39 @@
   BOOST_TEST(planInitialAssignment(log.mState).empty());
 }
 
+// All daemons start at once and their upstreams report 200 ms apart, as on the
+// platform. Shards given to the first that reported would move again.
+BOOST_AUTO_TEST_CASE(initial_assignment_waits_for_first_reports)
+{
+  CellLog log = CellLog::withFourMembers();
+  BOOST_TEST(!awaitsFirstReports(log.mState));
+  for (auto& [incarnation, member] : log.mState.mMembers) {
+    member.mUpstreamDown = true;
+  }
+  std::uint64_t life = 1;
+  for (auto& [incarnation, member] : log.mState.mMembers) {
+    BOOST_TEST(awaitsFirstReports(log.mState));
+    member.mUpstreamDown = false;
+    member.mUpstreamLife = life++;
+  }
+  BOOST_TEST(!awaitsFirstReports(log.mState));
+  wire::AssignT assign;
+  assign.grants = planInitialAssignment(log.mState);
+  BOOST_TEST((log.append(std::move(assign)) == FoldVerdict::Applied));
+  for (const auto& [incarnation, count] : countsOf(log.mState)) {
+    BOOST_TEST(count == kShardCount / 4);
+  }
+  BOOST_TEST(planEvenSpread(log.mState, kShardCount).empty());
+}
+
+// Once shards have owners, a shard without one is given away at once.
+BOOST_AUTO_TEST_CASE(later_members_without_reports_hold_nothing_up)
+{
+  CellLog log = evenCell();
+  log.mState.mMembers.begin()->second.mUpstreamDown = true;
+  BOOST_TEST(!awaitsFirstReports(log.mState));
+}
+
 BOOST_AUTO_TEST_CASE(initial_assignment_passes_over_drained_members)
 {
   CellLog log = CellLog::withFourMembers();
