Write logs by a thread of their own; explain a request from them

A reader of standard output that hung could hold up requests: lines go through a bounded queue now, and what is dropped is counted in log_lines_dropped.

--- a/include/radishroad/operator/fleet_commands.h
+++ b/include/radishroad/operator/fleet_commands.h
@@ -19,6 +19,9 @@
 CommandResult
 timeline(const Arguments& aArguments, const Surroundings& aSurroundings);
 
+CommandResult
+explain(const Arguments& aArguments, const Surroundings& aSurroundings);
+
 }
 
 #endif
--- a/include/radishroad/upstream/gate.h
+++ b/include/radishroad/upstream/gate.h
@@ -18,6 +18,8 @@
 
 namespace radishroad {
 
+struct QueuedRequest;
+
 /// What the gate learns when it asks, at the last moment before a request is
 /// written to the upstream, whether this daemon may serve the key now.
 struct ServeDecision
@@ -83,6 +85,10 @@
     std::function<void(std::uint64_t aLife)> mOnLife;
     /// The upstream drains: its keys are to go elsewhere.
     std::function<void()> mOnDraining;
+    /// A request is about to be answered; for logs. May be empty.
+    std::function<
+      void(const QueuedRequest&, const Answer&, const UpstreamPace&)>
+      mOnAnswer;
     ClockFn mNow;
   };
 
--- a/src/base/json_log.cpp
+++ b/src/base/json_log.cpp
@@ -1,7 +1,10 @@
 #include "radishroad/base/json_log.h"
 
+#include "radishroad/base/hash.h"
 #include "radishroad/base/millis.h"
+#include "radishroad/base/ring.h"
 
+#include <atomic>
 #include <boost/circular_buffer.hpp>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -10,6 +13,8 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <semaphore>
+#include <thread>
 
 namespace radishroad {
 
@@ -21,8 +26,24 @@
 /// Lines about single requests that one process writes in a second.
 constexpr std::uint64_t kRequestLinesPerSecond = 40;
 constexpr std::int64_t kMillisPerSecond = 1000;
+/// Requests that went well are logged one in so many.
+constexpr std::uint64_t kLogOneIn = 64;
+/// Lines that wait for a slow reader of the output; about 2 MB at most in
+/// practice. More are dropped and counted.
+constexpr std::size_t kWaitingLines = 4096;
+constexpr Millis kWriterWait{ 60000 };
+/// At the end of the process, how long the output may take for the last lines.
+constexpr std::chrono::milliseconds kLastLinesWait{ 500 };
 
-/// What startLog sets; empty before, and then nothing goes to the output.
+struct WaitingLine
+{
+  log4cplus::LogLevel mLevel = log4cplus::INFO_LOG_LEVEL;
+  std::string mText;
+};
+
+/// What startLog sets; empty before, and then nothing goes to the output. A
+/// thread of its own writes, so that no reader of the output can hold up a
+/// request.
 struct LogOutput
 {
   log4cplus::Initializer mInitializer;
@@ -30,6 +51,11 @@
   std::string mRole;
   std::string mVm;
   std::string mZone;
+  Ring<WaitingLine> mWaiting{ kWaitingLines };
+  std::atomic<std::uint64_t> mDropped{ 0 };
+  std::atomic<bool> mClosed{ false };
+  std::binary_semaphore mDone{ 0 };
+  std::thread mWriter;
 };
 
 struct KeptEvents
@@ -52,10 +78,11 @@
   RequestBudget mBudget;
 };
 
-std::unique_ptr<LogOutput>&
+/// Not owned: if the last lines cannot be written, its thread outlives main.
+std::atomic<LogOutput*>&
 output()
 {
-  static std::unique_ptr<LogOutput> sOutput;
+  static std::atomic<LogOutput*> sOutput{ nullptr };
   return sOutput;
 }
 
@@ -132,6 +159,30 @@
   return bare.substr(0, bare.size() - 1) + ",\"truncated\":true}";
 }
 
+void
+writeLines(LogOutput& aOutput)
+{
+  while (true) {
+    const std::optional<WaitingLine> line = aOutput.mWaiting.pop(kWriterWait);
+    if (!line && aOutput.mClosed) {
+      break;
+    }
+    if (!line) {
+      continue;
+    }
+    const std::uint64_t dropped = aOutput.mDropped.exchange(0);
+    if (dropped > 0) {
+      aOutput.mLogger.forcedLog(log4cplus::WARN_LOG_LEVEL,
+                                makeLine(LogLevel::Warn,
+                                         "log_lines_dropped",
+                                         { { "count", dropped } },
+                                         &aOutput));
+    }
+    aOutput.mLogger.forcedLog(line->mLevel, line->mText);
+  }
+  aOutput.mDone.release();
+}
+
 }
 
 void
@@ -153,7 +204,26 @@
   created->mLogger.removeAllAppenders();
   created->mLogger.addAppender(appender);
   created->mLogger.setLogLevel(toLog4cplus(aLowest));
-  output() = std::move(created);
+  LogOutput* out = created.release();
+  out->mWriter = std::thread([out] { writeLines(*out); });
+  output() = out;
+}
+
+void
+stopLog()
+{
+  LogOutput* out = output().exchange(nullptr);
+  if (out == nullptr) {
+    return;
+  }
+  out->mClosed = true;
+  out->mWaiting.close();
+  if (out->mDone.try_acquire_for(kLastLinesWait)) {
+    out->mWriter.join();
+    delete out;
+  } else {
+    out->mWriter.detach();
+  }
 }
 
 void
@@ -161,14 +231,14 @@
          std::string_view aEvent,
          const nlohmann::json& aFields)
 {
-  const LogOutput* out = output().get();
+  LogOutput* out = output();
   const log4cplus::LogLevel level = toLog4cplus(aLevel);
   if (out != nullptr && !out->mLogger.isEnabledFor(level)) {
     return;
   }
   std::string line = makeLine(aLevel, aEvent, aFields, out);
-  if (out != nullptr) {
-    out->mLogger.forcedLog(level, line);
+  if (out != nullptr && !out->mWaiting.tryPush({ level, line })) {
+    ++out->mDropped;
   }
   KeptEvents& kept = keptEvents();
   std::lock_guard<std::mutex> lock(kept.mMutex);
@@ -204,6 +274,12 @@
   logEvent(LogLevel::Info, aEvent, aFields);
 }
 
+bool
+isSampled(std::string_view aRequestId)
+{
+  return hash64(aRequestId) % kLogOneIn == 0;
+}
+
 std::vector<std::string>
 recentEvents()
 {
--- a/src/daemon/ingress_platform.cpp
+++ b/src/daemon/ingress_platform.cpp
@@ -33,9 +33,6 @@
 /// Ranks that a workspace's rank is above those of routes.
 constexpr unsigned kWorkspaceRankStep = 2;
 constexpr unsigned kLowestRank = 15;
-/// Successful answers that are logged: one in so many, chosen by request id,
-/// so that all daemons choose the same.
-constexpr std::uint64_t kLogOneIn = 64;
 
 std::uint8_t
 rankOf(const config::Route& aRoute, const config::Workspace* aWorkspace)
@@ -264,8 +261,8 @@
   const bool answered = aAnswer.kind == AnswerKind::Answered;
   const Millis now = mHooks.mNow();
   const bool late = now > aFlight.mObjectiveAt;
-  const bool sampled = hash64(request.request_id) % kLogOneIn == 0;
-  if (!mHooks.mReadHead || (answered && !late && !sampled)) {
+  if (!mHooks.mReadHead ||
+      (answered && !late && !isSampled(request.request_id))) {
     return;
   }
   logRequest(
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -145,7 +145,9 @@
   startLog("daemon", settings.mVm, settings.mZone, settings.logLevel());
   curl_global_init(CURL_GLOBAL_ALL);
   installSignals();
-  return runDaemon(settings, aHooks);
+  const int status = runDaemon(settings, aHooks);
+  stopLog();
+  return status;
 }
 
 }
--- a/src/operator/command_table.cpp
+++ b/src/operator/command_table.cpp
@@ -142,6 +142,16 @@
       false,
       false,
       timeline },
+    { "explain",
+      "REQUEST-ID FILE...",
+      2,
+      kManyWords,
+      "Tells a request's course and the cause of its end from the daemons' "
+      "log\nfiles, and what is missing in them.",
+      local,
+      false,
+      false,
+      explain },
   };
 }
 
--- a/src/operator/fleet_commands.cpp
+++ b/src/operator/fleet_commands.cpp
@@ -1,6 +1,7 @@
 #include "radishroad/operator/fleet_commands.h"
 
 #include "radishroad/operator/event_merge.h"
+#include "radishroad/operator/explain.h"
 #include "radishroad/operator/fleet_query.h"
 #include "radishroad/operator/owner_table.h"
 #include "radishroad/operator/text_table.h"
@@ -260,4 +261,35 @@
   return result;
 }
 
+CommandResult
+explain(const Arguments& aArguments, const Surroundings&)
+{
+  EventSources sources;
+  const std::vector<std::string> files(aArguments.mWords.begin() + 1,
+                                       aArguments.mWords.end());
+  addFiles(files, sources);
+  if (sources.mTexts.empty()) {
+    return makeFailure(ExitCode::Unavailable, sources.mProblems);
+  }
+  const Explanation explanation = explainRequest(
+    mergeEvents(sources.mTexts, EventFilter{}), aArguments.mWords.front());
+  CommandResult result;
+  result.mJson = { { "course", explanation.mCourse },
+                   { "cause", explanation.mCause },
+                   { "missing", explanation.mMissing } };
+  for (const Json& event : explanation.mCourse) {
+    result.mText += eventToText(event) + "\n";
+  }
+  if (!explanation.mCause.empty()) {
+    result.mText += "cause: " + explanation.mCause + "\n";
+  }
+  for (const std::string& missing : explanation.mMissing) {
+    result.mText += "missing: " + missing + "\n";
+  }
+  const bool whole = sources.mProblems.empty() && !explanation.mCause.empty();
+  result.mCode = whole ? ExitCode::Ok : ExitCode::Negative;
+  result.mError = sources.mProblems;
+  return result;
+}
+
 }
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -340,6 +340,9 @@
   mQueuedCount.fetch_sub(1);
   mMetrics.count(std::string("radishroad_gate_answers_total{kind=\"") +
                  wire::EnumNameAnswerKind(aAnswer.kind) + "\"}");
+  if (mHooks.mOnAnswer) {
+    mHooks.mOnAnswer(aQueued, aAnswer, currentPace(mHooks.mNow()));
+  }
   const std::vector<DuplicateMemory::Waiter> waiters =
     mDuplicates.finish(aQueued.mMemoryKey, aAnswer, mHooks.mNow());
   for (const DuplicateMemory::Waiter& waiter : waiters) {
--- /dev/null
+++ b/tests/unit/json_log_test.cpp
@@ -0,0 +1,93 @@
+#include "radishroad/base/json_log.h"
+
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <cstdio>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <unistd.h>
+
+using namespace radishroad;
+
+namespace {
+
+/// Standard output as a pipe whose reader has stopped to read.
+class StuckOutput
+{
+public:
+  StuckOutput()
+    : mKept(dup(STDOUT_FILENO))
+  {
+    // What the test framework has written so far belongs to the kept output.
+    std::cout.flush();
+    std::fflush(stdout);
+    BOOST_REQUIRE(pipe(mPipe.data()) == 0);
+    dup2(mPipe[1], STDOUT_FILENO);
+    close(mPipe[1]);
+  }
+  ~StuckOutput()
+  {
+    close(mPipe[0]);
+    close(mKept);
+  }
+  StuckOutput(const StuckOutput&) = delete;
+  StuckOutput& operator=(const StuckOutput&) = delete;
+
+  /// Reads on until the writer has closed its end.
+  std::string readAll() const
+  {
+    std::string text;
+    std::array<char, 65536> buf{};
+    ssize_t n = 0;
+    while ((n = read(mPipe[0], buf.data(), buf.size())) > 0) {
+      text.append(buf.data(), static_cast<std::size_t>(n));
+    }
+    return text;
+  }
+  void restore() const { dup2(mKept, STDOUT_FILENO); }
+
+private:
+  std::array<int, 2> mPipe{};
+  int mKept = -1;
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(json_log)
+
+// A collector of the output that hangs must not hold up requests: logEvent
+// returns, and each line is either written or counted.
+BOOST_AUTO_TEST_CASE(stuck_output_costs_lines_and_no_time)
+{
+  constexpr std::size_t kLines = 20000;
+  const StuckOutput stuck;
+  startLog("test", "vm-1", "a", LogLevel::Info);
+  for (std::size_t n = 0; n < kLines; ++n) {
+    logEvent(LogLevel::Info, "line", { { "n", n } });
+  }
+  std::string text;
+  std::thread reader([&] { text = stuck.readAll(); });
+  // A line after the drops tells of them.
+  logEvent(LogLevel::Info, "line", { { "n", kLines } });
+  stopLog();
+  stuck.restore();
+  reader.join();
+  std::size_t written = 0;
+  std::size_t dropped = 0;
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line);) {
+    const nlohmann::json event = nlohmann::json::parse(line);
+    if (event.at("event") == "log_lines_dropped") {
+      dropped += event.at("count").get<std::size_t>();
+    } else {
+      ++written;
+    }
+  }
+  BOOST_TEST(dropped > 0U);
+  BOOST_TEST(written + dropped == kLines + 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/operator_test.cpp
+++ b/tests/unit/operator_test.cpp
@@ -397,4 +397,23 @@
   BOOST_TEST(contains(partial.mError, "cannot read /no/such/file"));
 }
 
+BOOST_FIXTURE_TEST_CASE(explain_reads_files_and_says_what_is_missing, Fixture)
+{
+  TempFolder folder;
+  folder.write("a.log",
+               R"({"ms":1,"event":"request","vm":"a","request_id":"r",)"
+               R"("outcome":"not-run","reason":"no-route","sent_to":"0",)"
+               R"("config_version":7})"
+               "\n");
+  const std::string file = (folder.path() / "a.log").string();
+  const nlohmann::json told = json({ "explain", "r", file });
+  BOOST_TEST(told.at("cause") ==
+             "refused by configuration version 7: no-route");
+  BOOST_TEST((codeOf({ "explain", "r", file }) == ExitCode::Ok));
+  BOOST_TEST((codeOf({ "explain", "other", file }) == ExitCode::Negative));
+  BOOST_TEST((codeOf({ "explain", "r" }) == ExitCode::Usage));
+  BOOST_TEST(
+    (codeOf({ "explain", "r", "/no/such/file" }) == ExitCode::Unavailable));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
