--- a/include/radishroad/policy/upstream_choice.h
+++ b/include/radishroad/policy/upstream_choice.h
@@ -19,7 +19,12 @@
 /// ones. What each gate told last, with each of its answers, and what this
 /// daemon has sent there since, give the time at which a new request would be
 /// done. The own availability zone is taken as long as that costs little.
-/// Pure.
+///
+/// With dozens of daemons each knows of most upstreams only what it heard long
+/// ago, and all that took the one that looks best would take the same. So each
+/// request draws a few, by what they bear (Efraimidis and Spirakis, "Weighted
+/// random sampling with a reservoir", 2006), and takes the best of those
+/// (Mitzenmacher, "The power of two choices", 2001). Pure.
 class UpstreamChoice
 {
 public:
@@ -57,6 +62,8 @@
     Millis mRestUntil;
   };
   double expectedMs(const View& aView, Millis aNow) const;
+  /// Requests a millisecond that it bears, as far as it has told.
+  static double capacityOf(const View& aView);
 
   std::map<Incarnation, View> mViews;
 };
--- a/src/policy/upstream_choice.cpp
+++ b/src/policy/upstream_choice.cpp
@@ -3,6 +3,8 @@
 #include "radishroad/base/hash.h"
 
 #include <algorithm>
+#include <cmath>
+#include <vector>
 
 namespace radishroad {
 
@@ -20,6 +22,13 @@
 constexpr Millis kRest{ 500 };
 /// Differences below this are drawn by lot.
 constexpr double kTieMs = 4;
+/// How many a request draws; more would herd again to what looks best.
+constexpr std::size_t kDrawn = 2;
+/// How much more often an upstream of the own zone is drawn.
+constexpr double kZoneWeight = 2;
+/// A lot's high bits fill a double's mantissa.
+constexpr unsigned kLotShift = 11;
+constexpr double kLots = 9007199254740992.0;
 
 }
 
@@ -69,6 +78,14 @@
   return run * (1 + 0.25 * std::min(1.0, ahead / slots)) + wait;
 }
 
+double
+UpstreamChoice::capacityOf(const View& aView)
+{
+  const bool told = aView.mTold > Millis{} && aView.mPace.mRunMs > 0;
+  return told ? std::max(1U, aView.mPace.mSlots) / aView.mPace.mRunMs
+              : kUnknownSlots / kUnknownRunMs;
+}
+
 std::optional<Incarnation>
 UpstreamChoice::choose(std::span<const Candidate> aCandidates,
                        std::uint64_t aDraw,
@@ -80,8 +97,11 @@
     bool mRests = false;
     double mMs = 0;
     std::uint64_t mLot = 0;
+    /// The lowest are drawn.
+    double mDrawn = 0;
   };
-  std::optional<Scored> best;
+  std::vector<Scored> all;
+  all.reserve(aCandidates.size());
   for (const Candidate& candidate : aCandidates) {
     const auto it = mViews.find(candidate.mMember);
     const View view = it == mViews.end() ? View{} : it->second;
@@ -91,6 +111,23 @@
     scored.mMs =
       expectedMs(view, aNow) + (candidate.mSameZone ? 0 : kZoneBonusMs);
     scored.mLot = hashPair(aDraw, candidate.mMember);
+    const double weight =
+      capacityOf(view) * (candidate.mSameZone ? kZoneWeight : 1);
+    const double lot =
+      (static_cast<double>(scored.mLot >> kLotShift) + 1) / kLots;
+    scored.mDrawn = -std::log(lot) / weight;
+    all.push_back(scored);
+  }
+  const std::size_t n = std::min(kDrawn, all.size());
+  std::ranges::partial_sort(all,
+                            all.begin() + static_cast<std::ptrdiff_t>(n),
+                            [](const Scored& aLeft, const Scored& aRight) {
+                              return aLeft.mRests != aRight.mRests
+                                       ? !aLeft.mRests
+                                       : aLeft.mDrawn < aRight.mDrawn;
+                            });
+  const Scored* best = nullptr;
+  for (const Scored& scored : std::span(all).first(n)) {
     const auto better = [&] {
       if (scored.mRests != best->mRests) {
         return !scored.mRests;
@@ -98,11 +135,12 @@
       const double gap = scored.mMs - best->mMs;
       return std::abs(gap) < kTieMs ? scored.mLot > best->mLot : gap < 0;
     };
-    if (!best || better()) {
-      best = scored;
+    if (best == nullptr || better()) {
+      best = &scored;
     }
   }
-  return best ? std::optional<Incarnation>(best->mMember) : std::nullopt;
+  return best != nullptr ? std::optional<Incarnation>(best->mMember)
+                         : std::nullopt;
 }
 
 void
--- a/tests/unit/upstream_choice_test.cpp
+++ b/tests/unit/upstream_choice_test.cpp
@@ -101,10 +101,97 @@
   return static_cast<double>(good) / all;
 }
 
+/// What dozens of daemons made of dozens of upstreams.
+struct Spread
+{
+  double mInTime = 0;
+  /// Requests of the busiest upstream, by its speed, over the mean.
+  double mBusiest = 0;
+};
+
+/// 70 daemons with a seventieth of the load each, so that what one knows of an
+/// upstream is mostly old; 28 upstreams of unequal speed at 75% of what they
+/// can run, for eight seconds. In time is within three mean runs.
+Spread
+manyDaemons(bool aChosen, std::uint64_t aSeed)
+{
+  constexpr std::size_t kDaemons = 70;
+  constexpr std::size_t kServers = 28;
+  constexpr double kWorkMs = 80;
+  std::mt19937_64 random(aSeed);
+  std::vector<Server> servers;
+  std::vector<double> speeds;
+  double capacity = 0;
+  for (std::size_t n = 0; n < kServers; ++n) {
+    const double slowness = n % 3 == 2 ? 1.6 : 0.7;
+    servers.emplace_back(slowness);
+    speeds.push_back(1 / slowness);
+    capacity += kSlots / (kWorkMs * slowness);
+  }
+  std::vector<UpstreamChoice> choices(kDaemons);
+  struct Ending
+  {
+    std::size_t mDaemon = 0;
+    Incarnation mFrom = 0;
+  };
+  std::multimap<Millis, Ending> answers;
+  std::vector<double> counts(kServers);
+  std::exponential_distribution<double> work(1 / kWorkMs);
+  std::exponential_distribution<double> gap(0.75 * capacity);
+  int good = 0;
+  int all = 0;
+  for (double at = 0; at < 8000; at += gap(random)) {
+    const Millis now{ static_cast<std::int64_t>(at) + 1 };
+    while (!answers.empty() && answers.begin()->first <= now) {
+      const Ending end = answers.begin()->second;
+      UpstreamChoice& choice = choices[end.mDaemon];
+      choice.onEnded(end.mFrom, false, now);
+      const Server& server = servers[end.mFrom - 1];
+      choice.onPace(end.mFrom, server.pace(now), server.queued(now), now);
+      answers.erase(answers.begin());
+    }
+    const std::size_t daemon = random() % kDaemons;
+    std::vector<UpstreamChoice::Candidate> candidates;
+    for (Incarnation n = 1; n <= kServers; ++n) {
+      candidates.push_back({ n, n % 3 == daemon % 3 });
+    }
+    const Incarnation to =
+      aChosen ? *choices[daemon].choose(candidates, random(), now)
+              : 1 + random() % kServers;
+    choices[daemon].onSent(to);
+    const Millis end = servers[to - 1].run(work(random), now);
+    answers.emplace(end, Ending{ daemon, to });
+    good += end - now <= 240_ms ? 1 : 0;
+    counts[to - 1] += 1 / speeds[to - 1];
+    ++all;
+  }
+  double sum = 0;
+  for (const double count : counts) {
+    sum += count;
+  }
+  return { static_cast<double>(good) / all,
+           *std::ranges::max_element(counts) * kServers / sum };
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(upstream_choice)
 
+// Daemons that each know little must not all take the one that looks best.
+BOOST_AUTO_TEST_CASE(many_daemons_do_not_herd_to_the_fastest)
+{
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    const Spread chosen = manyDaemons(true, seed);
+    const Spread drawn = manyDaemons(false, seed);
+    BOOST_TEST_MESSAGE("seed " << seed << ": in time " << chosen.mInTime
+                               << " against " << drawn.mInTime << ", busiest "
+                               << chosen.mBusiest << " against "
+                               << drawn.mBusiest);
+    BOOST_TEST(chosen.mInTime > drawn.mInTime + 0.1);
+    BOOST_TEST(chosen.mBusiest < 1.6);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(unequal_upstreams_answer_sooner_than_in_turn)
 {
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
