Tell callers of a lost owner when its heir will serve

The next owner knows from when on it serves a key: a request that would wait beyond its hold is refused at once with that time, spread by rank and chance, so that callers do not return at one moment (replayed: a third of the peak at most).

--- a/include/radishroad/policy/work_order.h
+++ b/include/radishroad/policy/work_order.h
@@ -63,6 +63,17 @@
          const UpstreamPace& aPace,
          Millis aNow);
 
+/// When a caller whose key is not served before aServedIn has passed is asked
+/// to come back; aDraw differs between requests.
+///
+/// Load pattern: an owner is lost, and for seconds all callers of its keys are
+/// refused. Told one moment, all would come back at that moment, and the next
+/// owner, which has just taken over, would refuse most of them again. Here they
+/// come back from that moment on, by rank, spread over a part of the time that
+/// they were kept away. Pure.
+Millis
+returnAfter(Millis aServedIn, std::uint8_t aRank, std::uint64_t aDraw);
+
 /// Time until a request that comes now would start to run, with aAhead others
 /// before it.
 Millis
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -332,7 +332,10 @@
     mTimer.after(Millis{ 0 }, [this, aFlight] { send(aFlight); });
     return;
   }
-  const bool inTime = now < aFlight->mResendUntil;
+  // The next owner knows from when on it serves the key.
+  const bool isLongWait =
+    mHooks.mReadHead && Millis{ aAnswer.retry_after_ms } > kUnservedRetryAfter;
+  const bool inTime = now < aFlight->mResendUntil && !isLongWait;
   if (aAnswer.kind == AnswerKind::NotRun && mayPass(aAnswer.reason) &&
       !aFlight->mUnkeyed && inTime) {
     sendLater(aFlight, aAnswer.reason);
--- a/src/policy/work_order.cpp
+++ b/src/policy/work_order.cpp
@@ -17,6 +17,15 @@
 constexpr Millis kLeastRetryAfter{ 100 };
 constexpr Millis kLongestRetryAfter{ 1000 };
 
+/// Part of the time without an owner over which its callers come back: what
+/// came meanwhile is then added to the usual load of twice that part.
+constexpr std::int64_t kReturnPart = 4;
+/// Steps of the spread, so that near draws do not fall together.
+constexpr std::uint64_t kReturnSteps = 64;
+/// How much later each rank comes back, up to kMostRanks of them.
+constexpr Millis kReturnRankStep{ 50 };
+constexpr std::uint8_t kMostReturnRanks = 4;
+
 struct Ranked
 {
   std::size_t mIndex = 0;
@@ -81,6 +90,15 @@
   return Millis{ static_cast<std::int64_t>(wait) };
 }
 
+Millis
+returnAfter(Millis aServedIn, std::uint8_t aRank, std::uint64_t aDraw)
+{
+  const auto step = static_cast<std::int64_t>(aDraw % kReturnSteps);
+  const Millis spread = aServedIn / kReturnPart * step / kReturnSteps;
+  return aServedIn + spread +
+         kReturnRankStep * std::min(aRank, kMostReturnRanks);
+}
+
 WorkPlan
 planWork(std::span<const WaitingWork> aWaiting,
          const UpstreamPace& aPace,
--- a/src/upstream/gate_order.cpp
+++ b/src/upstream/gate_order.cpp
@@ -85,35 +85,48 @@
 {
   const bool down = !mHealth.healthy();
   const bool closed = isClosed(aNow);
-  const auto reasonOf = [&](const QueuedRequest& aQueued) {
+  struct Verdict
+  {
+    NotRunReason mReason = NotRunReason::None;
+    Millis mRetryAfter = kUnservedRetryAfter;
+  };
+  const auto judge = [&](const QueuedRequest& aQueued) -> Verdict {
     if (down) {
-      return NotRunReason::UpstreamDown;
+      return { NotRunReason::UpstreamDown };
     }
     if (closed) {
-      return NotRunReason::Draining;
+      return { NotRunReason::Draining };
+    }
+    const ServeDecision decision = mHooks.mMayServe(aQueued.mRequest);
+    const bool heldInVain = decision.mRefusal == NotRunReason::LeaseLapsed &&
+                            decision.mRetryAt > aQueued.mHoldUntil;
+    if (heldInVain) {
+      const Millis pause = returnAfter(decision.mRetryAt - aNow,
+                                       aQueued.mRequest.rank,
+                                       aQueued.mRequest.id_low);
+      return { decision.mRefusal, std::max(pause, kUnservedRetryAfter) };
     }
     if (aNow < aQueued.mHoldUntil) {
-      return NotRunReason::None;
+      return {};
     }
-    const ServeDecision decision = mHooks.mMayServe(aQueued.mRequest);
     if (decision.mRefusal != NotRunReason::None) {
-      return decision.mRefusal;
+      return { decision.mRefusal };
     }
     const bool served = !mPaused.contains(aQueued.mRequest.shard) &&
                         holdsKey(aQueued.mRequest, decision.mEpoch);
-    return served ? NotRunReason::None : NotRunReason::LeaseLapsed;
+    return { served ? NotRunReason::None : NotRunReason::LeaseLapsed };
   };
-  std::vector<NotRunReason> reasons;
+  std::vector<Verdict> verdicts;
   std::vector<QueuedRequest> unserved =
     mQueue.removeIf([&](const QueuedRequest& aQueued) {
-      const NotRunReason reason = reasonOf(aQueued);
-      if (reason != NotRunReason::None) {
-        reasons.push_back(reason);
+      const Verdict verdict = judge(aQueued);
+      if (verdict.mReason != NotRunReason::None) {
+        verdicts.push_back(verdict);
       }
-      return reason != NotRunReason::None;
+      return verdict.mReason != NotRunReason::None;
     });
   for (std::size_t n = 0; n < unserved.size(); ++n) {
-    refuse(unserved[n], reasons[n], 0, kUnservedRetryAfter);
+    refuse(unserved[n], verdicts[n].mReason, 0, verdicts[n].mRetryAfter);
   }
 }
 
--- a/tests/unit/work_order_test.cpp
+++ b/tests/unit/work_order_test.cpp
@@ -177,4 +177,38 @@
   }
 }
 
+// An owner is lost for three seconds. Its callers, 60 a second of two ranks,
+// are refused and come back; the next owner bears 100 a second.
+BOOST_AUTO_TEST_CASE(callers_of_a_lost_owner_do_not_return_at_one_moment)
+{
+  constexpr Millis kOutage = 3000_ms;
+  constexpr Millis kBucket = 100_ms;
+  std::mt19937_64 random(61);
+  std::map<std::int64_t, int> told;
+  std::map<std::int64_t, int> spread;
+  std::map<int, double> sumOfRank;
+  std::map<int, int> countOfRank;
+  for (Millis at; at < kOutage; at += Millis{ 1000 / 60 }) {
+    const std::uint8_t rank = random() % 3 == 0 ? 0 : 1;
+    const Millis servedIn = kOutage - at;
+    const Millis pause = returnAfter(servedIn, rank, random());
+    BOOST_TEST((pause >= servedIn));
+    ++told[(at + servedIn).mCount / kBucket.mCount];
+    ++spread[(at + pause).mCount / kBucket.mCount];
+    sumOfRank[rank] += static_cast<double>((at + pause).mCount);
+    ++countOfRank[rank];
+  }
+  const auto highest = [](const std::map<std::int64_t, int>& aCounts) {
+    int most = 0;
+    for (const auto& [bucket, count] : aCounts) {
+      most = std::max(most, count);
+    }
+    return most;
+  };
+  // All at one moment is 18 times what the owner bears in that time.
+  BOOST_TEST(highest(told) >= 180);
+  BOOST_TEST(highest(spread) <= highest(told) / 3);
+  BOOST_TEST(sumOfRank[0] / countOfRank[0] < sumOfRank[1] / countOfRank[1]);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
