Write a cell's records together, pass on changes, read the newest only

While operators had written nothing, each daemon asked for it without a pause (4,055 of 6,400 calls in the first seconds).

Peers get the records and fold them; who lacks the base asks for the whole, as before. Readers that are behind ask for the newest. An empty topic is waited on.

--- a/include/radishroad/daemon/fleet_state.h
+++ b/include/radishroad/daemon/fleet_state.h
@@ -80,6 +80,10 @@
   const CellState& ownCell() const;
   /// States by service.
   std::map<std::string, const CellState*> cells() const;
+  /// State of a cell's stream; null if it is not followed.
+  const CellState* stateOf(const std::string& aStream) const;
+  /// Version of a state that is kept whole; 0 while none was read.
+  std::uint64_t versionOf(const std::string& aStream) const;
   /// Has the own cell been read to its end at least once?
   bool ownCellRead() const;
   /// Last time that the log answered for the configuration; nothing before.
--- /dev/null
+++ b/include/radishroad/daemon/proposal_route.h
@@ -0,0 +1,52 @@
+#ifndef RADISHROAD_DAEMON_PROPOSAL_ROUTE_H
+#define RADISHROAD_DAEMON_PROPOSAL_ROUTE_H
+
+#include "radishroad/base/millis.h"
+#include "radishroad/base/random_id.h"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace radishroad {
+
+/// Decides who writes a record: the cell's coordinator, which writes those of
+/// many daemons at once, or this daemon itself.
+///
+/// Load pattern: dozens of daemons of a cell start at one moment, or a zone
+/// comes back, and each has several records to write. Each writer that races
+/// makes all others read and write again, which grows with the square of their
+/// number. A coordinator that does not settle a record soon may be cut off from
+/// the store; then this daemon writes by itself for a while. Pure: the caller
+/// sends and writes.
+class ProposalRoute
+{
+public:
+  /// Writes the record by this daemon's own writer.
+  using WriteFn = std::function<void()>;
+
+  /// aReachable: a coordinator other than this daemon is there and answers.
+  bool throughCoordinator(bool aReachable, Millis aNow) const;
+  /// The record has gone to the coordinator; aWrite is for the case that it
+  /// is not settled in time.
+  void onSent(RandomId aId, WriteFn aWrite, Millis aNow);
+  /// The record has been found in the state.
+  void onSettled(RandomId aId);
+  /// Records that the coordinator has not settled in time; they are forgotten
+  /// here.
+  std::vector<WriteFn> takeOverdue(Millis aNow);
+
+private:
+  struct Waiting
+  {
+    WriteFn mWrite;
+    Millis mSentAt;
+  };
+
+  std::map<RandomId, Waiting> mWaiting;
+  Millis mOwnUntil;
+};
+
+}
+
+#endif
--- a/include/radishroad/log/feed_follower.h
+++ b/include/radishroad/log/feed_follower.h
@@ -24,6 +24,8 @@
     std::function<void(const Error&)> mOnError;
     /// Pause between polls that were answered.
     Millis mInterval;
+    /// Pause before the first poll.
+    Millis mFirstPause;
     /// Ends a poll under way; from any thread.
     std::function<void()> mAbort;
   };
--- a/include/radishroad/log/state_writer.h
+++ b/include/radishroad/log/state_writer.h
@@ -34,8 +34,13 @@
                        std::uint64_t aVersion,
                        const CellState& aState)>
       mOnState;
-    /// This writer has replaced the stream's state.
-    std::function<void(const std::string& aStream)> mOnWritten;
+    /// This writer has replaced the stream's state of aBase by the one of
+    /// aVersion, which follows from it by these records (see changeState).
+    std::function<void(const std::string& aStream,
+                       std::uint64_t aBase,
+                       std::uint64_t aVersion,
+                       const std::vector<Bytes>& aRecords)>
+      mOnWritten;
     /// The store answered (true), or a call failed with this error text.
     std::function<void(bool aAnswers, const std::string& aError)> mOnStore;
   };
@@ -57,6 +62,11 @@
               const wire::RecordT& aRecord,
               Millis aGiveUpAfter,
               DoneFn aDone);
+  /// The same for an encoded record.
+  bool submit(std::string aStream,
+              Bytes aRecord,
+              Millis aGiveUpAfter,
+              DoneFn aDone);
   /// Asks the store for the newest state of a stream; aDone tells whether it
   /// answered.
   bool probe(std::string aStream,
--- a/src/daemon/fleet_state.cpp
+++ b/src/daemon/fleet_state.cpp
@@ -127,6 +127,24 @@
                              : it->second.get(aFrom, kMaxRelayBytes);
 }
 
+const CellState*
+FleetState::stateOf(const std::string& aStream) const
+{
+  for (const auto& [service, loader] : mCells) {
+    if (cellStream(service) == aStream) {
+      return &loader.state();
+    }
+  }
+  return nullptr;
+}
+
+std::uint64_t
+FleetState::versionOf(const std::string& aStream) const
+{
+  const auto it = mVersions.find(aStream);
+  return it == mVersions.end() ? 0 : it->second;
+}
+
 std::vector<LogRecord>
 FleetState::wholeState(const std::string& aStream) const
 {
@@ -137,8 +155,7 @@
   for (const auto& [service, loader] : mCells) {
     if (cellStream(service) == aStream) {
       record.mData = encodeState(loader.state());
-      const auto it = mVersions.find(aStream);
-      record.mOffset = it == mVersions.end() ? 0 : it->second;
+      record.mOffset = versionOf(aStream);
     }
   }
   if (record.mData.empty()) {
--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -208,6 +208,7 @@
   mStateRead = mFleet.ownCellRead();
   reportLoad(monotonicNow());
   countTraffic(monotonicNow());
+  writeOverdue();
   mRecorder.tick(monotonicNow());
   mConfigContact = mFleet.lastConfigContact().mCount;
   mLeft = mMembership.leaving() && (!mMembership.joined() || nobodyTakesOver());
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -18,6 +18,7 @@
 #include "radishroad/daemon/lease_duty.h"
 #include "radishroad/daemon/lease_log.h"
 #include "radishroad/daemon/membership_duty.h"
+#include "radishroad/daemon/proposal_route.h"
 #include "radishroad/daemon/protocol.h"
 #include "radishroad/daemon/rate_duty.h"
 #include "radishroad/daemon/recorder.h"
@@ -77,6 +78,9 @@
   /// The one or the other, as the protocol keeps records or whole states.
   std::unique_ptr<LogAppender> mAppender;
   std::unique_ptr<StateWriter> mWriter;
+  ProposalRoute mProposals;
+  /// Versions from which followers of states read on.
+  std::map<std::string, std::shared_ptr<std::atomic<std::uint64_t>>> mReadFrom;
   FleetState mFleet;
   Recorder mRecorder;
   std::unique_ptr<Gate> mGate;
@@ -129,8 +133,21 @@
   void takeState(const std::string& aStream,
                  std::uint64_t aVersion,
                  const CellState& aState);
-  /// Sends the newest state of a stream to all peers.
-  void passOnState(const std::string& aStream);
+  // parts_state.cpp: states of cells, between the store and the peers.
+  /// Sends what was written to all peers.
+  void passOnState(const std::string& aStream,
+                   std::uint64_t aBase,
+                   std::uint64_t aVersion,
+                   const std::vector<Bytes>& aRecords);
+  void onStateChange(const wire::RelayRecordsT& aChange);
+  void onProposal(Incarnation aFrom, const wire::ProposalT& aProposal);
+  bool writeState(const std::string& aStream,
+                  Bytes aData,
+                  RandomId aId,
+                  Millis aTimeout,
+                  std::function<void(Result<std::uint64_t>)> aResult);
+  /// Writes what the coordinator has not settled in time.
+  void writeOverdue();
   void followOperators();
   void noteStore(const std::string& aWhat,
                  bool aAnswers,
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -63,6 +63,7 @@
     onZones();
   };
   hooks.mOnRecord = [this](RandomId aId, FoldVerdict aVerdict) {
+    mProposals.onSettled(aId);
     mRecorder.onRecord(aId, aVerdict);
   };
   hooks.mFollowCell = [this](const std::string& aService) {
@@ -353,6 +354,10 @@
       mRelay.onFetch(aFrom, *aBody.AsFetchRecords());
       break;
     case wire::FrameBody::RelayRecords:
+      if (aBody.AsRelayRecords()->base_version > 0) {
+        onStateChange(*aBody.AsRelayRecords());
+        break;
+      }
       mRelay.onRelayed(*aBody.AsRelayRecords());
       break;
     case wire::FrameBody::LoadReport:
@@ -366,6 +371,9 @@
                         aBody.AsHandover()->epoch,
                         aBody.AsHandover()->tokens);
       break;
+    case wire::FrameBody::Proposal:
+      onProposal(aFrom, *aBody.AsProposal());
+      break;
     case wire::FrameBody::CrashReport:
       mCrashes.onReport(*aBody.AsCrashReport(), monotonicNow());
       break;
--- a/src/daemon/parts_platform.cpp
+++ b/src/daemon/parts_platform.cpp
@@ -1,9 +1,11 @@
 #include "parts.h"
 
 #include "radishroad/base/json_log.h"
+#include "radishroad/caller/response.h"
 #include "radishroad/request/plain_answer.h"
 #include "radishroad/state/relay.h"
 #include "radishroad/state/snapshot_codec.h"
+#include "radishroad/upstream/queued_request.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -23,8 +25,9 @@
 /// could tell, and each call has its price.
 constexpr Millis kStateReadInterval{ 5000 };
 constexpr Millis kStateReadTimeout{ 1000 };
-/// Time for which the writer tries to settle a record.
-constexpr Millis kWriteTimeout{ 2000 };
+/// Daemons that start together read over this time: most of them then find a
+/// coordinator, which writes their records with its own.
+constexpr Millis kFirstReadSpread{ 250 };
 /// Part of the time for a zone taken out in which its keys are still served.
 constexpr std::int64_t kZonePercent = 80;
 /// What a run may take beyond its limit until the upstream has ended it.
@@ -44,23 +47,36 @@
   return encodeRecord(makeRecord(std::move(publish), {}, {}));
 }
 
-std::optional<OperatorEntries>
-decodeEntries(std::span<const std::uint8_t> aData)
+/// What the daemon beside the upstream did with a request; `request` is the
+/// line of the daemon that took it from the caller.
+void
+logRun(const QueuedRequest& aQueued,
+       const Answer& aAnswer,
+       const UpstreamPace& aPace)
 {
-  const Result<std::unique_ptr<wire::RecordT>> record = decodeRecord(aData);
-  const wire::PublishT* publish =
-    record ? (*record)->change.AsPublish() : nullptr;
-  if (publish == nullptr) {
-    return std::nullopt;
-  }
-  OperatorEntries entries;
-  entries.mNext = publish->base_version;
-  entries.mWhole = true;
-  for (const std::unique_ptr<wire::ConfigFileT>& file : publish->files) {
-    entries.mEntries.push_back(
-      { file->name, { file->text.begin(), file->text.end() } });
+  const ForwardRequest& request = aQueued.mRequest;
+  const Millis here = monotonicNow() - aQueued.mQueuedAt;
+  const bool late =
+    request.objective_ms > 0 && here.mCount > request.objective_ms;
+  if (aAnswer.kind == AnswerKind::Answered && !late &&
+      !isSampled(request.request_id)) {
+    return;
   }
-  return entries;
+  logRequest("run",
+             request.request_id,
+             { { "outcome", outcomeName(aAnswer.kind) },
+               { "reason", reasonName(aAnswer.reason) },
+               { "status", aAnswer.status },
+               { "shard", request.shard },
+               { "here_ms", here.mCount },
+               { "objective_ms", request.objective_ms },
+               { "time_left_ms", request.time_left_ms },
+               { "sheds", aQueued.mSheds },
+               { "epoch", aAnswer.epoch },
+               { "slots", aPace.mSlots },
+               { "running", aPace.mRunning },
+               { "run_ms", aPace.mRunMs },
+               { "cold_per_second", aPace.mColdPerSecond } });
 }
 
 }
@@ -73,11 +89,16 @@
                           std::uint64_t aVersion,
                           const CellState& aState) {
     mLoop.post([this, aStream, aVersion, aState] {
-      mFleet.onState(aStream, aVersion, aState);
+      takeState(aStream, aVersion, aState);
     });
   };
-  hooks.mOnWritten = [this](const std::string& aStream) {
-    mLoop.post([this, aStream] { passOnState(aStream); });
+  hooks.mOnWritten = [this](const std::string& aStream,
+                            std::uint64_t aBase,
+                            std::uint64_t aVersion,
+                            const std::vector<Bytes>& aRecords) {
+    mLoop.post([this, aStream, aBase, aVersion, aRecords] {
+      passOnState(aStream, aBase, aVersion, aRecords);
+    });
   };
   hooks.mOnStore = [this](bool aAnswers, const std::string& aError) {
     noteStore("writer", aAnswers, aError);
@@ -156,6 +177,11 @@
                               const std::vector<std::string>& aTokens) {
     mLoop.post([this, aShard, aTokens] { sendHandover(aShard, aTokens); });
   };
+  aHooks.mOnAnswer = [](const QueuedRequest& aQueued,
+                        const Answer& aAnswer,
+                        const UpstreamPace& aPace) {
+    logRun(aQueued, aAnswer, aPace);
+  };
   aHooks.mOnLife = [this](std::uint64_t aLife) {
     mLoop.post([this, aLife] { mMembership.onUpstreamLife(aLife); });
   };
@@ -221,56 +247,31 @@
   });
 }
 
-void
-Daemon::Parts::takeState(const std::string& aStream,
-                         std::uint64_t aVersion,
-                         const CellState& aState)
-{
-  mWriter->learn(aStream, aVersion, aState);
-  mFleet.onState(aStream, aVersion, aState);
-}
-
-void
-Daemon::Parts::passOnState(const std::string& aStream)
-{
-  const std::vector<LogRecord> records = mFleet.recordsFrom(aStream, 0);
-  if (records.empty()) {
-    return;
-  }
-  const wire::RelayRecordsT relay = makeRelay(aStream, records);
-  for (const auto& [service, cell] : mFleet.cells()) {
-    for (const auto& [incarnation, member] : cell->mMembers) {
-      if (incarnation != mSelf && member.mStatus == MemberStatus::Active) {
-        sendControl(incarnation, makeBody(relay));
-      }
-    }
-  }
-}
-
 void
 Daemon::Parts::followStates(const std::string& aStream)
 {
   const std::shared_ptr<StateStore> store =
     std::make_shared<StateStore>(mProtocol.mOpenStore());
-  const std::shared_ptr<std::uint64_t> version =
-    std::make_shared<std::uint64_t>(0);
+  const std::shared_ptr<std::atomic<std::uint64_t>> version =
+    std::make_shared<std::atomic<std::uint64_t>>(0);
+  mReadFrom[aStream] = version;
   FeedFollower::Hooks hooks;
   hooks.mPoll = [this, aStream, store, version]() -> Result<void> {
     const Millis askedAt = monotonicNow();
+    const std::uint64_t known = *version;
     const Result<StoredState> read =
-      store->mRead(aStream, *version, Millis{ 0 }, kStateReadTimeout);
+      store->mRead(aStream, known, Millis{ 0 }, kStateReadTimeout);
     if (!read) {
       return tl::unexpected<Error>(read.error());
     }
     noteStore(aStream, true, {});
-    if (read->mVersion != *version) {
+    if (read->mVersion != known) {
       CellState state;
       const Result<void> decoded = decodeState(read->mData, state);
       if (!decoded) {
         return tl::unexpected<Error>(decoded.error());
       }
-      *version = read->mVersion;
-      mLoop.post([this, aStream, newest = *version, state] {
+      mLoop.post([this, aStream, newest = read->mVersion, state] {
         takeState(aStream, newest, state);
       });
     }
@@ -284,6 +285,8 @@
   };
   hooks.mAbort = [store] { store->mAbort(); };
   hooks.mInterval = kStateReadInterval;
+  hooks.mFirstPause = Millis{ static_cast<std::int64_t>(
+    mSelf % static_cast<std::uint64_t>(kFirstReadSpread.mCount)) };
   mFeeds[aStream] =
     std::make_unique<FeedFollower>(std::move(hooks), systemRandom());
   mFeeds[aStream]->start();
@@ -379,53 +382,6 @@
                   encodeEntries(mOperatorsNext, mEntries));
 }
 
-void
-Daemon::Parts::onRelayedState(const std::string& aStream,
-                              std::span<const LogRecord> aRecords)
-{
-  for (const LogRecord& record : aRecords) {
-    if (aStream == kConfigStream) {
-      const std::optional<OperatorEntries> entries =
-        decodeEntries(record.mData);
-      if (entries) {
-        onOperatorEntries(*entries);
-      }
-      continue;
-    }
-    CellState state;
-    const Result<void> decoded = decodeState(record.mData, state);
-    if (decoded) {
-      takeState(aStream, record.mOffset, state);
-    } else {
-      logEvent(
-        LogLevel::Warn,
-        "relayed_state_refused",
-        { { "stream", aStream }, { "error", decoded.error().mMessage } });
-    }
-  }
-}
-
-bool
-Daemon::Parts::submitState(const std::string& aStream,
-                           const wire::RecordT& aRecord,
-                           std::function<void(Result<std::uint64_t>)> aResult)
-{
-  const RandomId id{ aRecord.id_high, aRecord.id_low };
-  return mWriter->submit(aStream,
-                         aRecord,
-                         kWriteTimeout,
-                         [this, id, result = std::move(aResult)](
-                           const Result<FoldVerdict>& aVerdict) {
-                           mLoop.post([this, id, result, aVerdict] {
-                             if (aVerdict) {
-                               mRecorder.onRecord(id, *aVerdict);
-                             } else {
-                               result(tl::unexpected<Error>(aVerdict.error()));
-                             }
-                           });
-                         });
-}
-
 void
 Daemon::Parts::onZones()
 {
--- /dev/null
+++ b/src/daemon/parts_state.cpp
@@ -0,0 +1,219 @@
+#include "parts.h"
+
+#include "radishroad/base/json_log.h"
+#include "radishroad/ownership/handoff.h"
+#include "radishroad/state/relay.h"
+#include "radishroad/state/snapshot_codec.h"
+#include "radishroad/state/state_change.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+namespace radishroad {
+
+namespace {
+
+/// Time for which the writer tries to settle a record.
+constexpr Millis kWriteTimeout{ 2000 };
+/// The same while a cell has no coordinator: whoever loses the race for the
+/// first write soon finds one, and goes through it.
+constexpr Millis kFirstWriteTimeout{ 100 };
+
+std::optional<OperatorEntries>
+decodeEntries(std::span<const std::uint8_t> aData)
+{
+  const Result<std::unique_ptr<wire::RecordT>> record = decodeRecord(aData);
+  const wire::PublishT* publish =
+    record ? (*record)->change.AsPublish() : nullptr;
+  if (publish == nullptr) {
+    return std::nullopt;
+  }
+  OperatorEntries entries;
+  entries.mNext = publish->base_version;
+  entries.mWhole = true;
+  for (const std::unique_ptr<wire::ConfigFileT>& file : publish->files) {
+    entries.mEntries.push_back(
+      { file->name, { file->text.begin(), file->text.end() } });
+  }
+  return entries;
+}
+
+}
+
+void
+Daemon::Parts::takeState(const std::string& aStream,
+                         std::uint64_t aVersion,
+                         const CellState& aState)
+{
+  mWriter->learn(aStream, aVersion, aState);
+  mFleet.onState(aStream, aVersion, aState);
+  // What came from peers need not be read from the store as well.
+  const auto it = mReadFrom.find(aStream);
+  if (it != mReadFrom.end()) {
+    *it->second = mFleet.versionOf(aStream);
+  }
+}
+
+void
+Daemon::Parts::passOnState(const std::string& aStream,
+                           std::uint64_t aBase,
+                           std::uint64_t aVersion,
+                           const std::vector<Bytes>& aRecords)
+{
+  // Peers that lack the base ask for the whole, by the positions that come
+  // with lease renewals.
+  wire::RelayRecordsT relay;
+  relay.stream = aStream;
+  relay.base_version = aBase;
+  for (const Bytes& data : aRecords) {
+    relay.records.push_back(std::make_unique<wire::RelayedRecordT>());
+    relay.records.back()->offset = aVersion;
+    relay.records.back()->data = data;
+  }
+  for (const auto& [service, cell] : mFleet.cells()) {
+    for (const auto& [incarnation, member] : cell->mMembers) {
+      if (incarnation != mSelf && member.mStatus == MemberStatus::Active) {
+        sendControl(incarnation, makeBody(relay));
+      }
+    }
+  }
+}
+
+void
+Daemon::Parts::onStateChange(const wire::RelayRecordsT& aChange)
+{
+  const CellState* base = mFleet.stateOf(aChange.stream);
+  const bool follows = base != nullptr && !aChange.records.empty() &&
+                       mFleet.versionOf(aChange.stream) == aChange.base_version;
+  if (!follows) {
+    return;
+  }
+  std::vector<Bytes> records;
+  for (const std::unique_ptr<wire::RelayedRecordT>& record : aChange.records) {
+    records.push_back(record->data);
+  }
+  const StateChange change = changeState(*base, records);
+  if (change.mChanged) {
+    takeState(aChange.stream, aChange.records.back()->offset, change.mState);
+  }
+}
+
+void
+Daemon::Parts::onRelayedState(const std::string& aStream,
+                              std::span<const LogRecord> aRecords)
+{
+  for (const LogRecord& record : aRecords) {
+    if (aStream == kConfigStream) {
+      const std::optional<OperatorEntries> entries =
+        decodeEntries(record.mData);
+      if (entries) {
+        onOperatorEntries(*entries);
+      }
+      continue;
+    }
+    CellState state;
+    const Result<void> decoded = decodeState(record.mData, state);
+    if (decoded) {
+      takeState(aStream, record.mOffset, state);
+    } else {
+      logEvent(
+        LogLevel::Warn,
+        "relayed_state_refused",
+        { { "stream", aStream }, { "error", decoded.error().mMessage } });
+    }
+  }
+}
+
+bool
+Daemon::Parts::submitState(const std::string& aStream,
+                           const wire::RecordT& aRecord,
+                           std::function<void(Result<std::uint64_t>)> aResult)
+{
+  const RandomId id{ aRecord.id_high, aRecord.id_low };
+  const Bytes data = encodeRecord(aRecord);
+  const Millis now = monotonicNow();
+  const Incarnation coordinator = coordinatorOf(mFleet.ownCell());
+  const std::vector<Incarnation> suspects = mLease.suspects();
+  const bool reachable =
+    coordinator != 0 && coordinator != mSelf &&
+    aStream == mContext.ownStream() &&
+    std::ranges::find(suspects, coordinator) == suspects.end();
+  if (!mProposals.throughCoordinator(reachable, now)) {
+    const Millis timeout =
+      coordinator == 0 ? kFirstWriteTimeout : kWriteTimeout;
+    return writeState(aStream, data, id, timeout, std::move(aResult));
+  }
+  wire::ProposalT proposal;
+  proposal.stream = aStream;
+  proposal.record = data;
+  sendControl(coordinator, makeBody(std::move(proposal)));
+  mProposals.onSent(
+    id,
+    [this, aStream, data, id, result = std::move(aResult)] {
+      if (!writeState(aStream, data, id, kWriteTimeout, result)) {
+        result(fail(ErrorCode::Unavailable, "the writer's queue is full"));
+      }
+    },
+    now);
+  return true;
+}
+
+bool
+Daemon::Parts::writeState(const std::string& aStream,
+                          Bytes aData,
+                          RandomId aId,
+                          Millis aTimeout,
+                          std::function<void(Result<std::uint64_t>)> aResult)
+{
+  return mWriter->submit(aStream,
+                         std::move(aData),
+                         aTimeout,
+                         [this, aId, result = std::move(aResult)](
+                           const Result<FoldVerdict>& aVerdict) {
+                           mLoop.post([this, aId, result, aVerdict] {
+                             if (aVerdict) {
+                               mRecorder.onRecord(aId, *aVerdict);
+                             } else {
+                               result(tl::unexpected<Error>(aVerdict.error()));
+                             }
+                           });
+                         });
+}
+
+void
+Daemon::Parts::onProposal(Incarnation aFrom, const wire::ProposalT& aProposal)
+{
+  // The proposer writes by itself what is not settled here in time.
+  const bool taken = mWriter && aProposal.stream == mContext.ownStream() &&
+                     mWriter->submit(aProposal.stream,
+                                     aProposal.record,
+                                     kWriteTimeout,
+                                     [](const Result<FoldVerdict>&) {});
+  if (!taken) {
+    logEvent(
+      LogLevel::Warn,
+      "proposal_refused",
+      { { "from", std::to_string(aFrom) }, { "stream", aProposal.stream } });
+  }
+}
+
+void
+Daemon::Parts::writeOverdue()
+{
+  const std::vector<ProposalRoute::WriteFn> overdue =
+    mProposals.takeOverdue(monotonicNow());
+  if (overdue.empty()) {
+    return;
+  }
+  logEvent(LogLevel::Warn,
+           "coordinator_overdue",
+           { { "coordinator", std::to_string(coordinatorOf(mFleet.ownCell())) },
+             { "records", overdue.size() } });
+  for (const ProposalRoute::WriteFn& write : overdue) {
+    write();
+  }
+}
+
+}
--- a/src/log/feed_follower.cpp
+++ b/src/log/feed_follower.cpp
@@ -29,23 +29,28 @@
     return mStopped;
   }
 
+  void pause(Millis aTime)
+  {
+    const std::chrono::milliseconds delay(aTime.mCount);
+    std::unique_lock<std::mutex> lock(mMutex);
+    mWake.wait_for(lock, delay, [this] { return mStopped; });
+  }
+
   void run()
   {
+    pause(mHooks.mFirstPause);
     while (!stopped()) {
       const Result<void> answered = mHooks.mPoll();
       if (stopped()) {
         return;
       }
-      Millis pause = mHooks.mInterval;
       if (answered) {
         mBackoff.reset();
+        pause(mHooks.mInterval);
       } else {
         mHooks.mOnError(answered.error());
-        pause = mBackoff.next();
+        pause(mBackoff.next());
       }
-      const std::chrono::milliseconds delay(pause.mCount);
-      std::unique_lock<std::mutex> lock(mMutex);
-      mWake.wait_for(lock, delay, [this] { return mStopped; });
     }
   }
 
--- a/src/log/state_writer.cpp
+++ b/src/log/state_writer.cpp
@@ -26,8 +26,9 @@
 constexpr Millis kLongestBackoff{ 500 };
 /// The ring is closed on stop, which wakes the thread at once.
 constexpr Millis kIdleWait{ 60000 };
-/// Records folded into one write.
-constexpr std::size_t kMaxBatch = 64;
+/// Records folded into one write: half of the ids that a state keeps, so that
+/// a proposer that misses one state still finds its id in the next.
+constexpr std::size_t kMaxBatch = 32;
 
 struct Task
 {
@@ -161,10 +162,11 @@
     const Result<std::uint64_t> version = mStore.mReplace(
       aStream, aKnown.mVersion, encodeState(change.mState), kCallTimeout);
     if (version) {
+      const std::uint64_t base = aKnown.mVersion;
       aKnown = { *version, change.mState, true };
       mHooks.mOnStore(true, {});
       mHooks.mOnState(aStream, aKnown.mVersion, aKnown.mState);
-      mHooks.mOnWritten(aStream);
+      mHooks.mOnWritten(aStream, base, aKnown.mVersion, records);
       finish(aBatch, change.mVerdicts);
       return Attempt::Settled;
     }
@@ -316,9 +318,19 @@
                     const wire::RecordT& aRecord,
                     Millis aGiveUpAfter,
                     DoneFn aDone)
+{
+  return submit(
+    std::move(aStream), encodeRecord(aRecord), aGiveUpAfter, std::move(aDone));
+}
+
+bool
+StateWriter::submit(std::string aStream,
+                    Bytes aRecord,
+                    Millis aGiveUpAfter,
+                    DoneFn aDone)
 {
   return mImpl->mTasks.tryPush({ std::move(aStream),
-                                 encodeRecord(aRecord),
+                                 std::move(aRecord),
                                  monotonicNow() + aGiveUpAfter,
                                  std::move(aDone) });
 }
--- a/tests/unit/platform_store_test.cpp
+++ b/tests/unit/platform_store_test.cpp
@@ -52,7 +52,10 @@
               mVersion = aVersion;
               mMembers = aState.mMembers.size();
             },
-          .mOnWritten = [this](const std::string&) { ++mWrites; },
+          .mOnWritten = [this](const std::string&,
+                               std::uint64_t,
+                               std::uint64_t,
+                               const std::vector<Bytes>&) { ++mWrites; },
           .mOnStore = [](bool, const std::string&) {} },
         [] { return 0.5; })
   {
@@ -188,6 +191,28 @@
   BOOST_TEST(next.members() == 3U);
 }
 
+// All daemons of a cell read its state while dozens of them write it at the
+// start: the versions between are not to be sent to each of them.
+BOOST_AUTO_TEST_CASE(a_reader_far_behind_is_sent_the_newest_state_only)
+{
+  StoreStandin store;
+  Writer writer(store);
+  for (Incarnation n = 1; n <= 40; ++n) {
+    BOOST_REQUIRE(writer.submit(joinOf(n), 5000_ms).has_value());
+  }
+  StateStore reader = platform::openStateStore(store.address());
+  const std::uint64_t before = store.bytesSent();
+  const Result<StoredState> stored = reader.mRead(kStream, 1, 0_ms, 2000_ms);
+  BOOST_REQUIRE(stored.has_value());
+  BOOST_TEST(stored->mVersion == 40U);
+  // The next and the newest, the latter in base64.
+  BOOST_TEST(store.bytesSent() - before < 3 * stored->mData.size() + 1024);
+  const Result<StoredState> again = reader.mRead(kStream, 40, 0_ms, 2000_ms);
+  BOOST_REQUIRE(again.has_value());
+  BOOST_TEST(again->mVersion == 40U);
+  BOOST_TEST(again->mData.empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_refused_record_changes_nothing_and_is_not_written)
 {
   StoreStandin store;
@@ -202,6 +227,23 @@
   BOOST_TEST(writer.mWrites == 1);
 }
 
+// All daemons start before operators have written anything.
+BOOST_AUTO_TEST_CASE(an_empty_topic_of_operators_is_waited_on)
+{
+  StoreStandin store;
+  OperatorFeed feed = platform::openOperatorFeed(store.address());
+  const Result<OperatorEntries> none = feed.mRead(0, 20_ms, 2000_ms);
+  BOOST_REQUIRE(none.has_value());
+  BOOST_TEST(none->mEntries.empty());
+  BOOST_TEST(store.waits() == 1);
+  store.put(platform::kOperatorTopic, "config", "{}");
+  const Result<OperatorEntries> first = feed.mRead(0, 20_ms, 2000_ms);
+  BOOST_REQUIRE(first.has_value());
+  BOOST_TEST(first->mWhole);
+  BOOST_TEST(first->mNext == 1U);
+  BOOST_TEST(first->mEntries.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(operators_entries_come_whole_and_then_one_by_one)
 {
   StoreStandin store;
--- a/tests/unit/support/store_standin.cpp
+++ b/tests/unit/support/store_standin.cpp
@@ -119,11 +119,14 @@
   if (path == "/api/log-append") {
     return append(topic, aRequest);
   }
-  if (path == "/api/log-read") {
-    return read(topic, aRequest);
+  if (path != "/api/log-read" && path != "/api/log-newest") {
+    return makePlainAnswer(404, kJson, "{}");
   }
-  return path == "/api/log-newest" ? newest(topic)
-                                   : makePlainAnswer(404, kJson, "{}");
+  mWaits += parameter(aRequest.mTarget, "WaitMs").value_or("0") != "0" ? 1 : 0;
+  Answer answer =
+    path == "/api/log-read" ? read(topic, aRequest) : newest(topic);
+  mBytesSent += answer.body.size();
+  return answer;
 }
 
 Answer
@@ -156,8 +159,13 @@
       410, kJson, nlohmann::json{ { "First", aTopic.mFirst } }.dump());
   }
   std::string body = bigEndian(aTopic.mEnd, 8) + bigEndian(aTopic.mFirst, 8);
+  constexpr std::uint64_t kBytesAKb = 1024;
+  const std::uint64_t most =
+    kBytesAKb *
+    std::stoull(parameter(aRequest.mTarget, "MaxKb").value_or("1024"));
+  const std::size_t empty = body.size();
   for (const Item& item : aTopic.mItems) {
-    if (item.mOffset >= from) {
+    if (item.mOffset >= from && (body.size() == empty || body.size() < most)) {
       body += bigEndian(1 + item.mKey.size() + item.mValue.size(), 4);
       body += bigEndian(item.mKey.size(), 1) + item.mKey + item.mValue;
     }
--- a/tests/unit/support/store_standin.h
+++ b/tests/unit/support/store_standin.h
@@ -41,6 +41,9 @@
   /// Forgets the history; the newest record of each key stays.
   void compact(const std::string& aTopic);
   int calls() const { return mCalls; }
+  /// Reads that were ready to wait; the stand-in answers them at once.
+  int waits() const { return mWaits; }
+  std::uint64_t bytesSent() const { return mBytesSent; }
 
 private:
   struct Item
@@ -65,6 +68,8 @@
 
   std::atomic<Fault> mFault{ Fault::None };
   std::atomic<int> mCalls{ 0 };
+  std::atomic<std::uint64_t> mBytesSent{ 0 };
+  std::atomic<int> mWaits{ 0 };
   std::mutex mMutex;
   std::map<std::string, Topic> mTopics;
   Metrics mMetrics;
