Add a randomized soak of failures on real processes

Three lanes of failures at once, each a series drawn from the seed: VMs of each service killed, frozen, told to stop, restarted, cut off, reset or made deaf, and the log down, slow or losing answers, under traffic, judged as ever.

--- /dev/null
+++ b/tests/process/soak_test.cpp
@@ -0,0 +1,158 @@
+#include "support/failures.h"
+#include "support/scenario.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <optional>
+#include <random>
+#include <thread>
+
+/// A randomized soak: several lanes of failures at once, each a series drawn
+/// from the seed, on real processes under traffic. By hand with other seeds:
+/// scripts/soak.sh FIRST COUNT [JOBS].
+
+namespace radishroad::test {
+
+using namespace radishroad::literals;
+
+namespace {
+
+/// For how long failures begin.
+constexpr Millis kFailing = 12_s;
+constexpr Millis kStep{ 50 };
+constexpr Millis kLongestFailure{ 2500 };
+constexpr Millis kLongestPause{ 2500 };
+/// Every key is answered again this long after the last failure has ended, as
+/// for two failures at once.
+constexpr Millis kRecovery = 6_s;
+
+/// Failures that follow each other; none of them overlaps within its lane.
+class Lane
+{
+public:
+  /// Each lane draws by itself, so that a seed gives the same series however
+  /// the lanes run beside each other.
+  Lane(Fleet& aFleet,
+       std::vector<Failure> aFailures,
+       const std::string& aService,
+       std::uint64_t aSeed)
+    : mFleet(aFleet)
+    , mFailures(std::move(aFailures))
+    , mVms(aFleet.vmsOf(aService))
+    , mRandom(aSeed)
+  {
+    mNext = drawTime(kLongestPause);
+  }
+
+  /// aMayBegin is false once the soak comes to its end.
+  void step(Millis aNow, bool aMayBegin)
+  {
+    if (aNow < mNext) {
+      return;
+    }
+    if (mCurrent) {
+      mCurrent->mEnd(mFleet, mVm);
+      mCurrent.reset();
+      mNext = aNow + drawTime(kLongestPause);
+    } else if (aMayBegin) {
+      mCurrent = mFailures[mRandom() % mFailures.size()];
+      mVm = mVms[mRandom() % mVms.size()];
+      BOOST_TEST_MESSAGE(aNow.mCount << " ms: " << mCurrent->mName << " at "
+                                     << mVm);
+      mCurrent->mBegin(mFleet, mVm);
+      mNext = aNow + drawTime(kLongestFailure);
+    }
+  }
+
+  bool idle() const { return !mCurrent; }
+  /// The VM's processes are the lane's to start.
+  bool holds(const std::string& aVm) const { return mCurrent && mVm == aVm; }
+
+private:
+  Millis drawTime(Millis aMost)
+  {
+    const auto most = static_cast<std::uint64_t>(aMost.mCount);
+    return Millis{ 200 + static_cast<std::int64_t>(mRandom() % most) };
+  }
+
+  Fleet& mFleet;
+  std::vector<Failure> mFailures;
+  std::vector<std::string> mVms;
+  std::mt19937_64 mRandom;
+  std::optional<Failure> mCurrent;
+  std::string mVm;
+  Millis mNext;
+};
+
+/// A daemon that was expelled or told to stop has ended and is started again,
+/// as its VM's supervisor would.
+void
+superviseDaemons(Fleet& aFleet, std::span<const Lane> aLanes)
+{
+  for (const std::string service : { "catalog", "library" }) {
+    for (const std::string& vm : aFleet.vmsOf(service)) {
+      const bool held = std::ranges::any_of(
+        aLanes, [&vm](const Lane& aLane) { return aLane.holds(vm); });
+      if (!held && !aFleet.process(vm, Role::Daemon)->isRunning()) {
+        aFleet.start(vm, Role::Daemon);
+      }
+    }
+  }
+}
+
+void
+soak(std::uint64_t aSeed)
+{
+  Scenario::Options options("soak-" + std::to_string(aSeed), aSeed);
+  options.mCatalog = 5;
+  options.mLibrary = 4;
+  options.mRelays = true;
+  Scenario scenario(options);
+  std::vector<Lane> lanes;
+  Fleet& fleet = scenario.fleet();
+  lanes.emplace_back(fleet, vmFailures(), "catalog", scenario.draw());
+  lanes.emplace_back(fleet, vmFailures(), "library", scenario.draw());
+  lanes.emplace_back(fleet, logFailures(), "catalog", scenario.draw());
+  scenario.startTraffic({}, "ms=10");
+  const Millis begun = monotonicNow();
+  bool idle = false;
+  while (!idle) {
+    const Millis now = monotonicNow() - begun;
+    idle = now >= kFailing;
+    for (Lane& lane : lanes) {
+      lane.step(now, now < kFailing);
+      idle = idle && lane.idle();
+    }
+    superviseDaemons(fleet, lanes);
+    std::this_thread::sleep_for(std::chrono::milliseconds(kStep.mCount));
+  }
+  superviseDaemons(fleet, {});
+  const std::int64_t ended = wallNow().mCount;
+  scenario.runOn(kRecovery, kRecovery);
+  Evidence evidence = scenario.stopTraffic();
+  checkAlways(evidence);
+  std::erase_if(evidence.mResults, [&](const tools::LoadResult& aResult) {
+    const auto latency = static_cast<std::int64_t>(aResult.mLatencyMs);
+    return aResult.mEndedWallMs - latency < ended;
+  });
+  checkUnavailable(evidence, kRecovery);
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(soak_of_failures)
+
+BOOST_AUTO_TEST_CASE(seed_501)
+{
+  soak(501);
+}
+
+BOOST_AUTO_TEST_CASE(seed_502)
+{
+  soak(502);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- /dev/null
+++ b/tests/process/support/failures.cpp
@@ -0,0 +1,121 @@
+#include "support/failures.h"
+
+#include <csignal>
+
+namespace radishroad::test {
+
+namespace {
+
+using Step = std::function<void(Fleet&, const std::string&)>;
+
+Step
+sending(Role aRole, int aSignal)
+{
+  return [aRole, aSignal](Fleet& aFleet, const std::string& aVm) {
+    aFleet.signal(aVm, aRole, aSignal);
+  };
+}
+
+Failure
+lost(std::string aName, Role aRole)
+{
+  return {
+    std::move(aName),
+    [aRole](Fleet& aFleet, const std::string& aVm) { aFleet.kill(aVm, aRole); },
+    [aRole](Fleet& aFleet, const std::string& aVm) { aFleet.start(aVm, aRole); }
+  };
+}
+
+Step
+settingLog(std::string aName, nlohmann::json aValue)
+{
+  return [name = std::move(aName),
+          value = std::move(aValue)](Fleet& aFleet, const std::string&) {
+    aFleet.setLogFaults({ { name, value } });
+  };
+}
+
+void
+nothing(Fleet&, const std::string&)
+{
+}
+
+}
+
+std::vector<Failure>
+vmFailures()
+{
+  return {
+    lost("daemon lost", Role::Daemon),
+    lost("upstream lost", Role::Upstream),
+    { "daemon frozen",
+      sending(Role::Daemon, SIGSTOP),
+      sending(Role::Daemon, SIGCONT) },
+    { "VM frozen",
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.signal(aVm, Role::Daemon, SIGSTOP);
+        aFleet.signal(aVm, Role::Upstream, SIGSTOP);
+      },
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.signal(aVm, Role::Upstream, SIGCONT);
+        aFleet.signal(aVm, Role::Daemon, SIGCONT);
+      } },
+    { "cut from peers",
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.isolateFromPeers(aVm, true);
+      },
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.isolateFromPeers(aVm, false);
+      } },
+    { "daemon restarted",
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.kill(aVm, Role::Daemon);
+        aFleet.start(aVm, Role::Daemon);
+      },
+      nothing },
+    { "cut from the log",
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.isolateFromLog(aVm, true);
+      },
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.isolateFromLog(aVm, false);
+      } },
+    { "hears no peers",
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.setLink({ { "link", "peer-" + aVm }, { "hold_forward", true } });
+      },
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.setLink({ { "link", "peer-" + aVm } });
+      } },
+    { "links reset",
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.setLink({ { "link", "peer-" + aVm }, { "cut", true } });
+      },
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.setLink({ { "link", "peer-" + aVm } });
+      } },
+    { "daemon told to stop", sending(Role::Daemon, SIGTERM), nothing },
+  };
+}
+
+std::vector<Failure>
+logFailures()
+{
+  return {
+    { "log down", settingLog("outage", true), settingLog("outage", false) },
+    { "log answers lost",
+      settingLog("lose_answers_every", 2),
+      settingLog("lose_answers_every", 0) },
+    { "log slow", settingLog("slow_ms", 300), settingLog("slow_ms", 0) }
+  };
+}
+
+std::vector<Failure>
+pairFailures()
+{
+  const std::vector<Failure> vm = vmFailures();
+  const std::vector<Failure> log = logFailures();
+  return { vm[0], vm[1], vm[2], vm[3], log[0], log[1], vm[4], vm[5] };
+}
+
+}
--- a/tests/process/two_failures_test.cpp
+++ b/tests/process/two_failures_test.cpp
@@ -1,9 +1,8 @@
+#include "support/failures.h"
 #include "support/scenario.h"
 #include "support/wait.h"
 
 #include <boost/test/unit_test.hpp>
-#include <csignal>
-#include <functional>
 
 namespace radishroad::test {
 
@@ -14,84 +13,6 @@
 /// Every key is answered again this long after the last failure has ended.
 constexpr Millis kRecovery = 6_s;
 
-/// A failure that a test begins, and ends later.
-struct Failure
-{
-  std::string mName;
-  std::function<void(Fleet&, const std::string& aVm)> mBegin;
-  std::function<void(Fleet&, const std::string& aVm)> mEnd;
-};
-
-void
-restart(Fleet& aFleet, const std::string& aVm, Role aRole)
-{
-  aFleet.kill(aVm, aRole);
-  aFleet.start(aVm, aRole);
-}
-
-std::vector<Failure>
-allFailures()
-{
-  return {
-    { "daemon lost",
-      [](Fleet& aFleet, const std::string& aVm) {
-        aFleet.kill(aVm, Role::Daemon);
-      },
-      [](Fleet& aFleet, const std::string& aVm) {
-        aFleet.start(aVm, Role::Daemon);
-      } },
-    { "upstream lost",
-      [](Fleet& aFleet, const std::string& aVm) {
-        aFleet.kill(aVm, Role::Upstream);
-      },
-      [](Fleet& aFleet, const std::string& aVm) {
-        aFleet.start(aVm, Role::Upstream);
-      } },
-    { "daemon frozen",
-      [](Fleet& aFleet, const std::string& aVm) {
-        aFleet.signal(aVm, Role::Daemon, SIGSTOP);
-      },
-      [](Fleet& aFleet, const std::string& aVm) {
-        aFleet.signal(aVm, Role::Daemon, SIGCONT);
-      } },
-    { "VM frozen",
-      [](Fleet& aFleet, const std::string& aVm) {
-        aFleet.signal(aVm, Role::Daemon, SIGSTOP);
-        aFleet.signal(aVm, Role::Upstream, SIGSTOP);
-      },
-      [](Fleet& aFleet, const std::string& aVm) {
-        aFleet.signal(aVm, Role::Upstream, SIGCONT);
-        aFleet.signal(aVm, Role::Daemon, SIGCONT);
-      } },
-    { "log down",
-      [](Fleet& aFleet, const std::string&) {
-        aFleet.setLogFaults({ { "outage", true } });
-      },
-      [](Fleet& aFleet, const std::string&) {
-        aFleet.setLogFaults({ { "outage", false } });
-      } },
-    { "log answers lost",
-      [](Fleet& aFleet, const std::string&) {
-        aFleet.setLogFaults({ { "lose_answers_every", 2 } });
-      },
-      [](Fleet& aFleet, const std::string&) {
-        aFleet.setLogFaults({ { "lose_answers_every", 0 } });
-      } },
-    { "cut from peers",
-      [](Fleet& aFleet, const std::string& aVm) {
-        aFleet.isolateFromPeers(aVm, true);
-      },
-      [](Fleet& aFleet, const std::string& aVm) {
-        aFleet.isolateFromPeers(aVm, false);
-      } },
-    { "daemon restarted",
-      [](Fleet& aFleet, const std::string& aVm) {
-        restart(aFleet, aVm, Role::Daemon);
-      },
-      [](Fleet&, const std::string&) {} },
-  };
-}
-
 /// Two failures on two VMs, drawn from the seed, overlapping at moments drawn
 /// from the seed. A daemon that was expelled has ended and is started again,
 /// as its VM's supervisor would.
@@ -102,7 +23,7 @@
   options.mRelays = true;
   Scenario scenario(options);
   Fleet& fleet = scenario.fleet();
-  const std::vector<Failure> failures = allFailures();
+  const std::vector<Failure> failures = pairFailures();
   const Failure& first = failures[scenario.draw() % failures.size()];
   const Failure& second = failures[scenario.draw() % failures.size()];
   const std::string vm = scenario.drawVm("catalog");
