Follow a key that moves, and count holds anew from a hand-off

The hold counts from the pause now, and a request follows its key twice while it can meet its objective.

--- a/include/radishroad/policy/work_order.h
+++ b/include/radishroad/policy/work_order.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -63,6 +64,18 @@
          const UpstreamPace& aPace,
          Millis aNow);
 
+/// Until when a request may wait for its key to be served: aHoldUntil, as told
+/// when it was queued, or as long a time from aPausedAt, when the key's shard
+/// was paused for a hand-off.
+///
+/// Load pattern: an overloaded upstream hands shards to others. What waits for
+/// a slot there has waited longer than any hold, and would be refused at the
+/// moment of the pause, though a hand-off takes less than a hold. Pure.
+Millis
+waitsForKeyUntil(Millis aQueuedAt,
+                 Millis aHoldUntil,
+                 std::optional<Millis> aPausedAt);
+
 /// When a caller whose key is not served before aServedIn has passed is asked
 /// to come back; aDraw differs between requests.
 ///
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -21,6 +21,9 @@
 
 /// Pause before a request that was not run is sent again.
 constexpr Millis kResendPause{ 15 };
+/// Moves of its key that a request follows: one, and one more for a view that
+/// was not the newest.
+constexpr int kMostFollowed = 2;
 /// Pause before the workspace's tokens are looked at again.
 constexpr Millis kAdmitPause{ 5 };
 /// Longest wait for tokens that are on their way.
@@ -336,6 +339,18 @@
   const bool isLongWait =
     mHooks.mReadHead && Millis{ aAnswer.retry_after_ms } > kUnservedRetryAfter;
   const bool inTime = now < aFlight->mResendUntil && !isLongWait;
+  const bool follows = mHooks.mReadHead && !aFlight->mUnkeyed &&
+                       aAnswer.kind == AnswerKind::NotRun &&
+                       aAnswer.reason == NotRunReason::NotOwner &&
+                       now < aFlight->mObjectiveAt &&
+                       aFlight->mFollowed < kMostFollowed;
+  if (follows) {
+    // It waited while its key moved, and the next owner serves it now.
+    ++aFlight->mFollowed;
+    aFlight->mLastReason = aAnswer.reason;
+    mTimer.after(kResendPause, [this, aFlight] { send(aFlight); });
+    return;
+  }
   if (aAnswer.kind == AnswerKind::NotRun && mayPass(aAnswer.reason) &&
       !aFlight->mUnkeyed && inTime) {
     sendLater(aFlight, aAnswer.reason);
--- a/src/daemon/ingress_flight.h
+++ b/src/daemon/ingress_flight.h
@@ -32,6 +32,8 @@
   /// Up to then a request that was not run is sent again; after that its
   /// caller is told to come back.
   Millis mResendUntil;
+  /// Times that it was sent after its key to the next owner.
+  int mFollowed = 0;
   /// Any upstream of the service may run it.
   bool mUnkeyed = false;
   /// Daemons that refused it, for requests that any upstream may run.
--- a/src/policy/work_order.cpp
+++ b/src/policy/work_order.cpp
@@ -90,6 +90,15 @@
   return Millis{ static_cast<std::int64_t>(wait) };
 }
 
+Millis
+waitsForKeyUntil(Millis aQueuedAt,
+                 Millis aHoldUntil,
+                 std::optional<Millis> aPausedAt)
+{
+  return aPausedAt ? std::max(aHoldUntil, *aPausedAt + (aHoldUntil - aQueuedAt))
+                   : aHoldUntil;
+}
+
 Millis
 returnAfter(Millis aServedIn, std::uint8_t aRank, std::uint64_t aDraw)
 {
--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -114,7 +114,9 @@
   mImpl->post([impl = mImpl.get(),
                shards = std::move(shards),
                done = std::move(aDone)]() mutable {
-    impl->mPaused.insert(shards.begin(), shards.end());
+    for (const Shard shard : shards) {
+      impl->mPaused.try_emplace(shard, impl->mHooks.mNow());
+    }
     impl->mDrains.push_back({ std::move(shards), std::move(done) });
   });
 }
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -214,7 +214,8 @@
   std::map<RunId, Run> mRuns;
   std::map<RunId, GivenUpRun> mGivenUp;
   RunId mNextRun = 1;
-  std::set<Shard> mPaused;
+  /// Shards that are being handed off, and since when.
+  std::map<Shard, Millis> mPaused;
   std::vector<Drain> mDrains;
   HealthTracker mHealth;
   bool mProbing = false;
--- a/src/upstream/gate_order.cpp
+++ b/src/upstream/gate_order.cpp
@@ -98,22 +98,28 @@
       return { NotRunReason::Draining };
     }
     const ServeDecision decision = mHooks.mMayServe(aQueued.mRequest);
+    const auto paused = mPaused.find(aQueued.mRequest.shard);
+    const bool isPaused = paused != mPaused.end();
+    const Millis holdUntil = waitsForKeyUntil(
+      aQueued.mQueuedAt,
+      aQueued.mHoldUntil,
+      isPaused ? std::optional<Millis>(paused->second) : std::nullopt);
     const bool heldInVain = decision.mRefusal == NotRunReason::LeaseLapsed &&
-                            decision.mRetryAt > aQueued.mHoldUntil;
+                            decision.mRetryAt > holdUntil;
     if (heldInVain) {
       const Millis pause = returnAfter(decision.mRetryAt - aNow,
                                        aQueued.mRequest.rank,
                                        aQueued.mRequest.id_low);
       return { decision.mRefusal, std::max(pause, kUnservedRetryAfter) };
     }
-    if (aNow < aQueued.mHoldUntil) {
+    if (aNow < holdUntil) {
       return {};
     }
     if (decision.mRefusal != NotRunReason::None) {
       return { decision.mRefusal };
     }
-    const bool served = !mPaused.contains(aQueued.mRequest.shard) &&
-                        holdsKey(aQueued.mRequest, decision.mEpoch);
+    const bool served =
+      !isPaused && holdsKey(aQueued.mRequest, decision.mEpoch);
     return { served ? NotRunReason::None : NotRunReason::LeaseLapsed };
   };
   std::vector<Verdict> verdicts;
--- a/tests/process/support/failures.cpp
+++ b/tests/process/support/failures.cpp
@@ -94,7 +94,14 @@
       [](Fleet& aFleet, const std::string& aVm) {
         aFleet.setLink({ { "link", "peer-" + aVm } });
       } },
-    { "daemon told to stop", sending(Role::Daemon, SIGTERM), nothing },
+    // One that takes too long is killed, as its VM's supervisor would.
+    { "daemon told to stop",
+      sending(Role::Daemon, SIGTERM),
+      [](Fleet& aFleet, const std::string& aVm) {
+        if (aFleet.process(aVm, Role::Daemon)->isRunning()) {
+          aFleet.kill(aVm, Role::Daemon);
+        }
+      } },
   };
 }
 
--- a/tests/unit/ingress_platform_test.cpp
+++ b/tests/unit/ingress_platform_test.cpp
@@ -100,13 +100,28 @@
     return hooks;
   }
 
-  void handle(const std::string& aTarget, const std::string& aKey = "secret")
+  /// Gives the routes an objective as long as callers wait.
+  void setLongObjective()
+  {
+    std::shared_ptr<config::Model> model =
+      std::make_shared<config::Model>(*mView.mModel);
+    for (config::Route& route : model->mRoutes) {
+      route.mObjective = 2000_ms;
+      route.mTimeout = 2000_ms;
+    }
+    mView.mModel = model;
+    mViews.set(std::make_shared<FleetView>(mView));
+  }
+
+  void handle(const std::string& aTarget,
+              const std::string& aKey = "secret",
+              Millis aAge = {})
   {
     CallerRequest request;
     request.mId = { 0, 7 };
     request.mMethod = "GET";
     request.mTarget = aTarget;
-    request.mReceivedAt = monotonicNow();
+    request.mReceivedAt = monotonicNow() - aAge;
     const std::string authorization = "Token " + aKey;
     for (const auto& [name, value] :
          std::initializer_list<std::pair<const char*, const char*>>{
@@ -191,6 +206,36 @@
   BOOST_TEST(answer.headers.back()->value == "id-1");
 }
 
+// It waited for a slot for longer than requests wait for keys, and then its
+// key moved.
+BOOST_AUTO_TEST_CASE(a_request_follows_its_key_to_the_next_owner)
+{
+  PlatformIngress ingress;
+  ingress.setLongObjective();
+  ingress.handle("/keyed/1", "secret", 400_ms);
+  for (int n = 0; n < 3; ++n) {
+    ingress.sent().mAnswer(makeNotRun({ 0, 7 }, NotRunReason::NotOwner));
+  }
+  const Answer answer = ingress.answer();
+  BOOST_TEST((answer.reason == NotRunReason::NotOwner));
+  BOOST_TEST(ingress.mSent.size() == 0U);
+}
+
+// The next owner serves the key only when the holds of the lost one have run
+// out.
+BOOST_AUTO_TEST_CASE(a_long_wait_for_a_key_is_refused_at_once)
+{
+  PlatformIngress ingress;
+  ingress.setLongObjective();
+  ingress.handle("/keyed/1");
+  ingress.sent().mAnswer(
+    makeNotRun({ 0, 7 }, NotRunReason::LeaseLapsed, 2400_ms));
+  const Answer answer = ingress.answer();
+  BOOST_TEST((answer.kind == AnswerKind::NotRun));
+  BOOST_TEST(answer.retry_after_ms == 2400);
+  BOOST_TEST(ingress.mSent.size() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_refused_request_goes_to_another_of_those_alike)
 {
   PlatformIngress ingress;
--- a/tests/unit/work_order_test.cpp
+++ b/tests/unit/work_order_test.cpp
@@ -177,6 +177,18 @@
   }
 }
 
+// 200 ms in an upstream's queue with a hold of 50, then its shard is handed
+// off.
+BOOST_AUTO_TEST_CASE(a_hand_off_refuses_no_one_for_having_waited_before)
+{
+  const Millis queuedAt = 1000_ms;
+  const Millis holdUntil = 1050_ms;
+  BOOST_TEST((waitsForKeyUntil(queuedAt, holdUntil, {}) == holdUntil));
+  BOOST_TEST((waitsForKeyUntil(queuedAt, holdUntil, 1200_ms) == 1250_ms));
+  // A pause from before it came adds nothing.
+  BOOST_TEST((waitsForKeyUntil(queuedAt, holdUntil, 900_ms) == holdUntil));
+}
+
 // An owner is lost for three seconds. Its callers, 60 a second of two ranks,
 // are refused and come back; the next owner bears 100 a second.
 BOOST_AUTO_TEST_CASE(callers_of_a_lost_owner_do_not_return_at_one_moment)
