--- a/src/daemon/parts_platform.cpp
+++ b/src/daemon/parts_platform.cpp
@@ -3,7 +3,6 @@
 #include "radishroad/base/json_log.h"
 #include "radishroad/caller/response.h"
 #include "radishroad/request/plain_answer.h"
-#include "radishroad/state/relay.h"
 #include "radishroad/state/snapshot_codec.h"
 #include "radishroad/upstream/queued_request.h"
 
--- a/src/daemon/parts_state.cpp
+++ b/src/daemon/parts_state.cpp
@@ -1,8 +1,6 @@
 #include "parts.h"
 
 #include "radishroad/base/json_log.h"
-#include "radishroad/ownership/handoff.h"
-#include "radishroad/state/relay.h"
 #include "radishroad/state/snapshot_codec.h"
 #include "radishroad/state/state_change.h"
 
--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -132,11 +132,7 @@
   scenario.runOn(kRecovery, kRecovery);
   Evidence evidence = scenario.stopTraffic();
   checkAlways(evidence);
-  std::erase_if(evidence.mResults, [&](const tools::LoadResult& aResult) {
-    const auto latency = static_cast<std::int64_t>(aResult.mLatencyMs);
-    return aResult.mEndedWallMs - latency < ended;
-  });
-  checkUnavailable(evidence, kRecovery);
+  checkRecovered(std::move(evidence), ended, kRecovery);
 }
 
 }
@@ -153,6 +149,20 @@
   soak(502);
 }
 
+// Seeds that failed once. 619 and 620 judged requests to a daemon that ended
+// after the last failure and was not started again, a fault of this test.
+BOOST_AUTO_TEST_CASE(seed_619)
+{
+  soak(619);
+}
+
+// Known red: the owner of three keys and, within the time in which witnesses
+// are replaced, two of its three witnesses are lost.
+BOOST_AUTO_TEST_CASE(seed_605)
+{
+  soak(605);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/tests/process/support/scenario.cpp
+++ b/tests/process/support/scenario.cpp
@@ -245,4 +245,14 @@
   }
 }
 
+void
+checkRecovered(Evidence aEvidence, std::int64_t aEndedWallMs, Millis aMost)
+{
+  std::erase_if(aEvidence.mResults, [=](const tools::LoadResult& aResult) {
+    const auto latency = static_cast<std::int64_t>(aResult.mLatencyMs);
+    return aResult.mEndedWallMs - latency < aEndedWallMs;
+  });
+  checkUnavailable(aEvidence, aMost);
+}
+
 }
--- a/tests/process/support/scenario.h
+++ b/tests/process/support/scenario.h
@@ -94,6 +94,11 @@
 void
 checkAlways(const Evidence& aEvidence);
 
+/// Every key was answered again within the time, by requests that were sent
+/// after the last failure had ended.
+void
+checkRecovered(Evidence aEvidence, std::int64_t aEndedWallMs, Millis aMost);
+
 /// Every key was answered again within the time.
 void
 checkUnavailable(const Evidence& aEvidence, Millis aMost);
--- a/tests/process/two_failures_test.cpp
+++ b/tests/process/two_failures_test.cpp
@@ -47,11 +47,7 @@
   scenario.runOn(kRecovery, kRecovery);
   Evidence evidence = scenario.stopTraffic();
   checkAlways(evidence);
-  std::erase_if(evidence.mResults, [&](const tools::LoadResult& aResult) {
-    const auto latency = static_cast<std::int64_t>(aResult.mLatencyMs);
-    return aResult.mEndedWallMs - latency < ended;
-  });
-  checkUnavailable(evidence, kRecovery);
+  checkRecovered(std::move(evidence), ended, kRecovery);
 }
 
 }
