Hold no keys for a start of the upstream that the state does not name

Cause: a machine was cut off while its upstream crashed and started again, so the change that raises its shards' epochs could not be recorded for 1.3 s. The daemon took the report of the new start and granted it the keys at the epochs of the one before. Holdings are empty until the state names the start that reports; the test fails without this.

--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -79,6 +79,8 @@
   std::unique_ptr<LogAppender> mAppender;
   std::unique_ptr<StateWriter> mWriter;
   ProposalRoute mProposals;
+  /// Start of the upstream that reports; 0 before the first report.
+  std::atomic<std::uint64_t> mUpstreamLife{ 0 };
   /// When the store last took a write of this daemon or of one that passed it
   /// on.
   Millis mStoreAnsweredAt;
--- a/src/daemon/parts_platform.cpp
+++ b/src/daemon/parts_platform.cpp
@@ -171,7 +171,9 @@
 void
 Daemon::Parts::setPlatformGateHooks(Gate::Hooks& aHooks)
 {
-  aHooks.mHoldings = [this] { return mAuthority.holdings(monotonicNow()); };
+  aHooks.mHoldings = [this] {
+    return mAuthority.holdings(mUpstreamLife, monotonicNow());
+  };
   aHooks.mEpochOf = [this](Shard aShard) { return mAuthority.epochOf(aShard); };
   aHooks.mOnReleased = [this](Shard aShard,
                               const std::vector<std::string>& aTokens) {
@@ -183,6 +185,7 @@
     logRun(aQueued, aAnswer, aPace);
   };
   aHooks.mOnLife = [this](std::uint64_t aLife) {
+    mUpstreamLife = aLife;
     mLoop.post([this, aLife] { mMembership.onUpstreamLife(aLife); });
   };
   aHooks.mOnDraining = [this] {
--- a/src/daemon/serve_authority.cpp
+++ b/src/daemon/serve_authority.cpp
@@ -66,7 +66,7 @@
 }
 
 std::vector<Holding>
-ServeAuthority::holdings(Millis aNow) const
+ServeAuthority::holdings(std::uint64_t aLife, Millis aNow) const
 {
   std::vector<Holding> holdings;
   const std::shared_ptr<const FleetView> view = mViews.get();
@@ -74,6 +74,11 @@
   if (cell == nullptr || leaseUntil() <= aNow) {
     return holdings;
   }
+  const auto self = cell->mMembers.find(mSelf);
+  if (self == cell->mMembers.end() || self->second.mUpstreamLife != aLife) {
+    // The epochs in the state were used with an earlier start of the upstream.
+    return holdings;
+  }
   const std::lock_guard<std::mutex> lock(mMutex);
   for (Shard shard = 0; shard < kShardCount; ++shard) {
     const Ownership& ownership = cell->mShards[shard];
--- a/tests/unit/serve_authority_test.cpp
+++ b/tests/unit/serve_authority_test.cpp
@@ -101,4 +101,23 @@
   BOOST_TEST((served.decide(kOther, 200_ms).mRefusal == NotRunReason::None));
 }
 
+// A machine is cut off while its upstream crashes and starts again, so that the
+// change that raises the epochs is not recorded: what was granted to the start
+// before must not be granted to this one at the same epoch.
+BOOST_AUTO_TEST_CASE(a_new_start_of_the_upstream_holds_nothing_at_old_epochs)
+{
+  Served served;
+  served.mLog.mState.mMembers.at(1).mUpstreamLife = 7;
+  std::shared_ptr<FleetView> view = std::make_shared<FleetView>();
+  view->mCells["library"] =
+    std::make_shared<const CellState>(served.mLog.mState);
+  served.mViews.set(view);
+  ServeAuthority authority(served.mViews, "library", 1);
+  authority.setLeaseUntil(1_s);
+  BOOST_TEST(authority.holdings(7, 100_ms).size() == 1U);
+  BOOST_TEST(authority.holdings(8, 100_ms).empty());
+  BOOST_TEST(authority.holdings(0, 100_ms).empty());
+  BOOST_TEST(authority.holdings(7, 1_s).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
