--- a/include/radishroad/operator/event_merge.h
+++ b/include/radishroad/operator/event_merge.h
@@ -25,6 +25,10 @@
 std::vector<nlohmann::ordered_json>
 mergeEvents(std::span<const std::string> aSources, const EventFilter& aFilter);
 
+/// A field as text, whether it is a string or a number; empty if absent.
+std::string
+fieldText(const nlohmann::ordered_json& aEvent, std::string_view aName);
+
 /// One event as a line for a person.
 std::string
 eventToText(const nlohmann::ordered_json& aEvent);
--- a/src/daemon/fleet_state.cpp
+++ b/src/daemon/fleet_state.cpp
@@ -152,11 +152,9 @@
   if (aStream == kConfigStream) {
     record.mData = mRawModel;
   }
-  for (const auto& [service, loader] : mCells) {
-    if (cellStream(service) == aStream) {
-      record.mData = encodeState(loader.state());
-      record.mOffset = versionOf(aStream);
-    }
+  if (const CellState* state = stateOf(aStream)) {
+    record.mData = encodeState(*state);
+    record.mOffset = versionOf(aStream);
   }
   if (record.mData.empty()) {
     return {};
--- a/src/operator/event_merge.cpp
+++ b/src/operator/event_merge.cpp
@@ -27,24 +27,13 @@
          aJson["event"].is_string();
 }
 
-/// A field as text, whether it is a string or a number; empty if absent.
-std::string
-textOf(const Json& aEvent, std::string_view aName)
-{
-  const auto it = aEvent.find(aName);
-  if (it == aEvent.end()) {
-    return {};
-  }
-  return it->is_string() ? it->get<std::string>() : it->dump();
-}
-
 bool
 concernsKey(const Json& aEvent, const std::string& aKey)
 {
   const std::uint64_t hash = hash64(aKey);
-  return textOf(aEvent, "key") == aKey ||
-         textOf(aEvent, "key_hash") == std::to_string(hash) ||
-         textOf(aEvent, "shard") == std::to_string(shardOf(hash));
+  return fieldText(aEvent, "key") == aKey ||
+         fieldText(aEvent, "key_hash") == std::to_string(hash) ||
+         fieldText(aEvent, "shard") == std::to_string(shardOf(hash));
 }
 
 bool
@@ -52,10 +41,10 @@
 {
   const auto matches = [&aEvent](std::string_view aName,
                                  const std::string& aWanted) {
-    return aWanted.empty() || textOf(aEvent, aName) == aWanted;
+    return aWanted.empty() || fieldText(aEvent, aName) == aWanted;
   };
   const bool vm =
-    matches("vm", aFilter.mVm) || textOf(aEvent, "member_vm") == aFilter.mVm;
+    matches("vm", aFilter.mVm) || fieldText(aEvent, "member_vm") == aFilter.mVm;
   return vm && matches("event", aFilter.mEvent) &&
          matches("request_id", aFilter.mRequestId) &&
          (aFilter.mKey.empty() || concernsKey(aEvent, aFilter.mKey));
@@ -85,6 +74,16 @@
 
 }
 
+std::string
+fieldText(const nlohmann::ordered_json& aEvent, std::string_view aName)
+{
+  const auto it = aEvent.find(aName);
+  if (it == aEvent.end()) {
+    return {};
+  }
+  return it->is_string() ? it->get<std::string>() : it->dump();
+}
+
 std::vector<Json>
 mergeEvents(std::span<const std::string> aSources, const EventFilter& aFilter)
 {
@@ -117,14 +116,14 @@
 eventToText(const Json& aEvent)
 {
   std::string text = timeToText(aEvent["ms"].get<std::int64_t>());
-  const std::string vm = textOf(aEvent, "vm");
-  text += " " + (vm.empty() ? "-" : vm) + " " + textOf(aEvent, "event");
+  const std::string vm = fieldText(aEvent, "vm");
+  text += " " + (vm.empty() ? "-" : vm) + " " + fieldText(aEvent, "event");
   for (const auto& field : aEvent.items()) {
     const bool shown =
       std::find(kShownFirst.begin(), kShownFirst.end(), field.key()) !=
       kShownFirst.end();
     if (!shown) {
-      text += " " + field.key() + "=" + textOf(aEvent, field.key());
+      text += " " + field.key() + "=" + fieldText(aEvent, field.key());
     }
   }
   return text;
--- a/src/operator/explain.cpp
+++ b/src/operator/explain.cpp
@@ -1,5 +1,7 @@
 #include "radishroad/operator/explain.h"
 
+#include "radishroad/operator/event_merge.h"
+
 #include <algorithm>
 #include <array>
 #include <string_view>
@@ -22,16 +24,6 @@
   "grant_outdated",  "zone"
 };
 
-std::string
-textOf(const Json& aEvent, const char* aName)
-{
-  const auto it = aEvent.find(aName);
-  if (it == aEvent.end()) {
-    return {};
-  }
-  return it->is_string() ? it->get<std::string>() : it->dump();
-}
-
 std::int64_t
 numberOf(const Json& aEvent, const char* aName)
 {
@@ -44,14 +36,14 @@
 vmOf(std::span<const Json> aEvents, const std::string& aIncarnation)
 {
   for (const Json& event : aEvents) {
-    if (textOf(event, "incarnation") != aIncarnation) {
+    if (fieldText(event, "incarnation") != aIncarnation) {
       continue;
     }
-    if (textOf(event, "event") == "member") {
-      return textOf(event, "member_vm");
+    if (fieldText(event, "event") == "member") {
+      return fieldText(event, "member_vm");
     }
-    if (textOf(event, "event") == "start") {
-      return textOf(event, "vm");
+    if (fieldText(event, "event") == "start") {
+      return fieldText(event, "vm");
     }
   }
   return {};
@@ -60,7 +52,8 @@
 bool
 isBelief(const Json& aEvent)
 {
-  return std::ranges::find(kBeliefs, textOf(aEvent, "event")) != kBeliefs.end();
+  return std::ranges::find(kBeliefs, fieldText(aEvent, "event")) !=
+         kBeliefs.end();
 }
 
 /// The last change of belief on the VM before the request's end.
@@ -72,7 +65,7 @@
   const Json* last = nullptr;
   for (const Json& event : aEvents) {
     const std::int64_t at = numberOf(event, "ms");
-    if (textOf(event, "vm") == aVm && isBelief(event) && at <= aEndMs &&
+    if (fieldText(event, "vm") == aVm && isBelief(event) && at <= aEndMs &&
         at >= aEndMs - kBeforeMs) {
       last = &event;
     }
@@ -88,17 +81,17 @@
            std::to_string(kBeforeMs / 1000) + " s before";
   }
   return "the last change on " + aVm + " before was " +
-         textOf(*aBelief, "event");
+         fieldText(*aBelief, "event");
 }
 
 std::string
 describeRun(const Json& aRun)
 {
-  return "its upstream on " + textOf(aRun, "vm") + " ran " +
-         textOf(aRun, "running") + " of " + textOf(aRun, "slots") +
-         " requests at once, each for " + textOf(aRun, "run_ms") +
+  return "its upstream on " + fieldText(aRun, "vm") + " ran " +
+         fieldText(aRun, "running") + " of " + fieldText(aRun, "slots") +
+         " requests at once, each for " + fieldText(aRun, "run_ms") +
          " ms on average; the request was there for " +
-         textOf(aRun, "here_ms") + " ms";
+         fieldText(aRun, "here_ms") + " ms";
 }
 
 std::string
@@ -107,14 +100,14 @@
         const std::string& aOwnerVm,
         const Json* aBelief)
 {
-  const std::string outcome = textOf(aRequest, "outcome");
-  const std::string reason = textOf(aRequest, "reason");
+  const std::string outcome = fieldText(aRequest, "outcome");
+  const std::string reason = fieldText(aRequest, "reason");
   const std::string run =
     aRun == nullptr ? "no line tells of its upstream" : describeRun(*aRun);
   if (outcome == "answered") {
-    return "answered after " + textOf(aRequest, "took_ms") +
-           " ms, against an objective of " + textOf(aRequest, "objective_ms") +
-           " ms; " + run;
+    return "answered after " + fieldText(aRequest, "took_ms") +
+           " ms, against an objective of " +
+           fieldText(aRequest, "objective_ms") + " ms; " + run;
   }
   if (outcome == "unknown") {
     return "sent to the upstream on " + aOwnerVm +
@@ -123,7 +116,7 @@
            describeBelief(aBelief, aOwnerVm);
   }
   if (reason == "rate-limited") {
-    return "workspace " + textOf(aRequest, "workspace") +
+    return "workspace " + fieldText(aRequest, "workspace") +
            " was above its rate; no upstream was asked";
   }
   if (reason == "queue-full" || reason == "shed") {
@@ -131,7 +124,7 @@
   }
   if (reason == "unauthorized" || reason == "no-route") {
     return "refused by configuration version " +
-           textOf(aRequest, "config_version") + ": " + reason;
+           fieldText(aRequest, "config_version") + ": " + reason;
   }
   if (aOwnerVm.empty()) {
     return "not sent anywhere: " + reason;
@@ -149,19 +142,19 @@
   const Json* request = nullptr;
   const Json* run = nullptr;
   for (const Json& event : aEvents) {
-    if (textOf(event, "request_id") != aRequestId) {
+    if (fieldText(event, "request_id") != aRequestId) {
       continue;
     }
     explanation.mCourse.push_back(event);
-    if (textOf(event, "event") == "request") {
+    if (fieldText(event, "event") == "request") {
       request = &event;
-    } else if (textOf(event, "event") == "run") {
+    } else if (fieldText(event, "event") == "run") {
       run = &event;
     }
   }
   const auto leftOut = std::ranges::count_if(aEvents, [](const Json& aEvent) {
-    return textOf(aEvent, "event") == "request_lines_left_out" ||
-           textOf(aEvent, "event") == "log_lines_dropped";
+    return fieldText(aEvent, "event") == "request_lines_left_out" ||
+           fieldText(aEvent, "event") == "log_lines_dropped";
   });
   if (leftOut > 0) {
     explanation.mMissing.push_back(std::to_string(leftOut) +
@@ -173,7 +166,7 @@
       "well and was not among those sampled, or its line was left out");
     return explanation;
   }
-  const std::string member = textOf(*request, "sent_to");
+  const std::string member = fieldText(*request, "sent_to");
   const bool sent = !member.empty() && member != "0";
   const std::string ownerVm = sent ? vmOf(aEvents, member) : std::string();
   const Json* belief = lastBelief(aEvents, ownerVm, numberOf(*request, "ms"));
