Tell upstreams what they hold in answer to their reports

Change: GrantKeeper serves both ways of granting; the gate answers each report with all rows that are to be held (one row for neighbouring runs of one epoch), within the bound of an answer, and with none where the daemon cannot tell. What is left out is free once a report does not name it. Keys lie in longer runs where a cell has few members; the layout is agreed with the first assignment.

--- a/include/radishroad/config/model.h
+++ b/include/radishroad/config/model.h
@@ -53,6 +53,9 @@
   /// How long an upstream serves keys after their last grant; 0 if upstreams
   /// are not granted keys.
   Millis mHoldTime;
+  /// Upstreams are told what they hold in answer to their reports, not by
+  /// calls.
+  bool mGrantsByReport = false;
 };
 
 enum class KeySource
--- a/include/radishroad/daemon/coordinator_duty.h
+++ b/include/radishroad/daemon/coordinator_duty.h
@@ -3,6 +3,7 @@
 
 #include "radishroad/base/millis.h"
 #include "radishroad/generated/peer_generated.h"
+#include "radishroad/ownership/key_layout.h"
 #include "radishroad/policy/balance.h"
 #include "radishroad/state/cell_state.h"
 
@@ -38,6 +39,8 @@
 private:
   bool proposeZones();
   bool proposeOwners(Millis aNow);
+  /// Layout of the keys for a first assignment.
+  KeyLayout layoutForAssignment() const;
   void orderMoves(Millis aNow);
   void orderShards(Millis aNow);
   void orderKeys(Millis aNow);
--- a/include/radishroad/daemon/protocol.h
+++ b/include/radishroad/daemon/protocol.h
@@ -46,6 +46,8 @@
   std::function<Result<OperatorChange>(const OperatorEntry&)> mReadEntry;
   /// Reads a report of the upstream; nothing if it is another call.
   std::function<Result<UpstreamReport>(const CallerRequest&)> mReadReport;
+  /// Body of the answer to a report.
+  std::function<std::string(const ReportAnswer&)> mWriteReportAnswer;
   /// True for the question whether this daemon is ready.
   std::function<bool(const CallerRequest&)> mAsksReadiness;
 
--- a/include/radishroad/daemon/serve_authority.h
+++ b/include/radishroad/daemon/serve_authority.h
@@ -37,9 +37,10 @@
   /// Since when the own availability zone is out of service; nothing if it is
   /// in. Keys are served on until aKeysUntil, so that they can be handed off.
   void setZoneOut(std::optional<Millis> aKeysUntil);
-  /// Shards that the present start of the upstream may hold now: none before
-  /// the state names it, since only then the epochs are new ones.
-  std::vector<Holding> holdings(std::uint64_t aLife, Millis aNow) const;
+  /// Shards that the present start of the upstream may hold now. Nothing while
+  /// this daemon cannot tell: its lease is not held, or the state does not name
+  /// that start, so that the epochs are old ones.
+  std::optional<Holdings> holdings(std::uint64_t aLife, Millis aNow) const;
   /// Epoch at which this daemon owns a shard; 0 if it does not.
   Epoch epochOf(Shard aShard) const;
   ServeDecision decide(const ForwardRequest& aRequest, Millis aNow) const;
--- a/include/radishroad/state/cell_state.h
+++ b/include/radishroad/state/cell_state.h
@@ -3,6 +3,7 @@
 
 #include "radishroad/state/recent_ids.h"
 
+#include <bit>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -21,6 +22,18 @@
 
 /// Keys of a service hash onto this many shards.
 constexpr Shard kShardCount = 256;
+/// Keys in a row of one shard until a first assignment says otherwise.
+constexpr std::uint32_t kDefaultRunKeys = 32;
+constexpr std::uint32_t kLeastRunKeys = 8;
+constexpr std::uint32_t kMostRunKeys = 256;
+
+/// May so many keys in a row belong to one shard?
+constexpr bool
+isRunLength(std::uint32_t aKeys)
+{
+  return aKeys >= kLeastRunKeys && aKeys <= kMostRunKeys &&
+         std::has_single_bit(aKeys);
+}
 
 enum class MemberStatus
 {
@@ -91,6 +104,8 @@
   /// Availability zones out of service, by this version of the configuration.
   std::set<std::string> mDrainedZones;
   std::uint64_t mZonesVersion = 0;
+  /// Keys in a row of one shard, where keys are numbers (KeyLayout).
+  std::uint32_t mRunKeys = kDefaultRunKeys;
   RecentIds mSeenIds;
 
   bool operator==(const CellState&) const = default;
--- a/include/radishroad/upstream/gate.h
+++ b/include/radishroad/upstream/gate.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -74,7 +75,8 @@
     std::function<bool(std::uint64_t aFingerprint)> mIsQuarantined;
     /// Shards that the upstream is to hold now; for upstreams that are granted
     /// keys. Called on the gate's thread.
-    std::function<std::vector<Holding>()> mHoldings;
+    /// Nothing if this daemon cannot tell.
+    std::function<std::optional<Holdings>()> mHoldings;
     /// Epoch at which this daemon owns a shard, whether or not it may serve it.
     std::function<Epoch(Shard)> mEpochOf;
     /// A shard was given back by the upstream, with what it handed out for the
@@ -108,9 +110,12 @@
   /// resumeShards and are then decided by mMayServe.
   void pauseShards(std::span<const Shard> aShards, std::function<void()> aDone);
   void resumeShards(std::span<const Shard> aShards);
+  using ReportAnswerFn = std::function<void(ReportAnswer)>;
   /// Any thread: what the upstream says of itself. False if the report is of
-  /// an earlier start or out of order, and changes nothing.
-  bool onReport(const UpstreamReport& aReport);
+  /// an earlier start or out of order, and changes nothing. aAnswer is called
+  /// in either case, on this or the gate's thread.
+  bool onReport(const UpstreamReport& aReport,
+                const ReportAnswerFn& aAnswer = {});
   /// Any thread: tokens that another upstream gave out for this one.
   void onHandover(Shard aShard, Epoch aEpoch, std::vector<std::string> aTokens);
   /// Any thread: how busy the upstream is.
--- a/include/radishroad/upstream/upstream_protocol.h
+++ b/include/radishroad/upstream/upstream_protocol.h
@@ -53,6 +53,9 @@
   /// upstreams take none.
   std::function<UpstreamCall(const GrantOrder&)> mGrant;
   std::function<UpstreamCall(KeyRange, Epoch)> mRelease;
+  /// Does an answer to a report that holds these rows have room for one more?
+  /// aSize: of the rows so far; raised by the row's if there is room.
+  std::function<bool(const GrantOrder&, std::size_t& aSize)> mFitsAnswer;
   /// What a release's response holds for the next holder.
   std::function<std::string(const UpstreamResponse&)> mHandover;
   /// Header that names the upstream in responses.
--- a/include/radishroad/upstream/upstream_report.h
+++ b/include/radishroad/upstream/upstream_report.h
@@ -3,8 +3,12 @@
 
 #include "radishroad/base/millis.h"
 
+#include "radishroad/ownership/grant_keeper.h"
+
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace radishroad {
 
@@ -34,6 +38,20 @@
   std::uint32_t mSlots = 0;
   /// How much longer it is cold.
   Millis mColdLeft;
+  /// Keys that it holds or is still working on; nothing if it does not tell.
+  std::optional<std::vector<ReportedHold>> mHolds;
+  /// Keys that it has given back since its last report that was answered.
+  std::vector<ReportedRelease> mReleased;
+};
+
+/// What an upstream is told in answer to a report.
+struct ReportAnswer
+{
+  /// All keys that it is to hold from now on; it gives back any others. Nothing
+  /// where that is not known, or where it is told by calls.
+  std::optional<std::vector<GrantOrder>> mHolds;
+  /// How long it holds them, counted from when it sent the report.
+  Millis mHoldTime;
 };
 
 /// Whether the second report may be taken after the first: not of an earlier
--- a/src/daemon/coordinator_duty.cpp
+++ b/src/daemon/coordinator_duty.cpp
@@ -7,6 +7,7 @@
 #include "radishroad/daemon/recorder.h"
 #include "radishroad/daemon/settings.h"
 #include "radishroad/ownership/handoff.h"
+#include "radishroad/ownership/key_layout.h"
 #include "radishroad/state/placement.h"
 
 #include <algorithm>
@@ -145,6 +146,7 @@
   wire::AssignT change;
   change.proposer = mContext.mSelf;
   change.grants = std::move(grants);
+  change.run_keys = layoutForAssignment().runKeys();
   mProposing = true;
   mContext.mRecorder.propose(
     mContext.ownStream(), std::move(change), [this](ProposalEnd aEnd) {
@@ -156,6 +158,25 @@
   return true;
 }
 
+KeyLayout
+CoordinatorDuty::layoutForAssignment() const
+{
+  const config::Model* model = mContext.mFleet.model();
+  const CellState& cell = mContext.mFleet.ownCell();
+  if (model == nullptr) {
+    return layoutOf(cell);
+  }
+  const auto it = model->mServices.find(mContext.mSettings.mService);
+  const bool byReport =
+    it != model->mServices.end() && it->second.mGrantsByReport;
+  const auto members =
+    std::ranges::count_if(cell.mMembers, [&cell](const auto& aEntry) {
+      return mayOwn(cell, aEntry.first);
+    });
+  return byReport ? layoutForMembers(static_cast<std::size_t>(members))
+                  : layoutOf(cell);
+}
+
 void
 CoordinatorDuty::onReport(const wire::LoadReportT& aReport)
 {
--- a/src/daemon/ingress_platform.cpp
+++ b/src/daemon/ingress_platform.cpp
@@ -10,7 +10,7 @@
 #include "radishroad/config/prefix_match.h"
 #include "radishroad/daemon/caller_key.h"
 #include "radishroad/daemon/fleet_view.h"
-#include "radishroad/ownership/key_ranges.h"
+#include "radishroad/ownership/key_layout.h"
 #include "radishroad/state/placement.h"
 
 #include <algorithm>
@@ -83,7 +83,9 @@
     if (!head.mKeyNumber) {
       return NotRunReason::Malformed;
     }
-    request.key_hash = hashOfNumber(*head.mKeyNumber);
+    const CellState* cell = aView.cell(request.service);
+    const KeyLayout layout = cell == nullptr ? KeyLayout() : layoutOf(*cell);
+    request.key_hash = layout.hashOfNumber(*head.mKeyNumber);
     request.shard = shardOf(request.key_hash);
   }
   const auto workspace = model.mWorkspaces.find(request.workspace);
--- a/src/daemon/parts.h
+++ b/src/daemon/parts.h
@@ -164,7 +164,7 @@
   bool submitState(const std::string& aStream,
                    const wire::RecordT& aRecord,
                    std::function<void(Result<std::uint64_t>)> aResult);
-  Answer answerReport(const CallerRequest& aRequest);
+  void takeReport(const CallerRequest& aRequest, const AnswerFn& aAnswer);
   Answer answerReadiness(const CallerRequest& aRequest) const;
   void setPlatformGateHooks(Gate::Hooks& aHooks);
   void sendHandover(Shard aShard, const std::vector<std::string>& aTokens);
--- a/src/daemon/parts_platform.cpp
+++ b/src/daemon/parts_platform.cpp
@@ -119,7 +119,7 @@
   mReports = std::make_unique<CallerServer>(
     options,
     [this](const CallerRequest& aRequest, const AnswerFn& aAnswer) {
-      aAnswer(answerReport(aRequest));
+      takeReport(aRequest, aAnswer);
       return CancelFn();
     },
     mMetrics);
@@ -137,8 +137,9 @@
                          isReady ? "{\"ready\":true}" : "{\"ready\":false}");
 }
 
-Answer
-Daemon::Parts::answerReport(const CallerRequest& aRequest)
+void
+Daemon::Parts::takeReport(const CallerRequest& aRequest,
+                          const AnswerFn& aAnswer)
 {
   const Result<UpstreamReport> report = mProtocol.mReadReport(aRequest);
   if (!report) {
@@ -146,7 +147,8 @@
       LogLevel::Warn,
       "upstream_report_refused",
       { { "error", report.error().mMessage }, { "target", aRequest.mTarget } });
-    return makePlainAnswer(400, kJson, "{}");
+    aAnswer(makePlainAnswer(400, kJson, "{}"));
+    return;
   }
   const bool foreign =
     !report->mService.empty() && report->mService != mSettings.mService;
@@ -156,16 +158,19 @@
              { { "instance", report->mInstance },
                { "service", report->mService },
                { "own_service", mSettings.mService } });
-    return makePlainAnswer(400, kJson, "{}");
+    aAnswer(makePlainAnswer(400, kJson, "{}"));
+    return;
   }
-  if (!mGate->onReport(*report)) {
+  const auto answer = [this, aAnswer](const ReportAnswer& aTold) {
+    aAnswer(makePlainAnswer(200, kJson, mProtocol.mWriteReportAnswer(aTold)));
+  };
+  if (!mGate->onReport(*report, answer)) {
     logEvent(LogLevel::Info,
              "upstream_report_outdated",
              { { "instance", report->mInstance },
                { "born_ms", report->mBorn.mCount },
                { "sequence", report->mSequence } });
   }
-  return makePlainAnswer(200, kJson, "{}");
 }
 
 void
--- a/src/daemon/serve_authority.cpp
+++ b/src/daemon/serve_authority.cpp
@@ -65,25 +65,26 @@
   mKeysUntil = aKeysUntil;
 }
 
-std::vector<Holding>
+std::optional<Holdings>
 ServeAuthority::holdings(std::uint64_t aLife, Millis aNow) const
 {
-  std::vector<Holding> holdings;
   const std::shared_ptr<const FleetView> view = mViews.get();
   const CellState* cell = view->cell(mService);
   if (cell == nullptr || leaseUntil() <= aNow) {
-    return holdings;
+    return std::nullopt;
   }
   const auto self = cell->mMembers.find(mSelf);
   if (self == cell->mMembers.end() || self->second.mUpstreamLife != aLife) {
     // The epochs in the state were used with an earlier start of the upstream.
-    return holdings;
+    return std::nullopt;
   }
+  Holdings holdings;
+  holdings.mLayout = layoutOf(*cell);
   const std::lock_guard<std::mutex> lock(mMutex);
   for (Shard shard = 0; shard < kShardCount; ++shard) {
     const Ownership& ownership = cell->mShards[shard];
     if (ownership.mOwner == mSelf && mWaits.serveFrom(shard) <= aNow) {
-      holdings.push_back({ shard, ownership.mEpoch });
+      holdings.mShards.push_back({ shard, ownership.mEpoch });
     }
   }
   return holdings;
--- a/src/ownership/grant_keeper.cpp
+++ b/src/ownership/grant_keeper.cpp
@@ -13,6 +13,21 @@
 constexpr Millis kRetryPause{ 100 };
 /// Tokens that no grant has taken up for so long are of no use any more.
 constexpr Millis kTokenMemory{ 20000 };
+/// Time in which the upstream takes in an answer to its report.
+constexpr Millis kAnswerPause{ 5 };
+
+/// Makes one order of two if the second goes on where the first ends.
+bool
+join(GrantOrder& aFirst, const GrantOrder& aNext)
+{
+  const bool joins = aFirst.mKeys.mLast + 1 == aNext.mKeys.mFirst &&
+                     aFirst.mEpoch == aNext.mEpoch &&
+                     aFirst.mHandover.empty() && aNext.mHandover.empty();
+  if (joins) {
+    aFirst.mKeys.mLast = aNext.mKeys.mLast;
+  }
+  return joins;
+}
 
 }
 
@@ -26,13 +41,31 @@
 void
 GrantKeeper::forRuns(const KeyRange& aKeys, Visit aVisit)
 {
-  for (std::uint32_t run = aKeys.mFirst / kRunKeys;
-       run <= aKeys.mLast / kRunKeys;
+  const std::uint32_t last = aKeys.mLast / mLayout.runKeys();
+  for (std::uint32_t run = aKeys.mFirst / mLayout.runKeys(); run <= last;
        ++run) {
     aVisit(mRuns.at(run));
   }
 }
 
+void
+GrantKeeper::setLayout(KeyLayout aLayout)
+{
+  if (aLayout == mLayout) {
+    return;
+  }
+  // What was held by the runs of before may be held by any of these.
+  Run unknown;
+  for (const Run& run : mRuns) {
+    unknown.mMayBeHeldUntil =
+      std::max(unknown.mMayBeHeldUntil, run.mMayBeHeldUntil);
+  }
+  unknown.mDoubtUntil = unknown.mMayBeHeldUntil;
+  mLayout = aLayout;
+  mRuns.assign(mLayout.runCount(), unknown);
+  mTokens.clear();
+}
+
 void
 GrantKeeper::setHoldings(std::span<const Holding> aHoldings)
 {
@@ -40,9 +73,9 @@
   for (const Holding& holding : aHoldings) {
     wanted.at(holding.mShard) = holding.mEpoch;
   }
-  for (std::uint32_t n = 0; n < kRunCount; ++n) {
+  for (std::uint32_t n = 0; n < mRuns.size(); ++n) {
     Run& run = mRuns[n];
-    const Epoch epoch = wanted[shardOfRun(n)];
+    const Epoch epoch = wanted[KeyLayout::shardOfRun(n)];
     if (run.mWanted != epoch) {
       run.mWanted = epoch;
       run.mNextOrder = {};
@@ -65,7 +98,7 @@
                         std::span<const std::string> aTokens,
                         Millis aNow)
 {
-  if (aShard < kShardCount && aTokens.size() == kRunsPerShard) {
+  if (aShard < kShardCount && aTokens.size() == mLayout.runsPerShard()) {
     mTokens[aShard] = { aEpoch, { aTokens.begin(), aTokens.end() }, aNow };
   }
 }
@@ -73,12 +106,12 @@
 std::string
 GrantKeeper::tokenOf(std::uint32_t aRun, Millis aNow) const
 {
-  const auto it = mTokens.find(shardOfRun(aRun));
+  const auto it = mTokens.find(KeyLayout::shardOfRun(aRun));
   if (it == mTokens.end() || it->second.mEpoch >= mRuns.at(aRun).mWanted ||
       aNow - it->second.mAt > kTokenMemory) {
     return {};
   }
-  return it->second.mTokens.at(aRun / kShardCount);
+  return it->second.mTokens.at(KeyLayout::placeOfRun(aRun));
 }
 
 bool
@@ -87,30 +120,35 @@
   return aRun.mWanted != 0 && !aRun.mUnderWay && aNow >= aRun.mNextOrder;
 }
 
+GrantOrder
+GrantKeeper::orderOf(std::uint32_t aRun, Millis aNow) const
+{
+  const Run& run = mRuns.at(aRun);
+  std::string token =
+    run.mGranted == run.mWanted ? std::string() : tokenOf(aRun, aNow);
+  return { mLayout.rangeOfRun(aRun), run.mWanted, mHoldTime, std::move(token) };
+}
+
 std::vector<GrantOrder>
 GrantKeeper::due(std::size_t aMost, Millis aNow)
 {
   std::vector<GrantOrder> orders;
-  std::uint32_t lastRun = kRunCount;
-  for (std::uint32_t n = 0; n < kRunCount; ++n) {
+  if (mByReport) {
+    return orders;
+  }
+  for (std::uint32_t n = 0; n < mRuns.size(); ++n) {
     Run& run = mRuns[n];
     if (!isDue(run, aNow)) {
       continue;
     }
-    const std::string token =
-      run.mGranted == run.mWanted ? std::string() : tokenOf(n, aNow);
-    const bool joins = !orders.empty() && lastRun + 1 == n && token.empty() &&
-                       orders.back().mHandover.empty() &&
-                       orders.back().mEpoch == run.mWanted;
-    if (!joins && orders.size() == aMost) {
+    GrantOrder order = orderOf(n, aNow);
+    const bool joined = !orders.empty() && join(orders.back(), order);
+    if (!joined && orders.size() == aMost) {
       break;
     }
-    if (joins) {
-      orders.back().mKeys.mLast = rangeOfRun(n).mLast;
-    } else {
-      orders.push_back({ rangeOfRun(n), run.mWanted, mHoldTime, token });
+    if (!joined) {
+      orders.push_back(std::move(order));
     }
-    lastRun = n;
     run.mUnderWay = true;
     run.mMayBeHeldUntil =
       std::max(run.mMayBeHeldUntil, aNow + longestHold(mHoldTime));
@@ -170,11 +208,85 @@
 void
 GrantKeeper::onNotHeld(std::uint64_t aKeyHash, Millis aNow)
 {
-  Run& run = mRuns.at(runOfHash(aKeyHash));
+  Run& run = mRuns.at(mLayout.runOfHash(aKeyHash));
+  if (mByReport && aNow < mAnsweredAt + kTravelTime) {
+    // The answer that grants it is still on its way.
+    run.mHeldFrom = aNow + kAnswerPause;
+    return;
+  }
   run.mHeldUntil = {};
   run.mNextOrder = std::min(run.mNextOrder, aNow);
 }
 
+void
+GrantKeeper::onReportedHolds(std::span<const ReportedHold> aHolds)
+{
+  std::vector<Epoch> epochs(mRuns.size());
+  std::vector<std::uint32_t> keys(mRuns.size());
+  for (const ReportedHold& hold : aHolds) {
+    const std::uint32_t last = hold.mKeys.mLast / mLayout.runKeys();
+    for (std::uint32_t n = hold.mKeys.mFirst / mLayout.runKeys(); n <= last;
+         ++n) {
+      const KeyRange range = mLayout.rangeOfRun(n);
+      keys.at(n) += std::min(range.mLast, hold.mKeys.mLast) -
+                    std::max(range.mFirst, hold.mKeys.mFirst) + 1;
+      epochs[n] = std::max(epochs[n], hold.mEpoch);
+    }
+  }
+  for (std::uint32_t n = 0; n < mRuns.size(); ++n) {
+    Run& run = mRuns[n];
+    run.mGranted = epochs[n];
+    if (keys[n] == 0) {
+      // The first report that a fresh process sees may be a late one.
+      run.mMayBeHeldUntil = run.mDoubtUntil;
+    }
+    if (keys[n] < mLayout.runKeys()) {
+      run.mHeldUntil = {};
+    }
+  }
+}
+
+std::vector<GrantOrder>
+GrantKeeper::answerReport(const FitsFn& aFits, Millis aNow)
+{
+  std::vector<GrantOrder> rows;
+  std::vector<std::uint32_t> told;
+  const auto tell = [&](bool aHeld) {
+    std::vector<GrantOrder> joined;
+    std::vector<std::vector<std::uint32_t>> runs;
+    for (std::uint32_t n = 0; n < mRuns.size(); ++n) {
+      const Run& run = mRuns[n];
+      if (run.mWanted == 0 || (run.mGranted != 0) != aHeld) {
+        continue;
+      }
+      GrantOrder order = orderOf(n, aNow);
+      if (joined.empty() || !join(joined.back(), order)) {
+        joined.push_back(std::move(order));
+        runs.emplace_back();
+      }
+      runs.back().push_back(n);
+    }
+    for (std::size_t n = 0; n < joined.size(); ++n) {
+      if (aFits(joined[n])) {
+        rows.push_back(std::move(joined[n]));
+        told.insert(told.end(), runs[n].begin(), runs[n].end());
+      }
+    }
+  };
+  tell(true);
+  tell(false);
+  mAnsweredAt = aNow;
+  for (const std::uint32_t n : told) {
+    Run& run = mRuns[n];
+    run.mHeldFrom = run.mGranted != 0 ? run.mHeldFrom : aNow + kAnswerPause;
+    run.mGranted = run.mWanted;
+    run.mHeldUntil = aNow + mHoldTime;
+    run.mMayBeHeldUntil =
+      std::max(run.mMayBeHeldUntil, aNow + longestHold(mHoldTime));
+  }
+  return rows;
+}
+
 void
 GrantKeeper::forget()
 {
@@ -188,15 +300,17 @@
 bool
 GrantKeeper::holds(std::uint64_t aKeyHash, Epoch aEpoch, Millis aNow) const
 {
-  const Run& run = mRuns.at(runOfHash(aKeyHash));
-  return run.mGranted == aEpoch && aNow < run.mHeldUntil;
+  const Run& run = mRuns.at(mLayout.runOfHash(aKeyHash));
+  // What the upstream itself says to hold, no other holds.
+  return (mByReport || run.mGranted == aEpoch) && aNow >= run.mHeldFrom &&
+         aNow < run.mHeldUntil;
 }
 
 Millis
 GrantKeeper::freeFrom(Shard aShard, Millis aNow) const
 {
   Millis free = aNow;
-  for (std::uint32_t n = aShard; n < kRunCount; n += kShardCount) {
+  for (std::uint32_t n = aShard; n < mRuns.size(); n += kShardCount) {
     free = std::max(free, mRuns[n].mMayBeHeldUntil);
   }
   return free;
@@ -205,7 +319,7 @@
 bool
 GrantKeeper::underWay(Shard aShard) const
 {
-  for (std::uint32_t n = aShard; n < kRunCount; n += kShardCount) {
+  for (std::uint32_t n = aShard; n < mRuns.size(); n += kShardCount) {
     if (mRuns[n].mUnderWay) {
       return true;
     }
--- /dev/null
+++ b/src/ownership/key_layout.cpp
@@ -0,0 +1,27 @@
+#include "radishroad/ownership/key_layout.h"
+
+#include <algorithm>
+
+namespace radishroad {
+
+namespace {
+
+/// Runs of one member while all are there. An answer holds about twice as many
+/// rows, for the keys of members that are lost.
+constexpr std::size_t kRunsPerMember = 128;
+constexpr std::uint32_t kShortestRun = 16;
+
+}
+
+KeyLayout
+layoutForMembers(std::size_t aMembers)
+{
+  const std::size_t most = std::max<std::size_t>(1, aMembers) * kRunsPerMember;
+  std::uint32_t runKeys = kNumberedKeys / kShardCount;
+  while (runKeys > kShortestRun && kNumberedKeys / (runKeys / 2) <= most) {
+    runKeys /= 2;
+  }
+  return KeyLayout(runKeys);
+}
+
+}
--- a/src/state/fold_ownership.cpp
+++ b/src/state/fold_ownership.cpp
@@ -167,9 +167,15 @@
 bool
 apply(CellState& aState, const wire::AssignT& aChange)
 {
-  if (!areGrantsValid(aState, aChange.grants, 0)) {
+  if (!areGrantsValid(aState, aChange.grants, 0) ||
+      !isRunLength(aChange.run_keys)) {
     return false;
   }
+  const bool first = std::ranges::all_of(
+    aState.mShards, [](const Ownership& aShard) { return aShard.mEpoch == 0; });
+  if (first) {
+    aState.mRunKeys = aChange.run_keys;
+  }
   applyGrants(aState, aChange.grants);
   return true;
 }
--- a/src/state/snapshot_codec.cpp
+++ b/src/state/snapshot_codec.cpp
@@ -155,6 +155,7 @@
   packed.drained_zones = { aState.mDrainedZones.begin(),
                            aState.mDrainedZones.end() };
   packed.zones_version = aState.mZonesVersion;
+  packed.run_keys = aState.mRunKeys;
   return packed;
 }
 
@@ -208,6 +209,10 @@
   state.mDrainedZones = { packed->drained_zones.begin(),
                           packed->drained_zones.end() };
   state.mZonesVersion = packed->zones_version;
+  if (!isRunLength(packed->run_keys)) {
+    return fail(ErrorCode::Corrupt, "snapshot: run_keys");
+  }
+  state.mRunKeys = packed->run_keys;
   aState = std::move(state);
   return {};
 }
--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -149,19 +149,30 @@
 }
 
 bool
-Gate::onReport(const UpstreamReport& aReport)
+Gate::onReport(const UpstreamReport& aReport, const ReportAnswerFn& aAnswer)
 {
   UpstreamReport report;
   {
     const std::lock_guard<std::mutex> lock(mImpl->mPaceMutex);
     report = completeReport(aReport, mImpl->mAccepted);
     const bool first = mImpl->mAccepted.mInstance.empty();
-    if (!first && !isNewer(report, mImpl->mAccepted)) {
+    const bool outdated = !first && !isNewer(report, mImpl->mAccepted);
+    if (!outdated) {
+      mImpl->mAccepted = report;
+    } else if (aAnswer) {
+      aAnswer({});
+    }
+    if (outdated) {
       return false;
     }
-    mImpl->mAccepted = report;
   }
-  mImpl->post([impl = mImpl.get(), report] { impl->takeReport(report); });
+  mImpl->post([impl = mImpl.get(), report, aAnswer] {
+    impl->takeReport(report);
+    const ReportAnswer answer = impl->answerReport(report);
+    if (aAnswer) {
+      aAnswer(answer);
+    }
+  });
   return true;
 }
 
--- a/src/upstream/gate_grant.cpp
+++ b/src/upstream/gate_grant.cpp
@@ -35,20 +35,103 @@
          mGrants.holds(aRequest.key_hash, aEpoch, mHooks.mNow());
 }
 
-void
-Gate::Impl::sendGrants(Millis aNow)
+bool
+Gate::Impl::grantsByReport() const
 {
-  if (!grantsKeys()) {
-    return;
+  return grantsKeys() && mService.mGrantsByReport;
+}
+
+std::optional<Holdings>
+Gate::Impl::wantedHoldings(Millis aNow) const
+{
+  if (!mHealth.healthy() || isClosed(aNow)) {
+    return Holdings{ mGrants.layout(), {} };
   }
-  std::vector<Holding> holdings;
-  if (mHealth.healthy() && !isClosed(aNow)) {
-    holdings = mHooks.mHoldings();
-    std::erase_if(holdings, [this](const Holding& aHolding) {
+  std::optional<Holdings> holdings = mHooks.mHoldings();
+  if (holdings) {
+    std::erase_if(holdings->mShards, [this](const Holding& aHolding) {
       return mReleases.contains(aHolding.mShard);
     });
   }
-  mGrants.setHoldings(holdings);
+  return holdings;
+}
+
+void
+Gate::Impl::setHoldings(const Holdings& aHoldings)
+{
+  mGrants.setLayout(aHoldings.mLayout);
+  mGrants.setHoldings(aHoldings.mShards);
+}
+
+ReportAnswer
+Gate::Impl::answerReport(const UpstreamReport& aReport)
+{
+  if (!grantsByReport() || aReport.mKind == UpstreamReport::Kind::Leaving) {
+    return {};
+  }
+  const Millis now = mHooks.mNow();
+  const std::optional<Holdings> holdings = wantedHoldings(now);
+  if (holdings) {
+    mGrants.setLayout(holdings->mLayout);
+  }
+  if (aReport.mHolds) {
+    mGrants.onReportedHolds(*aReport.mHolds);
+    noteReleased(aReport);
+  }
+  ReportAnswer answer;
+  if (!holdings || !mHealth.healthy()) {
+    return answer;
+  }
+  mGrants.setHoldings(holdings->mShards);
+  std::size_t size = 0;
+  std::size_t leftOut = 0;
+  answer.mHoldTime = mService.mHoldTime;
+  answer.mHolds = mGrants.answerReport(
+    [&](const GrantOrder& aRow) {
+      const bool fits = mOptions.mProtocol.mFitsAnswer(aRow, size);
+      leftOut += fits ? 0 : 1;
+      return fits;
+    },
+    now);
+  for (auto& [shard, release] : mReleases) {
+    if (!release.mOrdered && mPaused.contains(shard)) {
+      mPaused[shard] = now;
+    }
+    release.mOrdered = true;
+  }
+  mMetrics.gauge("radishroad_gate_hold_rows",
+                 static_cast<double>(answer.mHolds->size()));
+  if (leftOut > 0) {
+    logEvent(LogLevel::Warn,
+             "holds_left_out",
+             { { "rows", leftOut }, { "bytes", size } });
+  }
+  return answer;
+}
+
+void
+Gate::Impl::noteReleased(const UpstreamReport& aReport)
+{
+  const KeyLayout& layout = mGrants.layout();
+  for (const ReportedRelease& released : aReport.mReleased) {
+    const std::uint32_t last = released.mKeys.mLast / layout.runKeys();
+    for (std::uint32_t n = released.mKeys.mFirst / layout.runKeys(); n <= last;
+         ++n) {
+      const auto it = mReleases.find(KeyLayout::shardOfRun(n));
+      if (it != mReleases.end()) {
+        it->second.mTokens.at(KeyLayout::placeOfRun(n)) = released.mHandover;
+      }
+    }
+  }
+}
+
+void
+Gate::Impl::sendGrants(Millis aNow)
+{
+  if (!grantsKeys() || grantsByReport()) {
+    return;
+  }
+  setHoldings(wantedHoldings(aNow).value_or(Holdings{ mGrants.layout(), {} }));
   if (mKeyCalls.size() >= kMaxKeyCalls) {
     return;
   }
@@ -143,10 +226,13 @@
   }
   if (!mReleases.contains(aShard)) {
     Release& begun = mReleases[aShard];
-    begun.mToSend = runsOfShard(aShard);
-    begun.mTokens.resize(kRunsPerShard);
+    begun.mToSend = mGrants.layout().runsOfShard(aShard);
+    begun.mTokens.resize(mGrants.layout().runsPerShard());
     begun.mEpoch = mHooks.mEpochOf(aShard);
   }
+  if (grantsByReport()) {
+    return releaseByReport(aShard, aNow);
+  }
   Release& release = mReleases[aShard];
   if (mGrants.underWay(aShard)) {
     return false;
@@ -157,7 +243,8 @@
     KeyCall call;
     call.mRun = run;
     call.mSentAt = aNow;
-    startKeyCall(mOptions.mProtocol.mRelease(rangeOfRun(run), release.mEpoch),
+    startKeyCall(mOptions.mProtocol.mRelease(mGrants.layout().rangeOfRun(run),
+                                             release.mEpoch),
                  std::move(call),
                  kReleaseTimeout,
                  [this](std::uint64_t aCall,
@@ -166,15 +253,46 @@
                    onReleaseEnd(aCall, aEnd, aResponse);
                  });
   }
-  const bool free =
-    release.mEnded == kRunsPerShard && aNow >= mGrants.freeFrom(aShard, aNow);
-  if (free && !release.mTold) {
-    release.mTold = true;
-    mHooks.mOnReleased(aShard, release.mTokens);
+  const bool free = release.mEnded == mGrants.layout().runsPerShard() &&
+                    aNow >= mGrants.freeFrom(aShard, aNow);
+  if (free) {
+    endRelease(aShard, release);
   }
   return free;
 }
 
+bool
+Gate::Impl::releaseByReport(Shard aShard, Millis aNow)
+{
+  // Free once a report does not name it any more, or the hold has run out.
+  const bool free = aNow >= mGrants.freeFrom(aShard, aNow);
+  if (free) {
+    endRelease(aShard, mReleases.at(aShard));
+  }
+  return free;
+}
+
+void
+Gate::Impl::endRelease(Shard aShard, Release& aRelease)
+{
+  if (!aRelease.mTold) {
+    aRelease.mTold = true;
+    mHooks.mOnReleased(aShard, aRelease.mTokens);
+  }
+}
+
+bool
+Gate::Impl::isHeldBack(Shard aShard) const
+{
+  if (!mPaused.contains(aShard)) {
+    return false;
+  }
+  // Until a report is answered without it, the upstream serves it on.
+  const auto it = mReleases.find(aShard);
+  return !grantsByReport() || it == mReleases.end() || it->second.mOrdered ||
+         it->second.mTold;
+}
+
 void
 Gate::Impl::onReleaseEnd(std::uint64_t aCall,
                          ExchangeEnd aEnd,
@@ -182,7 +300,7 @@
 {
   const auto node = mKeyCalls.extract(aCall);
   const std::uint32_t run = node.mapped().mRun;
-  const auto it = mReleases.find(shardOfRun(run));
+  const auto it = mReleases.find(KeyLayout::shardOfRun(run));
   if (it == mReleases.end()) {
     return;
   }
@@ -191,7 +309,7 @@
     onHealthChange(mHealth.onRefused());
   } else if (aEnd == ExchangeEnd::Whole && aResponse.mStatus == kStatusOk) {
     mGrants.onReleased(run);
-    it->second.mTokens.at(run / kShardCount) =
+    it->second.mTokens.at(KeyLayout::placeOfRun(run)) =
       mOptions.mProtocol.mHandover(aResponse);
   } else {
     mMetrics.count("radishroad_gate_release_failures_total");
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -92,6 +92,8 @@
     Epoch mEpoch = 0;
     std::vector<std::string> mTokens;
     bool mTold = false;
+    /// The upstream has been told to give it back.
+    bool mOrdered = false;
   };
 
   Impl(Options aOptions, Hooks aHooks, Metrics& aMetrics);
@@ -171,6 +173,17 @@
   bool isClosed(Millis aNow) const;
   // gate_grant.cpp: keys that the upstream holds.
   bool grantsKeys() const;
+  bool grantsByReport() const;
+  /// Shards to be held now; nothing if this daemon cannot tell.
+  std::optional<Holdings> wantedHoldings(Millis aNow) const;
+  void setHoldings(const Holdings& aHoldings);
+  /// Takes in what the upstream holds, and says what it is to hold.
+  ReportAnswer answerReport(const UpstreamReport& aReport);
+  void noteReleased(const UpstreamReport& aReport);
+  bool releaseByReport(Shard aShard, Millis aNow);
+  void endRelease(Shard aShard, Release& aRelease);
+  /// Requests of the shard wait: it is being handed off.
+  bool isHeldBack(Shard aShard) const;
   using KeyCallEndFn = std::function<
     void(std::uint64_t aCall, ExchangeEnd aEnd, const UpstreamResponse&)>;
   void startKeyCall(UpstreamCall aCall,
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -100,6 +100,7 @@
   }
   mCold.setRate(mService.mColdPerSecond);
   mGrants.setHoldTime(mService.mHoldTime);
+  mGrants.setByReport(mService.mGrantsByReport);
   if (!mGrantsBegun && grantsKeys()) {
     mGrantsBegun = true;
     // An earlier process at this VM may have granted until just now.
@@ -275,7 +276,10 @@
     const Millis now = mHooks.mNow();
     bool idle = true;
     for (const Shard shard : drain.mShards) {
-      idle = !busy.contains(shard) && releaseShard(shard, now) && idle;
+      // Where reports tell of what still runs, the release begins at once.
+      const bool mayRelease = grantsByReport() || !busy.contains(shard);
+      idle =
+        mayRelease && releaseShard(shard, now) && !busy.contains(shard) && idle;
     }
     (idle ? done : waiting).push_back(std::move(drain));
   }
--- a/src/upstream/gate_order.cpp
+++ b/src/upstream/gate_order.cpp
@@ -70,7 +70,7 @@
     }
     std::optional<QueuedRequest> queued = mQueue.take(tickets[index]);
     const bool mayGo = aNow >= queued->mNotBefore &&
-                       !mPaused.contains(queued->mRequest.shard) &&
+                       !isHeldBack(queued->mRequest.shard) &&
                        !isGivenUp(idOf(queued->mRequest));
     if (mayGo) {
       decide(std::move(*queued), aNow);
@@ -99,7 +99,8 @@
     }
     const ServeDecision decision = mHooks.mMayServe(aQueued.mRequest);
     const auto paused = mPaused.find(aQueued.mRequest.shard);
-    const bool isPaused = paused != mPaused.end();
+    const bool isPaused =
+      paused != mPaused.end() && isHeldBack(aQueued.mRequest.shard);
     const Millis holdUntil = waitsForKeyUntil(
       aQueued.mQueuedAt,
       aQueued.mHoldUntil,
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -65,7 +65,7 @@
   bool roomForAny = false;
   const auto mayGo = [&](const QueuedRequest& aQueued) {
     return aNow >= aQueued.mNotBefore && aNow < lastSend(aQueued) &&
-           !mPaused.contains(aQueued.mRequest.shard) &&
+           !isHeldBack(aQueued.mRequest.shard) &&
            !isGivenUp(idOf(aQueued.mRequest)) &&
            (aQueued.mRequest.idempotent || roomForAny);
   };
@@ -158,7 +158,7 @@
     decision.mRefusal == NotRunReason::None && decision.mEpoch == run.mEpoch;
   const Millis now = mHooks.mNow();
   const bool inTime = now < run.mEndBy;
-  run.mHeldBack = !served || !inTime || mPaused.contains(request.shard) ||
+  run.mHeldBack = !served || !inTime || isHeldBack(request.shard) ||
                   !holdsKey(request, run.mEpoch) || isClosed(now);
   run.mServeUntil = decision.mServeUntil;
   run.mSent = !run.mHeldBack;
--- a/tests/unit/grant_keeper_test.cpp
+++ b/tests/unit/grant_keeper_test.cpp
@@ -48,11 +48,12 @@
 {
   std::set<std::uint64_t> hashes;
   for (std::uint32_t key = 0; key < kNumberedKeys; ++key) {
-    const std::uint64_t hash = hashOfNumber(key);
+    const std::uint64_t hash = KeyLayout().hashOfNumber(key);
     BOOST_REQUIRE(hashes.insert(hash).second);
-    BOOST_REQUIRE(numberOfHash(hash) == key);
-    BOOST_REQUIRE(shardOf(hash) == shardOfRun(runOfHash(hash)));
-    const KeyRange range = rangeOfRun(runOfHash(hash));
+    BOOST_REQUIRE(KeyLayout().numberOfHash(hash) == key);
+    BOOST_REQUIRE(shardOf(hash) ==
+                  KeyLayout::shardOfRun(KeyLayout().runOfHash(hash)));
+    const KeyRange range = KeyLayout().rangeOfRun(KeyLayout().runOfHash(hash));
     BOOST_REQUIRE((range.mFirst <= key && key <= range.mLast));
   }
 }
@@ -62,9 +63,9 @@
   // 200 neighbouring keys get almost half of the requests for seconds.
   std::set<Shard> shards;
   for (std::uint32_t key = 30000; key < 30200; ++key) {
-    shards.insert(shardOf(hashOfNumber(key)));
+    shards.insert(shardOf(KeyLayout().hashOfNumber(key)));
   }
-  BOOST_TEST(shards.size() >= 200 / kRunKeys);
+  BOOST_TEST(shards.size() >= 200 / kDefaultRunKeys);
 }
 
 BOOST_AUTO_TEST_CASE(keys_in_a_row_with_one_epoch_take_one_order)
@@ -80,9 +81,9 @@
 BOOST_AUTO_TEST_CASE(a_key_is_held_from_the_answer_until_the_hold_ends)
 {
   GrantKeeper keeper = keeperOf(7, 4);
-  const std::uint64_t key = hashOfNumber(7 * kRunKeys);
+  const std::uint64_t key = KeyLayout().hashOfNumber(7 * kDefaultRunKeys);
   const std::vector<GrantOrder> orders = keeper.due(kMany, 100_ms);
-  BOOST_TEST(orders.size() == kRunsPerShard);
+  BOOST_TEST(orders.size() == KeyLayout().runsPerShard());
   BOOST_TEST(!keeper.holds(key, 4, 101_ms));
   for (const GrantOrder& order : orders) {
     keeper.onGranted(order, 100_ms, 102_ms);
@@ -99,7 +100,8 @@
   BOOST_TEST(keeper.due(kMany, 500_ms).empty());
   BOOST_TEST((*keeper.nextDue(500_ms) == 1000_ms));
   grantAll(keeper, 1000_ms);
-  BOOST_TEST(keeper.holds(hashOfNumber(7 * kRunKeys), 4, 3900_ms));
+  BOOST_TEST(
+    keeper.holds(KeyLayout().hashOfNumber(7 * kDefaultRunKeys), 4, 3900_ms));
 }
 
 BOOST_AUTO_TEST_CASE(a_released_shard_is_free_at_once)
@@ -108,7 +110,7 @@
   grantAll(keeper, 0_ms);
   keeper.setHoldings({});
   BOOST_TEST((keeper.freeFrom(7, 10_ms) > kHold));
-  for (const std::uint32_t run : runsOfShard(7)) {
+  for (const std::uint32_t run : KeyLayout().runsOfShard(7)) {
     keeper.onReleased(run);
   }
   BOOST_TEST((keeper.freeFrom(7, 10_ms) == 10_ms));
@@ -123,7 +125,7 @@
     keeper.onUnanswered(order, 300_ms);
   }
   keeper.setHoldings({});
-  for (const std::uint32_t run : runsOfShard(7)) {
+  for (const std::uint32_t run : KeyLayout().runsOfShard(7)) {
     keeper.onReleased(run);
   }
   BOOST_TEST((keeper.freeFrom(7, 400_ms) >= 300_ms + kHold));
@@ -150,7 +152,7 @@
 BOOST_AUTO_TEST_CASE(tokens_go_with_the_first_grant_of_a_later_epoch)
 {
   GrantKeeper keeper = keeperOf(7, 4);
-  std::vector<std::string> tokens(kRunsPerShard, "token");
+  std::vector<std::string> tokens(KeyLayout().runsPerShard(), "token");
   keeper.onHandover(7, 3, tokens, 0_ms);
   const std::vector<GrantOrder> first = keeper.due(kMany, 1_ms);
   BOOST_TEST(std::ranges::all_of(first, [](const GrantOrder& aOrder) {
@@ -167,7 +169,8 @@
 BOOST_AUTO_TEST_CASE(tokens_of_the_same_epoch_are_not_for_this_holder)
 {
   GrantKeeper keeper = keeperOf(7, 4);
-  keeper.onHandover(7, 4, std::vector<std::string>(kRunsPerShard, "x"), 0_ms);
+  keeper.onHandover(
+    7, 4, std::vector<std::string>(KeyLayout().runsPerShard(), "x"), 0_ms);
   for (const GrantOrder& order : keeper.due(kMany, 1_ms)) {
     BOOST_TEST(order.mHandover.empty());
   }
--- a/tests/unit/platform_gate_test.cpp
+++ b/tests/unit/platform_gate_test.cpp
@@ -55,7 +55,7 @@
     };
     hooks.mOnHealth = [this](bool aUp) { mUp = aUp; };
     hooks.mHoldings = [] {
-      return std::vector<Holding>{ { kOwnShard, kEpoch } };
+      return Holdings{ KeyLayout(), { { kOwnShard, kEpoch } } };
     };
     hooks.mEpochOf = [](Shard) { return kEpoch; };
     hooks.mOnReleased = [this](Shard, const std::vector<std::string>& aTokens) {
@@ -121,7 +121,7 @@
   {
     ForwardRequest request = makeRequest("GET", hash(aId));
     request.shard = kOwnShard;
-    request.key_hash = hashOfNumber(kOwnShard * kRunKeys);
+    request.key_hash = KeyLayout().hashOfNumber(kOwnShard * kDefaultRunKeys);
     request.request_id = aId;
     request.objective_ms = 3000;
     request.idempotent = true;
@@ -175,10 +175,10 @@
   BOOST_TEST(answer.status == 200);
   // A few grants go out at a time; the others follow.
   const Millis end = monotonicNow() + 5_s;
-  while (gate.held() < kRunsPerShard && monotonicNow() < end) {
+  while (gate.held() < KeyLayout().runsPerShard() && monotonicNow() < end) {
     std::this_thread::sleep_for(std::chrono::milliseconds(1));
   }
-  BOOST_TEST(gate.held() == kRunsPerShard);
+  BOOST_TEST(gate.held() == KeyLayout().runsPerShard());
 }
 
 BOOST_AUTO_TEST_CASE(a_shard_is_given_back_at_its_epoch_before_it_is_handed_off)
@@ -193,7 +193,7 @@
   BOOST_TEST(gate.mHeld.empty());
   BOOST_TEST(gate.mReleasedEpoch == kEpoch);
   BOOST_TEST((gate.mTokens.get_future().get() ==
-              std::vector<std::string>(kRunsPerShard, "t")));
+              std::vector<std::string>(KeyLayout().runsPerShard(), "t")));
 }
 
 BOOST_AUTO_TEST_CASE(an_upstream_that_drains_gets_nothing_after_the_limit)
--- a/tests/unit/platform_messages_test.cpp
+++ b/tests/unit/platform_messages_test.cpp
@@ -98,6 +98,56 @@
   BOOST_TEST((report->mKind == UpstreamReport::Kind::Ready));
 }
 
+BOOST_AUTO_TEST_CASE(a_report_of_what_is_held)
+{
+  nlohmann::json body = nlohmann::json::parse(kReport);
+  body["Holds"] = { { 0, 4095, 7 } };
+  body["Released"] = { { 4096, 8191, "5c0e7a21d94b36f8" } };
+  const Result<UpstreamReport> report =
+    platform::readUpstreamReport(callOf(kReportTarget, body.dump()));
+  BOOST_REQUIRE(report.has_value());
+  BOOST_REQUIRE(report->mHolds.value().size() == 1U);
+  BOOST_TEST((report->mHolds->front().mKeys == KeyRange{ 0, 4095 }));
+  BOOST_TEST(report->mHolds->front().mEpoch == 7U);
+  BOOST_REQUIRE(report->mReleased.size() == 1U);
+  BOOST_TEST(report->mReleased[0].mHandover == "5c0e7a21d94b36f8");
+  BOOST_TEST(!platform::readUpstreamReport(callOf(kReportTarget, kReport))
+                .value()
+                .mHolds.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_report_of_keys_that_are_none_is_refused)
+{
+  for (const char* rows : { R"([[5,4,1]])",
+                            R"([[0,65536,1]])",
+                            R"([[-1,4,1]])",
+                            R"([[0,4]])",
+                            R"([[0,4,"x"]])",
+                            R"([7])",
+                            R"({"a":[0,4,1]})",
+                            "true" }) {
+    nlohmann::json body = nlohmann::json::parse(kReport);
+    body["Holds"] = nlohmann::json::parse(rows);
+    BOOST_TEST(!platform::readUpstreamReport(callOf(kReportTarget, body.dump()))
+                  .has_value(),
+               rows);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_to_a_report_names_holds_only_if_they_are_known)
+{
+  BOOST_TEST(platform::writeReportAnswer({}) == "{}");
+  ReportAnswer answer;
+  answer.mHoldTime = Millis{ 4000 };
+  answer.mHolds = std::vector<GrantOrder>{
+    { { 0, 4095 }, 7, Millis{ 4000 }, "" },
+    { { 9000, 9999 }, 12, Millis{ 4000 }, "7a21d94b36f85c0e" }
+  };
+  BOOST_TEST(platform::writeReportAnswer(answer) ==
+             R"({"HoldMs":4000,"Holds":[[0,4095,7,""],)"
+             R"([9000,9999,12,"7a21d94b36f85c0e"]]})");
+}
+
 BOOST_AUTO_TEST_CASE(a_report_from_another_writer_is_refused)
 {
   for (const std::string& body :
--- a/tests/unit/serve_authority_test.cpp
+++ b/tests/unit/serve_authority_test.cpp
@@ -114,10 +114,10 @@
   served.mViews.set(view);
   ServeAuthority authority(served.mViews, "library", 1);
   authority.setLeaseUntil(1_s);
-  BOOST_TEST(authority.holdings(7, 100_ms).size() == 1U);
-  BOOST_TEST(authority.holdings(8, 100_ms).empty());
-  BOOST_TEST(authority.holdings(0, 100_ms).empty());
-  BOOST_TEST(authority.holdings(7, 1_s).empty());
+  BOOST_TEST(authority.holdings(7, 100_ms).value().mShards.size() == 1U);
+  BOOST_TEST(!authority.holdings(8, 100_ms));
+  BOOST_TEST(!authority.holdings(0, 100_ms));
+  BOOST_TEST(!authority.holdings(7, 1_s));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
