Run pipelined idempotent requests beside each other

Cause: requests behind a running one were started only after its answer. Change: a connection starts up to 8 requests at once where their routes are idempotent, and writes the answers in order. One that may run once only waits for all before it, as a caller repeats what stands behind a last answer. A refusal by rate is logged with what the daemon knew of the tokens.

--- a/include/radishroad/caller/connection.h
+++ b/include/radishroad/caller/connection.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace radishroad {
@@ -15,9 +16,10 @@
 class AnswerMailbox;
 class ServerContext;
 
-/// One caller's connection. Requests are run one at a time, in order, and an
-/// answer is written only to the request that it belongs to. Lives on one
-/// transport thread; only its weak pointer goes to other threads.
+/// One caller's connection. Requests that may overlap run beside each other;
+/// the others wait until all before them are answered. Answers are written in
+/// the order of the requests, each only to the request that it belongs to.
+/// Lives on one transport thread; only its weak pointer goes to other threads.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
@@ -36,7 +38,7 @@
   void onBytes(std::string_view aBytes, Millis aNow);
   void onAnswer(std::uint64_t aSequence, Answer aAnswer, Millis aNow);
   void onWritable(Millis aNow);
-  /// The caller has closed: the request that runs is cancelled.
+  /// The caller has closed: the requests that run are cancelled.
   void onGone();
   /// Checks the time limits. Call every now and then.
   void onTick(Millis aNow);
@@ -51,12 +53,27 @@
     Ended,
   };
 
+  /// A request from when it was read until its answer is written.
+  struct Entry
+  {
+    RequestReader::Outcome mOutcome;
+    bool mStarted = false;
+    /// Cancels the request while it runs; may be empty.
+    CancelFn mCancel;
+    std::optional<Answer> mAnswer;
+  };
+
   void readRequests(Millis aNow);
   /// There is room for one more request in the queue.
   bool canQueue() const;
   void boundHeldInput();
+  /// Starts what may run now, and writes the front's answer if it is there.
   void runNext(Millis aNow);
-  void runFront(ReadRequest& aFront);
+  void startRequests();
+  void start(Entry& aEntry, std::uint64_t aSequence);
+  void writeFront(Millis aNow);
+  /// Cancels all that runs.
+  void cancelRuns();
   bool isLastAnswer(const ReadRequest& aFront) const;
   void write(Response aResponse, bool aIsLast, Millis aNow);
   void flush(Millis aNow);
@@ -76,14 +93,10 @@
 
   ResponseSender mSender;
   RequestReader mReader;
-  std::deque<RequestReader::Outcome> mQueue;
-  /// Bodies of the requests in the queue.
+  std::deque<Entry> mQueue;
+  /// Bodies of the requests in the queue that have not been started.
   std::size_t mQueuedBytes = 0;
-  /// The front of the queue has been handed on and is not yet answered.
-  bool mRunning = false;
-  /// Cancels the request that runs; may be empty.
-  CancelFn mCancel;
-  /// Number of the request that runs or runs next.
+  /// Number of the request at the front of the queue.
   std::uint64_t mSequence = 0;
   /// What still comes in is thrown away.
   bool mDiscardInput = false;
--- a/include/radishroad/caller/server.h
+++ b/include/radishroad/caller/server.h
@@ -36,6 +36,9 @@
     /// As in ResponseFraming.
     bool mExactRetryAfter = false;
     bool mPlainStatuses = false;
+    /// May the request run beside those before it on its connection? If empty,
+    /// requests of one connection run one after the other.
+    std::function<bool(const CallerRequest&)> mMayOverlap = {};
   };
 
   CallerServer(Options aOptions, CallerRequestFn aHandler, Metrics& aMetrics);
--- a/include/radishroad/daemon/ingress.h
+++ b/include/radishroad/daemon/ingress.h
@@ -42,6 +42,8 @@
     /// A request that was told to wait waits no longer.
     std::function<void(const std::string& aWorkspace)> mDropHeld;
     std::function<Millis(const std::string& aWorkspace)> mRetryAfter;
+    /// For logs; may be empty.
+    std::function<TokenState(const std::string& aWorkspace)> mTokenState;
     /// Is the configuration known to be current enough to judge a caller's
     /// key by it?
     std::function<bool()> mConfigFresh;
@@ -71,6 +73,10 @@
           Metrics& aMetrics,
           Hooks aHooks);
 
+  /// May the request run while one before it on its connection does? Not if it
+  /// may run once only: a caller sends it again if the connection ends with an
+  /// answer before it.
+  bool mayOverlap(const CallerRequest& aRequest) const;
   /// Returns how to cancel the request.
   CancelFn handle(CallerRequest aRequest, AnswerFn aAnswer);
 
--- a/include/radishroad/daemon/rate_duty.h
+++ b/include/radishroad/daemon/rate_duty.h
@@ -33,6 +33,8 @@
   void dropHeld(const std::string& aWorkspace);
   /// Any thread.
   Millis retryAfter(const std::string& aWorkspace) const;
+  /// Any thread.
+  TokenState tokenState(const std::string& aWorkspace) const;
 
   /// Control thread, as all that follows.
   void onConfig(const config::Model& aModel);
--- a/include/radishroad/policy/token_wallet.h
+++ b/include/radishroad/policy/token_wallet.h
@@ -24,6 +24,21 @@
   Refused,
 };
 
+/// What a daemon knows of a workspace's tokens; explains a refusal.
+struct TokenState
+{
+  /// Tokens of the last grant, and how many were wanted.
+  std::uint32_t mGranted = 0;
+  std::uint32_t mWanted = 0;
+  /// Requests that wait for tokens.
+  std::uint32_t mWaiting = 0;
+  /// Since the last ask; an ask without a grant may have found no owner.
+  Millis mAskedAgo;
+  bool mAskPending = false;
+  /// Requests a second that this daemon sees.
+  double mDemand = 0;
+};
+
 /// The tokens that one daemon holds for the requests that it takes from
 /// callers, by workspace. Pure. It asks the owners of the workspaces' buckets
 /// for batches ahead of need where there is steady demand, and for single
@@ -56,6 +71,7 @@
   Millis retryAfter(std::string_view aWorkspace, Millis aNow) const;
 
   std::uint32_t held(std::string_view aWorkspace, Millis aNow) const;
+  TokenState state(std::string_view aWorkspace, Millis aNow) const;
 
 private:
   struct Batch
--- a/src/caller/connection.cpp
+++ b/src/caller/connection.cpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
+#include <utility>
 
 namespace radishroad {
 
@@ -14,6 +15,8 @@
 
 /// Requests of one connection that wait or run.
 constexpr std::size_t kMaxPipelined = 16;
+/// Requests of one connection that run beside each other.
+constexpr std::size_t kMaxRunning = 8;
 /// Further requests wait unread once those in the queue hold this much.
 constexpr std::size_t kMaxQueuedBytes = 1U << 20;
 /// A caller that sends more than this beyond a full queue loses the rest.
@@ -67,7 +70,7 @@
     }
     mDiscardInput = !*outcome || !(*outcome)->mKeepAlive;
     mQueuedBytes += *outcome ? (*outcome)->mRequest.mBody.size() : 0;
-    mQueue.push_back(std::move(*outcome));
+    mQueue.push_back({ std::move(*outcome), false, {}, {} });
     mPhaseSince = aNow;
   }
   boundHeldInput();
@@ -99,36 +102,51 @@
 void
 CallerConnection::runNext(Millis aNow)
 {
-  if (mRunning || mQueue.empty() || mOutput != Output::None) {
-    return;
+  startRequests();
+  if (mOutput == Output::None) {
+    writeFront(aNow);
   }
-  RequestReader::Outcome& front = mQueue.front();
-  if (!front) {
-    mContext.mMetrics.count("radishroad_caller_refused_total{reason=\"" +
-                            front.error().mReason + "\"}");
-    Response response = makeRefusal(front.error(), makeRandomId(), false);
-    write(std::move(response), true, aNow);
-    return;
+}
+
+void
+CallerConnection::startRequests()
+{
+  for (std::size_t n = 0; n < mQueue.size() && n < kMaxRunning; ++n) {
+    Entry& entry = mQueue[n];
+    if (entry.mStarted) {
+      continue;
+    }
+    // A caller sends what stands behind a last answer again, so that only what
+    // may run more than once is started before the answers ahead of it.
+    const bool mayStart =
+      entry.mOutcome &&
+      (n == 0 || (mContext.mOptions.mMayOverlap &&
+                  mContext.mOptions.mMayOverlap(entry.mOutcome->mRequest)));
+    if (!mayStart) {
+      return;
+    }
+    start(entry, mSequence + n);
   }
-  runFront(*front);
 }
 
 void
-CallerConnection::runFront(ReadRequest& aFront)
+CallerConnection::start(Entry& aEntry, std::uint64_t aSequence)
 {
-  mRunning = true;
-  const RandomId id = aFront.mRequest.mId;
+  aEntry.mStarted = true;
+  ReadRequest& read = *aEntry.mOutcome;
+  const RandomId id = read.mRequest.mId;
   const std::shared_ptr<PendingAnswer> pending =
-    std::make_shared<PendingAnswer>(mMailbox, weak_from_this(), mSequence, id);
-  CallerRequest request = std::move(aFront.mRequest);
+    std::make_shared<PendingAnswer>(mMailbox, weak_from_this(), aSequence, id);
+  CallerRequest request = std::move(read.mRequest);
   // Kept for the answer.
-  aFront.mRequest.mId = id;
-  aFront.mRequest.mReceivedAt = request.mReceivedAt;
+  read.mRequest.mId = id;
+  read.mRequest.mReceivedAt = request.mReceivedAt;
   mQueuedBytes -= request.mBody.size();
   try {
-    mCancel = mContext.mHandler(std::move(request), [pending](Answer aAnswer) {
-      pending->answer(std::move(aAnswer));
-    });
+    aEntry.mCancel =
+      mContext.mHandler(std::move(request), [pending](Answer aAnswer) {
+        pending->answer(std::move(aAnswer));
+      });
   } catch (const std::exception& error) {
     // What was handed on may run: the caller is told "unknown".
     logEvent(LogLevel::Error,
@@ -140,37 +158,70 @@
 void
 CallerConnection::onAnswer(std::uint64_t aSequence, Answer aAnswer, Millis aNow)
 {
-  if (!mRunning || aSequence != mSequence) {
+  // Below the front's number it wraps around, and is no place in the queue.
+  const std::uint64_t place = aSequence - mSequence;
+  if (place >= mQueue.size() || !mQueue[place].mStarted ||
+      mQueue[place].mAnswer) {
     return;
   }
-  mRunning = false;
-  mCancel = nullptr;
-  ++mSequence;
-  const ReadRequest front = std::move(*mQueue.front());
+  Entry& entry = mQueue[place];
+  entry.mAnswer = std::move(aAnswer);
+  entry.mCancel = nullptr;
+  runNext(aNow);
+  noteBusy();
+}
+
+void
+CallerConnection::writeFront(Millis aNow)
+{
+  if (mQueue.empty()) {
+    return;
+  }
+  if (!mQueue.front().mOutcome) {
+    const Refusal& refusal = mQueue.front().mOutcome.error();
+    mContext.mMetrics.count("radishroad_caller_refused_total{reason=\"" +
+                            refusal.mReason + "\"}");
+    write(makeRefusal(refusal, makeRandomId(), false), true, aNow);
+    return;
+  }
+  if (!mQueue.front().mAnswer) {
+    return;
+  }
+  Entry entry = std::move(mQueue.front());
   mQueue.pop_front();
-  const std::string outcome(outcomeName(aAnswer.kind));
+  ++mSequence;
+  const ReadRequest& read = *entry.mOutcome;
+  const std::string outcome(outcomeName(entry.mAnswer->kind));
   mContext.mMetrics.count("radishroad_caller_requests_total{outcome=\"" +
                           outcome + "\"}");
   mContext.mMetrics.observe("radishroad_caller_latency_seconds",
-                            aNow - front.mRequest.mReceivedAt);
-  const bool isLast = isLastAnswer(front);
-  write(makeResponse(std::move(aAnswer),
-                     front.mRequest.mId,
+                            aNow - read.mRequest.mReceivedAt);
+  const bool isLast = isLastAnswer(read);
+  write(makeResponse(std::move(*entry.mAnswer),
+                     read.mRequest.mId,
                      { .mKeepAlive = !isLast,
-                       .mIsHead = front.mIsHead,
+                       .mIsHead = read.mIsHead,
                        .mExactRetryAfter = mContext.mOptions.mExactRetryAfter,
                        .mPlainStatuses = mContext.mOptions.mPlainStatuses }),
         isLast,
         aNow);
-  noteBusy();
 }
 
 void
 CallerConnection::onGone()
 {
-  if (mRunning && mCancel) {
-    mContext.mMetrics.count("radishroad_caller_hang_ups_total");
-    mCancel();
+  cancelRuns();
+}
+
+void
+CallerConnection::cancelRuns()
+{
+  for (Entry& entry : mQueue) {
+    const CancelFn cancel = std::exchange(entry.mCancel, nullptr);
+    if (cancel) {
+      mContext.mMetrics.count("radishroad_caller_hang_ups_total");
+      cancel();
+    }
   }
 }
 
@@ -197,7 +248,7 @@
   const RequestReader::Phase phase = mReader.phase();
   const bool reading =
     phase == RequestReader::Phase::Head || phase == RequestReader::Phase::Body;
-  return mRunning || !mQueue.empty() || mOutput == Output::Pending ||
+  return !mQueue.empty() || mOutput == Output::Pending ||
          (reading && !mDiscardInput);
 }
 
--- a/src/caller/connection_limits.cpp
+++ b/src/caller/connection_limits.cpp
@@ -34,8 +34,12 @@
 CallerConnection::refuseSlowCaller(Millis aNow)
 {
   mDiscardInput = true;
-  mQueue.emplace_back(tl::unexpected<Refusal>(
-    Refusal{ 408, "request-timeout", "the request did not arrive in time" }));
+  mQueue.push_back(
+    { tl::unexpected<Refusal>(Refusal{
+        408, "request-timeout", "the request did not arrive in time" }),
+      false,
+      {},
+      {} });
   runNext(aNow);
   noteBusy();
 }
@@ -56,7 +60,7 @@
     return;
   }
   if (isBusy()) {
-    if (!mDiscardInput && !mRunning && mQueue.empty() && hasTimedOut(aNow)) {
+    if (!mDiscardInput && mQueue.empty() && hasTimedOut(aNow)) {
       refuseSlowCaller(aNow);
     }
     return;
--- a/src/caller/connection_output.cpp
+++ b/src/caller/connection_output.cpp
@@ -80,6 +80,7 @@
   mOutput = Output::Ended;
   mOutputSince = aNow;
   mDiscardInput = true;
+  cancelRuns();
   mQueue.clear();
   ::shutdown(mSocket, SHUT_WR);
 }
--- a/src/daemon/ingress_platform.cpp
+++ b/src/daemon/ingress_platform.cpp
@@ -120,6 +120,18 @@
   return NotRunReason::None;
 }
 
+bool
+Ingress::mayOverlap(const CallerRequest& aRequest) const
+{
+  const std::shared_ptr<const FleetView> view = mViews.get();
+  if (!mHooks.mReadHead || view->mModel == nullptr) {
+    return false;
+  }
+  const config::Route* route = config::matchPrefix(
+    *view->mModel, mHooks.mReadHead(aRequest).mHost, aRequest.mTarget);
+  return route != nullptr && route->mIdempotent;
+}
+
 NotRunReason
 Ingress::takeKey(const CallerHead& aHead,
                  const FleetView& aView,
@@ -267,20 +279,29 @@
       (answered && !late && !isSampled(request.request_id))) {
     return;
   }
-  logRequest(
-    "request",
-    request.request_id,
-    { { "outcome", outcomeName(aAnswer.kind) },
-      { "reason", reasonName(aAnswer.reason) },
-      { "status", aAnswer.status },
-      { "service", request.service },
-      { "workspace", request.workspace },
-      { "shard", request.shard },
-      { "sent_to", std::to_string(aFlight.mSentTo) },
-      { "config_version", request.config_version },
-      { "took_ms", (now - aFlight.mReceivedAt).mCount },
-      { "objective_ms", (aFlight.mObjectiveAt - aFlight.mReceivedAt).mCount },
-      { "retry_after_ms", aAnswer.retry_after_ms } });
+  nlohmann::json line = {
+    { "outcome", outcomeName(aAnswer.kind) },
+    { "reason", reasonName(aAnswer.reason) },
+    { "status", aAnswer.status },
+    { "service", request.service },
+    { "workspace", request.workspace },
+    { "shard", request.shard },
+    { "sent_to", std::to_string(aFlight.mSentTo) },
+    { "config_version", request.config_version },
+    { "took_ms", (now - aFlight.mReceivedAt).mCount },
+    { "objective_ms", (aFlight.mObjectiveAt - aFlight.mReceivedAt).mCount },
+    { "retry_after_ms", aAnswer.retry_after_ms }
+  };
+  if (aAnswer.reason == NotRunReason::RateLimited && mHooks.mTokenState) {
+    const TokenState tokens = mHooks.mTokenState(request.workspace);
+    line.update({ { "tokens_granted", tokens.mGranted },
+                  { "tokens_wanted", tokens.mWanted },
+                  { "waiting", tokens.mWaiting },
+                  { "asked_ms_ago", tokens.mAskedAgo.mCount },
+                  { "ask_pending", tokens.mAskPending },
+                  { "demand_per_second", tokens.mDemand } });
+  }
+  logRequest("request", request.request_id, std::move(line));
 }
 
 }
--- a/src/daemon/parts.cpp
+++ b/src/daemon/parts.cpp
@@ -114,7 +114,11 @@
       { .mListenAddress = mSettings.mCallerAddress,
         .mThreads = mSettings.callerThreads(),
         .mExactRetryAfter = mProtocol.isPlatform(),
-        .mPlainStatuses = mProtocol.isPlatform() },
+        .mPlainStatuses = mProtocol.isPlatform(),
+        .mMayOverlap =
+          [this](const CallerRequest& aRequest) {
+            return mIngress.mayOverlap(aRequest);
+          } },
       [this](CallerRequest aRequest, AnswerFn aAnswer) {
         return mIngress.handle(std::move(aRequest), std::move(aAnswer));
       },
--- a/src/daemon/parts_hooks.cpp
+++ b/src/daemon/parts_hooks.cpp
@@ -162,6 +162,9 @@
   hooks.mRetryAfter = [this](const std::string& aWorkspace) {
     return mRate.retryAfter(aWorkspace);
   };
+  hooks.mTokenState = [this](const std::string& aWorkspace) {
+    return mRate.tokenState(aWorkspace);
+  };
   hooks.mConfigFresh = [this] { return configFresh(); };
   hooks.mToOwnUpstream = [this](ForwardRequest aRequest, AnswerFn aAnswer) {
     mGate->submit(std::move(aRequest), withLoad(std::move(aAnswer)));
--- a/src/daemon/rate_duty.cpp
+++ b/src/daemon/rate_duty.cpp
@@ -74,6 +74,13 @@
   return mWallet.retryAfter(aWorkspace, mContext.mNow());
 }
 
+TokenState
+RateDuty::tokenState(const std::string& aWorkspace) const
+{
+  std::lock_guard<std::mutex> lock(mMutex);
+  return mWallet.state(aWorkspace, mContext.mNow());
+}
+
 void
 RateDuty::onConfig(const config::Model& aModel)
 {
--- a/src/policy/token_wallet.cpp
+++ b/src/policy/token_wallet.cpp
@@ -213,6 +213,18 @@
   return std::max(Millis{ 1 }, it->second.mNextAsk - aNow);
 }
 
+TokenState
+TokenWallet::state(std::string_view aWorkspace, Millis aNow) const
+{
+  const auto it = mPurses.find(aWorkspace);
+  if (it == mPurses.end()) {
+    return {};
+  }
+  const Purse& mine = it->second;
+  return { mine.mLastGranted,    mine.mWanted,     mine.mWaiting,
+           aNow - mine.mAskedAt, mine.mAskPending, demand(mine, aNow) };
+}
+
 std::uint32_t
 TokenWallet::held(std::string_view aWorkspace, Millis aNow) const
 {
--- a/tests/unit/caller_server_test.cpp
+++ b/tests/unit/caller_server_test.cpp
@@ -220,6 +220,88 @@
   }
 }
 
+// Load pattern: callers send lookups behind one that takes long, and each has a
+// deadline that counts from when it was sent.
+BOOST_AUTO_TEST_CASE(requests_that_may_overlap_run_beside_each_other)
+{
+  CallerServer::Options options;
+  options.mMayOverlap = [](const CallerRequest& aRequest) {
+    return aRequest.mTarget != "/once";
+  };
+  Fixture fixture(options);
+  RawClient client(fixture.port());
+  client.send(get("/1") + get("/2") + get("/3") + get("/once") + get("/5"));
+  Received first = fixture.take();
+  Received second = fixture.take();
+  Received third = fixture.take();
+  BOOST_TEST(third.mRequest.mTarget == "/3");
+  third.mAnswer(answerWith("/3"));
+  second.mAnswer(answerWith("/2"));
+  // The fourth may run once only: it waits for the answers before it.
+  BOOST_TEST(fixture.nothingRan());
+  first.mAnswer(answerWith("/1"));
+  for (const char* target : { "/1", "/2", "/3" }) {
+    BOOST_TEST(client.receive().value().mBody == target);
+  }
+  Received once = fixture.take();
+  BOOST_TEST(once.mRequest.mTarget == "/once");
+  Received fifth = fixture.take();
+  fifth.mAnswer(answerWith("/5"));
+  once.mAnswer(answerWith("/once"));
+  BOOST_TEST(client.receive().value().mBody == "/once");
+  BOOST_TEST(client.receive().value().mBody == "/5");
+}
+
+BOOST_AUTO_TEST_CASE(what_runs_beside_each_other_is_bounded)
+{
+  CallerServer::Options options;
+  options.mMayOverlap = [](const CallerRequest&) { return true; };
+  Fixture fixture(options);
+  RawClient client(fixture.port());
+  std::string bytes;
+  for (int it = 0; it < 12; ++it) {
+    bytes += get("/" + std::to_string(it));
+  }
+  client.send(bytes);
+  std::vector<Received> running;
+  running.reserve(8);
+  for (int it = 0; it < 8; ++it) {
+    running.push_back(fixture.take());
+  }
+  BOOST_TEST(fixture.nothingRan());
+  running[0].mAnswer(answerWith("/0"));
+  BOOST_TEST(client.receive().value().mBody == "/0");
+  BOOST_TEST(fixture.take().mRequest.mTarget == "/8");
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_ends_all_its_requests)
+{
+  CallerServer::Options options;
+  options.mMayOverlap = [](const CallerRequest&) { return true; };
+  Fixture fixture(options);
+  RawClient client(fixture.port());
+  client.send(get("/a") + get("/b"));
+  const Received first = fixture.take();
+  const Received second = fixture.take();
+  second.mAnswer(answerWith("early"));
+  client.close();
+  BOOST_TEST(fixture.mCancels.pop(kLongEnough).value_or("") == "/a");
+  first.mAnswer(answerWith("late"));
+}
+
+BOOST_AUTO_TEST_CASE(what_stands_behind_a_last_answer_is_not_run)
+{
+  CallerServer::Options options;
+  options.mMayOverlap = [](const CallerRequest&) { return true; };
+  Fixture fixture(options);
+  RawClient client(fixture.port());
+  client.send(get("/last", "Connection: close\r\n") + get("/behind"));
+  fixture.take().mAnswer(answerWith("last"));
+  BOOST_TEST(client.receive().value().mBody == "last");
+  BOOST_TEST(client.receiveEnd());
+  BOOST_TEST(fixture.nothingRan());
+}
+
 BOOST_AUTO_TEST_CASE(refusal_waits_for_the_answers_before_it)
 {
   Fixture fixture;
