Address records to the coordinator's VM, not to its last process

Change: proposals go to whichever process is at the coordinator's address, and are sent again each 100 ms until they are settled, as it may start later. The daemon at that address writes its own records.

--- a/include/radishroad/daemon/proposal_route.h
+++ b/include/radishroad/daemon/proposal_route.h
@@ -24,12 +24,17 @@
 public:
   /// Writes the record by this daemon's own writer.
   using WriteFn = std::function<void()>;
+  /// Sends the record to the coordinator's VM.
+  using SendFn = std::function<void()>;
 
   /// aReachable: a coordinator other than this daemon is there and answers.
   bool throughCoordinator(bool aReachable, Millis aNow) const;
-  /// The record has gone to the coordinator; aWrite is for the case that it
-  /// is not settled in time.
-  void onSent(RandomId aId, WriteFn aWrite, Millis aNow);
+  /// Sends the record to the coordinator, and again while it is not settled: a
+  /// process that starts there may not listen yet. aWrite is for the case that
+  /// it is not settled in time.
+  void send(RandomId aId, SendFn aSend, WriteFn aWrite, Millis aNow);
+  /// Sends again what is due.
+  void resend(Millis aNow);
   /// The record has been found in the state.
   void onSettled(RandomId aId);
   /// Records that the coordinator has not settled in time; they are forgotten
@@ -39,8 +44,10 @@
 private:
   struct Waiting
   {
+    SendFn mSend;
     WriteFn mWrite;
     Millis mSentAt;
+    Millis mResendAt;
   };
 
   std::map<RandomId, Waiting> mWaiting;
--- a/src/daemon/parts_state.cpp
+++ b/src/daemon/parts_state.cpp
@@ -143,9 +143,13 @@
   const Bytes data = encodeRecord(aRecord);
   const Millis now = monotonicNow();
   const Incarnation coordinator = coordinatorOf(mFleet.ownCell());
+  const Member* member = mFleet.findMember(coordinator);
   const std::vector<Incarnation> suspects = mLease.suspects();
+  // The process at the coordinator's address writes, also if it has just
+  // followed the one that the state names; this one may be it.
   const bool reachable =
-    coordinator != 0 && coordinator != mSelf &&
+    member != nullptr && coordinator != mSelf &&
+    member->mPeerAddress != mSettings.mPeerAddress &&
     aStream == mContext.ownStream() &&
     std::ranges::find(suspects, coordinator) == suspects.end();
   if (!mProposals.throughCoordinator(reachable, now)) {
@@ -153,12 +157,14 @@
       coordinator == 0 ? kFirstWriteTimeout : kWriteTimeout;
     return writeState(aStream, data, id, timeout, std::move(aResult));
   }
-  wire::ProposalT proposal;
-  proposal.stream = aStream;
-  proposal.record = data;
-  sendControl(coordinator, makeBody(std::move(proposal)));
-  mProposals.onSent(
+  mProposals.send(
     id,
+    [this, aStream, data, address = member->mPeerAddress] {
+      wire::ProposalT proposal;
+      proposal.stream = aStream;
+      proposal.record = data;
+      mLink->sendControl(address, 0, makeBody(std::move(proposal)));
+    },
     [this, aStream, data, id, result = std::move(aResult)] {
       if (!writeState(aStream, data, id, kWriteTimeout, result)) {
         result(fail(ErrorCode::Unavailable, "the writer's queue is full"));
@@ -210,6 +216,7 @@
 void
 Daemon::Parts::writeOverdue()
 {
+  mProposals.resend(monotonicNow());
   const std::vector<ProposalRoute::WriteFn> overdue =
     mProposals.takeOverdue(monotonicNow());
   if (overdue.empty()) {
--- a/src/daemon/proposal_route.cpp
+++ b/src/daemon/proposal_route.cpp
@@ -10,6 +10,8 @@
 /// before the one that the record comes into. Longer waits are felt as longer
 /// takeovers.
 constexpr Millis kSettleTime{ 400 };
+/// Pause before a record is sent again. Copies do no harm: they have one id.
+constexpr Millis kResendPause{ 100 };
 /// For how long a coordinator that did not settle a record is not asked again:
 /// as long as a writer tries to settle one.
 constexpr Millis kOwnFor{ 2000 };
@@ -23,9 +25,23 @@
 }
 
 void
-ProposalRoute::onSent(RandomId aId, WriteFn aWrite, Millis aNow)
+ProposalRoute::send(RandomId aId, SendFn aSend, WriteFn aWrite, Millis aNow)
 {
-  mWaiting[aId] = { std::move(aWrite), aNow };
+  aSend();
+  mWaiting[aId] = {
+    std::move(aSend), std::move(aWrite), aNow, aNow + kResendPause
+  };
+}
+
+void
+ProposalRoute::resend(Millis aNow)
+{
+  for (auto& [id, waiting] : mWaiting) {
+    if (aNow >= waiting.mResendAt) {
+      waiting.mResendAt = aNow + kResendPause;
+      waiting.mSend();
+    }
+  }
 }
 
 void
--- a/tests/unit/proposal_route_test.cpp
+++ b/tests/unit/proposal_route_test.cpp
@@ -12,8 +12,8 @@
   ProposalRoute route;
   BOOST_TEST(route.throughCoordinator(true, 1_s));
   BOOST_TEST(!route.throughCoordinator(false, 1_s));
-  route.onSent(
-    { 1, 1 }, [] { BOOST_ERROR("written twice"); }, 1_s);
+  route.send(
+    { 1, 1 }, [] {}, [] { BOOST_ERROR("written twice"); }, 1_s);
   route.onSettled({ 1, 1 });
   BOOST_TEST(route.takeOverdue(10_s).empty());
   BOOST_TEST(route.throughCoordinator(true, 10_s));
@@ -24,10 +24,10 @@
 {
   ProposalRoute route;
   int written = 0;
-  route.onSent(
-    { 1, 1 }, [&written] { ++written; }, 1000_ms);
-  route.onSent(
-    { 1, 2 }, [&written] { ++written; }, 1200_ms);
+  route.send(
+    { 1, 1 }, [] {}, [&written] { ++written; }, 1000_ms);
+  route.send(
+    { 1, 2 }, [] {}, [&written] { ++written; }, 1200_ms);
   BOOST_TEST(route.takeOverdue(1200_ms).empty());
   for (const ProposalRoute::WriteFn& write : route.takeOverdue(1500_ms)) {
     write();
@@ -38,4 +38,23 @@
   BOOST_TEST(route.throughCoordinator(true, 10_s));
 }
 
+// All VMs had lost power: the process at the coordinator's address starts a
+// little later than this one, and what was sent before is lost.
+BOOST_AUTO_TEST_CASE(a_record_is_sent_again_until_it_is_settled)
+{
+  ProposalRoute route;
+  int sent = 0;
+  route.send(
+    { 1, 1 }, [&sent] { ++sent; }, [] {}, 1000_ms);
+  BOOST_TEST(sent == 1);
+  route.resend(1050_ms);
+  BOOST_TEST(sent == 1);
+  route.resend(1100_ms);
+  route.resend(1120_ms);
+  BOOST_TEST(sent == 2);
+  route.onSettled({ 1, 1 });
+  route.resend(1300_ms);
+  BOOST_TEST(sent == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
