Judge work by its kind's time and by the upstream's momentary slowness

Cause: one mean run time stood for all kinds: lookups of 22 ms with an objective of 100 ms counted as late before they started, and went last. Responses tell how long work takes on the upstream's machine at this moment; the figure was dropped. Change: RunTimes keeps the usual time by route, with the slow moments taken out; order, refusal and the choice of an upstream take kind, usual time and momentary slowness, which counts for 400 ms.

--- a/include/radishroad/policy/work_order.h
+++ b/include/radishroad/policy/work_order.h
@@ -21,6 +21,8 @@
   Millis mQueuedAt;
   /// 0 goes first.
   std::uint8_t mRank = 0;
+  /// Expected time of its run; 0 for the mean of all.
+  double mRunMs = 0;
 };
 
 /// What an upstream does now.
@@ -31,6 +33,10 @@
   std::uint32_t mRunning = 0;
   /// Mean time of a run; 0 while none has been seen.
   double mRunMs = 0;
+  /// The same without slow moments.
+  double mUsualMs = 0;
+  /// How long work takes at this moment, 1 as usual.
+  double mSlowness = 1;
   /// Requests a second that it bears while cold; 0 while it is warm.
   double mColdPerSecond = 0;
 };
--- a/include/radishroad/upstream/upstream_protocol.h
+++ b/include/radishroad/upstream/upstream_protocol.h
@@ -29,6 +29,8 @@
   std::uint32_t mRunning = 0;
   std::uint32_t mWaiting = 0;
   std::uint32_t mSlots = 0;
+  /// How long work takes on its machine at this moment, 1 as usual.
+  double mSlowness = 1;
 };
 
 /// How the daemon speaks with its upstream. The default is the protocol of
--- a/src/daemon/ingress_platform.cpp
+++ b/src/daemon/ingress_platform.cpp
@@ -94,6 +94,7 @@
   // Only a workspace with a rate needs tokens.
   aFlight.mOpen = !isKnown || workspace->second.mRatePerSecond <= 0;
   request.idempotent = route->mIdempotent;
+  request.kind = static_cast<std::uint32_t>(hash64(route->mName));
   request.attempts_left = route->mMaxAttempts;
   request.caller_service = mHooks.mOwnService;
   request.method = std::move(aRequest.mMethod);
@@ -250,6 +251,7 @@
     pace.mSlots = aAnswer.load->slots;
     pace.mRunning = aAnswer.load->running;
     pace.mRunMs = aAnswer.load->run_ms;
+    pace.mSlowness = aAnswer.load->slowness;
     choice.onPace(aFlight.mSentTo, pace, aAnswer.load->queued, now);
   }
 }
--- a/src/daemon/parts_platform.cpp
+++ b/src/daemon/parts_platform.cpp
@@ -230,7 +230,8 @@
     aTold.load->running = pace.mPace.mRunning;
     aTold.load->queued = pace.mQueued;
     aTold.load->slots = pace.mPace.mSlots;
-    aTold.load->run_ms = static_cast<float>(pace.mPace.mRunMs);
+    aTold.load->run_ms = static_cast<float>(pace.mPace.mUsualMs);
+    aTold.load->slowness = static_cast<float>(pace.mPace.mSlowness);
     answer(std::move(aTold));
   };
 }
--- a/src/policy/upstream_choice.cpp
+++ b/src/policy/upstream_choice.cpp
@@ -64,11 +64,14 @@
 UpstreamChoice::expectedMs(const View& aView, Millis aNow) const
 {
   const bool told = aView.mTold > Millis{};
-  const double run =
+  const double usual =
     told && aView.mPace.mRunMs > 0 ? aView.mPace.mRunMs : kUnknownRunMs;
   const double slots = told ? std::max(1U, aView.mPace.mSlots) : kUnknownSlots;
   const double age = static_cast<double>((aNow - aView.mTold).mCount);
   const double fresh = told ? std::max(0.0, 1 - age / kTellingMs) : 0;
+  // A slow moment that was told of a while ago may have passed.
+  const double slowness = 1 + (aView.mPace.mSlowness - 1) * fresh;
+  const double run = usual * slowness;
   const double there =
     fresh * (static_cast<double>(aView.mPace.mRunning) + aView.mQueued);
   const double since = aView.mSent - aView.mSentWhenTold * fresh;
--- a/src/policy/work_order.cpp
+++ b/src/policy/work_order.cpp
@@ -44,13 +44,21 @@
            : rate;
 }
 
+/// Expected time of the work's run.
+Millis
+runTime(const WaitingWork& aWork, const UpstreamPace& aPace)
+{
+  const double ms = aWork.mRunMs > 0 ? aWork.mRunMs : aPace.mRunMs;
+  return { static_cast<std::int64_t>(ms) };
+}
+
 Ranked
 rankOf(const WaitingWork& aWork,
        std::size_t aIndex,
        const UpstreamPace& aPace,
        Millis aNow)
 {
-  const Millis run{ static_cast<std::int64_t>(aPace.mRunMs) };
+  const Millis run = runTime(aWork, aPace);
   Ranked ranked;
   ranked.mIndex = aIndex;
   ranked.mLate = aNow + run > aWork.mObjectiveAt;
@@ -69,8 +77,7 @@
   const Millis useful =
     aWork.mQueuedAt +
     Millis{ static_cast<std::int64_t>(std::max(0.0, given) * kLateStretch) };
-  const Millis run{ static_cast<std::int64_t>(aPace.mRunMs) };
-  return std::min(useful, aWork.mDeadline - run);
+  return std::min(useful, aWork.mDeadline - runTime(aWork, aPace));
 }
 
 }
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -8,6 +8,7 @@
 #include "radishroad/policy/connection_pacer.h"
 #include "radishroad/policy/duplicate_memory.h"
 #include "radishroad/policy/retry_budget.h"
+#include "radishroad/policy/run_times.h"
 #include "radishroad/policy/window.h"
 #include "radishroad/upstream/exchange_runner.h"
 #include "radishroad/upstream/gate.h"
@@ -151,8 +152,8 @@
   void watchPending(Millis aNow);
   /// Cancels the newest idempotent runs beyond the window, to run later.
   void takeBack(Millis aNow);
-  /// Takes the time of one run into the mean.
-  void noteRun(Millis aTook);
+  /// Slowness of the upstream's machine, as a response told last.
+  double slowness(Millis aNow) const;
   void onLoadAnswer(const UpstreamResponse& aResponse);
   void notePaidConnections(Millis aNow);
 
@@ -252,7 +253,9 @@
   /// Set once the upstream has said that it drains.
   std::optional<Millis> mClosedFrom;
   std::uint32_t mSlots = kUnknownSlots;
-  double mRunMs = 0;
+  RunTimes mRunTimes;
+  double mSlowness = 1;
+  Millis mSlownessAt;
   std::uint64_t mNextTicket = 1;
   /// Connections known to the pacer.
   std::uint64_t mPacedConnections = 0;
--- a/src/upstream/gate_order.cpp
+++ b/src/upstream/gate_order.cpp
@@ -8,18 +8,18 @@
 
 namespace {
 
-/// Weight of one run in the mean time.
-constexpr double kRunGain = 0.03;
+/// What a response told of the machine's slowness holds for so long: slow
+/// moments are short.
+constexpr Millis kSlownessAge{ 400 };
 /// What is asked of callers whose key or upstream cannot be served just now.
 constexpr Millis kUnservedRetryAfter{ 200 };
 
 }
 
-void
-Gate::Impl::noteRun(Millis aTook)
+double
+Gate::Impl::slowness(Millis aNow) const
 {
-  const double took = static_cast<double>(aTook.mCount);
-  mRunMs = mRunMs == 0 ? took : mRunMs + kRunGain * (took - mRunMs);
+  return aNow - mSlownessAt < kSlownessAge ? mSlowness : 1;
 }
 
 UpstreamPace
@@ -28,7 +28,9 @@
   UpstreamPace pace;
   pace.mSlots = mSlots;
   pace.mRunning = busy();
-  pace.mRunMs = mRunMs;
+  pace.mRunMs = mRunTimes.meanMs();
+  pace.mUsualMs = mRunTimes.usualMs();
+  pace.mSlowness = slowness(aNow);
   pace.mColdPerSecond = mCold.isCold(aNow) ? mService.mColdPerSecond : 0;
   return pace;
 }
@@ -44,6 +46,7 @@
                         : aQueued.mDeadline;
   work.mQueuedAt = aQueued.mQueuedAt;
   work.mRank = request.rank;
+  work.mRunMs = mRunTimes.usualMs(request.kind) * slowness(mHooks.mNow());
   return work;
 }
 
--- a/src/upstream/gate_report.cpp
+++ b/src/upstream/gate_report.cpp
@@ -96,6 +96,10 @@
   if (load && load->mSlots > 0) {
     mSlots = load->mSlots;
   }
+  if (load) {
+    mSlowness = load->mSlowness;
+    mSlownessAt = mHooks.mNow();
+  }
 }
 
 bool
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -241,7 +241,7 @@
   }
   const Millis took = now - aRun.mSentAt;
   mWindow.onAnswer(took, aRun.mInFlight, now);
-  noteRun(took);
+  mRunTimes.note(queued.mRequest.kind, took, slowness(now));
   if (protocol.mReports) {
     // It goes on: only connections had been cut.
     std::erase_if(mSuspects, [&aRun](const CrashSuspect& aSuspect) {
--- a/tests/unit/platform_messages_test.cpp
+++ b/tests/unit/platform_messages_test.cpp
@@ -206,6 +206,7 @@
   BOOST_TEST(load->mRunning == 3U);
   BOOST_TEST(load->mWaiting == 1U);
   BOOST_TEST(load->mSlots == 9U);
+  BOOST_TEST(load->mSlowness == 1.4);
   for (const char* text : { "", "3", "3,1", "a,b,c", "3,,9" }) {
     BOOST_TEST(!platform::readLoad(responseOf(200, { "X-Upstream-Load", text }))
                   .has_value(),
--- a/tests/unit/work_order_test.cpp
+++ b/tests/unit/work_order_test.cpp
@@ -1,9 +1,11 @@
+#include "radishroad/policy/run_times.h"
 #include "radishroad/policy/work_order.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <random>
+#include <set>
 
 using namespace radishroad;
 using namespace radishroad::literals;
@@ -223,4 +225,109 @@
   BOOST_TEST(sumOfRank[0] / countOfRank[0] < sumOfRank[1] / countOfRank[1]);
 }
 
+/// Lookups of 20 ms, of the first rank, with an objective of 100 ms beside
+/// reads of 200 ms with one of 600 ms, and in the middle more reads than the
+/// upstream bears. Part of the lookups that were in time. aByKind: each is
+/// judged by the time of its kind.
+double
+lookupsInTime(bool aByKind, std::uint64_t aSeed)
+{
+  constexpr std::uint32_t kSlots = 6;
+  constexpr Millis kLength{ 8000 };
+  std::mt19937_64 random(aSeed);
+  RunTimes times;
+  for (int it = 0; it < 200; ++it) {
+    times.note(it % 2 == 0 ? 1 : 2, it % 2 == 0 ? 20_ms : 200_ms, 1);
+  }
+  struct Work
+  {
+    WaitingWork mWork;
+    bool mLookup = false;
+  };
+  std::vector<Work> waiting;
+  std::vector<Millis> running;
+  int inTime = 0;
+  int all = 0;
+  for (Millis now; now < kLength; now += 1_ms) {
+    std::erase_if(running, [now](Millis aEnd) { return aEnd <= now; });
+    const bool busy = now > 2000_ms && now < 6000_ms;
+    const auto comes = [&](double aPerSecond) {
+      return std::bernoulli_distribution(aPerSecond / 1000)(random);
+    };
+    for (const bool lookup : { true, false }) {
+      if (!comes(lookup ? 40 : busy ? 32 : 15)) {
+        continue;
+      }
+      all += lookup ? 1 : 0;
+      Work work;
+      work.mLookup = lookup;
+      work.mWork.mQueuedAt = now;
+      work.mWork.mObjectiveAt = now + (lookup ? 100_ms : 600_ms);
+      work.mWork.mDeadline = now + (lookup ? 250_ms : 1500_ms);
+      work.mWork.mRank = lookup ? 0 : 2;
+      work.mWork.mRunMs = aByKind ? times.usualMs(lookup ? 1 : 2) : 0;
+      waiting.push_back(work);
+    }
+    std::vector<WaitingWork> works;
+    works.reserve(waiting.size());
+    for (const Work& work : waiting) {
+      works.push_back(work.mWork);
+    }
+    UpstreamPace pace;
+    pace.mSlots = kSlots;
+    pace.mRunning = static_cast<std::uint32_t>(running.size());
+    pace.mRunMs = times.meanMs();
+    const WorkPlan plan = planWork(works, pace, now);
+    std::set<std::size_t> gone;
+    for (const WorkPlan::Refusal& refusal : plan.mRefused) {
+      gone.insert(refusal.mIndex);
+    }
+    for (const std::size_t index : plan.mOrder) {
+      if (running.size() == kSlots) {
+        break;
+      }
+      const Work& work = waiting[index];
+      const Millis end = now + (work.mLookup ? 20_ms : 200_ms);
+      running.push_back(end);
+      gone.insert(index);
+      inTime += work.mLookup && end <= work.mWork.mObjectiveAt ? 1 : 0;
+    }
+    std::vector<Work> left;
+    for (std::size_t it = 0; it < waiting.size(); ++it) {
+      if (!gone.contains(it)) {
+        left.push_back(waiting[it]);
+      }
+    }
+    waiting = std::move(left);
+  }
+  return static_cast<double>(inTime) / all;
+}
+
+BOOST_AUTO_TEST_CASE(lookups_beside_long_reads_are_judged_by_their_own_time)
+{
+  double byKind = 0;
+  double byMean = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    byKind += lookupsInTime(true, seed) / 20;
+    byMean += lookupsInTime(false, seed) / 20;
+  }
+  BOOST_TEST_MESSAGE("in time by kind " << byKind << ", by mean " << byMean);
+  BOOST_TEST(byMean < byKind - 0.1);
+}
+
+BOOST_AUTO_TEST_CASE(what_was_learned_in_a_slow_moment_does_not_outlive_it)
+{
+  RunTimes times;
+  for (int it = 0; it < 100; ++it) {
+    times.note(1, 20_ms, 1);
+  }
+  for (int it = 0; it < 20; ++it) {
+    times.note(1, 60_ms, 3);
+  }
+  BOOST_TEST(times.usualMs(1) < 21);
+  BOOST_TEST(times.meanMs() > 25);
+  // A kind that has not run yet is taken for the mean of all.
+  BOOST_TEST(times.usualMs(2) == times.usualMs());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
