Tell a lack of a bucket's owner from a rate that is passed; test endless bytes

Cause: in the second after all VMs had lost power, callers were told 429 and to come back after 1 ms, though no bucket had an owner: their one repeat was lost, and explain named their rate as the cause. Change: a refusal without tokens is 503 while the last ask got no grant, and its line says so; callers come back after 250 ms then, after 100 ms above their rate, spread by rank and request. Endless heads, bodies, lines and interim answers of an upstream end at the gate's bounds (platform_gate): nothing had to be mended.

--- a/include/radishroad/daemon/ingress.h
+++ b/include/radishroad/daemon/ingress.h
@@ -112,6 +112,7 @@
   NotRunReason checkCaller(const ForwardRequest& aRequest,
                            const FleetView& aView) const;
   void admit(const FlightPtr& aFlight);
+  void refuseByRate(const FlightPtr& aFlight);
   void dropHeld(const FlightPtr& aFlight);
   void send(const FlightPtr& aFlight);
   void handOver(const FlightPtr& aFlight,
--- a/include/radishroad/policy/token_wallet.h
+++ b/include/radishroad/policy/token_wallet.h
@@ -35,6 +35,9 @@
   /// Since the last ask; an ask without a grant may have found no owner.
   Millis mAskedAgo;
   bool mAskPending = false;
+  /// The last ask got no grant: the bucket has no owner, or it cannot be
+  /// reached. A refusal then says nothing of the workspace's rate.
+  bool mUnanswered = false;
   /// Requests a second that this daemon sees.
   double mDemand = 0;
 };
@@ -68,6 +71,10 @@
   void onGrant(const wire::TokenGrantT& aGrant, Millis aSentAt, Millis aNow);
 
   /// Time after which a refused caller may find a token.
+  ///
+  /// Load pattern: a workspace sends several times its rate, or no bucket has
+  /// an owner for a second. Callers that came back at once would be refused
+  /// again, most of them for good.
   Millis retryAfter(std::string_view aWorkspace, Millis aNow) const;
 
   std::uint32_t held(std::string_view aWorkspace, Millis aNow) const;
@@ -84,6 +91,7 @@
     std::deque<Batch> mBatches;
     std::uint64_t mSequence = 0;
     bool mAskPending = false;
+    bool mUnanswered = true;
     Millis mAskedAt;
     Millis mNextAsk;
     /// The last grant was less than wanted.
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -9,6 +9,7 @@
 #include "radishroad/config/route_match.h"
 #include "radishroad/daemon/caller_key.h"
 #include "radishroad/daemon/fleet_view.h"
+#include "radishroad/policy/work_order.h"
 
 #include <algorithm>
 #include <atomic>
@@ -214,10 +215,22 @@
     }
     mHooks.mDropHeld(workspace);
   }
-  finish(aFlight,
-         makeNotRun(idOf(aFlight->mRequest),
-                    NotRunReason::RateLimited,
-                    mHooks.mRetryAfter(workspace)));
+  refuseByRate(aFlight);
+}
+
+void
+Ingress::refuseByRate(const FlightPtr& aFlight)
+{
+  const ForwardRequest& request = aFlight->mRequest;
+  const bool unanswered =
+    mHooks.mTokenState && mHooks.mTokenState(request.workspace).mUnanswered;
+  const Millis pause = returnAfter(
+    mHooks.mRetryAfter(request.workspace), request.rank, request.id_low);
+  finish(
+    aFlight,
+    makeNotRun(idOf(request),
+               unanswered ? NotRunReason::NoOwner : NotRunReason::RateLimited,
+               pause));
 }
 
 void
--- a/src/daemon/ingress_platform.cpp
+++ b/src/daemon/ingress_platform.cpp
@@ -294,13 +294,15 @@
     { "objective_ms", (aFlight.mObjectiveAt - aFlight.mReceivedAt).mCount },
     { "retry_after_ms", aAnswer.retry_after_ms }
   };
-  if (aAnswer.reason == NotRunReason::RateLimited && mHooks.mTokenState) {
+  if (aFlight.mHeldForToken && aAnswer.kind == AnswerKind::NotRun &&
+      mHooks.mTokenState) {
     const TokenState tokens = mHooks.mTokenState(request.workspace);
     line.update({ { "tokens_granted", tokens.mGranted },
                   { "tokens_wanted", tokens.mWanted },
                   { "waiting", tokens.mWaiting },
                   { "asked_ms_ago", tokens.mAskedAgo.mCount },
                   { "ask_pending", tokens.mAskPending },
+                  { "owner_answers", !tokens.mUnanswered },
                   { "demand_per_second", tokens.mDemand } });
   }
   logRequest("request", request.request_id, std::move(line));
--- a/src/policy/token_wallet.cpp
+++ b/src/policy/token_wallet.cpp
@@ -19,6 +19,11 @@
 /// Requests of a workspace that may wait for tokens at any time.
 constexpr std::uint32_t kAlwaysWaiting = 16;
 constexpr double kNegligibleDemand = 0.01;
+/// Least pause of a caller that found no token.
+constexpr Millis kLeastRetryAfter{ 100 };
+/// The same while the bucket's owner does not answer: about what a takeover or
+/// a start of all daemons takes from then on.
+constexpr Millis kNoOwnerRetryAfter{ 250 };
 
 double
 seconds(Millis aSpan)
@@ -147,6 +152,7 @@
   for (auto& [workspace, mine] : mPurses) {
     if (mine.mAskPending && aNow - mine.mAskedAt >= kAskTimeout) {
       mine.mAskPending = false;
+      mine.mUnanswered = true;
     }
     const std::uint32_t n = wanted(mine, aNow);
     if (mine.mAskPending || aNow < mine.mNextAsk || n == 0) {
@@ -194,6 +200,7 @@
   }
   Purse& mine = it->second;
   mine.mAskPending = false;
+  mine.mUnanswered = false;
   mine.mLastGranted = aGrant.tokens;
   mine.mShort = aGrant.tokens < mine.mWanted;
   mine.mNextAsk = mine.mShort ? aNow + Millis{ aGrant.next_ask_ms } : aNow;
@@ -207,10 +214,10 @@
 TokenWallet::retryAfter(std::string_view aWorkspace, Millis aNow) const
 {
   const auto it = mPurses.find(aWorkspace);
-  if (it == mPurses.end()) {
-    return Millis{ 0 };
+  if (it == mPurses.end() || it->second.mUnanswered) {
+    return kNoOwnerRetryAfter;
   }
-  return std::max(Millis{ 1 }, it->second.mNextAsk - aNow);
+  return std::max(kLeastRetryAfter, it->second.mNextAsk - aNow);
 }
 
 TokenState
@@ -221,8 +228,15 @@
     return {};
   }
   const Purse& mine = it->second;
-  return { mine.mLastGranted,    mine.mWanted,     mine.mWaiting,
-           aNow - mine.mAskedAt, mine.mAskPending, demand(mine, aNow) };
+  TokenState state;
+  state.mGranted = mine.mLastGranted;
+  state.mWanted = mine.mWanted;
+  state.mWaiting = mine.mWaiting;
+  state.mAskedAgo = aNow - mine.mAskedAt;
+  state.mAskPending = mine.mAskPending;
+  state.mUnanswered = mine.mUnanswered;
+  state.mDemand = demand(mine, aNow);
+  return state;
 }
 
 std::uint32_t
--- a/tests/unit/fake_upstream.cpp
+++ b/tests/unit/fake_upstream.cpp
@@ -151,6 +151,12 @@
     request->mOnConnection = served++;
     const Reply reply = answerTo(*request);
     ::send(aSocket, reply.mBytes.data(), reply.mBytes.size(), MSG_NOSIGNAL);
+    ssize_t sent = 1;
+    while (!reply.mEndless.empty() && sent > 0) {
+      const std::string& bytes = reply.mEndless;
+      sent = ::send(aSocket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+      mEndlessBytes += sent > 0 ? static_cast<std::uint64_t>(sent) : 0;
+    }
     if (reply.mClose) {
       break;
     }
--- a/tests/unit/fake_upstream.h
+++ b/tests/unit/fake_upstream.h
@@ -1,6 +1,7 @@
 #ifndef RADISHROAD_TESTS_FAKE_UPSTREAM_H
 #define RADISHROAD_TESTS_FAKE_UPSTREAM_H
 
+#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
@@ -34,6 +35,8 @@
   {
     std::string mBytes;
     bool mClose = false;
+    /// Sent again and again behind mBytes until the other side closes.
+    std::string mEndless = {};
   };
 
   using Handler = std::function<Reply(const Request&)>;
@@ -51,6 +54,8 @@
   /// Waits until so many requests with this method were read.
   bool waitFor(const std::string& aMethod, std::size_t aCount) const;
   std::size_t connections() const;
+  /// Bytes that endless replies got rid of.
+  std::uint64_t endlessBytes() const { return mEndlessBytes; }
 
   static Reply ok(const std::string& aBody);
   static Reply status(const std::string& aStatus, const std::string& aHeaders);
@@ -63,6 +68,7 @@
   Handler mHandler;
   int mListener = -1;
   std::uint16_t mPort = 0;
+  std::atomic<std::uint64_t> mEndlessBytes{ 0 };
   mutable std::mutex mMutex;
   mutable std::condition_variable mChanged;
   std::string mInstance = "one";
--- a/tests/unit/platform_gate_test.cpp
+++ b/tests/unit/platform_gate_test.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 
+constexpr std::size_t kMaxBody = 1U << 20;
 constexpr Shard kOwnShard = 3;
 constexpr Epoch kEpoch = 6;
 
@@ -41,6 +42,7 @@
     options.mUpstream = mUpstream.address();
     options.mProtocol = platform::makeProtocol(settings).mUpstream;
     options.mDrainLimit = 100_ms;
+    options.mMaxBodyBytes = kMaxBody;
     return options;
   }
 
@@ -95,6 +97,12 @@
                  echo + "\r\nContent-Length: 0\r\n\r\n",
                false };
     }
+    if (!mEndless.empty()) {
+      return { mHead + "X-Request-Id: " + echo + "\r\n" +
+                 (mEndlessBody ? "\r\n" : ""),
+               false,
+               mEndless };
+    }
     return { mHead + "X-Request-Id: " + (mEcho.empty() ? echo : mEcho) +
                "\r\nContent-Length: 2\r\n\r\nok",
              false };
@@ -149,6 +157,8 @@
   Epoch mReleasedEpoch = 0;
   std::string mHead = "HTTP/1.1 200 OK\r\nX-Upstream-Signature: s\r\n";
   std::string mEcho;
+  std::string mEndless;
+  bool mEndlessBody = false;
   std::atomic<bool> mUp{ false };
   std::atomic<int> mLives{ 0 };
   std::atomic<bool> mDraining{ false };
@@ -231,4 +241,42 @@
   BOOST_TEST((gate.run("mine").kind == AnswerKind::Unknown));
 }
 
+// Bytes that are no answer come without end: the gate closes at its bound, long
+// before the deadline, and the caller gets a true failure.
+BOOST_AUTO_TEST_CASE(endless_bytes_are_closed_at_a_bound)
+{
+  for (const bool inBody : { false, true }) {
+    BOOST_TEST_CONTEXT("in body " << inBody)
+    {
+      PlatformGate gate;
+      gate.mEndlessBody = inBody;
+      gate.mEndless = inBody ? std::string(4096, 'x') : "X-More: x\r\n";
+      gate.report(UpstreamReport::Kind::Ready, 1);
+      const Millis from = monotonicNow();
+      BOOST_TEST((gate.run("mine").kind == AnswerKind::Unknown));
+      BOOST_TEST((monotonicNow() - from < 2500_ms));
+      // What the kernel holds for both sockets comes on top.
+      constexpr std::uint64_t kSocketBytes = 16U << 20;
+      BOOST_TEST(gate.mUpstream.endlessBytes() < kMaxBody + kSocketBytes);
+    }
+  }
+}
+
+// A head line that does not end, and interim answers without a final one.
+BOOST_AUTO_TEST_CASE(an_endless_line_or_endless_interim_answers_are_closed)
+{
+  for (const char* endless : { "xxxxxxxx", "HTTP/1.1 103 Early\r\n\r\n" }) {
+    PlatformGate gate;
+    if (endless[0] == 'H') {
+      gate.mHead = "HTTP/1.1 100 Continue\r\n";
+      gate.mEndlessBody = true;
+    }
+    gate.mEndless = endless;
+    gate.report(UpstreamReport::Kind::Ready, 1);
+    const Millis from = monotonicNow();
+    BOOST_TEST((gate.run("mine").kind == AnswerKind::Unknown), endless);
+    BOOST_TEST((monotonicNow() - from < 2500_ms), endless);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/rate_test.cpp
+++ b/tests/unit/rate_test.cpp
@@ -256,4 +256,25 @@
   BOOST_TEST(wallet.asks(now + 302_ms).size() == 1U);
 }
 
+// All daemons start at once, and for a second no bucket has an owner.
+BOOST_AUTO_TEST_CASE(an_ask_without_a_grant_says_nothing_of_the_rate)
+{
+  TokenWallet wallet(7);
+  BOOST_TEST((wallet.take("guild", 0_ms) == TakeVerdict::WaitForGrant));
+  BOOST_TEST(wallet.asks(0_ms).size() == 1U);
+  BOOST_TEST(wallet.state("guild", 10_ms).mUnanswered);
+  const std::vector<wire::TokenAskT> asks = wallet.asks(50_ms);
+  BOOST_REQUIRE(asks.size() == 1U);
+  BOOST_TEST((wallet.retryAfter("guild", 50_ms) == 250_ms));
+  wire::TokenGrantT grant;
+  grant.workspace = "guild";
+  grant.sequence = asks[0].sequence;
+  grant.next_ask_ms = 30;
+  wallet.onGrant(grant, 50_ms, 52_ms);
+  // The owner granted none: now the workspace is above its rate. Who came back
+  // at once would be refused again.
+  BOOST_TEST(!wallet.state("guild", 52_ms).mUnanswered);
+  BOOST_TEST((wallet.retryAfter("guild", 52_ms) == 100_ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
