--- a/tests/unit/platform_gate_test.cpp
+++ b/tests/unit/platform_gate_test.cpp
@@ -3,6 +3,7 @@
 #include "gate_fixture.h"
 #include "radishroad/daemon/settings.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -103,9 +104,10 @@
                false,
                mEndless };
     }
-    return { mHead + "X-Request-Id: " + (mEcho.empty() ? echo : mEcho) +
-               "\r\nContent-Length: 2\r\n\r\nok",
-             false };
+    const std::string bytes =
+      mHead + "X-Request-Id: " + (mEcho.empty() ? echo : mEcho) +
+      "\r\nContent-Length: 2\r\n\r\nok";
+    return { mDoubled ? bytes + bytes : bytes, false };
   }
 
   void report(UpstreamReport::Kind aKind, std::uint64_t aSequence)
@@ -159,6 +161,7 @@
   std::string mEcho;
   std::string mEndless;
   bool mEndlessBody = false;
+  bool mDoubled = false;
   std::atomic<bool> mUp{ false };
   std::atomic<int> mLives{ 0 };
   std::atomic<bool> mDraining{ false };
@@ -233,6 +236,30 @@
   BOOST_TEST((gate.run("mine").kind == AnswerKind::Unknown));
 }
 
+// An upstream sends each answer twice: the copy lies on a connection that the
+// next request may use.
+BOOST_AUTO_TEST_CASE(a_second_copy_of_an_answer_reaches_nobody)
+{
+  PlatformGate gate;
+  gate.mDoubled = true;
+  gate.report(UpstreamReport::Kind::Ready, 1);
+  int answered = 0;
+  for (int it = 0; it < 20; ++it) {
+    const std::string id = "id-" + std::to_string(it);
+    const Answer answer = gate.run(id);
+    if (answer.kind != AnswerKind::Answered) {
+      continue;
+    }
+    ++answered;
+    const auto own = std::ranges::find_if(
+      answer.headers, [&id](const std::unique_ptr<wire::HeaderT>& aHeader) {
+        return aHeader->name == "X-Request-Id" && aHeader->value == id;
+      });
+    BOOST_TEST((own != answer.headers.end()), id);
+  }
+  BOOST_TEST(answered > 0);
+}
+
 BOOST_AUTO_TEST_CASE(a_success_without_a_signature_is_not_passed_on)
 {
   PlatformGate gate;
