Log the limit that an upstream names and how many requests it gets

The gate reads both headers, logs each change (upstream_limit, upstream_leaving) and once a second what it sent under a limit (upstream_limit_use). Nothing is decided by them yet.

--- a/include/radishroad/upstream/upstream_protocol.h
+++ b/include/radishroad/upstream/upstream_protocol.h
@@ -6,6 +6,7 @@
 #include "radishroad/request/request.h"
 #include "radishroad/state/cell_state.h"
 #include "radishroad/upstream/exchange.h"
+#include "radishroad/upstream/upstream_notice.h"
 
 #include <functional>
 #include <optional>
@@ -51,6 +52,8 @@
   std::function<bool(const UpstreamResponse&)> mIsAuthentic;
   /// Load that a response reports; the hook may be empty.
   std::function<std::optional<UpstreamLoad>(const UpstreamResponse&)> mLoad;
+  /// Response headers in which the upstream names its limit and that it leaves.
+  NoticeHeaders mNoticeHeaders{ "X-Upstream-Limit", "X-Upstream-Leaving" };
   /// How much longer the upstream stays cold, by its health response; the hook
   /// may be empty.
   std::function<Millis(const UpstreamResponse&)> mColdTimeLeft;
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -189,6 +189,11 @@
   /// The drain period has passed: nothing more may be sent to the upstream.
   bool isDrainOver(Millis aNow) const;
 
+  // gate_notice.cpp: what the upstream says about itself in its responses.
+  void recordNotice(const UpstreamResponse& aResponse);
+  /// Logs how many requests were sent while the upstream names a limit.
+  void recordLimitUse(Millis aNow);
+
   // gate_grant.cpp: keys that the upstream holds.
   bool grantsKeys() const;
   bool grantsByReport() const;
@@ -278,6 +283,10 @@
   /// End of the drain period; set once the upstream has reported that it
   /// drains.
   std::optional<Millis> mDrainEnd;
+  UpstreamNotice mNotice;
+  /// Requests sent since mLimitUseFrom.
+  std::uint32_t mSentSinceLimitUse = 0;
+  Millis mLimitUseFrom;
   std::uint32_t mSlots = kDefaultSlots;
   RunTimeEstimator mRunTimes;
   double mSlowness = 1;
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -58,6 +58,7 @@
     dispatch(mHooks.mNow());
     completePauses();
     publishLoad();
+    recordLimitUse(mHooks.mNow());
     mExchanges.poll(nextWake(mHooks.mNow()));
   }
   publishLoad();
--- /dev/null
+++ b/src/upstream/gate_notice.cpp
@@ -0,0 +1,60 @@
+#include "gate_impl.h"
+
+#include "radishroad/base/json_log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace radishroad {
+
+namespace {
+
+/// Interval of the log lines on an upstream that names a limit.
+constexpr Millis kLimitUseInterval{ 1000 };
+
+}
+
+void
+Gate::Impl::recordNotice(const UpstreamResponse& aResponse)
+{
+  const std::optional<UpstreamNotice> notice =
+    readUpstreamNotice(aResponse, mOptions.mProtocol.mNoticeHeaders);
+  if (!notice || *notice == mNotice) {
+    return;
+  }
+  if (notice->mLimitPerSecond != mNotice.mLimitPerSecond) {
+    nlohmann::json limit = nullptr;
+    if (notice->mLimitPerSecond) {
+      limit = *notice->mLimitPerSecond;
+    }
+    logEvent(LogLevel::Info,
+             "upstream_limit",
+             { { "instance", mAppliedReport.mInstance },
+               { "limit_per_second", limit } });
+  }
+  if (notice->mLeaving && !mNotice.mLeaving) {
+    logEvent(LogLevel::Info,
+             "upstream_leaving",
+             { { "instance", mAppliedReport.mInstance } });
+  }
+  mNotice = *notice;
+}
+
+void
+Gate::Impl::recordLimitUse(Millis aNow)
+{
+  if (!mNotice.mLimitPerSecond || aNow - mLimitUseFrom < kLimitUseInterval) {
+    return;
+  }
+  if (mSentSinceLimitUse > 0) {
+    logEvent(LogLevel::Info,
+             "upstream_limit_use",
+             { { "limit_per_second", *mNotice.mLimitPerSecond },
+               { "sent", mSentSinceLimitUse },
+               { "in_ms", (aNow - mLimitUseFrom).mCount },
+               { "queued", mQueue.size() } });
+  }
+  mLimitUseFrom = aNow;
+  mSentSinceLimitUse = 0;
+}
+
+}
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -165,6 +165,7 @@
                     !holdsKey(request, run.mEpoch) || isDrainOver(now);
   run.mServeUntil = decision.mServeUntil;
   run.mSent = !run.mSendDenied;
+  mSentSinceLimitUse += run.mSent ? 1 : 0;
   run.mSentAt = now;
   run.mInFlight = occupiedSlots();
   return run.mSent;
@@ -205,6 +206,9 @@
   }
   QueuedRequest& queued = aRun.mQueued;
   const NotRunReason reason = protocol.mReadNotRunReason(aResponse);
+  if (protocol.mIsAuthentic(aResponse)) {
+    recordNotice(aResponse);
+  }
   if (reason == NotRunReason::Shed) {
     mMetrics.count("radishroad_gate_shed_total");
     mWindow.onShed(now);
