--- a/tests/process/support/invariants.cpp
+++ b/tests/process/support/invariants.cpp
@@ -45,8 +45,18 @@
   return aRequest.mUrl.substr(path);
 }
 
-/// Method, path and query parameter n, which is unique for each request. An
-/// upstream may log the query parameters in another order.
+std::map<std::string, int>
+countRunsByRequest(std::span<const RequestRun> aRuns)
+{
+  std::map<std::string, int> counts;
+  for (const RequestRun& run : aRuns) {
+    ++counts[requestIdentity(run.mMethod, run.mTarget)];
+  }
+  return counts;
+}
+
+}
+
 std::string
 requestIdentity(const std::string& aMethod, const std::string& aTarget)
 {
@@ -67,18 +77,6 @@
   return requestIdentity(aRequest.mMethod, targetOf(aRequest));
 }
 
-std::map<std::string, int>
-countRunsByRequest(std::span<const RequestRun> aRuns)
-{
-  std::map<std::string, int> counts;
-  for (const RequestRun& run : aRuns) {
-    ++counts[requestIdentity(run.mMethod, run.mTarget)];
-  }
-  return counts;
-}
-
-}
-
 Violations
 findOwnerOverlaps(std::span<const RequestRun> aRuns)
 {
--- a/tests/process/support/invariants.h
+++ b/tests/process/support/invariants.h
@@ -66,6 +66,13 @@
 std::map<std::string, std::int64_t>
 unavailabilityByKey(std::span<const tools::LoadResult> aResults);
 
+/// Method, path and query parameter n, which is unique for each request. An
+/// upstream may log the query parameters in another order.
+std::string
+requestIdentity(const std::string& aMethod, const std::string& aTarget);
+std::string
+requestIdentity(const tools::LoadRequest& aRequest);
+
 /// Key of a request's URL: its path without the query.
 std::string
 keyOf(const tools::LoadRequest& aRequest);
--- a/tests/unit/platform_gate_test.cpp
+++ b/tests/unit/platform_gate_test.cpp
@@ -144,6 +144,12 @@
     return promise.get_future().get();
   }
 
+  void setHead(const std::string& aHead)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mHead = aHead;
+  }
+
   std::size_t held()
   {
     const std::lock_guard<std::mutex> lock(mMutex);
@@ -269,6 +275,65 @@
   BOOST_TEST((gate.run("mine").kind == AnswerKind::Unknown));
 }
 
+// An upstream in need names a limit in its responses and gets more requests.
+BOOST_AUTO_TEST_CASE(requests_stay_within_a_named_limit)
+{
+  constexpr double kLimitPerSecond = 6;
+  constexpr std::int64_t kWindowMs = 4000;
+  PlatformGate gate;
+  gate.mHead += "Server-Limit: 6\r\n";
+  gate.report(UpstreamReport::Kind::Ready, 1);
+  std::vector<Millis> answered;
+  const Millis from = monotonicNow();
+  for (int it = 0; monotonicNow() - from < 5_s; ++it) {
+    if (gate.run("id-" + std::to_string(it)).kind == AnswerKind::Answered) {
+      answered.push_back(monotonicNow());
+    }
+  }
+  std::int64_t most = 0;
+  for (const Millis start : answered) {
+    most = std::max(most, std::ranges::count_if(answered, [&](Millis aAt) {
+                      return aAt >= start && aAt - start < Millis{ kWindowMs };
+                    }));
+  }
+  BOOST_TEST(static_cast<double>(most) <= kLimitPerSecond * 4 * 1.5 + 5);
+  BOOST_TEST(static_cast<double>(answered.size()) >= kLimitPerSecond * 4);
+}
+
+// An upstream names a limit of 0 for a while and is never sent a request again.
+BOOST_AUTO_TEST_CASE(limit_of_zero_ends_when_the_upstream_says_so)
+{
+  PlatformGate gate;
+  const std::string head = gate.mHead;
+  gate.mHead += "Server-Limit: 0\r\n";
+  gate.report(UpstreamReport::Kind::Ready, 1);
+  BOOST_TEST((gate.run("first").kind == AnswerKind::Answered));
+  gate.setHead(head);
+  const Millis end = monotonicNow() + 8_s;
+  int answered = 0;
+  for (int it = 0; answered < 10 && monotonicNow() < end; ++it) {
+    const Answer answer = gate.run("id-" + std::to_string(it));
+    answered += answer.kind == AnswerKind::Answered ? 1 : 0;
+  }
+  BOOST_TEST(answered == 10);
+}
+
+// An upstream says in its responses that it leaves, before any report of it
+// does, and still gets requests.
+BOOST_AUTO_TEST_CASE(a_leaving_upstream_gets_no_requests_after_the_period)
+{
+  PlatformGate gate;
+  gate.mHead += "Server-Leaving: 1\r\n";
+  gate.report(UpstreamReport::Kind::Ready, 1);
+  BOOST_TEST((gate.run("first").kind == AnswerKind::Answered));
+  const Millis end = monotonicNow() + 150_ms;
+  while (monotonicNow() < end) {
+    gate.run("until");
+  }
+  BOOST_TEST((gate.run("after").reason == NotRunReason::Draining));
+  BOOST_TEST(gate.mDraining);
+}
+
 // An upstream sends headers or a body without end. The gate closes the
 // connection at its size limit, long before the deadline, and answers that the
 // outcome is unknown.
--- a/tools/rr-upstream/upstream_service.cpp
+++ b/tools/rr-upstream/upstream_service.cpp
@@ -87,6 +87,14 @@
   mFaults.mUnhealthy = fields.value("unhealthy", mFaults.mUnhealthy);
   mFaults.mExtraServiceTime.mCount =
     fields.value("slow_ms", mFaults.mExtraServiceTime.mCount);
+  if (fields.contains("limit_per_second") || fields.contains("leaving")) {
+    const auto limit = fields.find("limit_per_second");
+    if (limit != fields.end()) {
+      mFaults.mLimitPerSecond = limit->is_number() ? limit->dump() : "";
+    }
+    mFaults.mLeaving = fields.value("leaving", mFaults.mLeaving);
+    logNotice();
+  }
   const std::int64_t coldMs = fields.value("cold_ms", std::int64_t{ 0 });
   if (coldMs > 0) {
     mColdUntil = monotonicNow() + Millis{ coldMs };
@@ -116,7 +124,8 @@
 void
 UpstreamService::answerHealth(const Reply& aReply)
 {
-  const bool down = mFaults.mUnhealthy || monotonicNow() < mDownUntil;
+  const bool down =
+    mFaults.mUnhealthy || mFaults.mLeaving || monotonicNow() < mDownUntil;
   const nlohmann::json body = { { "status", down ? "down" : "ok" },
                                 { "instance", mInstance } };
   aReply.send(down ? 503 : 200, body.dump());
@@ -270,6 +279,7 @@
   const bool late =
     aJob->mDeadline.mCount > 0 && monotonicNow() >= aJob->mDeadline;
   end(aJob, "done");
+  addNotice(*aJob);
   if (late) {
     aJob->mReply.send(504, R"({"error":"deadline passed"})");
   } else {
@@ -338,12 +348,33 @@
                         const std::string& aNotRunReason)
 {
   mJournal.write(makeJobEvent(aJob, aEvent, mOptions.mVm));
+  addNotice(aJob);
   if (!aNotRunReason.empty()) {
     aJob.mReply.header("X-Not-Run", aNotRunReason);
   }
   aJob.mReply.send(aStatus, nlohmann::json{ { "error", aEvent } }.dump());
 }
 
+void
+UpstreamService::addNotice(const Job& aJob)
+{
+  if (!mFaults.mLimitPerSecond.empty()) {
+    aJob.mReply.header("X-Upstream-Limit", mFaults.mLimitPerSecond);
+  }
+  if (mFaults.mLeaving) {
+    aJob.mReply.header("X-Upstream-Leaving", "1");
+  }
+}
+
+void
+UpstreamService::logNotice()
+{
+  mJournal.write({ { "event", "notice" },
+                   { "vm", mOptions.mVm },
+                   { "limit_per_second", mFaults.mLimitPerSecond },
+                   { "leaving", mFaults.mLeaving } });
+}
+
 void
 UpstreamService::logEvent(const std::string& aEvent)
 {
--- a/tools/rr-upstream/upstream_service.h
+++ b/tools/rr-upstream/upstream_service.h
@@ -37,6 +37,10 @@
     bool mUnhealthy = false;
     /// Added to the service time of each request.
     Millis mExtraServiceTime;
+    /// Requests a second that responses name as the limit; empty for none.
+    std::string mLimitPerSecond;
+    /// Responses say that the upstream is leaving.
+    bool mLeaving = false;
   };
 
   struct LoadSample
@@ -67,7 +71,10 @@
               int aStatus,
               const std::string& aEvent,
               const std::string& aNotRunReason);
+  /// Adds the headers on the limit and on leaving to a response.
+  void addNotice(const Job& aJob);
   void logEvent(const std::string& aEvent);
+  void logNotice();
   bool isCold() const;
   int slots() const;
 
