--- a/include/radishroad/policy/cold_start_limiter.h
+++ b/include/radishroad/policy/cold_start_limiter.h
@@ -2,14 +2,13 @@
 #define RADISHROAD_POLICY_COLD_START_LIMITER_H
 
 #include "radishroad/base/millis.h"
+#include "radishroad/policy/send_bucket.h"
 
 #include <optional>
 
 namespace radishroad {
 
-/// Limits the request rate to a cold upstream with a token bucket. The burst is
-/// well below one second's worth of requests, so that no second sees more than
-/// the rate plus the burst.
+/// Limits the request rate to a cold upstream with a token bucket.
 ///
 /// Load pattern: the upstreams of an availability zone come back together, and
 /// callers that were refused retry at the same moment. Does no I/O and reads no
@@ -31,11 +30,8 @@
   Millis nextSend(Millis aNow);
 
 private:
-  void refill(Millis aNow);
-
   double mPerSecond = 0;
-  double mTokens = 0;
-  Millis mRefilledAt;
+  SendBucket mBucket;
   std::optional<Millis> mColdUntil;
 };
 
--- a/include/radishroad/policy/queue_plan.h
+++ b/include/radishroad/policy/queue_plan.h
@@ -39,8 +39,16 @@
   double mSlowness = 1;
   /// Requests a second that it can handle while cold; 0 while it is warm.
   double mColdPerSecond = 0;
+  /// Requests a second that it names as its limit; 0 for no limit.
+  double mLimitPerSecond = 0;
 };
 
+/// Returns the requests a second that an upstream accepts although it has free
+/// slots: the lower of its cold rate and the limit that it names; 0 if it has
+/// neither.
+double
+maxPerSecond(const UpstreamStats& aStats);
+
 /// Which of the queued requests to run next, and which to refuse.
 ///
 /// Load pattern: for seconds the offered load exceeds what the upstream can
--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -78,7 +78,8 @@
                { "slots", aStats.mSlots },
                { "running", aStats.mRunning },
                { "run_ms", aStats.mRunMs },
-               { "cold_per_second", aStats.mColdPerSecond } });
+               { "cold_per_second", aStats.mColdPerSecond },
+               { "limit_per_second", aStats.mLimitPerSecond } });
 }
 
 }
@@ -241,6 +242,8 @@
     aGateAnswer.load->run_ms = static_cast<float>(gateStatus.mStats.mTypicalMs);
     aGateAnswer.load->slowness =
       static_cast<float>(gateStatus.mStats.mSlowness);
+    aGateAnswer.load->limit_per_second =
+      static_cast<float>(gateStatus.mStats.mLimitPerSecond);
     answer(std::move(aGateAnswer));
   };
 }
--- a/src/daemon/ingress_platform.cpp
+++ b/src/daemon/ingress_platform.cpp
@@ -262,6 +262,7 @@
     stats.mRunning = aAnswer.load->running;
     stats.mRunMs = aAnswer.load->run_ms;
     stats.mSlowness = aAnswer.load->slowness;
+    stats.mLimitPerSecond = aAnswer.load->limit_per_second;
     selector.onStats(aPending.mSentTo, stats, aAnswer.load->queued, now);
   }
 }
--- a/src/policy/cold_start_limiter.cpp
+++ b/src/policy/cold_start_limiter.cpp
@@ -1,20 +1,7 @@
 #include "radishroad/policy/cold_start_limiter.h"
 
-#include <algorithm>
-#include <cmath>
-
 namespace radishroad {
 
-namespace {
-
-/// Requests that may be sent at once. Within any second the limiter then stays
-/// below one and a half times the rate plus five, the bound that is guaranteed
-/// to upstreams.
-constexpr double kBurst = 3;
-constexpr double kMillisPerSecond = 1000;
-
-}
-
 void
 ColdStartLimiter::setRate(double aPerSecond)
 {
@@ -29,8 +16,7 @@
     return;
   }
   if (!isCold(aNow)) {
-    mTokens = 1;
-    mRefilledAt = aNow;
+    mBucket.start(aNow);
   }
   mColdUntil = aNow + aDuration;
 }
@@ -41,44 +27,24 @@
   return mPerSecond > 0 && mColdUntil && aNow < *mColdUntil;
 }
 
-void
-ColdStartLimiter::refill(Millis aNow)
-{
-  const double passed = static_cast<double>((aNow - mRefilledAt).mCount);
-  if (passed > 0) {
-    mTokens =
-      std::min(kBurst, mTokens + mPerSecond * passed / kMillisPerSecond);
-    mRefilledAt = aNow;
-  }
-}
-
 bool
 ColdStartLimiter::maySend(Millis aNow)
 {
-  if (!isCold(aNow)) {
-    return true;
-  }
-  refill(aNow);
-  return mTokens >= 1;
+  return !isCold(aNow) || mBucket.maySend(mPerSecond, aNow);
 }
 
 void
 ColdStartLimiter::onSent(Millis aNow)
 {
   if (isCold(aNow)) {
-    refill(aNow);
-    mTokens = std::max(0.0, mTokens - 1);
+    mBucket.onSent(mPerSecond, aNow);
   }
 }
 
 Millis
 ColdStartLimiter::nextSend(Millis aNow)
 {
-  if (maySend(aNow)) {
-    return aNow;
-  }
-  const double wait = (1 - mTokens) / mPerSecond * kMillisPerSecond;
-  return aNow + Millis{ static_cast<std::int64_t>(std::ceil(wait)) };
+  return isCold(aNow) ? mBucket.nextSend(mPerSecond, aNow) : aNow;
 }
 
 }
--- a/src/policy/queue_plan.cpp
+++ b/src/policy/queue_plan.cpp
@@ -40,9 +40,8 @@
 {
   const double run = std::max(1.0, aStats.mRunMs);
   const double rate = std::max(1U, aStats.mSlots) / run;
-  return aStats.mColdPerSecond > 0
-           ? std::min(rate, aStats.mColdPerSecond / kMillisPerSecond)
-           : rate;
+  const double most = maxPerSecond(aStats);
+  return most > 0 ? std::min(rate, most / kMillisPerSecond) : rate;
 }
 
 /// Expected run time of the request.
@@ -83,6 +82,15 @@
 
 }
 
+double
+maxPerSecond(const UpstreamStats& aStats)
+{
+  if (aStats.mColdPerSecond > 0 && aStats.mLimitPerSecond > 0) {
+    return std::min(aStats.mColdPerSecond, aStats.mLimitPerSecond);
+  }
+  return std::max(aStats.mColdPerSecond, aStats.mLimitPerSecond);
+}
+
 Millis
 expectedWait(const UpstreamStats& aStats, std::size_t aQueuedAhead)
 {
@@ -91,11 +99,11 @@
   const double free = std::max(0.0, static_cast<double>(aStats.mSlots) - busy);
   const double excess =
     free >= 1 ? 0 : busy + 1 - static_cast<double>(aStats.mSlots);
-  const double cold =
-    aStats.mColdPerSecond > 0
+  const double paced =
+    maxPerSecond(aStats) > 0
       ? static_cast<double>(aQueuedAhead) / startsPerMs(aStats)
       : 0;
-  const double wait = std::max(cold, excess / startsPerMs(aStats));
+  const double wait = std::max(paced, excess / startsPerMs(aStats));
   return Millis{ static_cast<std::int64_t>(wait) };
 }
 
--- a/src/policy/upstream_selector.cpp
+++ b/src/policy/upstream_selector.cpp
@@ -28,6 +28,7 @@
 /// Upstreams sampled for each request; a larger sample would herd requests to
 /// the upstream that looks best.
 constexpr std::size_t kSampleSize = 2;
+constexpr double kMillisPerSecond = 1000;
 /// Factor on the sampling weight of upstreams in the daemon's own availability
 /// zone.
 constexpr double kSameZoneWeight = 2;
@@ -87,7 +88,13 @@
   const double sentSinceReport =
     aMember.mSent - aMember.mSentAtReport * freshness;
   const double ahead = reportedLoad + std::max(0.0, sentSinceReport);
-  const double wait = std::max(0.0, ahead + 1 - slots) * run / slots;
+  const double slotWait = std::max(0.0, ahead + 1 - slots) * run / slots;
+  const double limit = aMember.mStats.mLimitPerSecond;
+  // Running requests have been counted against the limit already.
+  const double unsent = freshness * aMember.mQueued + sentSinceReport;
+  const double limitWait =
+    limit > 0 ? std::max(0.0, unsent) * kMillisPerSecond / limit : 0;
+  const double wait = std::max(slotWait, limitWait);
   // An upstream tends to slow down as its slots fill, even while some are free.
   return run * (1 + 0.25 * std::min(1.0, ahead / slots)) + wait;
 }
@@ -97,8 +104,13 @@
 {
   const bool hasReport =
     aMember.mStatsAt > Millis{} && aMember.mStats.mRunMs > 0;
-  return hasReport ? std::max(1U, aMember.mStats.mSlots) / aMember.mStats.mRunMs
-                   : kDefaultSlots / kDefaultRunMs;
+  if (!hasReport) {
+    return kDefaultSlots / kDefaultRunMs;
+  }
+  const double perMs =
+    std::max(1U, aMember.mStats.mSlots) / aMember.mStats.mRunMs;
+  const double limit = aMember.mStats.mLimitPerSecond;
+  return limit > 0 ? std::min(perMs, limit / kMillisPerSecond) : perMs;
 }
 
 std::optional<Incarnation>
--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -31,8 +31,8 @@
   constexpr double kMillisPerSecond = 1000;
   const double warm =
     aStats.mRunMs > 0 ? aStats.mSlots * kMillisPerSecond / aStats.mRunMs : 0;
-  return aStats.mColdPerSecond > 0 ? std::min(warm, aStats.mColdPerSecond)
-                                   : warm;
+  const double most = maxPerSecond(aStats);
+  return most > 0 ? std::min(warm, most) : warm;
 }
 
 QueuedRequest
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -8,6 +8,7 @@
 #include "radishroad/policy/concurrency_window.h"
 #include "radishroad/policy/connection_pacer.h"
 #include "radishroad/policy/deduplication_cache.h"
+#include "radishroad/policy/named_limit.h"
 #include "radishroad/policy/retry_budget.h"
 #include "radishroad/policy/run_time_estimator.h"
 #include "radishroad/upstream/exchange_runner.h"
@@ -124,7 +125,7 @@
   /// Refuses requests that are left when the thread has ended or never ran.
   void refuseSubmitted();
   void completePauses();
-  Millis nextWake(Millis aNow) const;
+  Millis nextWake(Millis aNow);
   bool finished() const;
   void publishLoad();
   /// Runs the task on the gate's thread. Thread-safe.
@@ -136,7 +137,7 @@
   std::uint32_t occupiedSlots() const;
   /// The window has room for one more request that is not idempotent.
   bool hasNonIdempotentRoom() const;
-  bool mayStart(Millis aNow) const;
+  bool mayStart(Millis aNow);
   /// A pooled connection is free, or a new one may be opened.
   bool hasConnection(Millis aNow) const;
   /// Starts the request, refuses it, or returns it to the queue.
@@ -284,6 +285,7 @@
   /// drains.
   std::optional<Millis> mDrainEnd;
   UpstreamNotice mNotice;
+  NamedLimit mNamedLimit;
   /// Requests sent since mLimitUseFrom.
   std::uint32_t mSentSinceLimitUse = 0;
   Millis mLimitUseFrom;
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -297,7 +297,7 @@
 }
 
 Millis
-Gate::Impl::nextWake(Millis aNow) const
+Gate::Impl::nextWake(Millis aNow)
 {
   const Millis longest = mQueue.empty() ? kMaxIdleSleep : kMaxSleep;
   Millis next = mQueue.nextEvent(aNow, aNow + longest);
@@ -311,8 +311,11 @@
   }
   if (!mQueue.empty() && occupiedSlots() < mWindow.limit() &&
       mHealth.healthy()) {
-    // With a free slot, requests can only be waiting for a new connection.
-    next = std::min(next, std::max(aNow + Millis{ 1 }, mPacer.nextOpen()));
+    // With a free slot, requests can only be waiting for a new connection or
+    // for the limit that the upstream names.
+    const Millis mayStartAt =
+      std::max(mPacer.nextOpen(), mNamedLimit.nextSend(aNow));
+    next = std::min(next, std::max(aNow + Millis{ 1 }, mayStartAt));
   }
   if (!mRuns.empty() && !mOptions.mProtocol.mPushesReports) {
     next = std::min(next, aNow + kPendingAgeCheckInterval);
--- a/src/upstream/gate_notice.cpp
+++ b/src/upstream/gate_notice.cpp
@@ -16,6 +16,7 @@
 void
 Gate::Impl::recordNotice(const UpstreamResponse& aResponse)
 {
+  const Millis now = mHooks.mNow();
   const std::optional<UpstreamNotice> notice =
     readUpstreamNotice(aResponse, mOptions.mProtocol.mNoticeHeaders);
   if (!notice || *notice == mNotice) {
@@ -30,6 +31,11 @@
              "upstream_limit",
              { { "instance", mAppliedReport.mInstance },
                { "limit_per_second", limit } });
+    if (!mNotice.mLimitPerSecond) {
+      mLimitUseFrom = now;
+      mSentSinceLimitUse = 0;
+    }
+    mNamedLimit.set(notice->mLimitPerSecond, now);
   }
   if (notice->mLeaving && !mNotice.mLeaving) {
     logEvent(LogLevel::Info,
--- a/src/upstream/gate_objective_dispatch.cpp
+++ b/src/upstream/gate_objective_dispatch.cpp
@@ -32,6 +32,7 @@
   stats.mSlowness = slowness(aNow);
   stats.mColdPerSecond =
     mColdStartLimiter.isCold(aNow) ? mService.mColdPerSecond : 0;
+  stats.mLimitPerSecond = mNamedLimit.perSecond();
   return stats;
 }
 
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -44,9 +44,9 @@
 }
 
 bool
-Gate::Impl::mayStart(Millis aNow) const
+Gate::Impl::mayStart(Millis aNow)
 {
-  if (!mHealth.healthy()) {
+  if (!mHealth.healthy() || !mNamedLimit.maySend(aNow)) {
     return false;
   }
   if (mOptions.mProtocol.mPushesReports) {
@@ -120,6 +120,7 @@
 {
   const Millis now = mHooks.mNow();
   mColdStartLimiter.onSent(now);
+  mNamedLimit.onSent(now);
   const RunId id = mNextRun++;
   Run& run = mRuns[id];
   run.mQueued = std::move(aQueued);
