Send nothing to an upstream that said it is leaving (DRAIN)

Callers' view: requests sent to an upstream that had told in its responses that it leaves, and that ends with them. Cause: as with LIMIT, responses were passed on without being read; only a report began the drain, and a report may be late, lost or never sent. Evidence: a_leaving_upstream_gets_no_requests_after_the_period failed before: requests were answered after the period, and no drain began. Fix: the first such response begins the same drain as a report: keys move, and after the drain period the gate sends nothing. What the previous process of the upstream said is forgotten once the next one is known, and a response to a request that was sent before is not taken for its own. The test of real processes, leaving_upstream_gets_no_requests, held before (health probes say the same there) and guards it.

--- a/src/upstream/gate_health.cpp
+++ b/src/upstream/gate_health.cpp
@@ -108,6 +108,9 @@
       reportCrash();
       mGrants.clearHolds();
       clearAbandoned();
+      if (!mOptions.mProtocol.mPushesReports) {
+        onNewUpstreamProcess();
+      }
       mHooks.mOnHealth(false);
       if (mHealth.healthy()) {
         mHooks.mOnHealth(true);
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -187,11 +187,17 @@
   /// The response names another instance than the one that sent the reports.
   bool isFromOtherInstance(const UpstreamResponse& aResponse) const;
   void recordReportedLoad(const UpstreamResponse& aResponse);
+  /// The upstream is known to be leaving since aSince. Its keys move, and after
+  /// the drain period it gets no more requests.
+  void beginDrain(Millis aSince);
   /// The drain period has passed: nothing more may be sent to the upstream.
   bool isDrainOver(Millis aNow) const;
 
   // gate_notice.cpp: what the upstream says about itself in its responses.
-  void recordNotice(const UpstreamResponse& aResponse);
+  /// aSentAt: when the request was sent that the response belongs to.
+  void recordNotice(const UpstreamResponse& aResponse, Millis aSentAt);
+  /// Forgets what the previous process of the upstream said about itself.
+  void onNewUpstreamProcess();
   /// Logs how many requests were sent while the upstream names a limit.
   void recordLimitUse(Millis aNow);
 
@@ -282,9 +288,11 @@
   Millis mReportedAt;
   Millis mNextReportProbe;
   /// End of the drain period; set once the upstream has reported that it
-  /// drains.
+  /// drains, or said in a response that it is leaving.
   std::optional<Millis> mDrainEnd;
   UpstreamNotice mNotice;
+  /// When the current process of the upstream became known.
+  Millis mUpstreamSince;
   NamedLimit mNamedLimit;
   /// Requests sent since mLimitUseFrom.
   std::uint32_t mSentSinceLimitUse = 0;
--- a/src/upstream/gate_notice.cpp
+++ b/src/upstream/gate_notice.cpp
@@ -14,8 +14,21 @@
 }
 
 void
-Gate::Impl::recordNotice(const UpstreamResponse& aResponse)
+Gate::Impl::onNewUpstreamProcess()
 {
+  mDrainEnd.reset();
+  // A limit is kept until the new process has answered.
+  mNotice.mLeaving = false;
+  mUpstreamSince = mHooks.mNow();
+}
+
+void
+Gate::Impl::recordNotice(const UpstreamResponse& aResponse, Millis aSentAt)
+{
+  if (aSentAt < mUpstreamSince) {
+    // It may come from the previous process.
+    return;
+  }
   const Millis now = mHooks.mNow();
   const std::optional<UpstreamNotice> notice =
     readUpstreamNotice(aResponse, mOptions.mProtocol.mNoticeHeaders);
@@ -41,6 +54,7 @@
     logEvent(LogLevel::Info,
              "upstream_leaving",
              { { "instance", mAppliedReport.mInstance } });
+    beginDrain(now);
   }
   mNotice = *notice;
 }
--- a/src/upstream/gate_report.cpp
+++ b/src/upstream/gate_report.cpp
@@ -2,6 +2,7 @@
 
 #include "radishroad/base/json_log.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace radishroad {
@@ -32,7 +33,7 @@
   mSlots = aReport.mSlots > 0 ? aReport.mSlots : mSlots;
   mColdStartLimiter.onCold(aReport.mColdTimeLeft, now);
   if (isNewIncarnation) {
-    mDrainEnd.reset();
+    onNewUpstreamProcess();
     logEvent(LogLevel::Info,
              "upstream_life",
              { { "instance", aReport.mInstance },
@@ -41,13 +42,8 @@
                { "cold_left_ms", aReport.mColdTimeLeft.mCount } });
     mHooks.mOnIncarnation(incarnationOf(aReport));
   }
-  if (aReport.mKind != UpstreamReport::Kind::Ready && !mDrainEnd) {
-    mDrainEnd = now + mOptions.mDrainPeriod;
-    logEvent(LogLevel::Info,
-             "upstream_drains",
-             { { "instance", aReport.mInstance },
-               { "closed_in_ms", mOptions.mDrainPeriod.mCount } });
-    mHooks.mOnDraining();
+  if (aReport.mKind != UpstreamReport::Kind::Ready) {
+    beginDrain(now);
   }
   if (mHealth.lost() && !isNewIncarnation) {
     // This may be a delayed report of a process that has ended.
@@ -111,6 +107,24 @@
   return !instance.empty() && instance != mAppliedReport.mInstance;
 }
 
+void
+Gate::Impl::beginDrain(Millis aSince)
+{
+  const Millis end = aSince + mOptions.mDrainPeriod;
+  if (mDrainEnd) {
+    mDrainEnd = std::min(*mDrainEnd, end);
+    return;
+  }
+  mDrainEnd = end;
+  logEvent(LogLevel::Info,
+           "upstream_drains",
+           { { "instance", mAppliedReport.mInstance },
+             { "closed_in_ms", (end - mHooks.mNow()).mCount } });
+  if (mHooks.mOnDraining) {
+    mHooks.mOnDraining();
+  }
+}
+
 bool
 Gate::Impl::isDrainOver(Millis aNow) const
 {
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -46,11 +46,11 @@
 bool
 Gate::Impl::mayStart(Millis aNow)
 {
-  if (!mHealth.healthy() || !mNamedLimit.maySend(aNow)) {
+  if (!mHealth.healthy() || isDrainOver(aNow) || !mNamedLimit.maySend(aNow)) {
     return false;
   }
   if (mOptions.mProtocol.mPushesReports) {
-    return occupiedSlots() < mSlots && !isDrainOver(aNow);
+    return occupiedSlots() < mSlots;
   }
   return mOptions.mLimitsDisabled ||
          (occupiedSlots() < mWindow.limit() && hasConnection(aNow));
@@ -208,7 +208,7 @@
   QueuedRequest& queued = aRun.mQueued;
   const NotRunReason reason = protocol.mReadNotRunReason(aResponse);
   if (protocol.mIsAuthentic(aResponse)) {
-    recordNotice(aResponse);
+    recordNotice(aResponse, aRun.mSentAt);
   }
   if (reason == NotRunReason::Shed) {
     mMetrics.count("radishroad_gate_shed_total");
