Let a restarted daemon learn from other VMs what its upstream says (LIMIT)

Callers' view: none; after a restart of the daemon beside an upstream in need or one that leaves, requests that began at other VMs reached it as if it had said nothing, although these VMs had passed on its limit. Cause: a daemon that has just started knows nothing and took that for no limit and for an upstream that stays; only the first response told it otherwise, and until then it filled all slots (up to 18), for each restart. A limit below that is exceeded. Reports don't help: they don't name limits, and a late one makes a leaving upstream look ready. Ruled out: the token bucket; it starts with one token, and its own test with restarts held. With the daemon's own protocol real processes don't show it, as the concurrency window of a fresh daemon is small; that test stays as a guard, with a limit lower than the slots. Fix: each answer carries what the upstream last said, and the VM that passes it on sends it along with its next requests to that VM (NoticeCache). A gate takes it over, for the same process of the upstream only, until it has a response of its own; that an upstream leaves is final. A VM that is bound by the rule is thus the one that tells, with nothing written to the store.

--- a/include/radishroad/daemon/ingress.h
+++ b/include/radishroad/daemon/ingress.h
@@ -3,6 +3,7 @@
 
 #include "radishroad/base/metrics.h"
 #include "radishroad/base/millis.h"
+#include "radishroad/policy/notice_cache.h"
 #include "radishroad/policy/token_cache.h"
 #include "radishroad/policy/upstream_selector.h"
 #include "radishroad/request/caller_headers.h"
@@ -112,6 +113,9 @@
   /// attempt is left.
   bool consumeAttempt(PendingRequest& aPending) const;
   void recordAnswer(const PendingRequest& aPending, const Answer& aAnswer);
+  /// Remembers what an upstream says about itself. Called before the answer is
+  /// passed on.
+  void recordNotice(const PendingRequest& aPending, const Answer& aAnswer);
   void addRefusalHeaders(const PendingRequest& aPending, Answer& aAnswer) const;
   void logOutcome(const PendingRequest& aPending, const Answer& aAnswer) const;
   ForwardRequest makeAttempt(const PendingRequest& aPending,
@@ -138,6 +142,8 @@
   Timer& mTimer;
   Metrics& mMetrics;
   Hooks mHooks;
+  std::mutex mNoticeMutex;
+  NoticeCache mNotices;
   std::mutex mSelectorMutex;
   /// Keyed by service name.
   std::map<std::string, UpstreamSelector> mSelectors;
--- a/include/radishroad/upstream/health_tracker.h
+++ b/include/radishroad/upstream/health_tracker.h
@@ -38,6 +38,8 @@
   HealthChange onAnswer(std::string_view aInstance);
 
   bool healthy() const;
+  /// Instance that responded last; empty before the first response.
+  const std::string& instance() const { return mInstance; }
   /// A connection was refused, and no probe has been answered since.
   bool lost() const;
 
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -320,6 +320,11 @@
   const std::lock_guard<std::mutex> lock(aPending->mAttemptMutex);
   aPending->mSentTo = aOwner.mIncarnation;
   aPending->mPeerAddress = aOwner.mPeerAddress;
+  aPending->mSentToVm = aOwner.mVm;
+  {
+    const std::lock_guard<std::mutex> noticeLock(mNoticeMutex);
+    aRequest.notice = mNotices.noticeFor(aOwner.mVm, mHooks.mNow());
+  }
   if (aPending->mCancelled) {
     onAnswer(makeNotRunAnswer(idOf(aRequest), NotRunReason::Cancelled));
   } else if (aOwner.mIncarnation == mSelf) {
@@ -345,6 +350,7 @@
 void
 Ingress::onAnswer(const PendingRequestPtr& aPending, Answer aAnswer)
 {
+  recordNotice(*aPending, aAnswer);
   recordAnswer(*aPending, aAnswer);
   if (aPending->mCancelled) {
     finish(aPending, std::move(aAnswer));
@@ -391,6 +397,16 @@
   finish(aPending, std::move(aAnswer));
 }
 
+void
+Ingress::recordNotice(const PendingRequest& aPending, const Answer& aAnswer)
+{
+  if (aAnswer.notice == nullptr) {
+    return;
+  }
+  const std::lock_guard<std::mutex> lock(mNoticeMutex);
+  mNotices.onAnswer(aPending.mSentToVm, *aAnswer.notice, mHooks.mNow());
+}
+
 void
 Ingress::scheduleResend(const PendingRequestPtr& aPending, NotRunReason aReason)
 {
--- a/src/daemon/ingress_pending_request.h
+++ b/src/daemon/ingress_pending_request.h
@@ -46,6 +46,8 @@
   /// Daemon to which the last attempt was sent; 0 before the first.
   Incarnation mSentTo = 0;
   std::string mPeerAddress;
+  /// VM of that daemon, which stays the same when the daemon restarts.
+  std::string mSentToVm;
 };
 
 }
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -196,6 +196,14 @@
   // gate_notice.cpp: what the upstream says about itself in its responses.
   /// aSentAt: when the request was sent that the response belongs to.
   void recordNotice(const UpstreamResponse& aResponse, Millis aSentAt);
+  /// Takes over what another VM has passed on to its callers, until this daemon
+  /// has a response of its own. Returns whether anything was new.
+  bool learnFrom(const wire::UpstreamNoticeT& aNotice);
+  /// The notice for answers; nullptr if nothing is known yet.
+  std::unique_ptr<wire::UpstreamNoticeT> noticeForAnswers() const;
+  void setNotice(const UpstreamNotice& aNotice, Millis aLeavingSince);
+  /// Identifies the process of the upstream; 0 if unknown.
+  std::uint64_t upstreamProcess() const;
   /// Forgets what the previous process of the upstream said about itself.
   void onNewUpstreamProcess();
   /// Logs how many requests were sent while the upstream names a limit.
@@ -291,6 +299,9 @@
   /// drains, or said in a response that it is leaving.
   std::optional<Millis> mDrainEnd;
   UpstreamNotice mNotice;
+  /// mNotice comes from a response that the current process of the upstream
+  /// gave to this daemon.
+  bool mHasOwnNotice = false;
   /// When the current process of the upstream became known.
   Millis mUpstreamSince;
   NamedLimit mNamedLimit;
--- a/src/upstream/gate_report.cpp
+++ b/src/upstream/gate_report.cpp
@@ -110,6 +110,8 @@
 void
 Gate::Impl::beginDrain(Millis aSince)
 {
+  // Answers tell other VMs, also of a drain that only a report has begun.
+  mNotice.mLeaving = true;
   const Millis end = aSince + mOptions.mDrainPeriod;
   if (mDrainEnd) {
     mDrainEnd = std::min(*mDrainEnd, end);
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -83,6 +83,12 @@
 void
 Gate::Impl::tryStartRun(QueuedRequest aQueued, Millis aNow)
 {
+  if (aQueued.mRequest.notice != nullptr &&
+      learnFrom(*aQueued.mRequest.notice)) {
+    // The caller checks again whether a request may start.
+    mQueue.pushFront(std::move(aQueued));
+    return;
+  }
   if (isCrashSuspect(aQueued.mFingerprint)) {
     // A similar request may just have crashed the upstream; this one waits
     // until a probe has shown whether it did.
@@ -349,6 +355,7 @@
 Gate::Impl::answer(QueuedRequest& aQueued, Answer aAnswer)
 {
   mQueuedCount.fetch_sub(1);
+  aAnswer.notice = noticeForAnswers();
   mMetrics.count(std::string("radishroad_gate_answers_total{kind=\"") +
                  wire::EnumNameAnswerKind(aAnswer.kind) + "\"}");
   if (mHooks.mOnAnswer) {
--- a/tests/process/upstream_notice_test.cpp
+++ b/tests/process/upstream_notice_test.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr double kLimitPerSecond = 8;
+/// Less than an upstream has slots for.
+constexpr double kLowLimitPerSecond = 1;
 
 /// Kills and starts the daemon of the VM again.
 Disturbance
@@ -63,10 +65,10 @@
   options.mLibrary = 3;
   Scenario scenario(options);
   const std::string vm = scenario.drawVm("catalog");
-  scenario.startTraffic({}, "ms=5");
+  scenario.startTraffic({ vm }, "ms=200");
   scenario.runTrafficFor(1_s, 1_s);
   scenario.fleet().setUpstreamFaults(
-    vm, { { "limit_per_second", kLimitPerSecond } });
+    vm, { { "limit_per_second", kLowLimitPerSecond } });
   scenario.runTrafficFor(4_s, 4_s);
   std::vector<Disturbance> disturbances;
   for (int n = 0; n < 3; ++n) {
--- a/tests/unit/platform_gate_test.cpp
+++ b/tests/unit/platform_gate_test.cpp
@@ -2,6 +2,7 @@
 
 #include "gate_fixture.h"
 #include "radishroad/daemon/settings.h"
+#include "radishroad/policy/notice_cache.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -72,6 +73,9 @@
 
   Reply answer(const Request& aRequest)
   {
+    if (aRequest.mTarget.starts_with("/catalog")) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(mRunMs.load()));
+    }
     const std::lock_guard<std::mutex> lock(mMutex);
     if (aRequest.mTarget == "/api/grant") {
       const nlohmann::json body = nlohmann::json::parse(aRequest.mBody);
@@ -90,6 +94,7 @@
                "Content-Length: 0\r\n\r\n",
                false };
     }
+    ++mArrivals;
     const auto id = aRequest.mHeaders.find("x-request-id");
     const std::string echo = id == aRequest.mHeaders.end() ? "" : id->second;
     if (mHeld.empty()) {
@@ -117,7 +122,7 @@
     report.mInstance = "i-1";
     report.mStartTime = { 1000 };
     report.mSequence = aSequence;
-    report.mSlots = 4;
+    report.mSlots = mSlots;
     BOOST_TEST(mGate.onReport(report));
     // The gate may process a request before a report that was sent just before
     // it.
@@ -128,7 +133,9 @@
     BOOST_TEST(mUp.load());
   }
 
-  Answer run(const std::string& aId)
+  std::future<Answer> submit(
+    const std::string& aId,
+    std::unique_ptr<wire::UpstreamNoticeT> aNotice = nullptr)
   {
     ForwardRequest request = makeRequest("GET", hash(aId));
     request.shard = kOwnShard;
@@ -137,13 +144,16 @@
     request.objective_ms = 3000;
     request.idempotent = true;
     addHeader(request, "X-Request-Id", aId);
-    std::promise<Answer> promise;
-    mGate.submit(std::move(request), [&promise](Answer aAnswer) {
-      promise.set_value(std::move(aAnswer));
+    request.notice = std::move(aNotice);
+    const auto promise = std::make_shared<std::promise<Answer>>();
+    mGate.submit(std::move(request), [promise](Answer aAnswer) {
+      promise->set_value(std::move(aAnswer));
     });
-    return promise.get_future().get();
+    return promise->get_future();
   }
 
+  Answer run(const std::string& aId) { return submit(aId).get(); }
+
   void setHead(const std::string& aHead)
   {
     const std::lock_guard<std::mutex> lock(mMutex);
@@ -169,6 +179,9 @@
   std::string mEndless;
   bool mEndlessBody = false;
   bool mSendTwice = false;
+  std::uint32_t mSlots = 4;
+  std::atomic<int> mRunMs{ 0 };
+  std::atomic<int> mArrivals{ 0 };
   std::atomic<bool> mUp{ false };
   std::atomic<int> mIncarnations{ 0 };
   std::atomic<bool> mDraining{ false };
@@ -334,6 +347,80 @@
   BOOST_TEST(gate.mDraining);
 }
 
+// The daemon beside an upstream in need restarts, and fills all slots with
+// other VMs' requests before the first response tells it of the limit.
+BOOST_AUTO_TEST_CASE(a_restarted_daemon_keeps_the_limit_that_other_vms_saw)
+{
+  constexpr int kSlots = 18;
+  constexpr double kLimitPerSecond = 0.5;
+  NoticeCache otherVm;
+  {
+    PlatformGate before;
+    before.mHead += "Server-Limit: 0.5\r\n";
+    before.report(UpstreamReport::Kind::Ready, 1);
+    const Answer answer = before.run("first");
+    BOOST_REQUIRE(answer.notice != nullptr);
+    otherVm.onAnswer("vm-1", *answer.notice, monotonicNow());
+  }
+  PlatformGate after;
+  after.mHead += "Server-Limit: 0.5\r\n";
+  after.mSlots = kSlots;
+  after.mRunMs = 400;
+  after.report(UpstreamReport::Kind::Ready, 2);
+  std::vector<std::future<Answer>> answers;
+  for (int it = 0; it < kSlots; ++it) {
+    answers.push_back(after.submit("id-" + std::to_string(it),
+                                   otherVm.noticeFor("vm-1", monotonicNow())));
+  }
+  for (std::future<Answer>& answer : answers) {
+    answer.wait();
+  }
+  BOOST_TEST(after.mArrivals > 0);
+  BOOST_TEST(after.mArrivals <= kLimitPerSecond * 4 * 1.5 + 5);
+}
+
+// The daemon beside a leaving upstream restarts, and a late report makes the
+// upstream look ready.
+BOOST_AUTO_TEST_CASE(a_restarted_daemon_knows_from_other_vms_that_it_leaves)
+{
+  NoticeCache otherVm;
+  {
+    PlatformGate before;
+    before.mHead += "Server-Leaving: 1\r\n";
+    before.report(UpstreamReport::Kind::Ready, 1);
+    const Answer answer = before.run("first");
+    BOOST_REQUIRE(answer.notice != nullptr);
+    otherVm.onAnswer("vm-1", *answer.notice, monotonicNow() - 200_ms);
+  }
+  PlatformGate after;
+  after.report(UpstreamReport::Kind::Ready, 2);
+  const Answer answer =
+    after.submit("late", otherVm.noticeFor("vm-1", monotonicNow())).get();
+  BOOST_TEST((answer.reason == NotRunReason::Draining));
+  BOOST_TEST(after.mArrivals == 0);
+}
+
+// An upstream restarts without a limit, and what other VMs remember of its
+// previous process does not bind the new one.
+BOOST_AUTO_TEST_CASE(a_notice_of_an_earlier_process_is_ignored)
+{
+  wire::UpstreamNoticeT notice;
+  notice.upstream = 12345;
+  notice.limit_per_second = 0;
+  notice.leaving = true;
+  notice.leaving_ms = 10000;
+  PlatformGate gate;
+  gate.report(UpstreamReport::Kind::Ready, 1);
+  for (int it = 0; it < 20; ++it) {
+    const Answer answer =
+      gate
+        .submit("id-" + std::to_string(it),
+                std::make_unique<wire::UpstreamNoticeT>(notice))
+        .get();
+    BOOST_TEST((answer.kind == AnswerKind::Answered));
+  }
+}
+
 // An upstream sends headers or a body without end. The gate closes the
 // connection at its size limit, long before the deadline, and answers that the
 // outcome is unknown.
