--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -351,6 +351,13 @@
 Daemon::Impl::onOperatorEntries(const OperatorEntries& aEntries)
 {
   if (aEntries.mNext <= mNextOperatorPosition) {
+    if (aEntries.mNext < mNextOperatorPosition) {
+      logEvent(LogLevel::Info,
+               "operator_entries_older",
+               { { "position", aEntries.mNext },
+                 { "position_in_force", mNextOperatorPosition },
+                 { "entries", aEntries.mEntries.size() } });
+    }
     return;
   }
   if (aEntries.mIsComplete) {
