Keep a cell's newer state when its store comes back from a copy (CONFIG)

Cause: what a writer reads from the store was believed to be the newest. A restored store holds less than what daemons have in memory: those that knew more got a conflict for each write, and one that knew nothing built on the copy. Ruled out: that the store refuses calls (store_regained at 17.6 s, and single writes were applied). Fix: the number of records in a state, which goes on across restores, decides (RestoredStateGuard). A writer whose state is newer writes it again. A state names the generation of the store in which it was written; one of an earlier generation is a copy, on which a daemon that knows nothing builds only after 1.5 s, in which the others write theirs again. If all were lost, the copy is all that is left and is used.

--- a/include/radishroad/daemon/fleet_state.h
+++ b/include/radishroad/daemon/fleet_state.h
@@ -53,8 +53,8 @@
   void onState(const std::string& aStream,
                std::uint64_t aVersion,
                const CellState& aState);
-  /// Sets a configuration that does not come from the log. Ignored unless
-  /// aVersion is higher than the present version.
+  /// Sets a configuration that does not come from the log. Ignored if aVersion
+  /// is lower than the present version.
   void setModel(std::uint64_t aVersion,
                 std::shared_ptr<const config::Model> aModel,
                 Bytes aEncoded);
--- a/include/radishroad/log/state_store.h
+++ b/include/radishroad/log/state_store.h
@@ -16,8 +16,12 @@
 /// The newest state stored under a name.
 struct StoredState
 {
-  /// Increases with each replacement; 0 if no state is stored yet.
+  /// Increases with each replacement.
   std::uint64_t mVersion = 0;
+  /// Rises each time the store was restored from an older copy, which takes
+  /// back what had been written since. Versions increase all the same.
+  std::uint64_t mGeneration = 0;
+  /// Empty if no state is stored.
   Bytes mData;
 };
 
@@ -66,6 +70,10 @@
   /// True if mEntries holds all entries in force; entries not in it were
   /// removed.
   bool mIsComplete = false;
+  /// The store was restored from an older copy since the position from which
+  /// the read continued. mEntries may lack entries, or hold old ones, that
+  /// operators have yet to write again.
+  bool mIsRestored = false;
   std::vector<OperatorEntry> mEntries;
 };
 
--- a/include/radishroad/state/cell_state.h
+++ b/include/radishroad/state/cell_state.h
@@ -115,6 +115,9 @@
   /// numbers (KeyLayout).
   std::uint32_t mRunKeys = kDefaultRunKeys;
   RecentIds mSeenIds;
+  /// Generation of the store (StoredState) in which the state was last written.
+  /// A stored state of an earlier generation comes from a copy.
+  std::uint64_t mStoreGeneration = 0;
 
   bool operator==(const CellState&) const = default;
 };
--- a/src/daemon/daemon_impl_state.cpp
+++ b/src/daemon/daemon_impl_state.cpp
@@ -66,6 +66,8 @@
   wire::RelayRecordsT relay;
   relay.stream = aStream;
   relay.base_version = aBase;
+  const CellState* state = mFleet.stateOf(aStream);
+  relay.generation = state == nullptr ? 0 : state->mStoreGeneration;
   for (const Bytes& data : aRecords) {
     relay.records.push_back(std::make_unique<wire::RelayedRecordT>());
     relay.records.back()->offset = aVersion;
@@ -102,7 +104,8 @@
   for (const std::unique_ptr<wire::RelayedRecordT>& record : aChange.records) {
     records.push_back(record->data);
   }
-  const StateChange change = applyRecords(*base, records);
+  StateChange change = applyRecords(*base, records);
+  change.mState.mStoreGeneration = aChange.generation;
   if (change.mChanged) {
     mStoreAnsweredAt = monotonicNow();
     applyState(aChange.stream, aChange.records.back()->offset, change.mState);
--- a/src/daemon/fleet_state.cpp
+++ b/src/daemon/fleet_state.cpp
@@ -6,6 +6,7 @@
 #include "radishroad/state/relay.h"
 #include "radishroad/state/snapshot_codec.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace radishroad {
@@ -288,6 +289,10 @@
         std::make_shared<const CellState>(loader.state());
       publishView();
     }
+    if (aState.mNextOffset == loader.state().mNextOffset) {
+      // A restored store got the same state again, as a newer version.
+      mVersions[aStream] = std::max(mVersions[aStream], aVersion);
+    }
     // Completes proposals whose answer from the store was lost.
     for (const RandomId& id : aState.mSeenIds.inOrder()) {
       mHooks.mOnRecord(id, FoldVerdict::Applied);
@@ -343,7 +348,8 @@
                      std::shared_ptr<const config::Model> aModel,
                      Bytes aEncoded)
 {
-  if (aVersion <= mModelVersion || aModel == nullptr) {
+  const bool isSame = aVersion == mModelVersion && aModel == mModel;
+  if (aVersion < mModelVersion || aModel == nullptr || isSame) {
     return;
   }
   mModelVersion = aVersion;
--- a/src/log/state_writer.cpp
+++ b/src/log/state_writer.cpp
@@ -1,9 +1,11 @@
 #include "radishroad/log/state_writer.h"
 
 #include "radishroad/base/bounded_queue.h"
+#include "radishroad/base/json_log.h"
 #include "radishroad/log/append_rate_limiter.h"
 #include "radishroad/log/log_appender.h"
 #include "radishroad/state/cell_state.h"
+#include "radishroad/state/restored_state.h"
 #include "radishroad/state/snapshot_codec.h"
 #include "radishroad/state/state_change.h"
 
@@ -12,6 +14,7 @@
 #include <condition_variable>
 #include <map>
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -50,6 +53,11 @@
     CellState mState;
     /// False after a failed write or an undecodable state, until the next read.
     bool mIsCurrent = false;
+    /// Generation of the store by the last read.
+    std::uint64_t mGeneration = 0;
+    /// The stored state is older than mState, as the store was restored.
+    bool mMustRewrite = false;
+    RestoredStateGuard mRestoredGuard;
   };
 
   Impl(const OpenStateStoreFn& aOpen,
@@ -146,7 +154,8 @@
     for (const Task& task : aBatch) {
       records.push_back(task.mData);
     }
-    const StateChange change = applyRecords(aCached.mState, records);
+    StateChange change = applyRecords(aCached.mState, records);
+    change.mState.mStoreGeneration = aCached.mGeneration;
     if (!change.mChanged) {
       // A refusal is final only if it was decided on the newest state.
       if (!refresh(aStream, aCached)) {
@@ -160,11 +169,11 @@
       return Attempt::Completed;
     }
     waitForToken();
-    const Result<std::uint64_t> version = mStore.mReplace(
-      aStream, aCached.mVersion, encodeState(change.mState), kCallTimeout);
+    const Result<std::uint64_t> version =
+      replaceState(aStream, aCached, change.mState);
     if (version) {
       const std::uint64_t baseVersion = aCached.mVersion;
-      aCached = { *version, change.mState, true };
+      setWritten(aCached, *version, change.mState);
       mHooks.mOnStoreResult(true, {});
       mHooks.mOnState(aStream, aCached.mVersion, aCached.mState);
       mHooks.mOnWritten(aStream, baseVersion, aCached.mVersion, records);
@@ -182,6 +191,24 @@
              : Attempt::NotWritten;
   }
 
+  Result<std::uint64_t> replaceState(const std::string& aStream,
+                                     const CachedState& aCached,
+                                     const CellState& aState)
+  {
+    return mStore.mReplace(
+      aStream, aCached.mVersion, encodeState(aState), kCallTimeout);
+  }
+
+  static void setWritten(CachedState& aCached,
+                         std::uint64_t aVersion,
+                         const CellState& aState)
+  {
+    aCached.mVersion = aVersion;
+    aCached.mState = aState;
+    aCached.mIsCurrent = true;
+    aCached.mMustRewrite = false;
+  }
+
   /// A Duplicate counts as Applied: the record was applied by an attempt whose
   /// response was lost.
   static void completeBatch(std::vector<Task>& aBatch,
@@ -204,36 +231,98 @@
     }
     mHooks.mOnStoreResult(true, {});
     aCached.mIsCurrent = true;
+    aCached.mGeneration = read->mGeneration;
     if (read->mVersion == aCached.mVersion) {
-      return true;
+      // It may have been read from the copy by another client of this daemon.
+      const RestoredStateGuard::Base base = aCached.mRestoredGuard.choose(
+        aCached.mState, read->mGeneration, {}, monotonicNow());
+      aCached.mIsCurrent = base != RestoredStateGuard::Base::Undecided;
+      return aCached.mIsCurrent;
     }
     CellState state;
-    const Result<void> decoded = decodeState(read->mData, state);
+    const Result<void> decoded =
+      read->mData.empty() ? Result<void>() : decodeState(read->mData, state);
     if (!decoded) {
       mHooks.mOnStoreResult(false, aStream + ": " + decoded.error().mMessage);
       aCached.mIsCurrent = false;
       return false;
     }
-    aCached.mVersion = read->mVersion;
-    aCached.mState = std::move(state);
+    return adoptStoredState(aStream, aCached, *read, std::move(state));
+  }
+
+  /// Returns whether the next write may be based on aCached.
+  bool adoptStoredState(const std::string& aStream,
+                        CachedState& aCached,
+                        const StoredState& aRead,
+                        CellState aState)
+  {
+    using Base = RestoredStateGuard::Base;
+    const Base base = aCached.mRestoredGuard.choose(
+      aState, aRead.mGeneration, aCached.mState, monotonicNow());
+    if (base == Base::Undecided) {
+      aCached.mIsCurrent = false;
+      return false;
+    }
+    aCached.mVersion = aRead.mVersion;
+    aCached.mMustRewrite = base == Base::Known;
+    if (base == Base::Known) {
+      logEvent(LogLevel::Warn,
+               "stored_state_older",
+               { { "stream", aStream },
+                 { "generation", aRead.mGeneration },
+                 { "stored_next", aState.mNextOffset },
+                 { "known_next", aCached.mState.mNextOffset } });
+      return true;
+    }
+    aCached.mState = std::move(aState);
     mHooks.mOnState(aStream, aCached.mVersion, aCached.mState);
     return true;
   }
 
   Result<FoldVerdict> probeOnce(const Task& aTask)
   {
-    if (!refresh(aTask.mStream, mCache[aTask.mStream])) {
+    CachedState& cached = mCache[aTask.mStream];
+    adoptObservedState(aTask.mStream, cached);
+    if (!refresh(aTask.mStream, cached)) {
       return fail(ErrorCode::Unavailable, "state store did not respond");
     }
+    if (cached.mMustRewrite) {
+      rewrite(aTask.mStream, cached);
+    }
     return FoldVerdict::Ignored;
   }
 
+  /// Writes the known state again to a store that lost it.
+  void rewrite(const std::string& aStream, CachedState& aCached)
+  {
+    aCached.mState.mStoreGeneration = aCached.mGeneration;
+    const Result<std::uint64_t> version =
+      replaceState(aStream, aCached, aCached.mState);
+    if (!version) {
+      // Another writer may have done so; the next write finds out.
+      aCached.mIsCurrent = false;
+      return;
+    }
+    setWritten(aCached, *version, aCached.mState);
+    logEvent(LogLevel::Info,
+             "state_rewritten",
+             { { "stream", aStream }, { "next", aCached.mState.mNextOffset } });
+    mHooks.mOnState(aStream, aCached.mVersion, aCached.mState);
+  }
+
   void adoptObservedState(const std::string& aStream, CachedState& aCached)
   {
     const std::lock_guard<std::mutex> lock(mMutex);
     const auto it = mObserved.find(aStream);
-    if (it != mObserved.end() && it->second.mVersion > aCached.mVersion) {
-      aCached = std::move(it->second);
+    const bool isNewer =
+      it != mObserved.end() && it->second.mVersion > aCached.mVersion &&
+      it->second.mState.mNextOffset >= aCached.mState.mNextOffset;
+    if (isNewer) {
+      aCached.mVersion = it->second.mVersion;
+      aCached.mState = std::move(it->second.mState);
+      // A state from elsewhere does not tell the store's generation.
+      aCached.mIsCurrent = aCached.mGeneration > 0;
+      aCached.mMustRewrite = false;
     }
     mObserved.erase(aStream);
   }
@@ -358,8 +447,10 @@
 {
   const std::lock_guard<std::mutex> lock(mImpl->mMutex);
   Impl::CachedState& observed = mImpl->mObserved[aStream];
-  if (aVersion > observed.mVersion) {
-    observed = { aVersion, aState, true };
+  if (aVersion > observed.mVersion &&
+      aState.mNextOffset >= observed.mState.mNextOffset) {
+    observed.mVersion = aVersion;
+    observed.mState = aState;
   }
 }
 
--- a/src/state/snapshot_codec.cpp
+++ b/src/state/snapshot_codec.cpp
@@ -157,6 +157,7 @@
                            aState.mDrainedZones.end() };
   packed.zones_version = aState.mZonesVersion;
   packed.run_keys = aState.mRunKeys;
+  packed.store_generation = aState.mStoreGeneration;
   return packed;
 }
 
@@ -215,6 +216,7 @@
                 "cell snapshot has an invalid run_keys value");
   }
   state.mRunKeys = packed->run_keys;
+  state.mStoreGeneration = packed->store_generation;
   aState = std::move(state);
   return {};
 }
