--- a/src/daemon/daemon_impl.h
+++ b/src/daemon/daemon_impl.h
@@ -115,6 +115,8 @@
   std::uint64_t mNextOperatorPosition = 0;
   /// Operators' entries in force, by key, to be relayed to peers.
   std::map<std::string, Bytes> mOperatorEntries;
+  /// Key of the entry with the configuration in force.
+  std::string mConfigurationKey;
   std::atomic<bool> mCellLoaded{ false };
   /// By client of the store: whether its last call failed.
   std::map<std::string, bool> mUnavailableStores;
@@ -177,6 +179,8 @@
   /// Adds the gate's load to the answer.
   AnswerFn attachLoad(AnswerFn aAnswer);
   void updateZoneState();
+  /// Has the own cell's state written again if a restored store lost it.
+  void rewriteOwnState();
   Millis takeoverWait() const;
   /// Returns the time until the next tick.
   Millis tick();
--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -2,6 +2,7 @@
 
 #include "radishroad/base/json_log.h"
 #include "radishroad/caller/response.h"
+#include "radishroad/log/feed_position.h"
 #include "radishroad/request/text_answer.h"
 #include "radishroad/state/snapshot_codec.h"
 #include "radishroad/upstream/queued_request.h"
@@ -16,9 +17,8 @@
 namespace {
 
 constexpr std::size_t kWriterQueueCapacity = 256;
-/// How long a poll waits for new entries, and how much longer its call may
-/// take. A dead connection is detected after the sum of both.
-constexpr Millis kPollWait{ 15000 };
+/// How much longer than its wait for new entries a poll may take. A dead
+/// connection is detected after the sum of both.
 constexpr Millis kPollMargin{ 2000 };
 /// Peers send each new state at once, and their stream positions with each
 /// lease renewal. The store is read only for changes that no peer has sent, and
@@ -288,7 +288,9 @@
     recordStoreStatus(aStream, true, {});
     if (read->mVersion != known) {
       CellState state;
-      const Result<void> decoded = decodeState(read->mData, state);
+      // A restored store may have lost the state.
+      const Result<void> decoded =
+        read->mData.empty() ? Result<void>() : decodeState(read->mData, state);
       if (!decoded) {
         return tl::unexpected<Error>(decoded.error());
       }
@@ -319,18 +321,20 @@
   const std::string stream(kConfigStream);
   const std::shared_ptr<OperatorFeed> feed =
     std::make_shared<OperatorFeed>(mProtocol.mOpenFeed());
-  const std::shared_ptr<std::uint64_t> next =
-    std::make_shared<std::uint64_t>(0);
+  const std::shared_ptr<FeedPosition> position =
+    std::make_shared<FeedPosition>();
   PollLoop::Hooks hooks;
-  hooks.mPoll = [this, stream, feed, next]() -> Result<void> {
+  hooks.mPoll = [this, stream, feed, position]() -> Result<void> {
     const Millis sentAt = monotonicNow();
+    const FeedPosition::Read next = position->nextRead(sentAt);
     const Result<OperatorEntries> read =
-      feed->mRead(*next, kPollWait, kPollWait + kPollMargin);
+      feed->mRead(next.mFrom, next.mWait, next.mWait + kPollMargin);
     if (!read) {
+      position->onFailed();
       return tl::unexpected<Error>(read.error());
     }
     recordStoreStatus(stream, true, {});
-    *next = read->mNext;
+    position->onRead(*read, sentAt);
     mLoop.post([this, stream, sentAt, entries = *read] {
       onOperatorEntries(entries);
       mFleet.onReadSucceeded(stream, sentAt);
@@ -350,7 +354,9 @@
 void
 Daemon::Impl::onOperatorEntries(const OperatorEntries& aEntries)
 {
-  if (aEntries.mNext <= mNextOperatorPosition) {
+  const bool isReread =
+    aEntries.mIsComplete && aEntries.mNext == mNextOperatorPosition;
+  if (aEntries.mNext <= mNextOperatorPosition && !isReread) {
     if (aEntries.mNext < mNextOperatorPosition) {
       logEvent(LogLevel::Info,
                "operator_entries_older",
@@ -360,9 +366,12 @@
     }
     return;
   }
-  if (aEntries.mIsComplete) {
+  if (aEntries.mIsComplete && !aEntries.mIsRestored) {
     mOperatorState.setZonesOutOfService({});
-    mOperatorEntries.clear();
+    // A configuration stays in force until a newer one replaces it.
+    std::erase_if(mOperatorEntries, [this](const auto& aEntry) {
+      return aEntry.first != mConfigurationKey;
+    });
   }
   for (const OperatorEntry& entry : aEntries.mEntries) {
     Result<OperatorChange> change = mProtocol.mParseOperatorEntry(entry);
@@ -389,10 +398,13 @@
           continue;
         }
       }
+      mConfigurationKey = entry.mKey;
       mOperatorEntries[entry.mKey] = entry.mValue;
     }
-    if (const OperatorChange::ZoneState* zone =
-          std::get_if<OperatorChange::ZoneState>(&change->mChange)) {
+    const OperatorChange::ZoneState* zone =
+      std::get_if<OperatorChange::ZoneState>(&change->mChange);
+    // What a copy says of zones may be older than what is in force.
+    if (zone != nullptr && !aEntries.mIsRestored) {
       mOperatorState.setZoneInService(zone->mZone, zone->mInService);
       if (zone->mInService) {
         mOperatorEntries.erase(entry.mKey);
@@ -404,12 +416,27 @@
                { { "zone", zone->mZone }, { "in_service", zone->mInService } });
     }
   }
+  if (aEntries.mIsRestored) {
+    rewriteOwnState();
+  }
   mNextOperatorPosition = aEntries.mNext;
   mFleet.setModel(mNextOperatorPosition,
                   mOperatorState.model(),
                   encodeEntries(mNextOperatorPosition, mOperatorEntries));
 }
 
+void
+Daemon::Impl::rewriteOwnState()
+{
+  // The probe writes the newest known state if the stored one is older.
+  const bool queued = mWriter->probe(mContext.ownStream(), {}, [](bool) {});
+  if (!queued) {
+    logEvent(LogLevel::Warn,
+             "state_not_rewritten",
+             { { "stream", mContext.ownStream() } });
+  }
+}
+
 void
 Daemon::Impl::updateZoneState()
 {
--- a/tests/unit/platform_store_test.cpp
+++ b/tests/unit/platform_store_test.cpp
@@ -9,7 +9,9 @@
 
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <future>
+#include <thread>
 
 using namespace radishroad;
 using namespace radishroad::literals;
@@ -29,6 +31,12 @@
   return makeRecord(std::move(change), { 1, aIncarnation }, {});
 }
 
+std::uint64_t
+versionOf(std::uint64_t aEra, std::uint64_t aEnd)
+{
+  return platform::TopicPosition{ aEra, aEnd }.toNumber();
+}
+
 Bytes
 toBytes(std::string_view aText)
 {
@@ -51,6 +59,7 @@
               const std::lock_guard<std::mutex> lock(mMutex);
               mVersion = aVersion;
               mMembers = aState.mMembers.size();
+              mState = aState;
             },
           .mOnWritten = [this](const std::string&,
                                std::uint64_t,
@@ -71,6 +80,18 @@
     return done.get_future().get();
   }
 
+  CellState state()
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    return mState;
+  }
+
+  /// Takes over a state as daemons do that receive it from a peer.
+  void observe(Writer& aOther)
+  {
+    mWriter.observeState(kStream, aOther.mVersion, aOther.state());
+  }
+
   std::size_t memberCount()
   {
     const std::lock_guard<std::mutex> lock(mMutex);
@@ -80,6 +101,7 @@
   std::mutex mMutex;
   std::uint64_t mVersion = 0;
   std::size_t mMembers = 0;
+  CellState mState;
   std::atomic<int> mWrites{ 0 };
   StateWriter mWriter;
 };
@@ -183,7 +205,7 @@
     const Result<StoredState> stored =
       reader.mRead(kStream, known, 0_ms, 2000_ms);
     BOOST_REQUIRE(stored.has_value());
-    BOOST_TEST(stored->mVersion == 2U);
+    BOOST_TEST(stored->mVersion == versionOf(1, 2));
   }
   // A restarted fleet continues from this state.
   Writer next(store);
@@ -202,14 +224,16 @@
   }
   StateStore reader = platform::openStateStore(store.address());
   const std::uint64_t bytesBefore = store.bytesSent();
-  const Result<StoredState> stored = reader.mRead(kStream, 1, 0_ms, 2000_ms);
+  const Result<StoredState> stored =
+    reader.mRead(kStream, versionOf(1, 1), 0_ms, 2000_ms);
   BOOST_REQUIRE(stored.has_value());
-  BOOST_TEST(stored->mVersion == 40U);
+  BOOST_TEST(stored->mVersion == versionOf(1, 40));
   // The reader receives the next version, and the newest one in base64.
   BOOST_TEST(store.bytesSent() - bytesBefore < 3 * stored->mData.size() + 1024);
-  const Result<StoredState> again = reader.mRead(kStream, 40, 0_ms, 2000_ms);
+  const Result<StoredState> again =
+    reader.mRead(kStream, versionOf(1, 40), 0_ms, 2000_ms);
   BOOST_REQUIRE(again.has_value());
-  BOOST_TEST(again->mVersion == 40U);
+  BOOST_TEST(again->mVersion == versionOf(1, 40));
   BOOST_TEST(again->mData.empty());
 }
 
@@ -241,7 +265,7 @@
   const Result<OperatorEntries> first = feed.mRead(0, 20_ms, 2000_ms);
   BOOST_REQUIRE(first.has_value());
   BOOST_TEST(first->mIsComplete);
-  BOOST_TEST(first->mNext == 1U);
+  BOOST_TEST(first->mNext == versionOf(1, 1));
   BOOST_TEST(first->mEntries.size() == 1U);
 }
 
@@ -270,4 +294,120 @@
   BOOST_TEST(read->mEntries.size() == 1U);
 }
 
+// The store comes back from an older copy, so that offsets are given out again,
+// and a version that an operator writes then has one that was read before.
+BOOST_AUTO_TEST_CASE(operator_entries_of_a_restored_store_are_newer)
+{
+  for (const int rewritten : { 0, 1, 2, 3 }) {
+    FakeStore store;
+    store.put(platform::kOperatorTopic, "config", "1");
+    store.copy();
+    store.put(platform::kOperatorTopic, "config", "2");
+    store.put(platform::kOperatorTopic, "config", "3");
+    OperatorFeed feed = platform::openOperatorFeed(store.address());
+    const Result<OperatorEntries> before = feed.mRead(0, 0_ms, 2000_ms);
+    BOOST_REQUIRE(before.has_value());
+    store.restore();
+    for (int n = 0; n < rewritten; ++n) {
+      store.put(platform::kOperatorTopic, "config", std::to_string(4 + n));
+    }
+    const Result<OperatorEntries> after =
+      feed.mRead(before->mNext, 0_ms, 2000_ms);
+    BOOST_REQUIRE(after.has_value());
+    BOOST_TEST(after->mNext > before->mNext);
+    BOOST_TEST(after->mIsComplete);
+    BOOST_TEST(after->mIsRestored);
+    const std::string newest =
+      rewritten == 0 ? "1" : std::to_string(3 + rewritten);
+    BOOST_REQUIRE(after->mEntries.size() == 1U);
+    BOOST_TEST((after->mEntries[0].mValue == toBytes(newest)));
+    const Result<OperatorEntries> next =
+      feed.mRead(after->mNext, 0_ms, 2000_ms);
+    BOOST_REQUIRE(next.has_value());
+    BOOST_TEST(next->mEntries.empty());
+    BOOST_TEST(!next->mIsRestored);
+  }
+}
+
+// The store comes back from an older copy. Daemons that go on write their newer
+// state again, and one that has just started does not build on the copy.
+BOOST_AUTO_TEST_CASE(members_known_to_running_daemons_survive_a_restore)
+{
+  FakeStore store;
+  Writer first(store);
+  Writer second(store);
+  BOOST_REQUIRE(first.submit(makeJoin(1), 5000_ms).has_value());
+  store.copy();
+  BOOST_REQUIRE(first.submit(makeJoin(2), 5000_ms).has_value());
+  BOOST_REQUIRE(first.submit(makeJoin(3), 5000_ms).has_value());
+  second.observe(first);
+  store.restore();
+  Writer started(store);
+  std::future<Result<FoldVerdict>> joined =
+    std::async(std::launch::async,
+               [&started] { return started.submit(makeJoin(4), 5000_ms); });
+  // Within the time that a daemon takes to notice the restore.
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  std::promise<void> probed;
+  BOOST_REQUIRE(second.mWriter.probe(
+    kStream, 2000_ms, [&probed](bool) { probed.set_value(); }));
+  probed.get_future().wait();
+  BOOST_REQUIRE(first.submit(makeJoin(5), 5000_ms).has_value());
+  BOOST_REQUIRE(joined.get().has_value());
+  StateStore reader = platform::openStateStore(store.address());
+  const Result<StoredState> stored = reader.mRead(kStream, 0, 0_ms, 2000_ms);
+  BOOST_REQUIRE(stored.has_value());
+  CellState state;
+  BOOST_REQUIRE(decodeState(stored->mData, state).has_value());
+  for (Incarnation n = 1; n <= 5; ++n) {
+    BOOST_TEST(state.mMembers.contains(n), n);
+  }
+}
+
+// All daemons were lost together with what the store had: the copy is all that
+// is left, and a daemon that has just started builds on it after a while.
+BOOST_AUTO_TEST_CASE(the_copy_is_used_if_no_daemon_knows_more)
+{
+  FakeStore store;
+  {
+    Writer before(store);
+    BOOST_REQUIRE(before.submit(makeJoin(1), 5000_ms).has_value());
+    store.copy();
+    BOOST_REQUIRE(before.submit(makeJoin(2), 5000_ms).has_value());
+  }
+  store.restore();
+  Writer started(store);
+  BOOST_REQUIRE(started.submit(makeJoin(3), 5000_ms).has_value());
+  BOOST_TEST(started.state().mMembers.contains(1));
+  BOOST_TEST(!started.state().mMembers.contains(2));
+  BOOST_TEST(started.state().mMembers.contains(3));
+}
+
+// A write that is based on a state from before the restore must not replace
+// what was written since, although the log has grown to the same length.
+BOOST_AUTO_TEST_CASE(a_write_from_before_a_restore_conflicts)
+{
+  FakeStore store;
+  store.copy();
+  StateStore writer = platform::openStateStore(store.address());
+  const Bytes data = encodeState(CellState{});
+  const Result<StoredState> empty = writer.mRead(kStream, 0, 0_ms, 2000_ms);
+  BOOST_REQUIRE(empty.has_value());
+  const Result<std::uint64_t> written =
+    writer.mReplace(kStream, empty->mVersion, data, 2000_ms);
+  BOOST_REQUIRE(written.has_value());
+  store.restore();
+  StateStore other = platform::openStateStore(store.address());
+  const Result<StoredState> restored = other.mRead(kStream, 0, 0_ms, 2000_ms);
+  BOOST_REQUIRE(restored.has_value());
+  BOOST_TEST(restored->mVersion > *written);
+  BOOST_REQUIRE(
+    other.mReplace(kStream, restored->mVersion, data, 2000_ms).has_value());
+  BOOST_REQUIRE(writer.mRead(kStream, *written, 0_ms, 2000_ms).has_value());
+  const Result<std::uint64_t> late =
+    writer.mReplace(kStream, *written, data, 2000_ms);
+  BOOST_REQUIRE(!late.has_value());
+  BOOST_TEST((late.error().mCode == ErrorCode::Conflict));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/support/fake_store.cpp
+++ b/tests/unit/support/fake_store.cpp
@@ -105,14 +105,40 @@
   topic.mFirstOffset = topic.mEndOffset;
 }
 
+void
+FakeStore::copy()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mCopy = mTopics;
+}
+
+void
+FakeStore::restore()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mTopics = mCopy;
+  ++mEra;
+}
+
 Answer
 FakeStore::handle(const CallerRequest& aRequest)
 {
   ++mCalls;
+  const std::lock_guard<std::mutex> lock(mMutex);
+  Answer answer = answerCall(aRequest);
+  auto era = std::make_unique<wire::HeaderT>();
+  era->name = "Store-Era";
+  era->value = std::to_string(mEra);
+  answer.headers.push_back(std::move(era));
+  return answer;
+}
+
+Answer
+FakeStore::answerCall(const CallerRequest& aRequest)
+{
   if (mFault == Fault::Busy) {
     return makeTextAnswer(503, kJson, "{}");
   }
-  const std::lock_guard<std::mutex> lock(mMutex);
   Topic& topic =
     mTopics[queryParameter(aRequest.mTarget, "Topic").value_or("")];
   const std::string path =
@@ -156,7 +182,7 @@
 {
   const std::uint64_t from =
     std::stoull(queryParameter(aRequest.mTarget, "From").value_or("0"));
-  if (from < aTopic.mFirstOffset) {
+  if (from < aTopic.mFirstOffset || from > aTopic.mEndOffset) {
     return makeTextAnswer(
       410, kJson, nlohmann::json{ { "First", aTopic.mFirstOffset } }.dump());
   }
--- a/tests/unit/support/fake_store.h
+++ b/tests/unit/support/fake_store.h
@@ -41,6 +41,10 @@
   /// Deletes all records from the log; the newest record of each key remains
   /// available.
   void compact(const std::string& aTopic);
+  /// Keeps a copy of all topics.
+  void copy();
+  /// Comes back from the copy, in the next era.
+  void restore();
   int calls() const { return mCalls; }
   /// Number of reads that asked for a long poll.
   int longPolls() const { return mLongPolls; }
@@ -62,6 +66,7 @@
   };
 
   Answer handle(const CallerRequest& aRequest);
+  Answer answerCall(const CallerRequest& aRequest);
   Answer append(Topic& aTopic, const CallerRequest& aRequest);
   static Answer read(const Topic& aTopic, const CallerRequest& aRequest);
   static Answer newest(const Topic& aTopic);
@@ -73,6 +78,8 @@
   std::atomic<int> mLongPolls{ 0 };
   std::mutex mMutex;
   std::map<std::string, Topic> mTopics;
+  std::map<std::string, Topic> mCopy;
+  std::uint64_t mEra = 1;
   Metrics mMetrics;
   CallerServer mServer;
 };
