--- a/tests/process/support/failures.cpp
+++ b/tests/process/support/failures.cpp
@@ -119,6 +119,44 @@
   };
 }
 
+std::vector<Failure>
+noticeFailures()
+{
+  const auto namesLimit = [](double aPerSecond) {
+    return Failure{
+      "upstream names a limit",
+      [aPerSecond](Fleet& aFleet, const std::string& aVm) {
+        aFleet.setUpstreamFaults(aVm, { { "limit_per_second", aPerSecond } });
+      },
+      [](Fleet& aFleet, const std::string& aVm) {
+        aFleet.setUpstreamFaults(aVm, { { "limit_per_second", nullptr } });
+      }
+    };
+  };
+  return { namesLimit(1.5),
+           namesLimit(10),
+           { "upstream is leaving",
+             [](Fleet& aFleet, const std::string& aVm) {
+               aFleet.setUpstreamFaults(aVm, { { "leaving", true } });
+             },
+             [](Fleet& aFleet, const std::string& aVm) {
+               aFleet.kill(aVm, Role::Upstream);
+               aFleet.start(aVm, Role::Upstream);
+             } } };
+}
+
+std::vector<Failure>
+logRestoreFailures()
+{
+  return {
+    { "log restored",
+      setLogFault("outage", true),
+      [](Fleet& aFleet, const std::string&) {
+        aFleet.setLogFaults({ { "restore_ms", 4000 }, { "outage", false } });
+      } }
+  };
+}
+
 std::vector<Failure>
 failuresForPairs()
 {
--- a/tests/process/support/failures.h
+++ b/tests/process/support/failures.h
@@ -25,6 +25,14 @@
 std::vector<Failure>
 logFailures();
 
+/// What an upstream says about itself in its responses.
+std::vector<Failure>
+noticeFailures();
+
+/// The log comes back from a copy that is some seconds old.
+std::vector<Failure>
+logRestoreFailures();
+
 /// The failures from which tests of two simultaneous failures draw. The order
 /// is fixed, because a seed selects failures by index.
 std::vector<Failure>
--- a/tools/rr-logd/log_service.cpp
+++ b/tools/rr-logd/log_service.cpp
@@ -84,6 +84,11 @@
     if (mFaults.mOutage) {
       failWaiters();
     }
+    const std::int64_t restoreMs =
+      fields.value("restore_ms", std::int64_t{ 0 });
+    if (restoreMs > 0) {
+      mStore.dropSince(wallNow() - Millis{ restoreMs });
+    }
   }
   mJournal.write({ { "event", "faults" }, { "faults", fields } });
   aReply.send(200, "{}");
--- a/tools/rr-logd/log_store.cpp
+++ b/tools/rr-logd/log_store.cpp
@@ -35,13 +35,26 @@
   putLittleEndian(record, aData.size(), 4);
   record.append(aData);
   stream.mRecords.push_back(std::move(record));
+  stream.mTimes.push_back(aNow);
   if (mMaxRecords > 0 && stream.mRecords.size() > mMaxRecords) {
     stream.mRecords.pop_front();
+    stream.mTimes.pop_front();
     ++stream.mOldest;
   }
   return offset;
 }
 
+void
+LogStore::dropSince(Millis aSince)
+{
+  for (auto& [name, stream] : mStreams) {
+    while (!stream.mTimes.empty() && stream.mTimes.back() >= aSince) {
+      stream.mTimes.pop_back();
+      stream.mRecords.pop_back();
+    }
+  }
+}
+
 LogStore::Bounds
 LogStore::bounds(const std::string& aStream) const
 {
--- a/tools/rr-logd/log_store.h
+++ b/tools/rr-logd/log_store.h
@@ -29,6 +29,9 @@
                        std::string_view aData,
                        Millis aNow);
   Bounds bounds(const std::string& aStream) const;
+  /// Deletes all records that were appended at aSince or later; their offsets
+  /// are given out again.
+  void dropSince(Millis aSince);
   /// Encoded records from offset aFrom on, as docs/log-service.md specifies: as
   /// many as fit into aMaxBytes, but at least one if there is any. nullopt if
   /// aFrom is below the oldest retained offset.
@@ -42,6 +45,8 @@
     std::uint64_t mOldest = 0;
     /// Encoded records, each with its header.
     std::deque<std::string> mRecords;
+    /// When each record was appended.
+    std::deque<Millis> mTimes;
   };
 
   std::size_t mMaxRecords;
