--- a/src/policy/notice_cache.cpp
+++ b/src/policy/notice_cache.cpp
@@ -39,7 +39,8 @@
     return nullptr;
   }
   const Entry& entry = it->second;
-  auto notice = std::make_unique<wire::UpstreamNoticeT>();
+  std::unique_ptr<wire::UpstreamNoticeT> notice =
+    std::make_unique<wire::UpstreamNoticeT>();
   notice->upstream = entry.mUpstream;
   notice->limit_per_second = entry.mLimitPerSecond.value_or(-1);
   notice->leaving = entry.mLeavingSince.has_value();
--- a/src/upstream/gate_notice.cpp
+++ b/src/upstream/gate_notice.cpp
@@ -117,7 +117,8 @@
   if (!isKnown || upstreamProcess() == 0) {
     return nullptr;
   }
-  auto notice = std::make_unique<wire::UpstreamNoticeT>();
+  std::unique_ptr<wire::UpstreamNoticeT> notice =
+    std::make_unique<wire::UpstreamNoticeT>();
   notice->upstream = upstreamProcess();
   notice->limit_per_second = mNotice.mLimitPerSecond.value_or(-1);
   notice->leaving = mNotice.mLeaving;
--- a/tests/unit/platform_gate_test.cpp
+++ b/tests/unit/platform_gate_test.cpp
@@ -145,7 +145,8 @@
     request.idempotent = true;
     addHeader(request, "X-Request-Id", aId);
     request.notice = std::move(aNotice);
-    const auto promise = std::make_shared<std::promise<Answer>>();
+    const std::shared_ptr<std::promise<Answer>> promise =
+      std::make_shared<std::promise<Answer>>();
     mGate.submit(std::move(request), [promise](Answer aAnswer) {
       promise->set_value(std::move(aAnswer));
     });
--- a/tests/unit/support/fake_store.cpp
+++ b/tests/unit/support/fake_store.cpp
@@ -126,7 +126,7 @@
   ++mCalls;
   const std::lock_guard<std::mutex> lock(mMutex);
   Answer answer = answerCall(aRequest);
-  auto era = std::make_unique<wire::HeaderT>();
+  std::unique_ptr<wire::HeaderT> era = std::make_unique<wire::HeaderT>();
   era->name = "Store-Era";
   era->value = std::to_string(mEra);
   answer.headers.push_back(std::move(era));
