--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -236,8 +236,8 @@
   soak(701, Extra::Notices);
 }
 
-// Known to fail at times (see KNOWN-RED.txt): a daemon is expelled before it has
-// read that it joined, and proposes to join for ever.
+// Known to fail at times (see KNOWN-RED.txt): a daemon is expelled before it
+// has read that it joined, and proposes to join for ever.
 BOOST_AUTO_TEST_CASE(notices_seed_702)
 {
   soak(702, Extra::Notices);
