--- a/review/common/rig.h
+++ b/review/common/rig.h
@@ -376,6 +376,33 @@
     mTopics["keyed.op"].push_back(record);
     mChanged.notify_all();
   }
+  /// Takes a copy of all that the store has.
+  void takeCopy()
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mCopy = mTopics;
+  }
+  /// The store is away: each call is answered with 503.
+  void goAway()
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mIsAway = true;
+    mChanged.notify_all();
+  }
+  /// The store is back from the copy. What the operator has written since is
+  /// written again.
+  void comeBack()
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    const std::vector<std::string> operators = mTopics["keyed.op"];
+    const std::size_t known = mCopy["keyed.op"].size();
+    mTopics = mCopy;
+    for (std::size_t n = known; n < operators.size(); ++n) {
+      mTopics["keyed.op"].push_back(operators[n]);
+    }
+    ++mEra;
+    mIsAway = false;
+  }
 
 private:
   bool handle(int aSocket, const Message& aMessage)
@@ -385,14 +412,17 @@
     const std::string topic = query(target, "Topic");
     sleepMs(4);
     std::unique_lock<std::mutex> lock(mMutex);
+    const std::string era = "Store-Era: " + std::to_string(mEra);
     std::vector<std::string>& records = mTopics[topic];
     std::string answer;
-    if (path == "/api/log-append") {
+    if (mIsAway) {
+      answer = answerText(503, "Service Unavailable", { era }, "");
+    } else if (path == "/api/log-append") {
       const std::string at = query(target, "At");
       if (!at.empty() && std::stoull(at) != records.size()) {
         answer = answerText(412,
                             "Precondition Failed",
-                            { "Store-Era: 1" },
+                            { era },
                             json({ { "End", records.size() } }).dump());
       } else {
         const std::size_t first = records.size();
@@ -409,15 +439,23 @@
         answer = answerText(
           200,
           "OK",
-          { "Store-Era: 1", "Content-Type: application/json" },
+          { era, "Content-Type: application/json" },
           json({ { "Offset", first }, { "End", records.size() } }).dump());
       }
     } else if (path == "/api/log-read") {
       const std::size_t from = std::stoull("0" + query(target, "From"));
       const long wait = std::stol("0" + query(target, "WaitMs"));
       mChanged.wait_for(lock, std::chrono::milliseconds(wait), [&] {
-        return records.size() > from;
+        return mIsAway || records.size() > from;
       });
+      if (mIsAway || from > records.size()) {
+        lock.unlock();
+        return sendAll(aSocket,
+                       answerText(mIsAway ? 503 : 410,
+                                  mIsAway ? "Service Unavailable" : "Gone",
+                                  { era },
+                                  json({ { "First", 0 } }).dump()));
+      }
       std::string body = bigEndian(records.size(), 8) + bigEndian(0, 8);
       const bool small = !query(target, "MaxKb").empty();
       for (std::size_t n = from; n < records.size(); ++n) {
@@ -426,7 +464,7 @@
           break;
         }
       }
-      answer = answerText(200, "OK", { "Store-Era: 1" }, body);
+      answer = answerText(200, "OK", { era }, body);
     } else if (path == "/api/log-newest") {
       std::map<std::string, std::pair<std::string, std::size_t>> newest;
       for (std::size_t n = 0; n < records.size(); ++n) {
@@ -447,7 +485,7 @@
       answer = answerText(
         200,
         "OK",
-        { "Store-Era: 1", "Content-Type: application/json" },
+        { era, "Content-Type: application/json" },
         json(
           { { "items", items }, { "More", false }, { "End", records.size() } })
           .dump());
@@ -461,6 +499,9 @@
   std::mutex mMutex;
   std::condition_variable mChanged;
   std::map<std::string, std::vector<std::string>> mTopics;
+  std::map<std::string, std::vector<std::string>> mCopy;
+  std::uint64_t mEra = 1;
+  bool mIsAway = false;
   Server mServer;
 };
 
@@ -486,6 +527,8 @@
     /// which closes the connection.
     std::function<bool(int aSocket, const Message& aAsked, std::string& aText)>
       mSpoil;
+    /// Called when the worker has taken a grant.
+    std::function<void(int aFrom, int aTo, std::uint64_t aFence)> mOnGrant;
   };
   struct Hold
   {
@@ -598,6 +641,9 @@
         mHolds[k] = { fence, arrived + hold };
       }
       lock.unlock();
+      if (mOptions.mOnGrant) {
+        mOptions.mOnGrant(from, to, fence);
+      }
       return reply(aSocket, aMessage, answerText(200, "OK", {}, ""));
     }
     for (int k = from; k <= to; ++k) {
