--- a/review/common/rig.h
+++ b/review/common/rig.h
@@ -521,6 +521,8 @@
     bool mKeyed = false;
     int mSlots = 9;
     int mWorkMs = 20;
+    /// Work on requests whose path contains "/long/".
+    int mLongWorkMs = 0;
     std::int64_t mBeatMs = 870;
     std::size_t mBodyBytes = 600;
     /// Changes the bytes of an answer, or answers itself and returns false,
@@ -704,7 +706,8 @@
     mRecord.line("run " + id + " at " + mOptions.mId +
                  (key >= 0 ? " key " + keyText : ""));
     lock.unlock();
-    sleepMs(mOptions.mWorkMs);
+    const bool isLong = aMessage.target().find("/long/") != std::string::npos;
+    sleepMs(isLong ? mOptions.mLongWorkMs : mOptions.mWorkMs);
     const std::string text = answerText(
       200,
       "OK",
@@ -938,7 +941,8 @@
 
 inline std::string
 desiredState(const std::string& aVersion,
-             const std::vector<ServiceRow>& aServices)
+             const std::vector<ServiceRow>& aServices,
+             int aTimeoutMs = 2000)
 {
   json routes = json::array();
   json services = json::array();
@@ -947,7 +951,7 @@
                        "shop.example",
                        s.mPrefix,
                        s.mIdempotent ? "idempotent" : "non_idempotent",
-                       2000,
+                       aTimeoutMs,
                        400,
                        1,
                        s.mName,
