--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr int kMachines = 3;
-constexpr int kConnections = 10;
+constexpr int kConnections = 12;
 constexpr std::int64_t kTrafficMs = 16000;
 constexpr std::int64_t kLeaveAtMs = 4000;
 /// One answer to a release in this many is spoilt: x = 0.02 of the pages.
@@ -45,8 +45,8 @@
     options.mPort = m.mLocalApp;
     options.mReportPort = m.mAdmin;
     options.mKeyed = true;
-    options.mSlots = 16;
-    options.mWorkMs = 150;
+    options.mSlots = 18;
+    options.mWorkMs = 350;
     if (n == 0) {
       options.mSpoil = [&](int, const Message& aAsked, std::string& aText) {
         const std::size_t at = aText.find("X-Handover: ");
@@ -66,6 +66,7 @@
   }
   if (!waitReady(machines, 20000)) {
     record.line("the daemons did not become ready");
+    std::printf("the daemons did not become ready\n");
     stopDaemons(machines);
     finish(2);
   }
--- a/review/common/rig.h
+++ b/review/common/rig.h
@@ -228,25 +228,29 @@
   return s;
 }
 
-/// A free port of the loopback address. All are chosen before anything starts.
+/// A free port of the loopback address, below those that the system gives to
+/// outgoing connections.
 inline int
 freePort()
 {
-  static std::vector<int> sHeld;
-  const int s = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in a = addressOf(0);
-  socklen_t n = sizeof(a);
-  if (::bind(s, reinterpret_cast<sockaddr*>(&a), n) != 0) {
-    std::exit(2);
-  }
-  ::getsockname(s, reinterpret_cast<sockaddr*>(&a), &n);
-  const int port = ntohs(a.sin_port);
-  ::close(s);
-  if (std::find(sHeld.begin(), sHeld.end(), port) != sHeld.end()) {
-    return freePort();
+  constexpr int kFirst = 12000;
+  constexpr int kCount = 18000;
+  static int sNext =
+    static_cast<int>((static_cast<std::uint64_t>(::getpid()) * 7919U +
+                      static_cast<std::uint64_t>(wallMs())) %
+                     kCount);
+  for (int n = 0; n < kCount; ++n) {
+    const int port = kFirst + (sNext++ % kCount);
+    const int s = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in a = addressOf(port);
+    const bool isFree =
+      ::bind(s, reinterpret_cast<const sockaddr*>(&a), sizeof(a)) == 0;
+    ::close(s);
+    if (isFree) {
+      return port;
+    }
   }
-  sHeld.push_back(port);
-  return port;
+  std::exit(2);
 }
 
 /// HTTP server with a thread for each connection.
