--- a/review/common/rig.h
+++ b/review/common/rig.h
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -874,6 +875,8 @@
   const std::string log = aLogFolder + "/" + aMachine.mName + ".log";
   const pid_t pid = ::fork();
   if (pid == 0) {
+    // It ends with the case, whatever ends that.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(fd, 1);
     ::dup2(fd, 2);
