--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -41,7 +41,7 @@
   };
   std::atomic<int> step{ None };
   std::mutex mutex;
-  /// The last answer to a request on each connection.
+  /// The last answer to a request on each connection, by its other port.
   std::map<int, std::string> lastAnswers;
   std::atomic<int> answers{ 0 };
   std::atomic<int> spoiled{ 0 };
@@ -65,9 +65,9 @@
           std::string earlier;
           {
             const std::lock_guard<std::mutex> lock(mutex);
-            earlier = isProbe ? lastAnswers[aSocket] : "";
+            earlier = isProbe ? lastAnswers[peerPort(aSocket)] : "";
             if (isRun) {
-              lastAnswers[aSocket] = aText;
+              lastAnswers[peerPort(aSocket)] = aText;
             }
           }
           int expected = isProbe ? ProbeNext : RequestNext;
--- a/review/common/rig.h
+++ b/review/common/rig.h
@@ -229,6 +229,16 @@
   return s;
 }
 
+/// The port of the connection's other end, which tells connections apart.
+inline int
+peerPort(int aSocket)
+{
+  sockaddr_in a{};
+  socklen_t n = sizeof(a);
+  ::getpeername(aSocket, reinterpret_cast<sockaddr*>(&a), &n);
+  return ntohs(a.sin_port);
+}
+
 /// A free port of the loopback address, below those that the system gives to
 /// outgoing connections.
 inline int
