--- /dev/null
+++ b/tests/process/support/platform_site.h
@@ -0,0 +1,75 @@
+#ifndef RADISHROAD_TESTS_PROCESS_SUPPORT_PLATFORM_SITE_H
+#define RADISHROAD_TESTS_PROCESS_SUPPORT_PLATFORM_SITE_H
+
+#include "support/address_block.h"
+#include "support/child_process.h"
+#include "support/fake_store.h"
+#include "support/platform_upstream.h"
+
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace radishroad::test {
+
+/// Daemons as real processes, started with the command of deploy/system.toml,
+/// and in this process a store and the daemons' upstreams. Output of the
+/// daemons is in build/test-runs/NAME/.
+class PlatformSite
+{
+public:
+  struct Service
+  {
+    std::string mName;
+    bool mKeyed = false;
+    bool mGrantsByReport = false;
+    int mVms = 3;
+  };
+
+  /// A daemon with the upstream beside it.
+  struct Vm
+  {
+    std::string mName;
+    std::string mZone;
+    std::string mService;
+    std::uint32_t mIp = 0;
+    std::string mIpText;
+    std::unique_ptr<PlatformUpstream> mUpstream;
+    std::unique_ptr<ChildProcess> mDaemon;
+  };
+
+  static constexpr std::uint16_t kCallers = 8080;
+  static constexpr std::uint16_t kReports = 8407;
+  static constexpr int kZones = 3;
+  /// Time within which a zone must be out of service.
+  static constexpr Millis kZoneOutTime{ 5000 };
+
+  /// Zones are z1 to z3, by turns. All requests to a service have the path
+  /// prefix /NAME/; those with /NAME/once/ are not idempotent.
+  PlatformSite(const std::string& aName,
+               const std::vector<Service>& aServices,
+               PlatformUpstream::SendFn aSend = {});
+
+  /// Starts all daemons and waits until each is ready; false on timeout.
+  bool start();
+  void startDaemon(Vm& aVm);
+  std::vector<Vm>& vms() { return mVms; }
+  FakeStore& store() { return mStore; }
+  void setZoneOutOfService(const std::string& aZone, bool aIsOut);
+  bool isReady(const Vm& aVm) const;
+  /// All runs of all upstreams.
+  std::vector<PlatformRun> runs() const;
+
+private:
+  void publish(const std::vector<Service>& aServices);
+
+  std::filesystem::path mFolder;
+  AddressBlock mAddresses;
+  FakeStore mStore{ FakeStore::LongPolls::Held };
+  std::vector<Vm> mVms;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/tests/process/support/platform_upstream.h
@@ -0,0 +1,124 @@
+#ifndef RADISHROAD_TESTS_PROCESS_SUPPORT_PLATFORM_UPSTREAM_H
+#define RADISHROAD_TESTS_PROCESS_SUPPORT_PLATFORM_UPSTREAM_H
+
+#include "radishroad/base/millis.h"
+#include "support/fake_upstream.h"
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace radishroad::test {
+
+/// An answer of an upstream before it is framed.
+struct UpstreamAnswer
+{
+  std::string mStatus = "200 OK";
+  /// "Name: value" lines.
+  std::vector<std::string> mHeaders;
+  std::string mBody;
+  /// The upstream has run the request.
+  bool mIsRun = false;
+};
+
+enum class Framing
+{
+  Length,
+  Chunked,
+  /// The body ends with the connection.
+  Connection,
+};
+
+/// The bytes of an answer.
+std::string
+frame(const UpstreamAnswer& aAnswer, Framing aFraming);
+
+/// A request that an upstream has begun to run.
+struct PlatformRun
+{
+  std::string mRequestId;
+  std::string mVm;
+  Millis mAt;
+};
+
+/// An upstream that speaks the platform's protocol: it reports to the daemon
+/// beside it and runs requests whose keys it holds.
+class PlatformUpstream
+{
+public:
+  using Reply = FakeUpstream::Reply;
+  /// Turns an answer to a request of a caller into bytes.
+  using SendFn = std::function<Reply(const UpstreamAnswer&)>;
+
+  struct Options
+  {
+    std::string mVm;
+    std::string mZone;
+    std::string mService;
+    bool mKeyed = false;
+    bool mGrantsByReport = false;
+    /// Address of the daemon's listener for reports.
+    std::uint32_t mReportIp = 0;
+    std::uint16_t mReportPort = 0;
+    Millis mRunTime{ 15 };
+    SendFn mSend;
+  };
+
+  explicit PlatformUpstream(Options aOptions);
+  ~PlatformUpstream();
+  PlatformUpstream(const PlatformUpstream&) = delete;
+  PlatformUpstream& operator=(const PlatformUpstream&) = delete;
+
+  const Options& options() const { return mOptions; }
+  std::string address() const { return mServer.address(); }
+  std::vector<PlatformRun> runs() const;
+  /// The whole body of the answer to a request.
+  static std::string bodyOf(const std::string& aRequestId);
+
+private:
+  using Request = FakeUpstream::Request;
+
+  struct Key
+  {
+    std::uint64_t mEpoch = 0;
+    std::uint64_t mHighestEpoch = 0;
+    Millis mHeldUntil;
+    int mRunning = 0;
+  };
+
+  Reply handle(const Request& aRequest);
+  Reply grant(const Request& aRequest);
+  Reply release(const Request& aRequest);
+  Reply run(const Request& aRequest);
+  void reportUntilStopped();
+  /// Returns false if the report was not acknowledged.
+  bool report();
+  nlohmann::json reportBody();
+  void applyReportAnswer(const nlohmann::json& aAnswer, Millis aSentAt);
+  nlohmann::json heldRows(Millis aNow) const;
+  /// Moves released rows without running work to mReleased.
+  void collectReleased();
+
+  const Options mOptions;
+  mutable std::mutex mMutex;
+  std::condition_variable mChanged;
+  std::vector<Key> mKeys;
+  /// Rows that are to be released, and rows that were.
+  std::vector<nlohmann::json> mReleasing;
+  std::vector<nlohmann::json> mReleased;
+  std::vector<PlatformRun> mRuns;
+  std::uint64_t mSequence = 0;
+  bool mStopped = false;
+  const std::int64_t mBornMs;
+  FakeUpstream mServer;
+  std::thread mReporter;
+};
+
+}
+
+#endif
--- a/tests/unit/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -1,4 +1,4 @@
-#include "fake_store.h"
+#include "support/fake_store.h"
 
 #include "radishroad/request/text_answer.h"
 
@@ -52,20 +52,30 @@
 
 }
 
-FakeStore::FakeStore()
-  : mServer(
+FakeStore::FakeStore(LongPolls aLongPolls)
+  : mLongPollMode(aLongPolls)
+  , mServer(
       { .mListenAddress = "127.0.0.1:0", .mThreads = 1 },
       [this](const CallerRequest& aRequest, const AnswerFn& aAnswer) {
-        aAnswer(handle(aRequest));
+        handle(aRequest, aAnswer);
         return CancelFn();
       },
       mMetrics)
 {
   BOOST_REQUIRE(mServer.start().has_value());
+  mPollThread = std::thread([this] {
+    constexpr std::chrono::milliseconds kInterval(5);
+    while (!mStopped) {
+      answerHeldPolls();
+      std::this_thread::sleep_for(kInterval);
+    }
+  });
 }
 
 FakeStore::~FakeStore()
 {
+  mStopped = true;
+  mPollThread.join();
   mServer.stop();
 }
 
@@ -120,17 +130,55 @@
   ++mEra;
 }
 
-Answer
-FakeStore::handle(const CallerRequest& aRequest)
+void
+FakeStore::handle(const CallerRequest& aRequest, const AnswerFn& aAnswer)
 {
   ++mCalls;
   const std::lock_guard<std::mutex> lock(mMutex);
-  Answer answer = answerCall(aRequest);
+  if (mayHold(aRequest)) {
+    const std::string wait =
+      queryParameter(aRequest.mTarget, "WaitMs").value_or("0");
+    mHeldPolls.push_back(
+      { aRequest, aAnswer, monotonicNow() + Millis{ std::stol(wait) } });
+    return;
+  }
+  aAnswer(complete(answerCall(aRequest)));
+}
+
+bool
+FakeStore::mayHold(const CallerRequest& aRequest)
+{
+  const std::string& target = aRequest.mTarget;
+  const std::uint64_t end =
+    mTopics[queryParameter(target, "Topic").value_or("")].mEndOffset;
+  return mLongPollMode == LongPolls::Held && mFault == Fault::None &&
+         target.starts_with("/api/log-read") &&
+         queryParameter(target, "WaitMs").value_or("0") != "0" &&
+         queryParameter(target, "From") == std::to_string(end);
+}
+
+void
+FakeStore::answerHeldPolls()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const Millis now = monotonicNow();
+  std::erase_if(mHeldPolls, [&](const HeldPoll& aPoll) {
+    const bool isDue = now >= aPoll.mUntil || !mayHold(aPoll.mRequest);
+    if (isDue) {
+      aPoll.mAnswer(complete(answerCall(aPoll.mRequest)));
+    }
+    return isDue;
+  });
+}
+
+Answer
+FakeStore::complete(Answer aAnswer) const
+{
   std::unique_ptr<wire::HeaderT> era = std::make_unique<wire::HeaderT>();
   era->name = "Store-Era";
   era->value = std::to_string(mEra);
-  answer.headers.push_back(std::move(era));
-  return answer;
+  aAnswer.headers.push_back(std::move(era));
+  return aAnswer;
 }
 
 Answer
--- a/tests/unit/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -10,13 +10,15 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <thread>
+#include <vector>
 
 namespace radishroad::test {
 
 /// A fake of the platform's store that follows its published protocol: keyed
 /// topics of one partition, appends at an expected end offset, reads, the
 /// newest record of each key, and compaction. Long polls are answered
-/// immediately.
+/// immediately, unless they are held.
 class FakeStore
 {
 public:
@@ -29,7 +31,14 @@
     LosesAnswers,
   };
 
-  FakeStore();
+  enum class LongPolls
+  {
+    AnsweredAtOnce,
+    /// Held until there is a record or their time has passed.
+    Held,
+  };
+
+  explicit FakeStore(LongPolls aLongPolls = LongPolls::AnsweredAtOnce);
   ~FakeStore();
 
   std::string address() const;
@@ -65,7 +74,19 @@
     std::map<std::string, Item> mNewest;
   };
 
-  Answer handle(const CallerRequest& aRequest);
+  struct HeldPoll
+  {
+    CallerRequest mRequest;
+    AnswerFn mAnswer;
+    Millis mUntil;
+  };
+
+  void handle(const CallerRequest& aRequest, const AnswerFn& aAnswer);
+  /// Adds the headers that all answers have.
+  Answer complete(Answer aAnswer) const;
+  bool mayHold(const CallerRequest& aRequest);
+  /// Answers the held polls whose topic has grown or whose time has passed.
+  void answerHeldPolls();
   Answer answerCall(const CallerRequest& aRequest);
   Answer append(Topic& aTopic, const CallerRequest& aRequest);
   static Answer read(const Topic& aTopic, const CallerRequest& aRequest);
@@ -80,6 +101,10 @@
   std::map<std::string, Topic> mTopics;
   std::map<std::string, Topic> mCopy;
   std::uint64_t mEra = 1;
+  const LongPolls mLongPollMode;
+  std::vector<HeldPoll> mHeldPolls;
+  std::atomic<bool> mStopped{ false };
+  std::thread mPollThread;
   Metrics mMetrics;
   CallerServer mServer;
 };
--- a/tests/unit/fake_upstream.cpp
+++ b/tests/support/fake_upstream.cpp
@@ -1,12 +1,14 @@
-#include "fake_upstream.h"
+#include "support/fake_upstream.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <optional>
+#include <poll.h>
 #include <sstream>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace radishroad {
 
@@ -132,34 +134,65 @@
   }
 }
 
+bool
+FakeUpstream::receive(int aSocket, std::string& aBuffer)
+{
+  std::array<char, 4096> chunk{};
+  const ssize_t n = ::recv(aSocket, chunk.data(), chunk.size(), 0);
+  if (n > 0) {
+    aBuffer.append(chunk.data(), static_cast<std::size_t>(n));
+  }
+  return n > 0;
+}
+
 void
 FakeUpstream::serve(int aSocket)
 {
   std::string buffer;
-  std::array<char, 4096> chunk{};
+  std::string lateBytes;
+  std::chrono::milliseconds lateAfter{ 0 };
   int served = 0;
+  const auto sendBytes = [aSocket](const std::string& aBytes) {
+    return ::send(aSocket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+  };
   while (true) {
     std::optional<Request> request = takeRequest(buffer);
+    if (!request && !lateBytes.empty()) {
+      pollfd ready{ aSocket, POLLIN, 0 };
+      if (::poll(&ready, 1, static_cast<int>(lateAfter.count())) == 0) {
+        sendBytes(std::exchange(lateBytes, {}));
+      }
+    }
     if (!request) {
-      const ssize_t n = ::recv(aSocket, chunk.data(), chunk.size(), 0);
-      if (n <= 0) {
+      if (!receive(aSocket, buffer)) {
         break;
       }
-      buffer.append(chunk.data(), static_cast<std::size_t>(n));
       continue;
     }
+    if (!lateBytes.empty()) {
+      sendBytes(std::exchange(lateBytes, {}));
+    }
     request->mIndexOnConnection = served++;
-    const Reply reply = answerTo(*request);
-    ::send(aSocket, reply.mBytes.data(), reply.mBytes.size(), MSG_NOSIGNAL);
+    Reply reply = answerTo(*request);
+    sendBytes(reply.mBytes);
     ssize_t sent = 1;
     while (!reply.mEndless.empty() && sent > 0) {
-      const std::string& bytes = reply.mEndless;
-      sent = ::send(aSocket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+      sent = sendBytes(reply.mEndless);
       mEndlessBytes += sent > 0 ? static_cast<std::uint64_t>(sent) : 0;
     }
+    if (reply.mReset) {
+      // The socket itself is closed by the destructor; connecting it to no
+      // address resets the connection at once.
+      sockaddr none{};
+      none.sa_family = AF_UNSPEC;
+      ::connect(aSocket, &none, sizeof(none));
+      return;
+    }
     if (reply.mClose) {
       break;
     }
+    lateBytes = std::move(reply.mLateBytes);
+    lateAfter = reply.mLateAfter;
   }
   ::shutdown(aSocket, SHUT_RDWR);
 }
--- a/tests/unit/fake_upstream.h
+++ b/tests/support/fake_upstream.h
@@ -38,6 +38,12 @@
     bool mClose = false;
     /// Sent repeatedly after mBytes until the peer closes the connection.
     std::string mEndless = {};
+    /// Closes the connection with a reset (RST) instead of an orderly end.
+    bool mReset = false;
+    /// Sent after this time, or before the reply to the next request on the
+    /// connection if that arrives first.
+    std::string mLateBytes = {};
+    std::chrono::milliseconds mLateAfter{ 0 };
   };
 
   using Handler = std::function<Reply(const Request&)>;
@@ -64,6 +70,8 @@
 private:
   void acceptLoop();
   void serve(int aSocket);
+  /// Waits for input; returns false if the connection has ended.
+  static bool receive(int aSocket, std::string& aBuffer);
   Reply answerTo(const Request& aRequest);
 
   Handler mHandler;
--- a/tests/unit/support/raw_client.h
+++ b/tests/support/raw_client.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace radishroad::test {
 
@@ -22,6 +23,8 @@
   int mStatus = 0;
   std::string mHead;
   std::string mBody;
+  /// The body has no length and ended with the connection.
+  bool mEndsWithConnection = false;
 
   /// Value of the first field with this name (case-sensitive); empty if
   /// missing.
@@ -42,13 +45,13 @@
 class RawClient
 {
 public:
-  explicit RawClient(std::uint16_t aPort)
+  explicit RawClient(std::uint16_t aPort, std::uint32_t aIp = INADDR_LOOPBACK)
     : mSocket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
   {
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(aPort);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_addr.s_addr = htonl(aIp);
     if (::connect(mSocket,
                   reinterpret_cast<const sockaddr*>(&address),
                   sizeof(address)) != 0) {
@@ -89,7 +92,16 @@
     response.mStatus = std::atoi(response.mHead.c_str() + 9);
     mInput.erase(0, end + 4);
     const std::string length = response.field("Content-Length");
-    const std::size_t size = aIsHead || length.empty() ? 0 : std::stoul(length);
+    const bool hasNoBody =
+      aIsHead || response.mStatus == 204 || response.mStatus == 304;
+    if (length.empty() && !hasNoBody) {
+      while (receiveSome()) {
+      }
+      response.mEndsWithConnection = true;
+      response.mBody = std::exchange(mInput, {});
+      return mEnded && !mWasReset ? std::optional(response) : std::nullopt;
+    }
+    const std::size_t size = hasNoBody ? 0 : std::stoul("0" + length);
     while (mInput.size() < size) {
       if (!receiveSome()) {
         return std::nullopt;
@@ -117,6 +129,7 @@
     std::array<char, 65536> buf{};
     const ssize_t n = ::recv(mSocket, buf.data(), buf.size(), 0);
     mEnded = n <= 0;
+    mWasReset = n < 0;
     if (n > 0) {
       mInput.append(buf.data(), static_cast<std::size_t>(n));
     }
@@ -126,6 +139,7 @@
   int mSocket;
   std::string mInput;
   bool mEnded = false;
+  bool mWasReset = false;
 };
 
 }
--- a/tests/unit/gate_fixture.h
+++ b/tests/unit/gate_fixture.h
@@ -1,7 +1,7 @@
 #ifndef RADISHROAD_TESTS_GATE_FIXTURE_H
 #define RADISHROAD_TESTS_GATE_FIXTURE_H
 
-#include "fake_upstream.h"
+#include "support/fake_upstream.h"
 #include "radishroad/upstream/gate.h"
 
 #include <atomic>
