Log how a zone out of service was learned, and requests that go there

The incident's record (requests reached a zone that was out of service) leaves three hypotheses open, as the logs do: the line `zone` told neither how the daemon learned of the change nor for how long it would still serve keys, and lines of requests didn't name the zone.

- `zone` tells the source (store or peer), the position of the operators' entries, when the zone was last known to be in service, when the change was learned, and for how long keys are still served.
- `request` and `run` are written for each request that goes to a zone out of service, with the time for which the daemon has known it.
- ConfirmedPosition tracks until when the operators' entries that a daemon has applied are known to have been all: by the store's reads, and by peers at the same position that answer lease renewals.
Only the log uses it so far.

The state of zones moves from ServeAuthority into the view, so that all threads see it together with the configuration that it came with. The tests of OperatorState set the zones through the remaining method; what they check is the same.

--- a/include/radishroad/config/operator_state.h
+++ b/include/radishroad/config/operator_state.h
@@ -2,10 +2,11 @@
 #define RADISHROAD_CONFIG_OPERATOR_STATE_H
 
 #include "radishroad/config/model.h"
+#include "radishroad/config/zone_outage.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 namespace radishroad::config {
@@ -31,12 +32,11 @@
   };
 
   ApplyResult apply(VersionedModel aModel);
-  void setZoneInService(const std::string& aZone, bool aInService);
-  /// Replaces the set of zones that are out of service.
-  void setZonesOutOfService(std::set<std::string> aZones);
+  /// Replaces the zones that are out of service, by name.
+  void setZonesOutOfService(std::map<std::string, ZoneOutage> aZones);
   /// Version of the applied configuration; 0 before the first one.
   std::uint64_t version() const { return mVersion; }
-  const std::set<std::string>& zonesOutOfService() const
+  const std::map<std::string, ZoneOutage>& zonesOutOfService() const
   {
     return mZonesOutOfService;
   }
@@ -47,7 +47,7 @@
 private:
   std::uint64_t mVersion = 0;
   std::shared_ptr<const Model> mModel;
-  std::set<std::string> mZonesOutOfService;
+  std::map<std::string, ZoneOutage> mZonesOutOfService;
 };
 
 }
--- a/include/radishroad/daemon/fleet_state.h
+++ b/include/radishroad/daemon/fleet_state.h
@@ -3,6 +3,7 @@
 
 #include "radishroad/base/millis.h"
 #include "radishroad/config/model.h"
+#include "radishroad/config/zone_outage.h"
 #include "radishroad/state/cell_state.h"
 #include "radishroad/state/config_state.h"
 #include "radishroad/state/fold.h"
@@ -53,10 +54,11 @@
   void onState(const std::string& aStream,
                std::uint64_t aVersion,
                const CellState& aState);
-  /// Sets a configuration that does not come from the log. Ignored if aVersion
-  /// is lower than the present version.
+  /// Sets a configuration that does not come from the log, and the zones that
+  /// are out of service. Ignored if aVersion is lower than the present version.
   void setModel(std::uint64_t aVersion,
                 std::shared_ptr<const config::Model> aModel,
+                std::map<std::string, config::ZoneOutage> aZonesOut,
                 Bytes aEncoded);
   /// Version of the configuration in force; 0 before the first.
   std::uint64_t modelVersion() const { return mModelVersion; }
@@ -122,6 +124,7 @@
   StreamLoader<ConfigState> mConfig;
   std::shared_ptr<const config::Model> mModel;
   std::uint64_t mModelVersion = 0;
+  std::map<std::string, config::ZoneOutage> mZonesOut;
   /// Encoded form of the configuration, to be sent to peers. Set by setModel
   /// only.
   Bytes mEncodedModel;
--- a/include/radishroad/daemon/fleet_view.h
+++ b/include/radishroad/daemon/fleet_view.h
@@ -2,6 +2,7 @@
 #define RADISHROAD_DAEMON_FLEET_VIEW_H
 
 #include "radishroad/config/model.h"
+#include "radishroad/config/zone_outage.h"
 #include "radishroad/state/cell_state.h"
 
 #include <cstdint>
@@ -19,10 +20,15 @@
   std::uint64_t mConfigVersion = 0;
   /// Null before the first valid configuration.
   std::shared_ptr<const config::Model> mModel;
+  /// Zones that operators have taken out of service, by name. Only with the
+  /// platform's protocol.
+  std::map<std::string, config::ZoneOutage> mZonesOut;
   /// Cell states by service.
   std::map<std::string, std::shared_ptr<const CellState>> mCells;
 
   const CellState* cell(const std::string& aService) const;
+  /// Null for a zone in service.
+  const config::ZoneOutage* zoneOutage(const std::string& aZone) const;
 };
 
 /// Publishes the newest view to readers. Thread-safe.
--- a/include/radishroad/daemon/ingress.h
+++ b/include/radishroad/daemon/ingress.h
@@ -130,6 +130,7 @@
   void send(const PendingRequestPtr& aPending);
   void dispatch(const PendingRequestPtr& aPending,
                 ForwardRequest aRequest,
+                const FleetView& aView,
                 const Member& aOwner);
   void onAnswer(const PendingRequestPtr& aPending, Answer aAnswer);
   void scheduleResend(const PendingRequestPtr& aPending, NotRunReason aReason);
--- a/include/radishroad/daemon/lease_manager.h
+++ b/include/radishroad/daemon/lease_manager.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace radishroad {
@@ -25,8 +26,11 @@
   /// Called with the time until which the lease is held.
   using LeaseFn = std::function<void(Millis)>;
   using Positions = std::vector<std::unique_ptr<wire::StreamPositionT>>;
-  /// Called with the stream positions that a peer has reported.
-  using PositionsFn = std::function<void(Incarnation, const Positions&)>;
+  /// Called with the stream positions that a peer has reported, and the time at
+  /// which this process sent what the peer answers; nullopt if an earlier
+  /// process on this VM sent it.
+  using PositionsFn = std::function<
+    void(Incarnation, const Positions&, std::optional<Millis> aAskedAt)>;
 
   LeaseManager(ControlContext& aContext,
                LeaseFn aOnLease,
--- a/include/radishroad/daemon/serve_authority.h
+++ b/include/radishroad/daemon/serve_authority.h
@@ -21,12 +21,15 @@
 /// Decides whether this daemon may run requests of a key now: it owns the key
 /// according to the newest state, its lease has not expired, and, if the
 /// previous owner was lost, the wait for that owner's last requests is over.
+/// Once its availability zone is out of service, it may run only requests of
+/// keys, and those for a limited time.
 /// Written by the control thread, read by any thread.
 class ServeAuthority
 {
 public:
   ServeAuthority(const FleetViewStore& aViews,
                  std::string aService,
+                 std::string aZone,
                  Incarnation aSelf);
 
   void setLeaseUntil(Millis aUntil);
@@ -34,10 +37,6 @@
   /// Sets the waits that follow the loss of owners, as of now.
   void setTakeoverGuard(const TakeoverGuard& aGuard);
 
-  /// Takes the own availability zone out of service, or back in with nullopt.
-  /// Keys are still served until aServeKeysUntil, so that they can be handed
-  /// off.
-  void setZoneOutOfService(std::optional<Millis> aServeKeysUntil);
   /// Shards that may be granted now to this incarnation of the upstream.
   /// nullopt if that is unknown: the lease is not held, or the state does not
   /// contain this incarnation yet, so that its epochs are outdated.
@@ -59,10 +58,10 @@
 
   const FleetViewStore& mViews;
   std::string mService;
+  std::string mZone;
   Incarnation mSelf;
   std::atomic<std::int64_t> mLeaseUntil{ 0 };
   mutable std::mutex mMutex;
-  std::optional<Millis> mServeKeysUntil;
   TakeoverGuard mTakeoverGuard;
 };
 
--- a/src/config/operator_state.cpp
+++ b/src/config/operator_state.cpp
@@ -16,17 +16,7 @@
 }
 
 void
-OperatorState::setZoneInService(const std::string& aZone, bool aInService)
-{
-  if (aInService) {
-    mZonesOutOfService.erase(aZone);
-  } else {
-    mZonesOutOfService.insert(aZone);
-  }
-}
-
-void
-OperatorState::setZonesOutOfService(std::set<std::string> aZones)
+OperatorState::setZonesOutOfService(std::map<std::string, ZoneOutage> aZones)
 {
   mZonesOutOfService = std::move(aZones);
 }
@@ -38,7 +28,7 @@
     return mModel;
   }
   std::shared_ptr<Model> model = std::make_shared<Model>(*mModel);
-  for (const std::string& zone : mZonesOutOfService) {
+  for (const auto& [zone, outage] : mZonesOutOfService) {
     model->mZones[zone] = { zone, false };
   }
   return model;
--- a/src/daemon/daemon_impl.cpp
+++ b/src/daemon/daemon_impl.cpp
@@ -45,7 +45,7 @@
   , mHooks(std::move(aHooks))
   , mProtocol(mHooks.mMakeProtocol(mSettings))
   , mSelf(makeIncarnation())
-  , mAuthority(mViews, mSettings.mService, mSelf)
+  , mAuthority(mViews, mSettings.mService, mSettings.mZone, mSelf)
   , mRetryPolicy(aRetryPolicy)
   , mLoop(kControlQueueCapacity)
   , mFleet(mSettings.mService, mViews, fleetHooks())
@@ -81,8 +81,11 @@
         mLeaseLog.onLease(aUntil, monotonicNow());
         mAuthority.setLeaseUntil(mHooks.mServeUntil(aUntil));
       },
-      [this](Incarnation aFrom, const auto& aPositions) {
+      [this](Incarnation aFrom,
+             const LeaseManager::Positions& aPositions,
+             std::optional<Millis> aAskedAt) {
         mRelay.onPositions(aFrom, aPositions);
+        confirmOperatorPosition(aPositions, aAskedAt);
       })
   , mHandoff(mContext, handoffHooks())
   , mCoordinator(mContext,
--- a/src/daemon/daemon_impl.h
+++ b/src/daemon/daemon_impl.h
@@ -25,6 +25,7 @@
 #include "radishroad/daemon/retry_policy.h"
 #include "radishroad/daemon/serve_authority.h"
 #include "radishroad/daemon/snapshot_manager.h"
+#include "radishroad/log/confirmed_position.h"
 #include "radishroad/log/log_appender.h"
 #include "radishroad/log/log_follower.h"
 #include "radishroad/log/poll_loop.h"
@@ -38,6 +39,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 
 namespace radishroad {
@@ -111,6 +113,8 @@
   std::unique_ptr<CallerServer> mReportServer;
   /// Operators' settings in force. Control thread only.
   config::OperatorState mOperatorState;
+  /// How far operators' entries are known.
+  ConfirmedPosition mConfirmedPosition;
   /// Position up to which operators' entries have been applied.
   std::uint64_t mNextOperatorPosition = 0;
   /// Operators' entries in force, by key, to be relayed to peers.
@@ -120,7 +124,6 @@
   std::atomic<bool> mCellLoaded{ false };
   /// By client of the store: whether its last call failed.
   std::map<std::string, bool> mUnavailableStores;
-  bool mZoneOutOfService = false;
   std::map<std::string, std::unique_ptr<LogFollower>> mFollowers;
   std::map<std::string, std::unique_ptr<PollLoop>> mPollLoops;
   TakeoverGuard mTakeoverGuard;
@@ -164,8 +167,19 @@
   void recordStoreStatus(const std::string& aClient,
                          bool aAnswers,
                          const std::string& aError);
-  /// Applies operators' entries, read from the store or sent by a peer.
-  void onOperatorEntries(const OperatorEntries& aEntries);
+  /// Where operators' entries come from.
+  enum class EntrySource
+  {
+    Store,
+    Peer,
+  };
+  void onOperatorEntries(const OperatorEntries& aEntries, EntrySource aSource);
+  void setZoneState(const OperatorChange::ZoneState& aZone,
+                    std::uint64_t aPosition,
+                    EntrySource aSource,
+                    std::map<std::string, config::ZoneOutage>& aZonesOut);
+  void confirmOperatorPosition(const LeaseManager::Positions& aPositions,
+                               std::optional<Millis> aAskedAt);
   void onRelayedState(const std::string& aStream,
                       std::span<const LogRecord> aRecords);
   bool submitState(const std::string& aStream,
@@ -178,7 +192,6 @@
   void sendHandover(Shard aShard, const std::vector<std::string>& aTokens);
   /// Adds the gate's load to the answer.
   AnswerFn attachLoad(AnswerFn aAnswer);
-  void updateZoneState();
   /// Has the own cell's state written again if a restored store lost it.
   void rewriteOwnState();
   Millis takeoverWait() const;
--- a/src/daemon/daemon_impl_hooks.cpp
+++ b/src/daemon/daemon_impl_hooks.cpp
@@ -60,7 +60,6 @@
       mGate->configure(it->second);
     }
     mRateLimiter.onConfig(aModel);
-    updateZoneState();
   };
   hooks.mOnRecord = [this](RandomId aId, FoldVerdict aVerdict) {
     mProposalForwarder.onCommitted(aId);
--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -29,9 +29,6 @@
 /// Most of them then find a coordinator, which writes their records together
 /// with its own.
 constexpr Millis kFirstReadJitter{ 250 };
-/// Percentage of the time for taking a zone out of service during which its
-/// keys are still served.
-constexpr std::int64_t kServeZoneKeysPercent = 80;
 /// Time that the upstream may take to end a run after its limit has passed.
 constexpr Millis kRunLimitMargin{ 100 };
 constexpr std::string_view kJson = "application/json";
@@ -50,36 +47,40 @@
 }
 
 /// Logs how the daemon next to the upstream handled a request. The daemon that
-/// received it from the caller logs it as "request".
+/// received it from the caller logs it as "request". aOutage: of the own zone;
+/// null if it is in service.
 void
 logRun(const QueuedRequest& aQueued,
        const Answer& aAnswer,
-       const UpstreamStats& aStats)
+       const UpstreamStats& aStats,
+       const config::ZoneOutage* aOutage)
 {
   const ForwardRequest& request = aQueued.mRequest;
   const Millis elapsed = monotonicNow() - aQueued.mQueuedAt;
   const bool late =
     request.objective_ms > 0 && elapsed.mCount > request.objective_ms;
-  if (aAnswer.kind == AnswerKind::Answered && !late &&
+  if (aAnswer.kind == AnswerKind::Answered && !late && aOutage == nullptr &&
       !isSampled(request.request_id)) {
     return;
   }
-  logRequest("run",
-             request.request_id,
-             { { "outcome", outcomeName(aAnswer.kind) },
-               { "reason", reasonName(aAnswer.reason) },
-               { "status", aAnswer.status },
-               { "shard", request.shard },
-               { "here_ms", elapsed.mCount },
-               { "objective_ms", request.objective_ms },
-               { "time_left_ms", request.time_left_ms },
-               { "sheds", aQueued.mRejections },
-               { "epoch", aAnswer.epoch },
-               { "slots", aStats.mSlots },
-               { "running", aStats.mRunning },
-               { "run_ms", aStats.mRunMs },
-               { "cold_per_second", aStats.mColdPerSecond },
-               { "limit_per_second", aStats.mLimitPerSecond } });
+  nlohmann::json line = { { "outcome", outcomeName(aAnswer.kind) },
+                          { "reason", reasonName(aAnswer.reason) },
+                          { "status", aAnswer.status },
+                          { "shard", request.shard },
+                          { "here_ms", elapsed.mCount },
+                          { "objective_ms", request.objective_ms },
+                          { "time_left_ms", request.time_left_ms },
+                          { "sheds", aQueued.mRejections },
+                          { "epoch", aAnswer.epoch },
+                          { "slots", aStats.mSlots },
+                          { "running", aStats.mRunning },
+                          { "run_ms", aStats.mRunMs },
+                          { "cold_per_second", aStats.mColdPerSecond },
+                          { "limit_per_second", aStats.mLimitPerSecond } };
+  if (aOutage != nullptr) {
+    line["zone_known_out_ms"] = (monotonicNow() - aOutage->mLearnedAt).mCount;
+  }
+  logRequest("run", request.request_id, std::move(line));
 }
 
 }
@@ -191,10 +192,11 @@
                               const std::vector<std::string>& aTokens) {
     mLoop.post([this, aShard, aTokens] { sendHandover(aShard, aTokens); });
   };
-  aHooks.mOnAnswer = [](const QueuedRequest& aQueued,
-                        const Answer& aAnswer,
-                        const UpstreamStats& aStats) {
-    logRun(aQueued, aAnswer, aStats);
+  aHooks.mOnAnswer = [this](const QueuedRequest& aQueued,
+                            const Answer& aAnswer,
+                            const UpstreamStats& aStats) {
+    const std::shared_ptr<const FleetView> view = mViews.get();
+    logRun(aQueued, aAnswer, aStats, view->zoneOutage(mSettings.mZone));
   };
   aHooks.mOnIncarnation = [this](std::uint64_t aUpstreamIncarnation) {
     mUpstreamIncarnation = aUpstreamIncarnation;
@@ -336,7 +338,8 @@
     recordStoreStatus(stream, true, {});
     position->onRead(*read, sentAt);
     mLoop.post([this, stream, sentAt, entries = *read] {
-      onOperatorEntries(entries);
+      onOperatorEntries(entries, EntrySource::Store);
+      mConfirmedPosition.onRead(entries.mNext, sentAt);
       mFleet.onReadSucceeded(stream, sentAt);
     });
     return {};
@@ -352,7 +355,8 @@
 }
 
 void
-Daemon::Impl::onOperatorEntries(const OperatorEntries& aEntries)
+Daemon::Impl::onOperatorEntries(const OperatorEntries& aEntries,
+                                EntrySource aSource)
 {
   const bool isReread =
     aEntries.mIsComplete && aEntries.mNext == mNextOperatorPosition;
@@ -366,8 +370,10 @@
     }
     return;
   }
+  std::map<std::string, config::ZoneOutage> zonesOut =
+    mOperatorState.zonesOutOfService();
   if (aEntries.mIsComplete && !aEntries.mIsRestored) {
-    mOperatorState.setZonesOutOfService({});
+    zonesOut.clear();
     // A configuration stays in force until a newer one replaces it.
     std::erase_if(mOperatorEntries, [this](const auto& aEntry) {
       return aEntry.first != mConfigurationKey;
@@ -405,26 +411,70 @@
       std::get_if<OperatorChange::ZoneState>(&change->mChange);
     // What a copy says of zones may be older than what is in force.
     if (zone != nullptr && !aEntries.mIsRestored) {
-      mOperatorState.setZoneInService(zone->mZone, zone->mInService);
+      setZoneState(*zone, aEntries.mNext, aSource, zonesOut);
       if (zone->mInService) {
         mOperatorEntries.erase(entry.mKey);
       } else {
         mOperatorEntries[entry.mKey] = entry.mValue;
       }
-      logEvent(LogLevel::Info,
-               "zone",
-               { { "zone", zone->mZone }, { "in_service", zone->mInService } });
     }
   }
   if (aEntries.mIsRestored) {
     rewriteOwnState();
   }
   mNextOperatorPosition = aEntries.mNext;
+  mConfirmedPosition.onRelayed(aEntries.mNext);
+  mOperatorState.setZonesOutOfService(std::move(zonesOut));
   mFleet.setModel(mNextOperatorPosition,
                   mOperatorState.model(),
+                  mOperatorState.zonesOutOfService(),
                   encodeEntries(mNextOperatorPosition, mOperatorEntries));
 }
 
+void
+Daemon::Impl::setZoneState(const OperatorChange::ZoneState& aZone,
+                           std::uint64_t aPosition,
+                           EntrySource aSource,
+                           std::map<std::string, config::ZoneOutage>& aZonesOut)
+{
+  const Millis now = monotonicNow();
+  nlohmann::json line = { { "zone", aZone.mZone },
+                          { "in_service", aZone.mInService },
+                          { "learned_from",
+                            aSource == EntrySource::Store ? "store" : "peer" },
+                          { "position", aPosition } };
+  if (aZone.mInService) {
+    aZonesOut.erase(aZone.mZone);
+  } else {
+    // Reading all entries again does not take the zone out again.
+    const auto& known = mOperatorState.zonesOutOfService();
+    const auto it = known.find(aZone.mZone);
+    const config::ZoneOutage outage =
+      it != known.end()
+        ? it->second
+        : config::makeZoneOutage(
+            mConfirmedPosition.confirmedAt(), now, mSettings.zoneOutTime());
+    aZonesOut[aZone.mZone] = outage;
+    if (outage.mInServiceAt) {
+      line["in_service_ms_ago"] = (now - *outage.mInServiceAt).mCount;
+    }
+    line["learned_ms_ago"] = (now - outage.mLearnedAt).mCount;
+    line["keys_served_ms"] = (outage.mServeKeysUntil - now).mCount;
+  }
+  logEvent(LogLevel::Info, "zone", std::move(line));
+}
+
+void
+Daemon::Impl::confirmOperatorPosition(const LeaseManager::Positions& aPositions,
+                                      std::optional<Millis> aAskedAt)
+{
+  for (const std::unique_ptr<wire::StreamPositionT>& position : aPositions) {
+    if (aAskedAt && position->stream == kConfigStream) {
+      mConfirmedPosition.onPeer(position->next_offset, *aAskedAt);
+    }
+  }
+}
+
 void
 Daemon::Impl::rewriteOwnState()
 {
@@ -437,26 +487,6 @@
   }
 }
 
-void
-Daemon::Impl::updateZoneState()
-{
-  const config::Model* model = mFleet.model();
-  if (!mProtocol.isPlatform() || model == nullptr) {
-    return;
-  }
-  const auto it = model->mZones.find(mSettings.mZone);
-  const bool isOutOfService =
-    it != model->mZones.end() && !it->second.mInService;
-  if (isOutOfService == mZoneOutOfService) {
-    return;
-  }
-  mZoneOutOfService = isOutOfService;
-  const Millis serveKeysUntil =
-    monotonicNow() + mSettings.zoneOutTime() * kServeZoneKeysPercent / 100;
-  mAuthority.setZoneOutOfService(
-    isOutOfService ? std::optional<Millis>(serveKeysUntil) : std::nullopt);
-}
-
 Millis
 Daemon::Impl::takeoverWait() const
 {
--- a/src/daemon/daemon_impl_state.cpp
+++ b/src/daemon/daemon_impl_state.cpp
@@ -121,7 +121,7 @@
       const std::optional<OperatorEntries> entries =
         decodeEntries(record.mData);
       if (entries) {
-        onOperatorEntries(*entries);
+        onOperatorEntries(*entries, EntrySource::Peer);
       }
       continue;
     }
--- a/src/daemon/fleet_state.cpp
+++ b/src/daemon/fleet_state.cpp
@@ -346,6 +346,7 @@
 void
 FleetState::setModel(std::uint64_t aVersion,
                      std::shared_ptr<const config::Model> aModel,
+                     std::map<std::string, config::ZoneOutage> aZonesOut,
                      Bytes aEncoded)
 {
   const bool isSame = aVersion == mModelVersion && aModel == mModel;
@@ -354,6 +355,7 @@
   }
   mModelVersion = aVersion;
   mModel = std::move(aModel);
+  mZonesOut = std::move(aZonesOut);
   mEncodedModel = std::move(aEncoded);
   mHasFullStates = true;
   activateConfig();
@@ -384,6 +386,7 @@
   std::shared_ptr<FleetView> view = std::make_shared<FleetView>();
   view->mConfigVersion = mModelVersion;
   view->mModel = mModel;
+  view->mZonesOut = mZonesOut;
   view->mCells = mPublishedCells;
   mViews.set(std::move(view));
 }
--- a/src/daemon/fleet_view.cpp
+++ b/src/daemon/fleet_view.cpp
@@ -9,6 +9,13 @@
   return it == mCells.end() ? nullptr : it->second.get();
 }
 
+const config::ZoneOutage*
+FleetView::zoneOutage(const std::string& aZone) const
+{
+  const auto it = mZonesOut.find(aZone);
+  return it == mZonesOut.end() ? nullptr : &it->second;
+}
+
 std::shared_ptr<const FleetView>
 FleetViewStore::get() const
 {
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -288,7 +288,8 @@
   ForwardRequest request = makeAttempt(*aPending, *view);
   request.epoch = ownership.mEpoch;
   request.view_offset = cell->mNextOffset;
-  dispatch(aPending, std::move(request), cell->mMembers.at(ownership.mOwner));
+  dispatch(
+    aPending, std::move(request), *view, cell->mMembers.at(ownership.mOwner));
 }
 
 ForwardRequest
@@ -310,6 +311,7 @@
 void
 Ingress::dispatch(const PendingRequestPtr& aPending,
                   ForwardRequest aRequest,
+                  const FleetView& aView,
                   const Member& aOwner)
 {
   // The callback may run within the calls below, while mAttemptMutex is held;
@@ -321,6 +323,10 @@
   aPending->mSentTo = aOwner.mIncarnation;
   aPending->mPeerAddress = aOwner.mPeerAddress;
   aPending->mSentToVm = aOwner.mVm;
+  if (const config::ZoneOutage* outage = aView.zoneOutage(aOwner.mZone)) {
+    aPending->mZoneOut = aOwner.mZone;
+    aPending->mZoneKnownOut = mHooks.mNow() - outage->mLearnedAt;
+  }
   {
     const std::lock_guard<std::mutex> noticeLock(mNoticeMutex);
     aRequest.notice = mNotices.noticeFor(aOwner.mVm, mHooks.mNow());
--- a/src/daemon/ingress_pending_request.h
+++ b/src/daemon/ingress_pending_request.h
@@ -48,6 +48,10 @@
   std::string mPeerAddress;
   /// VM of that daemon, which stays the same when the daemon restarts.
   std::string mSentToVm;
+  /// That daemon's availability zone if it was out of service when the attempt
+  /// was sent, and for how long this daemon had known it; for logs.
+  std::string mZoneOut;
+  Millis mZoneKnownOut;
 };
 
 }
--- a/src/daemon/ingress_platform.cpp
+++ b/src/daemon/ingress_platform.cpp
@@ -201,8 +201,10 @@
       makeNotRunAnswer(idOf(aPending->mRequest), reason, kDefaultRetryAfter));
     return;
   }
-  dispatch(
-    aPending, makeAttempt(*aPending, aView), aCell->mMembers.at(*chosen));
+  dispatch(aPending,
+           makeAttempt(*aPending, aView),
+           aView,
+           aCell->mMembers.at(*chosen));
 }
 
 bool
@@ -289,8 +291,9 @@
   const bool answered = aAnswer.kind == AnswerKind::Answered;
   const Millis now = mHooks.mNow();
   const bool late = now > aPending.mObjectiveAt;
+  const bool isOrdinary = answered && !late && aPending.mZoneOut.empty();
   if (!mHooks.mParseCallerHeaders ||
-      (answered && !late && !isSampled(request.request_id))) {
+      (isOrdinary && !isSampled(request.request_id))) {
     return;
   }
   nlohmann::json line = {
@@ -306,6 +309,10 @@
     { "objective_ms", (aPending.mObjectiveAt - aPending.mReceivedAt).mCount },
     { "retry_after_ms", aAnswer.retry_after_ms }
   };
+  if (!aPending.mZoneOut.empty()) {
+    line["zone_out"] = aPending.mZoneOut;
+    line["zone_known_out_ms"] = aPending.mZoneKnownOut.mCount;
+  }
   if (aPending.mIsWaitingForTokens && aAnswer.kind == AnswerKind::NotRun &&
       mHooks.mTokenState) {
     const TokenState tokens = mHooks.mTokenState(request.workspace);
--- a/src/daemon/lease_manager.cpp
+++ b/src/daemon/lease_manager.cpp
@@ -61,12 +61,15 @@
 void
 LeaseManager::onPromise(const wire::PromiseT& aPromise)
 {
-  mOnPositions(aPromise.witness, aPromise.positions);
-  if (aPromise.incarnation != mContext.mSelf) {
+  const Millis sentAt{ aPromise.sent_ms };
+  const bool isOwn = aPromise.incarnation == mContext.mSelf;
+  mOnPositions(aPromise.witness,
+               aPromise.positions,
+               isOwn ? std::optional<Millis>(sentAt) : std::nullopt);
+  if (!isOwn) {
     return;
   }
   const Millis now = mContext.mNow();
-  const Millis sentAt{ aPromise.sent_ms };
   if (aPromise.withheld) {
     mLease.onWithheld(aPromise.witness, aPromise.version, sentAt);
     return;
--- a/src/daemon/serve_authority.cpp
+++ b/src/daemon/serve_authority.cpp
@@ -26,9 +26,11 @@
 
 ServeAuthority::ServeAuthority(const FleetViewStore& aViews,
                                std::string aService,
+                               std::string aZone,
                                Incarnation aSelf)
   : mViews(aViews)
   , mService(std::move(aService))
+  , mZone(std::move(aZone))
   , mSelf(aSelf)
 {
 }
@@ -59,13 +61,6 @@
   return mTakeoverGuard.serveFrom(aCell, aKeyHash);
 }
 
-void
-ServeAuthority::setZoneOutOfService(std::optional<Millis> aServeKeysUntil)
-{
-  const std::lock_guard<std::mutex> lock(mMutex);
-  mServeKeysUntil = aServeKeysUntil;
-}
-
 std::optional<GrantableShards>
 ServeAuthority::grantableShards(std::uint64_t aUpstreamIncarnation,
                                 Millis aNow) const
@@ -118,19 +113,15 @@
 {
   const Millis soon = aNow + kRecheckInterval;
   const std::shared_ptr<const FleetView> view = mViews.get();
-  std::optional<Millis> serveKeysUntil;
-  {
-    const std::lock_guard<std::mutex> lock(mMutex);
-    serveKeysUntil = mServeKeysUntil;
-  }
+  const config::ZoneOutage* outage = view->zoneOutage(mZone);
   if (isUnkeyed(*view)) {
     ServeDecision decision;
     decision.mRefusal =
-      serveKeysUntil ? NotRunReason::Draining : NotRunReason::None;
+      outage == nullptr ? NotRunReason::None : NotRunReason::Draining;
     decision.mServeUntil = aNow + kUnkeyedRecheckInterval;
     return decision;
   }
-  if (serveKeysUntil && aNow >= *serveKeysUntil) {
+  if (outage != nullptr && aNow >= outage->mServeKeysUntil) {
     return refuse(NotRunReason::Draining, 0, aNow);
   }
   const CellState* cell = view->cell(mService);
--- a/tests/unit/operator_state_test.cpp
+++ b/tests/unit/operator_state_test.cpp
@@ -22,7 +22,7 @@
 BOOST_AUTO_TEST_CASE(model_is_null_before_the_first_version)
 {
   OperatorState state;
-  state.setZoneInService("z", false);
+  state.setZonesOutOfService({ { "z", {} } });
   BOOST_TEST(state.model() == nullptr);
 }
 
@@ -40,10 +40,10 @@
 {
   OperatorState state;
   state.apply(version(1));
-  state.setZoneInService("z", false);
+  state.setZonesOutOfService({ { "z", {} } });
   state.apply(version(2));
   BOOST_TEST(!state.model()->mZones.at("z").mInService);
-  state.setZoneInService("z", true);
+  state.setZonesOutOfService({});
   BOOST_TEST(!state.model()->mZones.contains("z"));
 }
 
--- a/tests/unit/serve_authority_test.cpp
+++ b/tests/unit/serve_authority_test.cpp
@@ -38,7 +38,7 @@
     view->mCells["library"] = std::make_shared<const CellState>(mLog.mState);
     mViews.set(view);
     ServeAuthority authority(
-      mViews, "library", ownerOf(mLog.mState, aKey).mOwner);
+      mViews, "library", "z", ownerOf(mLog.mState, aKey).mOwner);
     authority.setLeaseUntil(aNow + 1_s);
     authority.setTakeoverGuard(mGuard);
     ForwardRequest request;
@@ -114,7 +114,7 @@
   view->mCells["library"] =
     std::make_shared<const CellState>(fixture.mLog.mState);
   fixture.mViews.set(view);
-  ServeAuthority authority(fixture.mViews, "library", 1);
+  ServeAuthority authority(fixture.mViews, "library", "z", 1);
   authority.setLeaseUntil(1_s);
   BOOST_TEST(authority.grantableShards(7, 100_ms).value().mShards.size() == 1U);
   BOOST_TEST(!authority.grantableShards(8, 100_ms));
