--- a/tests/unit/serve_authority_test.cpp
+++ b/tests/unit/serve_authority_test.cpp
@@ -122,4 +122,32 @@
   BOOST_TEST(!authority.grantableShards(7, 1_s));
 }
 
+BOOST_AUTO_TEST_CASE(only_keys_are_served_in_a_zone_that_goes_out_of_service)
+{
+  AuthorityFixture fixture;
+  std::shared_ptr<FleetView> view = std::make_shared<FleetView>();
+  view->mCells["library"] =
+    std::make_shared<const CellState>(fixture.mLog.mState);
+  view->mZonesOut["z"] = { 1_s, 1_s, 3_s };
+  fixture.mViews.set(view);
+  ServeAuthority authority(fixture.mViews, "library", "z", 1);
+  authority.setLeaseUntil(10_s);
+  ForwardRequest request;
+  request.key_hash = kKey;
+  request.shard = kShard;
+  BOOST_TEST(
+    (authority.decide(request, 2999_ms).mRefusal == NotRunReason::None));
+  BOOST_TEST(
+    (authority.decide(request, 3_s).mRefusal == NotRunReason::Draining));
+  std::shared_ptr<config::Model> model = std::make_shared<config::Model>();
+  model->mServices["library"].mKeyed = false;
+  view = std::make_shared<FleetView>(*view);
+  view->mModel = model;
+  fixture.mViews.set(view);
+  BOOST_TEST(
+    (authority.decide(request, 1_s).mRefusal == NotRunReason::Draining));
+  ServeAuthority elsewhere(fixture.mViews, "library", "y", 1);
+  BOOST_TEST((elsewhere.decide(request, 1_s).mRefusal == NotRunReason::None));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
