Send no keyed request to a zone past its limit, whatever its daemon knows

The daemon that takes a request from its caller did not look at the zone of the key's owner at all: it may have known for long that the zone is out, and still sent requests to a daemon there that had just started or woken up, and did not know it yet.

Cause: only one of two daemons on a request's way held the promise, the one whose VM is the most likely to be disturbed when a zone is emptied. The belief without ground: the daemon beside the upstream knows what I know.

Evidence, the new test on the code before:

fatal error: in "ingress_platform/keyed_requests_go_to_a_zone_that_has_long_- been_out": std::bad_optional_access

that is, the request was sent and not refused. Requests without a key were already never sent to a zone out of service.

Both daemons now check the same limit, each from its own view, and the stricter one holds. A request whose owner's zone is past its limit waits for a new owner of the key as one without an owner does, up to a sixth of its objective, and is then refused with Retry-After. keyed_requests_go_to_their_owner_during_its_hand_- off passes before and after.

--- a/include/radishroad/daemon/fleet_view.h
+++ b/include/radishroad/daemon/fleet_view.h
@@ -29,6 +29,8 @@
   const CellState* cell(const std::string& aService) const;
   /// Null for a zone in service.
   const config::ZoneOutage* zoneOutage(const std::string& aZone) const;
+  /// Whether requests of keys may go to their owners in the zone.
+  bool mayServeKeys(const std::string& aZone, Millis aNow) const;
 };
 
 /// Publishes the newest view to readers. Thread-safe.
--- a/src/daemon/fleet_view.cpp
+++ b/src/daemon/fleet_view.cpp
@@ -16,6 +16,13 @@
   return it == mZonesOut.end() ? nullptr : &it->second;
 }
 
+bool
+FleetView::mayServeKeys(const std::string& aZone, Millis aNow) const
+{
+  const config::ZoneOutage* outage = zoneOutage(aZone);
+  return outage == nullptr || aNow < outage->mServeKeysUntil;
+}
+
 std::shared_ptr<const FleetView>
 FleetViewStore::get() const
 {
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -285,11 +285,16 @@
     scheduleResend(aPending, NotRunReason::NoOwner);
     return;
   }
+  const Member& owner = cell->mMembers.at(ownership.mOwner);
+  // The owner's daemon may have learned of the zone's removal later.
+  if (!view->mayServeKeys(owner.mZone, mHooks.mNow())) {
+    scheduleResend(aPending, NotRunReason::Draining);
+    return;
+  }
   ForwardRequest request = makeAttempt(*aPending, *view);
   request.epoch = ownership.mEpoch;
   request.view_offset = cell->mNextOffset;
-  dispatch(
-    aPending, std::move(request), *view, cell->mMembers.at(ownership.mOwner));
+  dispatch(aPending, std::move(request), *view, owner);
 }
 
 ForwardRequest
--- a/src/daemon/serve_authority.cpp
+++ b/src/daemon/serve_authority.cpp
@@ -113,15 +113,15 @@
 {
   const Millis soon = aNow + kRecheckInterval;
   const std::shared_ptr<const FleetView> view = mViews.get();
-  const config::ZoneOutage* outage = view->zoneOutage(mZone);
   if (isUnkeyed(*view)) {
     ServeDecision decision;
-    decision.mRefusal =
-      outage == nullptr ? NotRunReason::None : NotRunReason::Draining;
+    decision.mRefusal = view->zoneOutage(mZone) == nullptr
+                          ? NotRunReason::None
+                          : NotRunReason::Draining;
     decision.mServeUntil = aNow + kUnkeyedRecheckInterval;
     return decision;
   }
-  if (outage != nullptr && aNow >= outage->mServeKeysUntil) {
+  if (!view->mayServeKeys(mZone, aNow)) {
     return refuse(NotRunReason::Draining, 0, aNow);
   }
   const CellState* cell = view->cell(mService);
--- a/tests/unit/ingress_platform_test.cpp
+++ b/tests/unit/ingress_platform_test.cpp
@@ -237,6 +237,31 @@
   BOOST_TEST(ingress.mSent.size() == 0U);
 }
 
+// The daemon of the key's owner may not know yet that its zone is out.
+BOOST_AUTO_TEST_CASE(keyed_requests_go_to_a_zone_that_has_long_been_out)
+{
+  PlatformIngress ingress;
+  const Millis now = monotonicNow();
+  ingress.mView.mZonesOut["z"] = { now - 5_s, now - 5_s, now - 1_s };
+  ingress.mViews.set(std::make_shared<FleetView>(ingress.mView));
+  ingress.handle("/keyed/1");
+  const Answer answer = ingress.answer();
+  BOOST_TEST((answer.kind == AnswerKind::NotRun));
+  BOOST_TEST(answer.retry_after_ms > 0);
+  BOOST_TEST((monotonicNow() - now < 1000_ms));
+  BOOST_TEST(ingress.mSent.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(keyed_requests_go_to_their_owner_during_its_hand_off)
+{
+  PlatformIngress ingress;
+  const Millis now = monotonicNow();
+  ingress.mView.mZonesOut["z"] = { now, now, now + 10_s };
+  ingress.mViews.set(std::make_shared<FleetView>(ingress.mView));
+  ingress.handle("/keyed/1");
+  BOOST_TEST(ingress.sent().mAddress == "peer-1");
+}
+
 BOOST_AUTO_TEST_CASE(a_refused_unkeyed_request_goes_to_another_upstream)
 {
   PlatformIngress ingress;
