--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -438,7 +438,7 @@
                            std::map<std::string, config::ZoneOutage>& aZonesOut)
 {
   const Millis now = monotonicNow();
-  nlohmann::json line = { { "zone", aZone.mZone },
+  nlohmann::json line = { { "changed_zone", aZone.mZone },
                           { "in_service", aZone.mInService },
                           { "learned_from",
                             aSource == EntrySource::Store ? "store" : "peer" },
