Treat a drain that a fresh process finds begun as over

Cause: the gate counts the drain period of its upstream from the first report that says so.

Evidence, the new test on the code before:

platform_gate/a_restarted_daemon_sends_to_an_upstream_that_drains: check (answer.kind == AnswerKind::NotRun) has failed check (answer.reason == NotRunReason::Draining) has failed check gate.mArrivals == 0 has failed [1 != 0]

A process that has not seen an upstream ready does not know since when it drains, so it takes the period for over and sends it no requests; the hand-off of its keys is not affected. One that has seen it ready counts as before.

--- a/src/upstream/gate_report.cpp
+++ b/src/upstream/gate_report.cpp
@@ -43,7 +43,9 @@
     mHooks.mOnIncarnation(incarnationOf(aReport));
   }
   if (aReport.mKind != UpstreamReport::Kind::Ready) {
-    beginDrain(now);
+    // An earlier process of this daemon may have acknowledged the drain of an
+    // upstream that this process has not seen ready.
+    beginDrain(isNewIncarnation ? now - mOptions.mDrainPeriod : now);
   }
   if (mHealth.lost() && !isNewIncarnation) {
     // This may be a delayed report of a process that has ended.
--- a/tests/unit/platform_gate_test.cpp
+++ b/tests/unit/platform_gate_test.cpp
@@ -196,6 +196,18 @@
 
 BOOST_AUTO_TEST_SUITE(platform_gate)
 
+// An earlier process of the daemon may have acknowledged the drain long ago.
+BOOST_AUTO_TEST_CASE(a_restarted_daemon_sends_to_an_upstream_that_drains)
+{
+  PlatformGate gate;
+  gate.report(UpstreamReport::Kind::Draining, 7);
+  const Answer answer = gate.run("late");
+  BOOST_TEST((answer.kind == AnswerKind::NotRun));
+  BOOST_TEST((answer.reason == NotRunReason::Draining));
+  BOOST_TEST(gate.mArrivals == 0);
+  BOOST_TEST(gate.mDraining.load());
+}
+
 BOOST_AUTO_TEST_CASE(a_request_runs_after_its_key_is_granted)
 {
   PlatformGate gate;
