--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -461,7 +461,7 @@
     line["learned_ms_ago"] = (now - outage.mLearnedAt).mCount;
     line["keys_served_ms"] = (outage.mServeKeysUntil - now).mCount;
   }
-  logEvent(LogLevel::Info, "zone", std::move(line));
+  logEvent(LogLevel::Info, "zone", line);
 }
 
 void
