Log the address that an upstream reports

upstream_life gets the field "address". Reports were read without it, so that logs could not tell whether a report that another writer left had been taken for the upstream beside the daemon.

--- a/include/radishroad/upstream/upstream_report.h
+++ b/include/radishroad/upstream/upstream_report.h
@@ -29,6 +29,8 @@
   std::string mInstance;
   /// Service that it belongs to; empty if not reported.
   std::string mService;
+  /// Address at which it serves requests; empty if not reported.
+  std::string mAddress;
   /// Wall-clock time of its start, which distinguishes incarnations with the
   /// same instance id. 0 if not reported.
   Millis mStartTime;
--- a/src/upstream/gate_report.cpp
+++ b/src/upstream/gate_report.cpp
@@ -37,6 +37,7 @@
     logEvent(LogLevel::Info,
              "upstream_life",
              { { "instance", aReport.mInstance },
+               { "address", aReport.mAddress },
                { "born_ms", aReport.mStartTime.mCount },
                { "slots", aReport.mSlots },
                { "cold_left_ms", aReport.mColdTimeLeft.mCount } });
