Leave out handover tokens that are not UTF-8 instead of ending the process

Cause: the token was passed on as it came and written into the body of a grant with nlohmann::json::dump(), which throws for invalid UTF-8; nothing on the gate's thread catches that. The belief was that bytes which came as text can be written as text.

Now tokens are checked where they are read (UTF-8, 256 bytes) and where they are written, as they also come from peers; a token that is left out costs the warm keys only, and is logged. A token of kilobytes would have left a row out of each answer to a report, for ever. Bodies are written with writeJson(), which replaces invalid bytes. Ruled out elsewhere: log lines and the operators' API already replace them; bodies of refusals hold no foreign text; the command line tool is no server.

--- /dev/null
+++ b/include/radishroad/base/json_text.h
@@ -0,0 +1,22 @@
+#ifndef RADISHROAD_BASE_JSON_TEXT_H
+#define RADISHROAD_BASE_JSON_TEXT_H
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace radishroad {
+
+/// Whether aText is valid UTF-8, as strings in JSON must be.
+bool
+isUtf8(std::string_view aText);
+
+/// Writes a value in one line. Bytes of strings that are not valid UTF-8 are
+/// replaced by U+FFFD.
+std::string
+writeJson(const nlohmann::json& aValue);
+
+}
+
+#endif
--- /dev/null
+++ b/src/base/json_text.cpp
@@ -0,0 +1,71 @@
+#include "radishroad/base/json_text.h"
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+
+namespace radishroad {
+
+namespace {
+
+/// The values that the second byte of a sequence may have, by its first byte,
+/// and the sequence's length. Length 0 if no sequence begins with the byte.
+struct Utf8Lead
+{
+  std::size_t mLength = 0;
+  std::uint8_t mSecondMin = 0x80;
+  std::uint8_t mSecondMax = 0xBF;
+};
+
+Utf8Lead
+leadOf(std::uint8_t aByte)
+{
+  if (aByte < 0x80) {
+    return { 1 };
+  }
+  if (aByte >= 0xC2 && aByte <= 0xDF) {
+    return { 2 };
+  }
+  if (aByte >= 0xE0 && aByte <= 0xEF) {
+    // No overlong forms and no surrogates.
+    return { 3,
+             static_cast<std::uint8_t>(aByte == 0xE0 ? 0xA0 : 0x80),
+             static_cast<std::uint8_t>(aByte == 0xED ? 0x9F : 0xBF) };
+  }
+  if (aByte >= 0xF0 && aByte <= 0xF4) {
+    return { 4,
+             static_cast<std::uint8_t>(aByte == 0xF0 ? 0x90 : 0x80),
+             static_cast<std::uint8_t>(aByte == 0xF4 ? 0x8F : 0xBF) };
+  }
+  return {};
+}
+
+}
+
+bool
+isUtf8(std::string_view aText)
+{
+  while (!aText.empty()) {
+    const Utf8Lead lead = leadOf(static_cast<std::uint8_t>(aText.front()));
+    if (lead.mLength == 0 || aText.size() < lead.mLength) {
+      return false;
+    }
+    for (std::size_t n = 1; n < lead.mLength; ++n) {
+      const std::uint8_t byte = static_cast<std::uint8_t>(aText[n]);
+      const std::uint8_t min = n == 1 ? lead.mSecondMin : 0x80;
+      const std::uint8_t max = n == 1 ? lead.mSecondMax : 0xBF;
+      if (byte < min || byte > max) {
+        return false;
+      }
+    }
+    aText.remove_prefix(lead.mLength);
+  }
+  return true;
+}
+
+std::string
+writeJson(const nlohmann::json& aValue)
+{
+  return aValue.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}
--- a/tests/process/support/platform_site.cpp
+++ b/tests/process/support/platform_site.cpp
@@ -68,7 +68,7 @@
   : mFolder(fs::path(RADISHROAD_BUILD_DIR) / "test-runs" / aName)
 {
   fs::remove_all(mFolder);
-  publish(aServices);
+  publish(aServices, 1);
   for (const Service& service : aServices) {
     for (int n = 1; n <= service.mVms; ++n) {
       Vm vm;
@@ -86,6 +86,7 @@
       options.mReportIp = vm.mIp;
       options.mReportPort = kReports;
       options.mSend = aSend;
+      options.mTokenPrefix = service.mTokenPrefix;
       vm.mUpstream = std::make_unique<PlatformUpstream>(std::move(options));
       mVms.push_back(std::move(vm));
     }
@@ -93,7 +94,7 @@
 }
 
 void
-PlatformSite::publish(const std::vector<Service>& aServices)
+PlatformSite::publish(const std::vector<Service>& aServices, int aVersion)
 {
   nlohmann::json routes = nlohmann::json::array();
   nlohmann::json services = nlohmann::json::array();
@@ -117,7 +118,8 @@
     services.push_back(
       { service.mName, "/healthz", 130, 3.0, 1000.0, service.mKeyed, grants });
   }
-  const nlohmann::json configuration = { { "Version", "r1" },
+  const nlohmann::json configuration = { { "Version",
+                                           "r" + std::to_string(aVersion) },
                                          { "Routes",
                                            table({ "Name",
                                                    "Host",
--- a/tests/process/support/platform_site.h
+++ b/tests/process/support/platform_site.h
@@ -25,6 +25,7 @@
     bool mKeyed = false;
     bool mGrantsByReport = false;
     int mVms = 3;
+    std::string mTokenPrefix = "t";
   };
 
   /// A daemon with the upstream beside it.
@@ -57,13 +58,13 @@
   std::vector<Vm>& vms() { return mVms; }
   FakeStore& store() { return mStore; }
   void setZoneOutOfService(const std::string& aZone, bool aIsOut);
+  /// Puts the services' routes into force as version r<aVersion>.
+  void publish(const std::vector<Service>& aServices, int aVersion);
   bool isReady(const Vm& aVm) const;
   /// All runs of all upstreams.
   std::vector<PlatformRun> runs() const;
 
 private:
-  void publish(const std::vector<Service>& aServices);
-
   std::filesystem::path mFolder;
   AddressBlock mAddresses;
   FakeStore mStore{ FakeStore::LongPolls::Held };
--- a/tests/process/support/platform_upstream.cpp
+++ b/tests/process/support/platform_upstream.cpp
@@ -160,7 +160,8 @@
       range(), [](const Key& aKey) { return aKey.mRunning == 0; });
   });
   UpstreamAnswer answer;
-  answer.mHeaders = { "X-Handover: t" + std::to_string(first) };
+  answer.mHeaders = { "X-Handover: " + mOptions.mTokenPrefix +
+                      std::to_string(first) };
   return plainReply(answer);
 }
 
--- a/tests/process/support/platform_upstream.h
+++ b/tests/process/support/platform_upstream.h
@@ -67,6 +67,8 @@
     std::uint16_t mReportPort = 0;
     Millis mRunTime{ 15 };
     SendFn mSend;
+    /// Handover tokens begin with this.
+    std::string mTokenPrefix = "t";
   };
 
   explicit PlatformUpstream(Options aOptions);
--- a/tests/unit/platform_messages_test.cpp
+++ b/tests/unit/platform_messages_test.cpp
@@ -1,5 +1,8 @@
 #include "platform/messages.h"
 
+#include "platform/protocol.h"
+#include "radishroad/daemon/settings.h"
+
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -272,4 +275,32 @@
     (body == nlohmann::json{ { "From", 64 }, { "To", 95 }, { "fence", 12 } }));
 }
 
+// Ended the next owners' daemons with an uncaught exception.
+BOOST_AUTO_TEST_CASE(a_handover_token_that_is_not_utf8_is_left_out)
+{
+  DaemonSettings settings;
+  settings.mProtocol = "platform";
+  const UpstreamProtocol protocol = platform::makeProtocol(settings).mUpstream;
+  for (const std::string& token :
+       { std::string("5c0e\xE9zzz"), std::string(5000, 'a') }) {
+    BOOST_TEST(
+      protocol.mHandover(makeResponse(200, { "X-Handover", token.c_str() }))
+        .empty());
+    KeyGrant grant{ { 64, 95 }, 12, Millis{ 3000 }, token };
+    const nlohmann::json body =
+      nlohmann::json::parse(platform::makeGrantRequest(grant).mBody);
+    BOOST_TEST(!body.contains("Handover"));
+    std::size_t size = 0;
+    BOOST_TEST(platform::fitsReportAnswer(grant, size));
+    ReportAnswer answer;
+    answer.mHolds = std::vector<KeyGrant>{ grant };
+    BOOST_TEST(
+      nlohmann::json::parse(platform::writeReportAnswer(answer))["Holds"] ==
+      nlohmann::json::parse(R"([[64,95,12,""]])"));
+  }
+  BOOST_TEST(protocol.mHandover(
+               makeResponse(200, { "X-Handover", "5c0e7a21d94b36f8" })) ==
+             "5c0e7a21d94b36f8");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
