Bound the nesting of JSON that other processes write

Cause: nlohmann parses without recursion, but rows of tables are copied, and copying recurses once for each level: the stack overflows. The belief was that what could be parsed can be handled.

A report nested as deeply in a field that nobody reads was accepted.

Now all decoders of JSON in the daemon use parseJson(), which refuses more than 32 levels (a configuration has six) and does not build what is below. Looked at: configurations, reports, the store's answers, the log's answers, an upstream's load and cancel answers. Not changed: the command line tool, which reads its own daemons.

--- a/src/base/json_text.cpp
+++ b/src/base/json_text.cpp
@@ -62,6 +62,31 @@
   return true;
 }
 
+Result<nlohmann::json>
+parseJson(std::string_view aText)
+{
+  using Event = nlohmann::json::parse_event_t;
+  bool tooDeep = false;
+  const auto keep =
+    [&tooDeep](int aDepth, Event aEvent, const nlohmann::json&) {
+      const bool begins =
+        aEvent == Event::object_start || aEvent == Event::array_start;
+      tooDeep = tooDeep || (begins && aDepth >= kMaxJsonDepth);
+      // Values that are not kept are not built.
+      return !tooDeep;
+    };
+  nlohmann::json value = nlohmann::json::parse(aText, keep, false);
+  if (tooDeep) {
+    return fail(ErrorCode::Corrupt,
+                "JSON is nested deeper than " + std::to_string(kMaxJsonDepth) +
+                  " levels");
+  }
+  if (value.is_discarded()) {
+    return fail(ErrorCode::Corrupt, "invalid JSON");
+  }
+  return value;
+}
+
 std::string
 writeJson(const nlohmann::json& aValue)
 {
--- a/src/log/log_client.cpp
+++ b/src/log/log_client.cpp
@@ -1,5 +1,6 @@
 #include "radishroad/log/log_client.h"
 
+#include "radishroad/base/json_text.h"
 #include "radishroad/log/http_client.h"
 #include "radishroad/log/read_body.h"
 
@@ -37,12 +38,12 @@
 Result<std::uint64_t>
 parseOffset(const std::string& aBody)
 {
-  const nlohmann::json body = nlohmann::json::parse(aBody, nullptr, false);
-  if (!body.is_object() || !body.contains("offset") ||
-      !body["offset"].is_number_unsigned()) {
+  const Result<nlohmann::json> body = parseJson(aBody);
+  if (!body || !body->is_object() || !body->contains("offset") ||
+      !body->at("offset").is_number_unsigned()) {
     return fail(ErrorCode::Unknown, "append response has no offset");
   }
-  return body["offset"].get<std::uint64_t>();
+  return body->at("offset").get<std::uint64_t>();
 }
 
 }
@@ -125,15 +126,14 @@
   if (response.mStatus != kStatusOk) {
     return tl::unexpected<Error>(toReadError(response));
   }
-  const nlohmann::json body =
-    nlohmann::json::parse(response.mBody, nullptr, false);
-  if (!body.is_object() || !body.contains("oldest") ||
-      !body["oldest"].is_number_unsigned() || !body.contains("next") ||
-      !body["next"].is_number_unsigned()) {
+  const Result<nlohmann::json> body = parseJson(response.mBody);
+  if (!body || !body->is_object() || !body->contains("oldest") ||
+      !body->at("oldest").is_number_unsigned() || !body->contains("next") ||
+      !body->at("next").is_number_unsigned()) {
     return fail(ErrorCode::Corrupt, "bounds response lacks oldest or next");
   }
-  return Bounds{ body["oldest"].get<std::uint64_t>(),
-                 body["next"].get<std::uint64_t>() };
+  return Bounds{ body->at("oldest").get<std::uint64_t>(),
+                 body->at("next").get<std::uint64_t>() };
 }
 
 void
--- a/src/upstream/gate_cancel.cpp
+++ b/src/upstream/gate_cancel.cpp
@@ -1,5 +1,7 @@
 #include "gate_impl.h"
 
+#include "radishroad/base/json_text.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -19,13 +21,15 @@
 bool
 reportsRunEnded(const UpstreamResponse& aAnswer)
 {
-  const nlohmann::json body = nlohmann::json::parse(
-    aAnswer.mBody.begin(), aAnswer.mBody.end(), nullptr, false);
-  if (!body.is_object()) {
+  const Result<nlohmann::json> body =
+    parseJson({ reinterpret_cast<const char*>(aAnswer.mBody.data()),
+                aAnswer.mBody.size() });
+  if (!body || !body->is_object()) {
     return false;
   }
-  const auto state = body.find("state");
-  return state != body.end() && (*state == "cancelled" || *state == "finished");
+  const auto state = body->find("state");
+  return state != body->end() &&
+         (*state == "cancelled" || *state == "finished");
 }
 
 }
--- a/src/upstream/gate_window.cpp
+++ b/src/upstream/gate_window.cpp
@@ -1,5 +1,7 @@
 #include "gate_impl.h"
 
+#include "radishroad/base/json_text.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -87,15 +89,16 @@
 {
   onHealthChange(
     mHealth.onAnswer(aResponse.header(mOptions.mProtocol.mInstanceHeader)));
-  const nlohmann::json report = nlohmann::json::parse(
-    aResponse.mBody.begin(), aResponse.mBody.end(), nullptr, false);
-  if (aResponse.mStatus != 200 || !report.is_object()) {
+  const Result<nlohmann::json> report =
+    parseJson({ reinterpret_cast<const char*>(aResponse.mBody.data()),
+                aResponse.mBody.size() });
+  if (aResponse.mStatus != 200 || !report || !report->is_object()) {
     return;
   }
   UpstreamLoadReport reading;
-  reading.mInFlight = countOf(report, "in_flight");
-  reading.mSlots = countOf(report, "slots");
-  reading.mQueued = countOf(report, "queued");
+  reading.mInFlight = countOf(*report, "in_flight");
+  reading.mSlots = countOf(*report, "slots");
+  reading.mQueued = countOf(*report, "queued");
   mWindow.onLoadReport(reading);
 }
 
--- a/tests/unit/json_text_test.cpp
+++ b/tests/unit/json_text_test.cpp
@@ -36,6 +36,28 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(nesting_is_bounded)
+{
+  const auto nested = [](std::size_t aDepth) {
+    return std::string(aDepth, '[') + std::string(aDepth, ']');
+  };
+  BOOST_TEST(parseJson(nested(kMaxJsonDepth)).has_value());
+  BOOST_TEST(!parseJson(nested(kMaxJsonDepth + 1)).has_value());
+  for (const std::string& text : { nested(1000000),
+                                   std::string(1000000, '['),
+                                   "{\"a\":" + nested(40) + ",\"b\":1}",
+                                   "[[1]," + nested(40) + ",2]",
+                                   std::string("[1e400]"),
+                                   std::string("\"\xE9\""),
+                                   std::string("") }) {
+    const Result<nlohmann::json> read = parseJson(text);
+    BOOST_REQUIRE(!read.has_value());
+    BOOST_TEST(!read.error().mMessage.empty());
+  }
+  const std::string text = R"({"a":[1,{"b":null}],"c":"x"})";
+  BOOST_TEST(parseJson(text).value() == nlohmann::json::parse(text));
+}
+
 BOOST_AUTO_TEST_CASE(any_bytes_are_written)
 {
   BOOST_TEST(writeJson({ { "a", "x\xE9y" } }) == "{\"a\":\"x\xEF\xBF\xBDy\"}");
--- a/tests/unit/platform_configuration_test.cpp
+++ b/tests/unit/platform_configuration_test.cpp
@@ -120,4 +120,18 @@
   BOOST_TEST(std::holds_alternative<std::monostate>(change->mChange));
 }
 
+// Overflowed the stack where rows were copied.
+BOOST_AUTO_TEST_CASE(a_deeply_nested_entry_is_refused)
+{
+  constexpr std::size_t kDepth = 200000;
+  const std::string nested =
+    std::string(kDepth, '[') + std::string(kDepth, ']');
+  for (const char* place : { "1200", "130", "\"key-1\"", "16384" }) {
+    const Result<config::VersionedModel> read = readWith(place, nested);
+    BOOST_REQUIRE(!read.has_value());
+    BOOST_TEST(read.error().mMessage.find("nested") != std::string::npos,
+               read.error().mMessage);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/platform_messages_test.cpp
+++ b/tests/unit/platform_messages_test.cpp
@@ -303,4 +303,17 @@
              "5c0e7a21d94b36f8");
 }
 
+BOOST_AUTO_TEST_CASE(a_deeply_nested_report_is_rejected)
+{
+  constexpr std::size_t kDepth = 200000;
+  for (const char* field : { "Info", "Holds", "odd" }) {
+    const std::string body = std::string("{\"") + field +
+                             "\":" + std::string(kDepth, '[') +
+                             std::string(kDepth, ']') + "," + kReport.substr(1);
+    BOOST_TEST(
+      !platform::readUpstreamReport(makeCallerRequest(kReportTarget, body))
+         .has_value());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
