Take only whole reports of the upstream beside the daemon

Cause: of a report, Address, Zone and Version were not read, a missing number counted as 0, and numbers up to 1e15 were cast to 32 bits, or taken as a start in the year 33658.

The comparison stays a pure function; the daemon sets both marks when the report arrives.

--- a/fuzz/fuzz_platform.cpp
+++ b/fuzz/fuzz_platform.cpp
@@ -23,7 +23,8 @@
   R"("Tenants":{"Columns":["Name","ApiKeys","RatePerS","Burst"],)"
   R"("Rows":[["t",["k"],112,112]]}})";
 constexpr std::string_view kReport =
-  R"({"born":1700000000123,"Info":{"Service":"s","Slots":9},)"
+  R"({"Address":"10.0.0.9:80","born":1700000000123,)"
+  R"("Info":{"Service":"s","Version":"v1","Zone":"z","Slots":9},)"
   R"("Status":{"State":"ready","Seq":4,"WarmupLeftMs":0}})";
 
 Bytes
--- a/include/radishroad/upstream/upstream_report.h
+++ b/include/radishroad/upstream/upstream_report.h
@@ -27,6 +27,11 @@
   Kind mKind = Kind::Ready;
   /// Instance id of the upstream; may be the same after a restart.
   std::string mInstance;
+  /// False if it names another address than that of the upstream beside this
+  /// daemon.
+  bool mIsAtOwnAddress = true;
+  /// See hasPlausibleStart().
+  bool mHasPlausibleStart = true;
   /// Service that it belongs to; empty if not reported.
   std::string mService;
   /// Address at which it serves requests; empty if not reported.
@@ -57,8 +62,15 @@
   Millis mHoldTime;
 };
 
+/// Whether the upstream started at the present or before, give or take a day
+/// for clocks that differ. The reports of any other process would be older than
+/// one of the far future.
+bool
+hasPlausibleStart(const UpstreamReport& aReport, Millis aWallNow);
+
 /// Whether aReport may be processed after aOther: it is neither from an earlier
-/// incarnation nor an older report of the same incarnation.
+/// incarnation nor an older report of the same incarnation. One of another
+/// address, or with an implausible start, does not follow one that has neither.
 bool
 isNewer(const UpstreamReport& aReport, const UpstreamReport& aOther);
 
--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -146,8 +146,7 @@
 Daemon::Impl::handleUpstreamReport(const CallerRequest& aRequest,
                                    const AnswerFn& aAnswer)
 {
-  const Result<UpstreamReport> report =
-    mProtocol.mParseUpstreamReport(aRequest);
+  Result<UpstreamReport> report = mProtocol.mParseUpstreamReport(aRequest);
   if (!report) {
     logEvent(
       LogLevel::Warn,
@@ -167,6 +166,8 @@
     aAnswer(makeTextAnswer(400, kJson, "{}"));
     return;
   }
+  report->mIsAtOwnAddress = report->mAddress == mSettings.mUpstreamAddress;
+  report->mHasPlausibleStart = hasPlausibleStart(*report, wallNow());
   const auto answer = [this, aAnswer](const ReportAnswer& aReportAnswer) {
     aAnswer(
       makeTextAnswer(200, kJson, mProtocol.mWriteReportAnswer(aReportAnswer)));
@@ -175,6 +176,7 @@
     logEvent(LogLevel::Info,
              "upstream_report_outdated",
              { { "instance", report->mInstance },
+               { "address", report->mAddress },
                { "born_ms", report->mStartTime.mCount },
                { "sequence", report->mSequence } });
   }
--- a/src/upstream/upstream_report.cpp
+++ b/src/upstream/upstream_report.cpp
@@ -6,9 +6,22 @@
 
 namespace radishroad {
 
+bool
+hasPlausibleStart(const UpstreamReport& aReport, Millis aWallNow)
+{
+  constexpr Millis kMaxClockDifference{ 86'400'000 };
+  return aReport.mStartTime <= aWallNow + kMaxClockDifference;
+}
+
 bool
 isNewer(const UpstreamReport& aReport, const UpstreamReport& aOther)
 {
+  if (aReport.mIsAtOwnAddress != aOther.mIsAtOwnAddress) {
+    return aReport.mIsAtOwnAddress;
+  }
+  if (aReport.mHasPlausibleStart != aOther.mHasPlausibleStart) {
+    return aReport.mHasPlausibleStart;
+  }
   if (aReport.mStartTime != aOther.mStartTime) {
     return aReport.mStartTime > aOther.mStartTime;
   }
@@ -22,6 +35,11 @@
 UpstreamReport
 fillFromPrevious(UpstreamReport aReport, const UpstreamReport& aPrevious)
 {
+  if (aReport.mKind == UpstreamReport::Kind::Leaving) {
+    // It names neither address nor start.
+    aReport.mIsAtOwnAddress = aPrevious.mIsAtOwnAddress;
+    aReport.mHasPlausibleStart = aPrevious.mHasPlausibleStart;
+  }
   const bool same = aReport.mInstance == aPrevious.mInstance;
   if (aReport.mKind == UpstreamReport::Kind::Leaving && same) {
     aReport.mStartTime = aPrevious.mStartTime;
--- a/tests/unit/platform_messages_test.cpp
+++ b/tests/unit/platform_messages_test.cpp
@@ -51,6 +51,23 @@
   "Status":{"State":"ready","Seq":4,"WarmupLeftMs":250}})";
 const std::string kReportTarget = "/api/rpc?call=instances.heartbeat&of=i-7";
 
+bool
+isAccepted(const nlohmann::json& aReport)
+{
+  return platform::readUpstreamReport(
+           makeCallerRequest(kReportTarget, aReport.dump()))
+    .has_value();
+}
+
+/// Replaces a field of a valid report.
+nlohmann::json
+reportWith(const std::string& aPointer, nlohmann::json aValue)
+{
+  nlohmann::json body = nlohmann::json::parse(kReport);
+  body[nlohmann::json::json_pointer(aPointer)] = std::move(aValue);
+  return body;
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(platform_messages)
@@ -316,4 +333,61 @@
   }
 }
 
+// Was taken for a new life of the upstream.
+BOOST_AUTO_TEST_CASE(a_report_that_lacks_a_field_is_rejected)
+{
+  BOOST_TEST(isAccepted(nlohmann::json::parse(kReport)));
+  for (const char* pointer : { "/Address",
+                               "/Info/Service",
+                               "/Info/Version",
+                               "/Info/Zone",
+                               "/Info/Slots",
+                               "/Status/State",
+                               "/Status/Seq",
+                               "/Status/WarmupLeftMs" }) {
+    BOOST_TEST(!isAccepted(reportWith(pointer, nullptr)), pointer);
+    BOOST_TEST(!isAccepted(reportWith(pointer, nlohmann::json::array())),
+               pointer);
+    BOOST_TEST(!isAccepted(reportWith(pointer, true)), pointer);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_report_with_a_number_out_of_range_is_rejected)
+{
+  for (const char* pointer :
+       { "/Info/Slots", "/Status/Seq", "/Status/WarmupLeftMs", "/born" }) {
+    for (const char* number : { "-1",
+                                "1e17",
+                                "1e300",
+                                "99999999999999999999",
+                                "18446744073709551615" }) {
+      BOOST_TEST(
+        !isAccepted(reportWith(pointer, nlohmann::json::parse(number))),
+        pointer << " " << number);
+    }
+  }
+  for (const char* number : { "4294967305", "1000000000000000" }) {
+    BOOST_TEST(
+      !isAccepted(reportWith("/Info/Slots", nlohmann::json::parse(number))),
+      number);
+    BOOST_TEST(!isAccepted(reportWith("/Status/WarmupLeftMs",
+                                      nlohmann::json::parse(number))),
+               number);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_report_with_a_malformed_address_is_rejected)
+{
+  for (const char* address : { "10.0.0.9",
+                               "10.0.0.9:",
+                               "10.0.0.9:0",
+                               "10.0.0.9:65536",
+                               "10.0.0.9:99999999999999999999",
+                               "10.0.0.9:-80",
+                               "10.0.0.9:80x",
+                               ":80" }) {
+    BOOST_TEST(!isAccepted(reportWith("/Address", address)), address);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/upstream_report_test.cpp
+++ b/tests/unit/upstream_report_test.cpp
@@ -63,4 +63,30 @@
   BOOST_TEST(!isNewer(fillFromPrevious(leaving("i-0"), known), known));
 }
 
+// Made all reports of the real upstream outdated.
+BOOST_AUTO_TEST_CASE(a_report_from_the_far_future_is_outdated)
+{
+  const Millis now{ 1700000000000 };
+  UpstreamReport odd = report(now.mCount + 90000000, 1);
+  BOOST_TEST(!hasPlausibleStart(odd, now));
+  BOOST_TEST(hasPlausibleStart(report(now.mCount + 80000000, 1), now));
+  BOOST_TEST(hasPlausibleStart(report(0, 1), now));
+  odd.mHasPlausibleStart = false;
+  BOOST_TEST(!isNewer(odd, report(now.mCount, 7)));
+  BOOST_TEST(isNewer(report(now.mCount, 7), odd));
+  UpstreamReport next = odd;
+  ++next.mSequence;
+  BOOST_TEST(isNewer(next, odd));
+  BOOST_TEST(isNewer(fillFromPrevious(leaving("i-1"), odd), odd));
+}
+
+// Was taken for a new life of the upstream.
+BOOST_AUTO_TEST_CASE(a_report_of_another_address_is_outdated)
+{
+  UpstreamReport other = report(2000, 1);
+  other.mIsAtOwnAddress = false;
+  BOOST_TEST(!isNewer(other, report(1000, 7)));
+  BOOST_TEST(isNewer(report(1000, 7), other));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
