--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -88,7 +88,9 @@
 void
 FakeStore::add(Topic& aTopic, std::string aKey, std::string aValue)
 {
-  const Item item{ aTopic.mEndOffset++, std::move(aKey), std::move(aValue) };
+  const Item item{
+    aTopic.mEndOffset++, std::move(aKey), std::move(aValue), false
+  };
   aTopic.mItems.push_back(item);
   if (item.mValue.empty()) {
     aTopic.mNewest.erase(item.mKey);
@@ -106,6 +108,21 @@
   add(mTopics[aTopic], aKey, aValue);
 }
 
+void
+FakeStore::putRaw(const std::string& aTopic, const std::string& aRecord)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  Topic& topic = mTopics[aTopic];
+  topic.mItems.push_back({ topic.mEndOffset++, {}, aRecord, true });
+}
+
+void
+FakeStore::setOddItem(const std::string& aJson)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mOddItem = aJson;
+}
+
 void
 FakeStore::compact(const std::string& aTopic)
 {
@@ -242,8 +259,13 @@
     std::stoull(queryParameter(aRequest.mTarget, "MaxKb").value_or("1024"));
   const std::size_t headerSize = body.size();
   for (const Item& item : aTopic.mItems) {
-    if (item.mOffset >= from &&
-        (body.size() == headerSize || body.size() < maxBytes)) {
+    if (item.mOffset < from ||
+        (body.size() > headerSize && body.size() >= maxBytes)) {
+      continue;
+    }
+    if (item.mIsRaw) {
+      body += bigEndian(item.mValue.size(), 4) + item.mValue;
+    } else {
       body += bigEndian(1 + item.mKey.size() + item.mValue.size(), 4);
       body += bigEndian(item.mKey.size(), 1) + item.mKey + item.mValue;
     }
@@ -252,18 +274,25 @@
 }
 
 Answer
-FakeStore::newest(const Topic& aTopic)
+FakeStore::newest(const Topic& aTopic) const
 {
   nlohmann::json items = nlohmann::json::array();
+  if (!mOddItem.empty()) {
+    items.push_back(nlohmann::json::parse(mOddItem));
+  }
   for (const auto& [key, item] : aTopic.mNewest) {
     items.push_back({ { "Key", key },
                       { "Value", base64(item.mValue) },
                       { "Offset", item.mOffset } });
   }
   const nlohmann::json answer = { { "items", items },
-                                  { "More", false },
+                                  { "More", mEndlessPages.load() },
                                   { "End", aTopic.mEndOffset } };
-  return makeTextAnswer(200, kJson, answer.dump());
+  // Keys may have any bytes.
+  return makeTextAnswer(
+    200,
+    kJson,
+    answer.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 }
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -47,6 +47,12 @@
   void put(const std::string& aTopic,
            const std::string& aKey,
            const std::string& aValue);
+  /// Writes a record that has no key, as another writer may.
+  void putRaw(const std::string& aTopic, const std::string& aRecord);
+  /// Puts a JSON value before the items of each list of the newest records.
+  void setOddItem(const std::string& aJson);
+  /// Each list of the newest records says that there are more.
+  void setEndlessPages(bool aEndless) { mEndlessPages = aEndless; }
   /// Deletes all records from the log; the newest record of each key remains
   /// available.
   void compact(const std::string& aTopic);
@@ -65,6 +71,8 @@
     std::uint64_t mOffset = 0;
     std::string mKey;
     std::string mValue;
+    /// The whole record is mValue.
+    bool mIsRaw = false;
   };
   struct Topic
   {
@@ -90,16 +98,18 @@
   Answer answerCall(const CallerRequest& aRequest);
   Answer append(Topic& aTopic, const CallerRequest& aRequest);
   static Answer read(const Topic& aTopic, const CallerRequest& aRequest);
-  static Answer newest(const Topic& aTopic);
+  Answer newest(const Topic& aTopic) const;
   static void add(Topic& aTopic, std::string aKey, std::string aValue);
 
   std::atomic<Fault> mFault{ Fault::None };
+  std::atomic<bool> mEndlessPages{ false };
   std::atomic<int> mCalls{ 0 };
   std::atomic<std::uint64_t> mBytesSent{ 0 };
   std::atomic<int> mLongPolls{ 0 };
   std::mutex mMutex;
   std::map<std::string, Topic> mTopics;
   std::map<std::string, Topic> mCopy;
+  std::string mOddItem;
   std::uint64_t mEra = 1;
   const LongPolls mLongPollMode;
   std::vector<HeldPoll> mHeldPolls;
--- a/tests/unit/platform_store_test.cpp
+++ b/tests/unit/platform_store_test.cpp
@@ -410,4 +410,39 @@
   BOOST_TEST((late.error().mCode == ErrorCode::Conflict));
 }
 
+// Failed each read, so that nothing newer was ever followed.
+BOOST_AUTO_TEST_CASE(a_malformed_item_hides_no_other_entry)
+{
+  FakeStore store;
+  store.put("keyed.op", "config", "x");
+  OperatorFeed feed = platform::openOperatorFeed(store.address());
+  for (const char* item : { R"(7)",
+                            R"({})",
+                            R"({"Key":7,"Value":"YQ==","Offset":0})",
+                            R"({"Key":"a","Value":"Y*==","Offset":0})",
+                            R"({"Key":"a","Value":[],"Offset":0})",
+                            R"({"Key":"a","Value":"YQ==","Offset":-1})",
+                            R"({"Key":"a","Value":"YQ==","Offset":1e15})",
+                            R"({"Key":"a","Value":"YQ==",)"
+                            R"("Offset":18446744073709551615})" }) {
+    store.setOddItem(item);
+    const Result<OperatorEntries> read = feed.mRead(0, 0_ms, 2000_ms);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_REQUIRE(read->mEntries.size() == 1U);
+    BOOST_TEST(read->mEntries[0].mKey == "config");
+    BOOST_TEST(read->mNext == versionOf(1, 1));
+  }
+}
+
+// Was read again and again.
+BOOST_AUTO_TEST_CASE(pages_that_do_not_advance_end_the_read)
+{
+  FakeStore store;
+  store.put("keyed.op", "config", "x");
+  store.setEndlessPages(true);
+  OperatorFeed feed = platform::openOperatorFeed(store.address());
+  BOOST_TEST(!feed.mRead(0, 0_ms, 2000_ms).has_value());
+  BOOST_TEST(store.calls() < 5);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
