--- a/tests/unit/platform_store_test.cpp
+++ b/tests/unit/platform_store_test.cpp
@@ -445,4 +445,25 @@
   BOOST_TEST(store.calls() < 5);
 }
 
+// The feed stayed before such a record.
+BOOST_AUTO_TEST_CASE(a_record_without_a_key_does_not_stop_the_feed)
+{
+  FakeStore store;
+  store.put("keyed.op", "config", "x");
+  OperatorFeed feed = platform::openOperatorFeed(store.address());
+  Result<OperatorEntries> read = feed.mRead(0, 0_ms, 2000_ms);
+  BOOST_REQUIRE(read.has_value());
+  store.putRaw("keyed.op", "\xFFodd");
+  store.putRaw("keyed.op", "");
+  read = feed.mRead(read->mNext, 0_ms, 2000_ms);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->mEntries.empty());
+  BOOST_TEST(read->mNext == versionOf(1, 3));
+  store.put("keyed.op", "evacuate/z", "{}");
+  read = feed.mRead(read->mNext, 0_ms, 2000_ms);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_REQUIRE(read->mEntries.size() == 1U);
+  BOOST_TEST(read->mEntries[0].mKey == "evacuate/z");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
