--- a/tests/unit/platform_store_test.cpp
+++ b/tests/unit/platform_store_test.cpp
@@ -466,4 +466,36 @@
   BOOST_TEST(read->mEntries[0].mKey == "evacuate/z");
 }
 
+// Was taken for the state, or for a state that was lost.
+BOOST_AUTO_TEST_CASE(another_key_in_the_topic_of_a_state_is_not_the_state)
+{
+  for (const bool isRaw : { false, true }) {
+    FakeStore store;
+    Writer writer(store);
+    Writer other(store);
+    BOOST_REQUIRE(writer.submit(makeJoin(1), 5000_ms).has_value());
+    StateStore reader = platform::openStateStore(store.address());
+    const Result<StoredState> before = reader.mRead(kStream, 0, 0_ms, 2000_ms);
+    BOOST_REQUIRE(before.has_value());
+    const std::string topic = platform::kStateTopicPrefix + kStream;
+    if (isRaw) {
+      store.putRaw(topic, "\xFFodd");
+    } else {
+      store.put(topic, "odd", "odd");
+    }
+    for (const std::uint64_t known : { before->mVersion, std::uint64_t{ 0 } }) {
+      const Result<StoredState> read =
+        reader.mRead(kStream, known, 0_ms, 2000_ms);
+      BOOST_REQUIRE(read.has_value());
+      if (read->mVersion != known) {
+        BOOST_TEST((read->mData == before->mData));
+      }
+    }
+    // Both a writer that knows the state and one that does not go on.
+    BOOST_TEST((writer.submit(makeJoin(2), 3000_ms) == FoldVerdict::Applied));
+    BOOST_TEST((other.submit(makeJoin(3), 3000_ms) == FoldVerdict::Applied));
+    BOOST_TEST(other.memberCount() == 3U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
