--- a/tests/unit/platform_messages_test.cpp
+++ b/tests/unit/platform_messages_test.cpp
@@ -390,4 +390,47 @@
   }
 }
 
+// Overflowed the time until which the upstream counts as cold.
+BOOST_AUTO_TEST_CASE(a_cold_time_out_of_range_is_ignored)
+{
+  for (const char* text : { "-5", "9223372036854775807", "1e3", "x" }) {
+    BOOST_TEST(
+      platform::readColdTimeLeft(makeResponse(200, { "X-Warmup-Ms", text }))
+          .mCount == 0,
+      text);
+  }
+  BOOST_TEST(
+    platform::readColdTimeLeft(makeResponse(200, { "X-Warmup-Ms", "700" }))
+      .mCount == 700);
+}
+
+// Was taken modulo 2^32.
+BOOST_AUTO_TEST_CASE(a_load_out_of_range_is_ignored)
+{
+  for (const char* text : { "4294967296,0,9",
+                            "0,4294967299,9",
+                            "0,0,4294967296",
+                            "0,0,1000000000000",
+                            "0,0,9,9223372036854775807",
+                            "0,0,99999999999999999999" }) {
+    BOOST_TEST(
+      !platform::readLoad(makeResponse(200, { "X-Upstream-Load", text }))
+         .has_value(),
+      text);
+  }
+}
+
+// Overflowed the request's deadline.
+BOOST_AUTO_TEST_CASE(a_deadline_out_of_range_is_bounded)
+{
+  constexpr std::int64_t kDayMs = 86400000;
+  for (const char* text : { "9223372036854775807", "-9223372036854775808" }) {
+    CallerRequest request = makeCallerRequest("/p/1");
+    addHeader(request, "X-Deadline-Ms", text);
+    const Millis left = platform::readCallerHeaders(request).mTimeLeft.value();
+    BOOST_TEST(left.mCount >= 0, text);
+    BOOST_TEST(left.mCount <= kDayMs, text);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
