--- a/src/upstream/gate_window.cpp
+++ b/src/upstream/gate_window.cpp
@@ -3,6 +3,7 @@
 #include "radishroad/base/json_text.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace radishroad {
@@ -14,7 +15,10 @@
 {
   const auto it = aReport.find(aName);
   const bool given = it != aReport.end() && it->is_number_unsigned();
-  return given ? it->get<std::uint32_t>() : 0;
+  constexpr std::uint64_t kMax = std::numeric_limits<std::uint32_t>::max();
+  return given ? static_cast<std::uint32_t>(
+                   std::min(it->get<std::uint64_t>(), kMax))
+               : 0;
 }
 
 }
--- a/tests/unit/platform_configuration_test.cpp
+++ b/tests/unit/platform_configuration_test.cpp
@@ -134,4 +134,34 @@
   }
 }
 
+// Was converted to an integer that cannot hold it.
+BOOST_AUTO_TEST_CASE(a_number_too_large_for_its_field_is_bounded)
+{
+  const Result<config::VersionedModel> read =
+    readWith("\"/healthz\",130", "\"/healthz\",1000000000000000");
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->mModel.mServices.at("a").mMaxConnections == UINT32_MAX);
+}
+
+BOOST_AUTO_TEST_CASE(a_number_out_of_range_is_refused)
+{
+  for (const char* field : { "\"/healthz\",130", "3.0", "1200", "400" }) {
+    for (const char* number : { "-1", "1e16", "1e400", "\"1\"", "[1]" }) {
+      const std::string place(field);
+      const std::size_t comma = place.find(',');
+      const std::string before =
+        comma == std::string::npos ? "" : place.substr(0, comma + 1);
+      BOOST_TEST(!readWith(place, before + number).has_value(),
+                 field << " " << number);
+    }
+  }
+  const std::string version = "\"Version\":\"r12\"";
+  for (const char* text :
+       { "r18446744073709551616", "r-1", "r1.5", "r", "12", "r 12" }) {
+    BOOST_TEST(!readWith(version, std::string("\"Version\":\"") + text + "\"")
+                  .has_value(),
+               text);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
