--- a/fuzz/fuzz_platform.cpp
+++ b/fuzz/fuzz_platform.cpp
@@ -1,12 +1,14 @@
 // Reads mutated messages of the platform: configurations, upstream reports,
-// log reads and load headers. Each must be either read or refused.
+// log reads, headers and handover tokens. Each must be either read or refused.
 #include "mutator.h"
 
 #include "platform/configuration.h"
 #include "platform/messages.h"
 #include "platform/store.h"
+#include "radishroad/base/json_text.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
 
@@ -56,6 +58,66 @@
     });
 }
 
+void
+checkReport(std::string aBody, std::uint64_t aRound)
+{
+  CallerRequest request;
+  request.mMethod = "POST";
+  request.mTarget = "/api/rpc?call=instances.heartbeat&of=i-1";
+  request.mBody = std::move(aBody);
+  const Result<UpstreamReport> report = platform::readUpstreamReport(request);
+  if (!report) {
+    require(
+      !report.error().mMessage.empty(), "refusal without a message", aRound);
+    return;
+  }
+  require(!report->mInstance.empty() && !report->mService.empty() &&
+            !report->mAddress.empty(),
+          "accepted report lacks a field",
+          aRound);
+  constexpr std::int64_t kDayMs = 86'400'000;
+  require(report->mColdTimeLeft.mCount >= 0 &&
+            report->mColdTimeLeft.mCount <= kDayMs,
+          "accepted report has a cold time out of range",
+          aRound);
+}
+
+/// Whatever an upstream hands over, what is written for others can be read.
+void
+checkHandover(const std::string& aToken, std::uint64_t aRound)
+{
+  const KeyGrant grant{ { 1, 2 }, 3, Millis{ 4 }, aToken };
+  ReportAnswer answer;
+  answer.mHolds = std::vector<KeyGrant>{ grant };
+  for (const std::string& body : { platform::makeGrantRequest(grant).mBody,
+                                   platform::writeReportAnswer(answer) }) {
+    require(parseJson(body).has_value(), "written JSON is malformed", aRound);
+  }
+}
+
+void
+checkHeaders(const std::string& aValue, std::uint64_t aRound)
+{
+  CallerRequest request;
+  UpstreamResponse response;
+  for (const char* name :
+       { "X-Deadline-Ms", "X-Shard-Key", "X-Warmup-Ms", "X-Upstream-Load" }) {
+    wire::HeaderT header;
+    header.name = name;
+    header.value = aValue;
+    request.mHeaders.push_back(header);
+    response.mHeaders.push_back(header);
+  }
+  const CallerHeaders headers = platform::readCallerHeaders(request);
+  require(!headers.mTimeLeft || headers.mTimeLeft->mCount >= 0,
+          "negative time left",
+          aRound);
+  require(platform::readColdTimeLeft(response).mCount >= 0,
+          "negative cold time",
+          aRound);
+  static_cast<void>(platform::readLoad(response));
+}
+
 }
 
 int
@@ -80,14 +142,15 @@
       require(
         !model.error().mMessage.empty(), "refusal without a message", round);
     }
-    CallerRequest request;
-    request.mMethod = "POST";
-    request.mTarget = "/api/rpc?call=instances.heartbeat&of=i-1";
-    request.mBody = textOf(mutator.mutate(bytesOf(kReport)));
-    const Result<UpstreamReport> report = platform::readUpstreamReport(request);
-    require(!report || !report->mInstance.empty(),
-            "accepted report names no instance",
+    const Result<config::VersionedModel> odd = platform::readConfiguration(
+      bytesOf(mutator.mutateJson(std::string(kConfiguration))));
+    require(!odd || isConsistent(odd->mModel),
+            "accepted route names a missing service",
             round);
+    checkReport(textOf(mutator.mutate(bytesOf(kReport))), round);
+    checkReport(mutator.mutateJson(std::string(kReport)), round);
+    checkHandover(textOf(mutator.mutate(bytesOf("5c0e7a21d94b36f8"))), round);
+    checkHeaders(mutator.oddValue(), round);
     const Result<platform::KeyedRecords> records =
       platform::parseKeyedRecords(textOf(mutator.mutate(bytesOf(log))), round);
     require(!records || records->mRecords.size() <= log.size(),
--- a/fuzz/mutator.h
+++ b/fuzz/mutator.h
@@ -4,11 +4,14 @@
 #include "radishroad/state/records.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 #include <random>
 #include <span>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace radishroad::fuzz {
@@ -39,7 +42,50 @@
     return aBytes;
   }
 
+  /// Replaces some values of a JSON text by odd ones: nested deeply, out of
+  /// range, of another type, or not UTF-8.
+  std::string mutateJson(std::string aText)
+  {
+    for (std::uint64_t n = draw(kMaxMutations); n > 0; --n) {
+      replaceValue(aText);
+    }
+    return aText;
+  }
+
+  std::string oddValue()
+  {
+    static const std::array<std::string_view, 14> kValues{
+      "null",       "true",
+      "[]",         "{}",
+      "\"\"",       "-1",
+      "1.5",        "1e15",
+      "1e300",      "1e400",
+      "\"\xE9\"",   "\"a:65536\"",
+      "4294967296", "18446744073709551616"
+    };
+    const std::uint64_t n = draw(kValues.size() + 1);
+    if (n < kValues.size()) {
+      return std::string(kValues[n]);
+    }
+    const std::size_t depth = 1 + draw(kMaxDepth);
+    return std::string(depth, '[') + std::string(depth, ']');
+  }
+
 private:
+  /// Replaces the value after a colon, a comma or a bracket.
+  void replaceValue(std::string& aText)
+  {
+    const std::size_t at =
+      aText.find_first_of(":,[", aText.empty() ? 0 : draw(aText.size()));
+    if (at == std::string::npos) {
+      return;
+    }
+    const std::size_t end =
+      std::min(aText.find_first_of(",]}", at + 1), aText.size());
+    aText.replace(at + 1, end - at - 1, oddValue());
+  }
+
+  static constexpr std::uint64_t kMaxDepth = 200;
   static constexpr std::uint64_t kMaxMutations = 4;
   static constexpr std::uint64_t kMutationKinds = 5;
   static constexpr std::uint64_t kByteValues = 256;
