--- a/src/upstream/gate_report.cpp
+++ b/src/upstream/gate_report.cpp
@@ -38,6 +38,7 @@
              "upstream_life",
              { { "instance", aReport.mInstance },
                { "address", aReport.mAddress },
+               { "at_own_address", aReport.mIsAtOwnAddress },
                { "born_ms", aReport.mStartTime.mCount },
                { "slots", aReport.mSlots },
                { "cold_left_ms", aReport.mColdTimeLeft.mCount } });
