Read lists of the store that have keys which are not UTF-8

What callers would see: a daemon that starts while another writer's key with such bytes is among the operators' entries never learns the configuration, if the store sends keys as they are.

Cause: JSON with one invalid byte is no JSON, so one key made the whole list unreadable, for ever.

Evidence, before: platform_store/a_key_that_is_not_utf8_hides_no_other_entry, with a store stand-in that sends keys as they are: 'critical check read.has_value() has failed'. How the platform's store sends such keys is not on its pages.

Values are base64. Configurations and reports with such bytes are still refused: there each text may count.

--- a/include/radishroad/base/json_text.h
+++ b/include/radishroad/base/json_text.h
@@ -14,6 +14,10 @@
 bool
 isUtf8(std::string_view aText);
 
+/// Replaces bytes that are not valid UTF-8 by U+FFFD.
+std::string
+replaceInvalidUtf8(std::string_view aText);
+
 /// Values nested more deeply are not parsed: code that copies, compares or
 /// writes a value needs stack for each level.
 constexpr int kMaxJsonDepth = 32;
--- a/src/base/json_text.cpp
+++ b/src/base/json_text.cpp
@@ -1,5 +1,6 @@
 #include "radishroad/base/json_text.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 
@@ -39,29 +40,54 @@
   return {};
 }
 
+/// Length of the character that aText begins with; 0 if it is not valid UTF-8.
+std::size_t
+characterLength(std::string_view aText)
+{
+  const Utf8Lead lead = leadOf(static_cast<std::uint8_t>(aText.front()));
+  if (aText.size() < lead.mLength) {
+    return 0;
+  }
+  for (std::size_t n = 1; n < lead.mLength; ++n) {
+    const std::uint8_t byte = static_cast<std::uint8_t>(aText[n]);
+    const std::uint8_t min = n == 1 ? lead.mSecondMin : 0x80;
+    const std::uint8_t max = n == 1 ? lead.mSecondMax : 0xBF;
+    if (byte < min || byte > max) {
+      return 0;
+    }
+  }
+  return lead.mLength;
+}
+
 }
 
 bool
 isUtf8(std::string_view aText)
 {
   while (!aText.empty()) {
-    const Utf8Lead lead = leadOf(static_cast<std::uint8_t>(aText.front()));
-    if (lead.mLength == 0 || aText.size() < lead.mLength) {
+    const std::size_t n = characterLength(aText);
+    if (n == 0) {
       return false;
     }
-    for (std::size_t n = 1; n < lead.mLength; ++n) {
-      const std::uint8_t byte = static_cast<std::uint8_t>(aText[n]);
-      const std::uint8_t min = n == 1 ? lead.mSecondMin : 0x80;
-      const std::uint8_t max = n == 1 ? lead.mSecondMax : 0xBF;
-      if (byte < min || byte > max) {
-        return false;
-      }
-    }
-    aText.remove_prefix(lead.mLength);
+    aText.remove_prefix(n);
   }
   return true;
 }
 
+std::string
+replaceInvalidUtf8(std::string_view aText)
+{
+  constexpr std::string_view kReplacement = "\xEF\xBF\xBD";
+  std::string text;
+  text.reserve(aText.size());
+  while (!aText.empty()) {
+    const std::size_t n = characterLength(aText);
+    text += n == 0 ? kReplacement : aText.substr(0, n);
+    aText.remove_prefix(std::max<std::size_t>(1, n));
+  }
+  return text;
+}
+
 Result<nlohmann::json>
 parseJson(std::string_view aText)
 {
--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -288,11 +288,11 @@
   const nlohmann::json answer = { { "items", items },
                                   { "More", mEndlessPages.load() },
                                   { "End", aTopic.mEndOffset } };
-  // Keys may have any bytes.
-  return makeTextAnswer(
-    200,
-    kJson,
-    answer.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  // Keys may have any bytes, and are sent as they are.
+  std::string body =
+    answer.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  boost::algorithm::replace_all(body, "\xEF\xBF\xBD", "\xFF");
+  return makeTextAnswer(200, kJson, body);
 }
 
 }
--- a/tests/unit/json_text_test.cpp
+++ b/tests/unit/json_text_test.cpp
@@ -36,6 +36,12 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(invalid_utf8_is_replaced)
+{
+  BOOST_TEST(replaceInvalidUtf8("a\xC3\xA9z") == "a\xC3\xA9z");
+  BOOST_TEST(replaceInvalidUtf8("a\xFFz\xE9") == "a\xEF\xBF\xBDz\xEF\xBF\xBD");
+}
+
 BOOST_AUTO_TEST_CASE(nesting_is_bounded)
 {
   const auto nested = [](std::size_t aDepth) {
--- a/tests/unit/platform_store_test.cpp
+++ b/tests/unit/platform_store_test.cpp
@@ -2,6 +2,7 @@
 
 #include "cell_log.h"
 #include "platform/wire_names.h"
+#include "radishroad/base/json_text.h"
 #include "radishroad/log/state_writer.h"
 #include "radishroad/state/snapshot_codec.h"
 #include "radishroad/state/state_change.h"
@@ -498,4 +499,18 @@
   }
 }
 
+// Made the whole list unreadable, and so the configuration.
+BOOST_AUTO_TEST_CASE(a_key_that_is_not_utf8_hides_no_other_entry)
+{
+  FakeStore store;
+  store.put("keyed.op", "\xFF\xE9", "x");
+  store.put("keyed.op", "config", "x");
+  OperatorFeed feed = platform::openOperatorFeed(store.address());
+  const Result<OperatorEntries> read = feed.mRead(0, 0_ms, 2000_ms);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_REQUIRE(read->mEntries.size() == 2U);
+  BOOST_TEST(read->mEntries[0].mKey == "config");
+  BOOST_TEST(isUtf8(read->mEntries[1].mKey));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
