--- a/src/upstream/gate_report.cpp
+++ b/src/upstream/gate_report.cpp
@@ -37,6 +37,8 @@
     logEvent(LogLevel::Info,
              "upstream_life",
              { { "instance", aReport.mInstance },
+               { "address", aReport.mAddress },
+               { "at_own_address", aReport.mIsAtOwnAddress },
                { "born_ms", aReport.mStartTime.mCount },
                { "slots", aReport.mSlots },
                { "cold_left_ms", aReport.mColdTimeLeft.mCount } });
--- a/src/upstream/gate_window.cpp
+++ b/src/upstream/gate_window.cpp
@@ -1,6 +1,9 @@
 #include "gate_impl.h"
 
+#include "radishroad/base/json_text.h"
+
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace radishroad {
@@ -12,7 +15,10 @@
 {
   const auto it = aReport.find(aName);
   const bool given = it != aReport.end() && it->is_number_unsigned();
-  return given ? it->get<std::uint32_t>() : 0;
+  constexpr std::uint64_t kMax = std::numeric_limits<std::uint32_t>::max();
+  return given ? static_cast<std::uint32_t>(
+                   std::min(it->get<std::uint64_t>(), kMax))
+               : 0;
 }
 
 }
@@ -87,15 +93,16 @@
 {
   onHealthChange(
     mHealth.onAnswer(aResponse.header(mOptions.mProtocol.mInstanceHeader)));
-  const nlohmann::json report = nlohmann::json::parse(
-    aResponse.mBody.begin(), aResponse.mBody.end(), nullptr, false);
-  if (aResponse.mStatus != 200 || !report.is_object()) {
+  const Result<nlohmann::json> report =
+    parseJson({ reinterpret_cast<const char*>(aResponse.mBody.data()),
+                aResponse.mBody.size() });
+  if (aResponse.mStatus != 200 || !report || !report->is_object()) {
     return;
   }
   UpstreamLoadReport reading;
-  reading.mInFlight = countOf(report, "in_flight");
-  reading.mSlots = countOf(report, "slots");
-  reading.mQueued = countOf(report, "queued");
+  reading.mInFlight = countOf(*report, "in_flight");
+  reading.mSlots = countOf(*report, "slots");
+  reading.mQueued = countOf(*report, "queued");
   mWindow.onLoadReport(reading);
 }
 
--- a/tests/unit/platform_messages_test.cpp
+++ b/tests/unit/platform_messages_test.cpp
@@ -1,5 +1,8 @@
 #include "platform/messages.h"
 
+#include "platform/protocol.h"
+#include "radishroad/daemon/settings.h"
+
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -48,6 +51,23 @@
   "Status":{"State":"ready","Seq":4,"WarmupLeftMs":250}})";
 const std::string kReportTarget = "/api/rpc?call=instances.heartbeat&of=i-7";
 
+bool
+isAccepted(const nlohmann::json& aReport)
+{
+  return platform::readUpstreamReport(
+           makeCallerRequest(kReportTarget, aReport.dump()))
+    .has_value();
+}
+
+/// Replaces a field of a valid report.
+nlohmann::json
+reportWith(const std::string& aPointer, nlohmann::json aValue)
+{
+  nlohmann::json body = nlohmann::json::parse(kReport);
+  body[nlohmann::json::json_pointer(aPointer)] = std::move(aValue);
+  return body;
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(platform_messages)
@@ -272,4 +292,145 @@
     (body == nlohmann::json{ { "From", 64 }, { "To", 95 }, { "fence", 12 } }));
 }
 
+// Ended the next owners' daemons with an uncaught exception.
+BOOST_AUTO_TEST_CASE(a_handover_token_that_is_not_utf8_is_left_out)
+{
+  DaemonSettings settings;
+  settings.mProtocol = "platform";
+  const UpstreamProtocol protocol = platform::makeProtocol(settings).mUpstream;
+  for (const std::string& token :
+       { std::string("5c0e\xE9zzz"), std::string(5000, 'a') }) {
+    BOOST_TEST(
+      protocol.mHandover(makeResponse(200, { "X-Handover", token.c_str() }))
+        .empty());
+    KeyGrant grant{ { 64, 95 }, 12, Millis{ 3000 }, token };
+    const nlohmann::json body =
+      nlohmann::json::parse(platform::makeGrantRequest(grant).mBody);
+    BOOST_TEST(!body.contains("Handover"));
+    std::size_t size = 0;
+    BOOST_TEST(platform::fitsReportAnswer(grant, size));
+    ReportAnswer answer;
+    answer.mHolds = std::vector<KeyGrant>{ grant };
+    BOOST_TEST(
+      nlohmann::json::parse(platform::writeReportAnswer(answer))["Holds"] ==
+      nlohmann::json::parse(R"([[64,95,12,""]])"));
+  }
+  BOOST_TEST(protocol.mHandover(
+               makeResponse(200, { "X-Handover", "5c0e7a21d94b36f8" })) ==
+             "5c0e7a21d94b36f8");
+}
+
+BOOST_AUTO_TEST_CASE(a_deeply_nested_report_is_rejected)
+{
+  constexpr std::size_t kDepth = 200000;
+  for (const char* field : { "Info", "Holds", "odd" }) {
+    const std::string body = std::string("{\"") + field +
+                             "\":" + std::string(kDepth, '[') +
+                             std::string(kDepth, ']') + "," + kReport.substr(1);
+    BOOST_TEST(
+      !platform::readUpstreamReport(makeCallerRequest(kReportTarget, body))
+         .has_value());
+  }
+}
+
+// Was taken for a new life of the upstream.
+BOOST_AUTO_TEST_CASE(a_report_that_lacks_a_field_is_rejected)
+{
+  BOOST_TEST(isAccepted(nlohmann::json::parse(kReport)));
+  for (const char* pointer : { "/Address",
+                               "/Info/Service",
+                               "/Info/Version",
+                               "/Info/Zone",
+                               "/Info/Slots",
+                               "/Status/State",
+                               "/Status/Seq",
+                               "/Status/WarmupLeftMs" }) {
+    BOOST_TEST(!isAccepted(reportWith(pointer, nullptr)), pointer);
+    BOOST_TEST(!isAccepted(reportWith(pointer, nlohmann::json::array())),
+               pointer);
+    BOOST_TEST(!isAccepted(reportWith(pointer, true)), pointer);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_report_with_a_number_out_of_range_is_rejected)
+{
+  for (const char* pointer :
+       { "/Info/Slots", "/Status/Seq", "/Status/WarmupLeftMs", "/born" }) {
+    for (const char* number : { "-1",
+                                "1e17",
+                                "1e300",
+                                "99999999999999999999",
+                                "18446744073709551615" }) {
+      BOOST_TEST(
+        !isAccepted(reportWith(pointer, nlohmann::json::parse(number))),
+        pointer << " " << number);
+    }
+  }
+  for (const char* number : { "4294967305", "1000000000000000" }) {
+    BOOST_TEST(
+      !isAccepted(reportWith("/Info/Slots", nlohmann::json::parse(number))),
+      number);
+    BOOST_TEST(!isAccepted(reportWith("/Status/WarmupLeftMs",
+                                      nlohmann::json::parse(number))),
+               number);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_report_with_a_malformed_address_is_rejected)
+{
+  for (const char* address : { "10.0.0.9",
+                               "10.0.0.9:",
+                               "10.0.0.9:0",
+                               "10.0.0.9:65536",
+                               "10.0.0.9:99999999999999999999",
+                               "10.0.0.9:-80",
+                               "10.0.0.9:80x",
+                               ":80" }) {
+    BOOST_TEST(!isAccepted(reportWith("/Address", address)), address);
+  }
+}
+
+// Overflowed the time until which the upstream counts as cold.
+BOOST_AUTO_TEST_CASE(a_cold_time_out_of_range_is_ignored)
+{
+  for (const char* text : { "-5", "9223372036854775807", "1e3", "x" }) {
+    BOOST_TEST(
+      platform::readColdTimeLeft(makeResponse(200, { "X-Warmup-Ms", text }))
+          .mCount == 0,
+      text);
+  }
+  BOOST_TEST(
+    platform::readColdTimeLeft(makeResponse(200, { "X-Warmup-Ms", "700" }))
+      .mCount == 700);
+}
+
+// Was taken modulo 2^32.
+BOOST_AUTO_TEST_CASE(a_load_out_of_range_is_ignored)
+{
+  for (const char* text : { "4294967296,0,9",
+                            "0,4294967299,9",
+                            "0,0,4294967296",
+                            "0,0,1000000000000",
+                            "0,0,9,9223372036854775807",
+                            "0,0,99999999999999999999" }) {
+    BOOST_TEST(
+      !platform::readLoad(makeResponse(200, { "X-Upstream-Load", text }))
+         .has_value(),
+      text);
+  }
+}
+
+// Overflowed the request's deadline.
+BOOST_AUTO_TEST_CASE(a_deadline_out_of_range_is_bounded)
+{
+  constexpr std::int64_t kDayMs = 86400000;
+  for (const char* text : { "9223372036854775807", "-9223372036854775808" }) {
+    CallerRequest request = makeCallerRequest("/p/1");
+    addHeader(request, "X-Deadline-Ms", text);
+    const Millis left = platform::readCallerHeaders(request).mTimeLeft.value();
+    BOOST_TEST(left.mCount >= 0, text);
+    BOOST_TEST(left.mCount <= kDayMs, text);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/platform_store_test.cpp
+++ b/tests/unit/platform_store_test.cpp
@@ -2,6 +2,7 @@
 
 #include "cell_log.h"
 #include "platform/wire_names.h"
+#include "radishroad/base/json_text.h"
 #include "radishroad/log/state_writer.h"
 #include "radishroad/state/snapshot_codec.h"
 #include "radishroad/state/state_change.h"
@@ -410,4 +411,106 @@
   BOOST_TEST((late.error().mCode == ErrorCode::Conflict));
 }
 
+// Failed each read, so that nothing newer was ever followed.
+BOOST_AUTO_TEST_CASE(a_malformed_item_hides_no_other_entry)
+{
+  FakeStore store;
+  store.put("keyed.op", "config", "x");
+  OperatorFeed feed = platform::openOperatorFeed(store.address());
+  for (const char* item : { R"(7)",
+                            R"({})",
+                            R"({"Key":7,"Value":"YQ==","Offset":0})",
+                            R"({"Key":"a","Value":"Y*==","Offset":0})",
+                            R"({"Key":"a","Value":[],"Offset":0})",
+                            R"({"Key":"a","Value":"YQ==","Offset":-1})",
+                            R"({"Key":"a","Value":"YQ==","Offset":1e15})",
+                            R"({"Key":"a","Value":"YQ==",)"
+                            R"("Offset":18446744073709551615})" }) {
+    store.setOddItem(item);
+    const Result<OperatorEntries> read = feed.mRead(0, 0_ms, 2000_ms);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_REQUIRE(read->mEntries.size() == 1U);
+    BOOST_TEST(read->mEntries[0].mKey == "config");
+    BOOST_TEST(read->mNext == versionOf(1, 1));
+  }
+}
+
+// Was read again and again.
+BOOST_AUTO_TEST_CASE(pages_that_do_not_advance_end_the_read)
+{
+  FakeStore store;
+  store.put("keyed.op", "config", "x");
+  store.setEndlessPages(true);
+  OperatorFeed feed = platform::openOperatorFeed(store.address());
+  BOOST_TEST(!feed.mRead(0, 0_ms, 2000_ms).has_value());
+  BOOST_TEST(store.calls() < 5);
+}
+
+// The feed stayed before such a record.
+BOOST_AUTO_TEST_CASE(a_record_without_a_key_does_not_stop_the_feed)
+{
+  FakeStore store;
+  store.put("keyed.op", "config", "x");
+  OperatorFeed feed = platform::openOperatorFeed(store.address());
+  Result<OperatorEntries> read = feed.mRead(0, 0_ms, 2000_ms);
+  BOOST_REQUIRE(read.has_value());
+  store.putRaw("keyed.op", "\xFFodd");
+  store.putRaw("keyed.op", "");
+  read = feed.mRead(read->mNext, 0_ms, 2000_ms);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->mEntries.empty());
+  BOOST_TEST(read->mNext == versionOf(1, 3));
+  store.put("keyed.op", "evacuate/z", "{}");
+  read = feed.mRead(read->mNext, 0_ms, 2000_ms);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_REQUIRE(read->mEntries.size() == 1U);
+  BOOST_TEST(read->mEntries[0].mKey == "evacuate/z");
+}
+
+// Was taken for the state, or for a state that was lost.
+BOOST_AUTO_TEST_CASE(another_key_in_the_topic_of_a_state_is_not_the_state)
+{
+  for (const bool isRaw : { false, true }) {
+    FakeStore store;
+    Writer writer(store);
+    Writer other(store);
+    BOOST_REQUIRE(writer.submit(makeJoin(1), 5000_ms).has_value());
+    StateStore reader = platform::openStateStore(store.address());
+    const Result<StoredState> before = reader.mRead(kStream, 0, 0_ms, 2000_ms);
+    BOOST_REQUIRE(before.has_value());
+    const std::string topic = platform::kStateTopicPrefix + kStream;
+    if (isRaw) {
+      store.putRaw(topic, "\xFFodd");
+    } else {
+      store.put(topic, "odd", "odd");
+    }
+    for (const std::uint64_t known : { before->mVersion, std::uint64_t{ 0 } }) {
+      const Result<StoredState> read =
+        reader.mRead(kStream, known, 0_ms, 2000_ms);
+      BOOST_REQUIRE(read.has_value());
+      if (read->mVersion != known) {
+        BOOST_TEST((read->mData == before->mData));
+      }
+    }
+    // Both a writer that knows the state and one that does not go on.
+    BOOST_TEST((writer.submit(makeJoin(2), 3000_ms) == FoldVerdict::Applied));
+    BOOST_TEST((other.submit(makeJoin(3), 3000_ms) == FoldVerdict::Applied));
+    BOOST_TEST(other.memberCount() == 3U);
+  }
+}
+
+// Made the whole list unreadable, and so the configuration.
+BOOST_AUTO_TEST_CASE(a_key_that_is_not_utf8_hides_no_other_entry)
+{
+  FakeStore store;
+  store.put("keyed.op", "\xFF\xE9", "x");
+  store.put("keyed.op", "config", "x");
+  OperatorFeed feed = platform::openOperatorFeed(store.address());
+  const Result<OperatorEntries> read = feed.mRead(0, 0_ms, 2000_ms);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_REQUIRE(read->mEntries.size() == 2U);
+  BOOST_TEST(read->mEntries[0].mKey == "config");
+  BOOST_TEST(isUtf8(read->mEntries[1].mKey));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
