Count the drain of a new upstream process from its first report

Found by the review of: a daemon that has known the upstream's earlier process, and gets draining as the first report of a new one, took the whole drain period for over and refused its requests at once. Only the first report that a process of the daemon gets can be of a drain that an earlier process acknowledged.

The new test failed before: a_new_life_that_drains_at_once_has_no_drain_period, check (answer kind == Answered) has failed; passes after, as do the other cases of platform_gate.

--- a/src/upstream/gate_report.cpp
+++ b/src/upstream/gate_report.cpp
@@ -45,9 +45,9 @@
     mHooks.mOnIncarnation(incarnationOf(aReport));
   }
   if (aReport.mKind != UpstreamReport::Kind::Ready) {
-    // An earlier process of this daemon may have acknowledged the drain of an
-    // upstream that this process has not seen ready.
-    beginDrain(isNewIncarnation ? now - mOptions.mDrainPeriod : now);
+    // An earlier process of this daemon may have acknowledged the drain that
+    // the first report to this process names.
+    beginDrain(isKnown ? now : now - mOptions.mDrainPeriod);
   }
   if (mHealth.lost() && !isNewIncarnation) {
     // This may be a delayed report of a process that has ended.
--- a/tests/unit/platform_gate_test.cpp
+++ b/tests/unit/platform_gate_test.cpp
@@ -23,8 +23,9 @@
 /// grants and rejects requests while it holds no keys.
 struct PlatformGate
 {
-  PlatformGate()
-    : mUpstream([this](const Request& aRequest) { return answer(aRequest); })
+  explicit PlatformGate(Millis aDrainPeriod = 100_ms)
+    : mDrainPeriod(aDrainPeriod)
+    , mUpstream([this](const Request& aRequest) { return answer(aRequest); })
     , mGate(options(), hooks(), mMetrics)
   {
     config::Service service;
@@ -43,7 +44,7 @@
     Gate::Options options;
     options.mUpstream = mUpstream.address();
     options.mProtocol = platform::makeProtocol(settings).mUpstream;
-    options.mDrainPeriod = 100_ms;
+    options.mDrainPeriod = mDrainPeriod;
     options.mMaxBodyBytes = kMaxBody;
     return options;
   }
@@ -115,12 +116,14 @@
     return { mSendTwice ? bytes + bytes : bytes, false };
   }
 
-  void report(UpstreamReport::Kind aKind, std::uint64_t aSequence)
+  void report(UpstreamReport::Kind aKind,
+              std::uint64_t aSequence,
+              Millis aStartTime = 1000_ms)
   {
     UpstreamReport report;
     report.mKind = aKind;
     report.mInstance = "i-1";
-    report.mStartTime = { 1000 };
+    report.mStartTime = aStartTime;
     report.mSequence = aSequence;
     report.mSlots = mSlots;
     BOOST_TEST(mGate.onReport(report));
@@ -182,6 +185,7 @@
   bool mSendTwice = false;
   std::uint32_t mSlots = 4;
   std::atomic<int> mRunMs{ 0 };
+  const Millis mDrainPeriod;
   std::atomic<int> mArrivals{ 0 };
   std::atomic<bool> mUp{ false };
   std::atomic<int> mIncarnations{ 0 };
@@ -208,6 +212,16 @@
   BOOST_TEST(gate.mDraining.load());
 }
 
+// A daemon that knew the upstream's earlier life has acknowledged no drain of
+// the new one.
+BOOST_AUTO_TEST_CASE(a_new_life_that_drains_at_once_has_no_drain_period)
+{
+  PlatformGate gate(5_s);
+  gate.report(UpstreamReport::Kind::Ready, 1);
+  gate.report(UpstreamReport::Kind::Draining, 1, 2000_ms);
+  BOOST_TEST((gate.run("early").kind == AnswerKind::Answered));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_runs_after_its_key_is_granted)
 {
   PlatformGate gate;
