--- a/src/upstream/header_text.cpp
+++ b/src/http/header_text.cpp
@@ -1,4 +1,4 @@
-#include "radishroad/upstream/header_text.h"
+#include "radishroad/http/header_text.h"
 
 #include <algorithm>
 #include <array>
--- a/src/upstream/exchange.cpp
+++ b/src/upstream/exchange.cpp
@@ -1,7 +1,7 @@
 #include "radishroad/upstream/exchange.h"
 
+#include "radishroad/http/header_text.h"
 #include "radishroad/upstream/connection_counter.h"
-#include "radishroad/upstream/header_text.h"
 
 #include <algorithm>
 #include <cerrno>
--- a/src/upstream/upstream_headers.cpp
+++ b/src/upstream/upstream_headers.cpp
@@ -1,6 +1,6 @@
 #include "radishroad/upstream/upstream_headers.h"
 
-#include "radishroad/upstream/header_text.h"
+#include "radishroad/http/header_text.h"
 
 #include <algorithm>
 #include <array>
--- a/src/upstream/upstream_notice.cpp
+++ b/src/upstream/upstream_notice.cpp
@@ -1,8 +1,8 @@
 #include "radishroad/upstream/upstream_notice.h"
 
 #include "radishroad/base/json_log.h"
+#include "radishroad/http/header_text.h"
 #include "radishroad/upstream/exchange.h"
-#include "radishroad/upstream/header_text.h"
 
 #include <charconv>
 #include <cmath>
