Log how each upstream response ended, and count those not taken by cause

The `run` line told neither the framing of a response, nor how many bytes came, nor how it ended, so that the hypotheses of docs/incidents/truncated-answer.md could not be told apart. It now has response_end, response_error, framing, body_bytes and connection_reused; a run whose response did not end whole is always logged, not sampled.

ResponseHead follows the lines of a head and tells its framing. It observes only: what is passed on to callers does not change with this commit.

--- a/include/radishroad/upstream/exchange.h
+++ b/include/radishroad/upstream/exchange.h
@@ -3,6 +3,8 @@
 
 #include "radishroad/base/millis.h"
 #include "radishroad/generated/peer_generated.h"
+#include "radishroad/http/response_head.h"
+#include "radishroad/upstream/response_trace.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -23,6 +25,8 @@
 {
   /// "host:port".
   std::string mUpstream;
+  /// What it is for, in logs and metrics; not copied.
+  std::string_view mPurpose;
   std::string mMethod;
   /// Path and query, sent unchanged.
   std::string mTarget;
@@ -48,6 +52,7 @@
   int mStatus = 0;
   std::vector<wire::HeaderT> mHeaders;
   std::vector<std::uint8_t> mBody;
+  ResponseTrace mTrace;
 
   /// Value of the first header with this name; empty if there is none.
   std::string_view header(std::string_view aName) const;
@@ -88,13 +93,16 @@
   CURL* handle() const;
   /// True once the first byte of the request may have been written.
   bool sent() const;
+  std::string_view purpose() const { return mPurpose; }
   ExchangeOutcome outcome(CURLcode aCode) const;
+  ResponseTrace trace(CURLcode aCode) const;
   UpstreamResponse& response();
 
 private:
   void setRequest(const UpstreamRequest& aRequest);
   void setCallbacks(ConnectionCounter& aConnections);
   bool isFramed() const;
+  ResponseTrace::End endOf(CURLcode aCode) const;
   /// Checked at the end of the headers: a final response repeats the expected
   /// echo value.
   bool hasExpectedEcho() const;
@@ -114,6 +122,7 @@
     void operator()(curl_slist* aList) const { curl_slist_free_all(aList); }
   };
 
+  std::string_view mPurpose;
   MaySendFn mMaySend;
   std::size_t mMaxBodyBytes;
   std::string mEchoHeader;
@@ -122,6 +131,8 @@
   bool mIsHead;
   bool mSent = false;
   std::size_t mHeaderBytes = 0;
+  ResponseHead mHead;
+  bool mTooLarge = false;
   UpstreamResponse mResponse;
   std::unique_ptr<curl_slist, ListDeleter> mHeaderList;
   std::unique_ptr<CURL, EasyDeleter> mHandle;
--- a/include/radishroad/upstream/exchange_runner.h
+++ b/include/radishroad/upstream/exchange_runner.h
@@ -20,11 +20,16 @@
   using CompletionFn =
     std::function<void(ExchangeOutcome, CURLcode, UpstreamResponse)>;
 
+  /// Called for each response that is not complete.
+  using IncompleteFn =
+    std::function<void(std::string_view aPurpose, const ResponseTrace&)>;
+
   ExchangeRunner();
   ~ExchangeRunner();
   ExchangeRunner(const ExchangeRunner&) = delete;
   ExchangeRunner& operator=(const ExchangeRunner&) = delete;
 
+  void setOnIncomplete(IncompleteFn aOnIncomplete);
   /// perform() calls aOnCompletion when the exchange has ended.
   ExchangeId start(const UpstreamRequest& aRequest,
                    Exchange::MaySendFn aMaySend,
@@ -57,6 +62,7 @@
   // Declared before mMulti: destroying the multi handle closes sockets, which
   // calls the counter.
   ConnectionCounter mConnections;
+  IncompleteFn mOnIncomplete;
   std::unique_ptr<CURLM, MultiDeleter> mMulti;
   std::unordered_map<ExchangeId, Entry> mEntries;
   std::unordered_map<CURL*, ExchangeId> mIds;
--- a/include/radishroad/upstream/queued_request.h
+++ b/include/radishroad/upstream/queued_request.h
@@ -3,6 +3,7 @@
 
 #include "radishroad/base/millis.h"
 #include "radishroad/request/request.h"
+#include "radishroad/upstream/response_trace.h"
 
 #include <cstdint>
 
@@ -32,6 +33,8 @@
   /// It was sent once, then cancelled and requeued because the upstream turned
   /// cold.
   bool mRequeued = false;
+  /// How the upstream's last response to it was received.
+  ResponseTrace mResponse;
 };
 
 }
--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -49,6 +49,14 @@
   return encodeRecord(makeRecord(std::move(publish), {}, {}));
 }
 
+/// Whether only a sample of such runs is logged.
+bool
+isOrdinary(const QueuedRequest& aQueued, const Answer& aAnswer, bool aIsLate)
+{
+  return aAnswer.kind == AnswerKind::Answered && !aIsLate &&
+         aQueued.mResponse.mEnd == ResponseTrace::End::Whole;
+}
+
 /// Logs how the daemon next to the upstream handled a request. The daemon that
 /// received it from the caller logs it as "request".
 void
@@ -57,11 +65,11 @@
        const UpstreamStats& aStats)
 {
   const ForwardRequest& request = aQueued.mRequest;
+  const ResponseTrace& response = aQueued.mResponse;
   const Millis elapsed = monotonicNow() - aQueued.mQueuedAt;
   const bool late =
     request.objective_ms > 0 && elapsed.mCount > request.objective_ms;
-  if (aAnswer.kind == AnswerKind::Answered && !late &&
-      !isSampled(request.request_id)) {
+  if (isOrdinary(aQueued, aAnswer, late) && !isSampled(request.request_id)) {
     return;
   }
   logRequest("run",
@@ -79,7 +87,12 @@
                { "running", aStats.mRunning },
                { "run_ms", aStats.mRunMs },
                { "cold_per_second", aStats.mColdPerSecond },
-               { "limit_per_second", aStats.mLimitPerSecond } });
+               { "limit_per_second", aStats.mLimitPerSecond },
+               { "response_end", responseEndName(response.mEnd) },
+               { "response_error", response.mError },
+               { "framing", framingName(response.mFraming) },
+               { "body_bytes", response.mBodyBytes },
+               { "connection_reused", response.mConnectionReused } });
 }
 
 }
--- a/src/upstream/exchange.cpp
+++ b/src/upstream/exchange.cpp
@@ -51,12 +51,14 @@
 Exchange::Exchange(const UpstreamRequest& aRequest,
                    MaySendFn aMaySend,
                    ConnectionCounter& aConnections)
-  : mMaySend(std::move(aMaySend))
+  : mPurpose(aRequest.mPurpose)
+  , mMaySend(std::move(aMaySend))
   , mMaxBodyBytes(aRequest.mMaxBodyBytes)
   , mEchoHeader(aRequest.mEchoHeader)
   , mEchoValue(aRequest.mEchoValue)
   , mAcceptsUnframedBody(aRequest.mAcceptsUnframedBody)
   , mIsHead(aRequest.mMethod == "HEAD")
+  , mHead(mIsHead)
   , mHandle(curl_easy_init())
 {
   setRequest(aRequest);
@@ -181,6 +183,7 @@
 {
   auto* self = static_cast<Exchange*>(aSelf);
   const std::size_t n = aSize * aCount;
+  self->mHead.addLine({ aData, n });
   self->mHeaderBytes += n;
   if (self->mHeaderBytes > kMaxHeaderBytes) {
     return 0;
@@ -201,6 +204,7 @@
   const std::size_t n = aSize * aCount;
   std::vector<std::uint8_t>& body = self->mResponse.mBody;
   if (body.size() + n > self->mMaxBodyBytes) {
+    self->mTooLarge = true;
     return 0;
   }
   body.insert(body.end(), aData, aData + n);
@@ -235,6 +239,63 @@
   return aCode == CURLE_COULDNT_CONNECT && error == ECONNREFUSED;
 }
 
+ResponseTrace::End
+Exchange::endOf(CURLcode aCode) const
+{
+  using End = ResponseTrace::End;
+  if (!mSent) {
+    return End::None;
+  }
+  if (mTooLarge || mHead.bytes() > ResponseHead::kMaxBytes) {
+    return End::TooLarge;
+  }
+  if (!mHead.error().empty()) {
+    return End::Malformed;
+  }
+  if (mHead.ended() && !hasExpectedEcho()) {
+    return End::OtherRequest;
+  }
+  const End early = mHead.ended() ? End::InBody : End::InHead;
+  long error = 0;
+  switch (aCode) {
+    case CURLE_OK:
+      if (mHead.isWhole(mResponse.mBody.size())) {
+        return isFramed() ? End::Whole : End::Unframed;
+      }
+      return mHead.bytes() == 0 ? End::BeforeHead : early;
+    case CURLE_PARTIAL_FILE:
+      return early;
+    case CURLE_GOT_NOTHING:
+    case CURLE_ABORTED_BY_CALLBACK:
+      return End::BeforeHead;
+    case CURLE_OPERATION_TIMEDOUT:
+      return End::TimedOut;
+    case CURLE_UNSUPPORTED_PROTOCOL:
+    case CURLE_WEIRD_SERVER_REPLY:
+      return End::Malformed;
+    case CURLE_RECV_ERROR:
+      // libcurl gives this code for invalid chunks too, without a system error.
+      curl_easy_getinfo(mHandle.get(), CURLINFO_OS_ERRNO, &error);
+      return error == 0 ? End::Malformed : End::Failed;
+    default:
+      return End::Failed;
+  }
+}
+
+ResponseTrace
+Exchange::trace(CURLcode aCode) const
+{
+  ResponseTrace trace;
+  trace.mEnd = endOf(aCode);
+  trace.mFraming = mHead.framing();
+  trace.mBodyBytes = mResponse.mBody.size();
+  trace.mError = mHead.error();
+  long opened = 0;
+  curl_easy_getinfo(mHandle.get(), CURLINFO_NUM_CONNECTS, &opened);
+  trace.mConnectionReused = mSent && opened == 0;
+  return trace;
+}
+
 ExchangeOutcome
 Exchange::outcome(CURLcode aCode) const
 {
--- a/src/upstream/exchange_runner.cpp
+++ b/src/upstream/exchange_runner.cpp
@@ -32,6 +32,12 @@
   }
 }
 
+void
+ExchangeRunner::setOnIncomplete(IncompleteFn aOnIncomplete)
+{
+  mOnIncomplete = std::move(aOnIncomplete);
+}
+
 ExchangeRunner::ExchangeId
 ExchangeRunner::start(const UpstreamRequest& aRequest,
                       Exchange::MaySendFn aMaySend,
@@ -88,7 +94,12 @@
   mIds.erase(id);
   curl_multi_remove_handle(mMulti.get(), aHandle);
   const ExchangeOutcome outcome = entry.mExchange->outcome(aCode);
-  entry.mOnCompletion(outcome, aCode, std::move(entry.mExchange->response()));
+  UpstreamResponse& response = entry.mExchange->response();
+  response.mTrace = entry.mExchange->trace(aCode);
+  if (outcome == ExchangeOutcome::Incomplete && mOnIncomplete) {
+    mOnIncomplete(entry.mExchange->purpose(), response.mTrace);
+  }
+  entry.mOnCompletion(outcome, aCode, std::move(response));
 }
 
 void
--- a/src/upstream/gate_cancel.cpp
+++ b/src/upstream/gate_cancel.cpp
@@ -94,6 +94,7 @@
     abandoned.mNextCancel = aNow + kCancelInterval;
     UpstreamRequest cancel;
     cancel.mUpstream = mOptions.mUpstream;
+    cancel.mPurpose = "cancel";
     cancel.mMethod = "DELETE";
     cancel.mTarget = "/requests/" + abandoned.mId.toString();
     cancel.mTimeout = kCancelTimeout;
--- a/src/upstream/gate_grant.cpp
+++ b/src/upstream/gate_grant.cpp
@@ -162,6 +162,7 @@
   entry.mBody = std::move(aRequest.mBody);
   UpstreamRequest request;
   request.mUpstream = mOptions.mUpstream;
+  request.mPurpose = "keys";
   request.mMethod = std::move(aRequest.mMethod);
   request.mTarget = std::move(aRequest.mTarget);
   request.mHeaderLines = std::move(aRequest.mHeaderLines);
--- a/src/upstream/gate_health.cpp
+++ b/src/upstream/gate_health.cpp
@@ -24,6 +24,7 @@
   mHealth.onProbeStarted(aNow);
   UpstreamRequest probe;
   probe.mUpstream = mOptions.mUpstream;
+  probe.mPurpose = "probe";
   probe.mMethod = "GET";
   // Some of the probes of a healthy upstream ask for its load.
   const bool load = !mOptions.mProtocol.mPushesReports &&
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -31,6 +31,9 @@
 {
   using RunId = std::uint64_t;
 
+  /// UpstreamRequest::mPurpose of a caller's request.
+  static constexpr std::string_view kRunPurpose = "run";
+
   /// Assumed until the upstream has reported its slots.
   static constexpr std::uint32_t kDefaultSlots = 4;
 
@@ -147,6 +150,9 @@
   void tryStartRun(QueuedRequest aQueued, Millis aNow);
   void startRun(QueuedRequest aQueued, const ServeDecision& aDecision);
   bool maySend(RunId aId);
+  /// Counts a response that is not complete, and logs it unless the line of its
+  /// run tells about it.
+  void recordIncomplete(std::string_view aPurpose, const ResponseTrace& aTrace);
   void onRunEnd(RunId aId,
                 ExchangeOutcome aOutcome,
                 CURLcode aCode,
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -36,6 +36,10 @@
   if (mOptions.mProtocol.mPushesReports) {
     mHealth.disablePeriodicProbes();
   }
+  mExchanges.setOnIncomplete(
+    [this](std::string_view aPurpose, const ResponseTrace& aTrace) {
+      recordIncomplete(aPurpose, aTrace);
+    });
 }
 
 void
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -1,8 +1,10 @@
 #include "gate_impl.h"
 
+#include "radishroad/base/json_log.h"
 #include "radishroad/upstream/upstream_headers.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace radishroad {
 
@@ -130,6 +132,7 @@
   const RunId id = mNextRun++;
   Run& run = mRuns[id];
   run.mQueued = std::move(aQueued);
+  run.mQueued.mResponse = {};
   run.mEpoch = aDecision.mEpoch;
   run.mServeUntil = aDecision.mServeUntil;
 
@@ -138,6 +141,7 @@
   const Millis left = run.mEndTime - now;
   UpstreamRequest upstream;
   upstream.mUpstream = mOptions.mUpstream;
+  upstream.mPurpose = kRunPurpose;
   upstream.mMethod = request.method;
   upstream.mTarget = request.target;
   upstream.mHeaderLines = mOptions.mProtocol.mHeaderLines(
@@ -178,6 +182,31 @@
   return run.mSent;
 }
 
+void
+Gate::Impl::recordIncomplete(std::string_view aPurpose,
+                             const ResponseTrace& aTrace)
+{
+  using End = ResponseTrace::End;
+  const std::string_view end = responseEndName(aTrace.mEnd);
+  mMetrics.count("radishroad_gate_refused_responses_total{purpose=\"" +
+                 std::string(aPurpose) + "\",cause=\"" + std::string(end) +
+                 "\"}");
+  const bool hasBytes =
+    aTrace.mEnd != End::None && aTrace.mEnd != End::BeforeHead &&
+    aTrace.mEnd != End::Failed && aTrace.mEnd != End::TimedOut;
+  if (aPurpose == kRunPurpose || !hasBytes) {
+    return;
+  }
+  logEvent(LogLevel::Warn,
+           "upstream_response_refused",
+           { { "purpose", aPurpose },
+             { "response_end", end },
+             { "response_error", aTrace.mError },
+             { "framing", framingName(aTrace.mFraming) },
+             { "body_bytes", aTrace.mBodyBytes },
+             { "connection_reused", aTrace.mConnectionReused } });
+}
+
 void
 Gate::Impl::onRunEnd(RunId aId,
                      ExchangeOutcome aOutcome,
@@ -186,6 +215,7 @@
 {
   auto node = mRuns.extract(aId);
   Run& run = node.mapped();
+  run.mQueued.mResponse = aResponse.mTrace;
   switch (aOutcome) {
     case ExchangeOutcome::Complete:
       onComplete(std::move(run), std::move(aResponse));
