--- a/tests/support/raw_client.h
+++ b/tests/support/raw_client.h
@@ -92,8 +92,8 @@
     response.mStatus = std::atoi(response.mHead.c_str() + 9);
     mInput.erase(0, end + 4);
     const std::string length = response.field("Content-Length");
-    const bool hasNoBody =
-      aIsHead || response.mStatus == 204 || response.mStatus == 304;
+    const bool hasNoBody = aIsHead || response.mStatus < 200 ||
+                           response.mStatus == 204 || response.mStatus == 304;
     if (length.empty() && !hasNoBody) {
       while (receiveSome()) {
       }
