An upstream response is whole only if its final head has ended and its framing is valid

Cause: Exchange took a response for complete if libcurl reported CURLE_OK and a status line had come. libcurl reports CURLE_OK when a connection ends in order inside the head, as it then knows of no body that lacks. The check of the echoed id is made at the head's last line and so was left out. The promise broken: a response is whole only if its final head ended, its framing is valid and was satisfied, and its id matches. What was believed without ground: that libcurl's success means this.

The same belief in the rest of the head: a second status line within a head replaced the status and dropped the fields before it; trailers were read as header fields, so that "X-Not-Run" in a trailer made a run response a promise that it had not run; lines without a colon were dropped; Content-Length was read by libcurl like strtol ("3x0", "3, 6", two different values, an overflow as "no length"); Content-Length beside Transfer-Encoding, chunks in HTTP/1.0, other encodings than chunked, folded lines and blanks before the colon were passed on.

Now ResponseHead alone decides, for runs, probes, load probes, grants, releases and cancels. A run whose response ends in its head counts as a lost connection, as one that ends in its body does.

The last line end after the last chunk is not required: libcurl does not wait for it, and the body is whole without it.

--- a/include/radishroad/http/response_head.h
+++ b/include/radishroad/http/response_head.h
@@ -40,6 +40,13 @@
   /// malformed; error() then tells why.
   bool addLine(std::string_view aLine);
 
+  /// The same for libcurl's CURLOPT_HEADERFUNCTION, with the ResponseHead as
+  /// its data.
+  static std::size_t addCurlLine(char* aData,
+                                 std::size_t aSize,
+                                 std::size_t aCount,
+                                 void* aHead);
+
   /// The final head, which follows any interim ones, has ended.
   bool ended() const;
   Framing framing() const { return mFraming; }
@@ -54,6 +61,7 @@
   int status() const { return mStatus; }
   /// Of the current head, without trailers.
   std::vector<wire::HeaderT>& headers() { return mHeaders; }
+  const std::vector<wire::HeaderT>& headers() const { return mHeaders; }
 
 private:
   bool reject(std::string_view aError);
--- a/include/radishroad/upstream/exchange.h
+++ b/include/radishroad/upstream/exchange.h
@@ -103,11 +103,12 @@
   void setCallbacks(ConnectionCounter& aConnections);
   bool isFramed() const;
   ResponseTrace::End endOf(CURLcode aCode) const;
-  /// Checked at the end of the headers: a final response repeats the expected
-  /// echo value.
+  /// The final head repeats the expected echo value.
   bool hasExpectedEcho() const;
   bool isConnectionRefused(CURLcode aCode) const;
-  void onHeaderLine(std::string_view aLine);
+  /// Called when the final head has ended; returns false to close the
+  /// connection.
+  bool onHeadEnd();
 
   static int onPreRequest(void* aSelf, char*, char*, int, int);
   static std::size_t onHeader(char*, std::size_t, std::size_t, void* aSelf);
@@ -130,7 +131,7 @@
   bool mAcceptsUnframedBody;
   bool mIsHead;
   bool mSent = false;
-  std::size_t mHeaderBytes = 0;
+  bool mConnectionReused = false;
   ResponseHead mHead;
   bool mTooLarge = false;
   UpstreamResponse mResponse;
--- a/src/http/response_head.cpp
+++ b/src/http/response_head.cpp
@@ -89,6 +89,16 @@
   return aLine.empty() ? endHead() : addField(aLine);
 }
 
+std::size_t
+ResponseHead::addCurlLine(char* aData,
+                          std::size_t aSize,
+                          std::size_t aCount,
+                          void* aHead)
+{
+  const std::size_t n = aSize * aCount;
+  return static_cast<ResponseHead*>(aHead)->addLine({ aData, n }) ? n : 0;
+}
+
 bool
 ResponseHead::addStatusLine(std::string_view aLine)
 {
--- a/src/upstream/exchange.cpp
+++ b/src/upstream/exchange.cpp
@@ -5,30 +5,13 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <charconv>
 
 namespace radishroad {
 
 namespace {
 
-constexpr std::size_t kMaxHeaderBytes = 64U << 10;
 constexpr Millis kSecond{ 1000 };
 
-/// Status code of a line such as "HTTP/1.1 200 OK"; 0 if it is not a status
-/// line.
-int
-statusOf(std::string_view aLine)
-{
-  const std::size_t blank = aLine.find(' ');
-  if (!aLine.starts_with("HTTP/") || blank == std::string_view::npos) {
-    return 0;
-  }
-  const std::string_view rest = aLine.substr(blank + 1);
-  int status = 0;
-  std::from_chars(rest.data(), rest.data() + rest.size(), status);
-  return status;
-}
-
 /// Methods that are sent with a Content-Length even if the body is empty.
 bool
 expectsBody(std::string_view aMethod)
@@ -152,27 +135,18 @@
     return CURL_PREREQFUNC_ABORT;
   }
   self->mSent = true;
+  long opened = 0;
+  curl_easy_getinfo(self->mHandle.get(), CURLINFO_NUM_CONNECTS, &opened);
+  self->mConnectionReused = opened == 0;
   return CURL_PREREQFUNC_OK;
 }
 
-void
-Exchange::onHeaderLine(std::string_view aLine)
+bool
+Exchange::onHeadEnd()
 {
-  const int status = statusOf(aLine);
-  if (status != 0) {
-    // A status line after an interim response (1xx) starts a new response.
-    mResponse.mStatus = status;
-    mResponse.mHeaders.clear();
-    return;
-  }
-  const std::size_t colon = aLine.find(':');
-  if (colon == std::string_view::npos) {
-    return;
-  }
-  wire::HeaderT header;
-  header.name = aLine.substr(0, colon);
-  header.value = trimWhitespace(aLine.substr(colon + 1));
-  mResponse.mHeaders.push_back(std::move(header));
+  mResponse.mStatus = mHead.status();
+  mResponse.mHeaders = std::move(mHead.headers());
+  return hasExpectedEcho();
 }
 
 std::size_t
@@ -183,15 +157,12 @@
 {
   auto* self = static_cast<Exchange*>(aSelf);
   const std::size_t n = aSize * aCount;
-  self->mHead.addLine({ aData, n });
-  self->mHeaderBytes += n;
-  if (self->mHeaderBytes > kMaxHeaderBytes) {
+  const bool hadEnded = self->mHead.ended();
+  if (!self->mHead.addLine({ aData, n })) {
     return 0;
   }
-  const std::string_view line(aData, n);
-  self->onHeaderLine(line);
-  const bool isEnd = trimWhitespace(line).empty();
-  return isEnd && !self->hasExpectedEcho() ? 0 : n;
+  const bool isEnd = !hadEnded && self->mHead.ended();
+  return isEnd && !self->onHeadEnd() ? 0 : n;
 }
 
 std::size_t
@@ -214,20 +185,14 @@
 bool
 Exchange::hasExpectedEcho() const
 {
-  return mEchoHeader.empty() || mResponse.mStatus < 200 ||
-         mResponse.header(mEchoHeader) == mEchoValue;
+  return mEchoHeader.empty() || mResponse.header(mEchoHeader) == mEchoValue;
 }
 
 bool
 Exchange::isFramed() const
 {
-  // A body without a length or chunked encoding ends with the connection, so
-  // that a truncated body cannot be distinguished from a complete one.
-  const bool bodyless =
-    mIsHead || mResponse.mStatus == 204 || mResponse.mStatus == 304;
-  return bodyless || mAcceptsUnframedBody ||
-         !mResponse.header("content-length").empty() ||
-         listContains(mResponse.header("transfer-encoding"), "chunked");
+  return mAcceptsUnframedBody ||
+         mHead.framing() != ResponseHead::Framing::ConnectionEnd;
 }
 
 bool
@@ -270,15 +235,16 @@
       return End::BeforeHead;
     case CURLE_OPERATION_TIMEDOUT:
       return End::TimedOut;
-    case CURLE_UNSUPPORTED_PROTOCOL:
-    case CURLE_WEIRD_SERVER_REPLY:
-      return End::Malformed;
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_SEND_ERROR:
+      return End::Failed;
     case CURLE_RECV_ERROR:
       // libcurl gives this code for invalid chunks too, without a system error.
       curl_easy_getinfo(mHandle.get(), CURLINFO_OS_ERRNO, &error);
       return error == 0 ? End::Malformed : End::Failed;
     default:
-      return End::Failed;
+      // libcurl rejects what it has read.
+      return End::Malformed;
   }
 }
 
@@ -290,9 +256,7 @@
   trace.mFraming = mHead.framing();
   trace.mBodyBytes = mResponse.mBody.size();
   trace.mError = mHead.error();
-  long opened = 0;
-  curl_easy_getinfo(mHandle.get(), CURLINFO_NUM_CONNECTS, &opened);
-  trace.mConnectionReused = mSent && opened == 0;
+  trace.mConnectionReused = mConnectionReused;
   return trace;
 }
 
@@ -303,9 +267,9 @@
     return isConnectionRefused(aCode) ? ExchangeOutcome::ConnectionRefused
                                       : ExchangeOutcome::NotSent;
   }
-  const bool isComplete =
-    aCode == CURLE_OK && mResponse.mStatus >= 200 && isFramed();
-  return isComplete ? ExchangeOutcome::Complete : ExchangeOutcome::Incomplete;
+  return endOf(aCode) == ResponseTrace::End::Whole
+           ? ExchangeOutcome::Complete
+           : ExchangeOutcome::Incomplete;
 }
 
 }
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -155,11 +155,10 @@
   void recordIncomplete(std::string_view aPurpose, const ResponseTrace& aTrace);
   void onRunEnd(RunId aId,
                 ExchangeOutcome aOutcome,
-                CURLcode aCode,
                 UpstreamResponse aResponse);
   void onComplete(Run aRun, UpstreamResponse aResponse);
   void onNotSent(Run aRun, ExchangeOutcome aOutcome);
-  void onIncomplete(Run aRun, CURLcode aCode);
+  void onIncomplete(Run aRun);
   /// Aborts the run and answers its request: with aReason if it was not written
   /// yet, otherwise that the outcome is unknown. A request that was not written
   /// because the lease lapsed returns to the queue.
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -156,9 +156,8 @@
   run.mExchange = mExchanges.start(
     upstream,
     [this, id] { return maySend(id); },
-    [this,
-     id](ExchangeOutcome aOutcome, CURLcode aCode, UpstreamResponse aResponse) {
-      onRunEnd(id, aOutcome, aCode, std::move(aResponse));
+    [this, id](ExchangeOutcome aOutcome, CURLcode, UpstreamResponse aResponse) {
+      onRunEnd(id, aOutcome, std::move(aResponse));
     });
 }
 
@@ -210,7 +209,6 @@
 void
 Gate::Impl::onRunEnd(RunId aId,
                      ExchangeOutcome aOutcome,
-                     CURLcode aCode,
                      UpstreamResponse aResponse)
 {
   auto node = mRuns.extract(aId);
@@ -225,7 +223,7 @@
       onNotSent(std::move(run), aOutcome);
       break;
     case ExchangeOutcome::Incomplete:
-      onIncomplete(std::move(run), aCode);
+      onIncomplete(std::move(run));
       break;
   }
 }
@@ -323,15 +321,13 @@
 }
 
 void
-Gate::Impl::onIncomplete(Run aRun, CURLcode aCode)
+Gate::Impl::onIncomplete(Run aRun)
 {
+  using End = ResponseTrace::End;
   const Millis now = mHooks.mNow();
-  // CURLE_COULDNT_CONNECT: after the loss of a reused connection libcurl opens
-  // a new one, which is refused if the upstream process has just died.
-  const bool connectionLost =
-    aCode == CURLE_COULDNT_CONNECT || aCode == CURLE_RECV_ERROR ||
-    aCode == CURLE_SEND_ERROR || aCode == CURLE_GOT_NOTHING ||
-    aCode == CURLE_PARTIAL_FILE || aCode == CURLE_ABORTED_BY_CALLBACK;
+  const End end = aRun.mQueued.mResponse.mEnd;
+  const bool connectionLost = end == End::BeforeHead || end == End::InHead ||
+                              end == End::InBody || end == End::Failed;
   if (connectionLost) {
     suspectCrash(aRun);
   }
