A response that names two request ids belongs to no request

Only the first of several echo headers was compared. A response into which bytes of another one were written may hold both ids; which of them its body belongs to is not known.

Test, failing before: malformed_response/a_response_with_two_ids_belongs_to_no_request.

--- a/src/upstream/exchange.cpp
+++ b/src/upstream/exchange.cpp
@@ -185,7 +185,15 @@
 bool
 Exchange::hasExpectedEcho() const
 {
-  return mEchoHeader.empty() || mResponse.header(mEchoHeader) == mEchoValue;
+  const auto names = [this](const wire::HeaderT& aHeader) {
+    return sameHeaderName(aHeader.name, mEchoHeader);
+  };
+  const auto differs = [&](const wire::HeaderT& aHeader) {
+    return names(aHeader) && aHeader.value != mEchoValue;
+  };
+  return mEchoHeader.empty() ||
+         (std::ranges::any_of(mResponse.mHeaders, names) &&
+          std::ranges::none_of(mResponse.mHeaders, differs));
 }
 
 bool
--- a/tests/unit/malformed_response_test.cpp
+++ b/tests/unit/malformed_response_test.cpp
@@ -1,6 +1,9 @@
 #include "gate_fixture.h"
 
+#include "radishroad/upstream/exchange_runner.h"
+
 #include <atomic>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,4 +62,33 @@
   BOOST_TEST(answer.headers.empty());
 }
 
+// Of two ids in a response only the first is compared.
+BOOST_AUTO_TEST_CASE(a_response_with_two_ids_belongs_to_no_request)
+{
+  FakeUpstream upstream([](const Request&) {
+    return FakeUpstream::status("200 OK", "X-Id: mine\r\nX-Id: other\r\n");
+  });
+  UpstreamRequest request;
+  request.mUpstream = upstream.address();
+  request.mMethod = "GET";
+  request.mTarget = "/";
+  request.mTimeout = 10_s;
+  request.mMaxIdle = 10_s;
+  request.mEchoHeader = "X-Id";
+  request.mEchoValue = "mine";
+  std::optional<ResponseTrace::End> end;
+  ExchangeRunner runner;
+  runner.start(
+    request,
+    [] { return true; },
+    [&end](ExchangeOutcome, CURLcode, const UpstreamResponse& aResponse) {
+      end = aResponse.mTrace.mEnd;
+    });
+  while (!end) {
+    runner.perform();
+    runner.poll(10_ms);
+  }
+  BOOST_TEST((end == ResponseTrace::End::OtherRequest));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
