A store's response that ends in its head is an error, not a restored store

A store's response that ended before its era counted as 200 of a store without an era, so that the client reported a restored store; an append would have been taken for answered.

--- a/include/radishroad/log/http_client.h
+++ b/include/radishroad/log/http_client.h
@@ -17,14 +17,15 @@
 /// Result of one HTTP call.
 struct HttpResponse
 {
-  /// 0 if no complete response was received.
+  /// 0 if no complete response was received. One whose body ends with the
+  /// connection is not complete.
   long mStatus = 0;
   std::string mBody;
   /// No part of the request can have been sent.
   bool mNeverSent = false;
   /// The timeout expired, or the call was aborted.
   bool mTimedOut = false;
-  /// Error text if there was no response.
+  /// Error text if there was no complete response.
   std::string mError;
   /// Value of the response header named by Options::mCapturedHeader.
   std::optional<std::string> mHeader;
--- a/src/log/http_client.cpp
+++ b/src/log/http_client.cpp
@@ -1,5 +1,8 @@
 #include "radishroad/log/http_client.h"
 
+#include "radishroad/http/header_text.h"
+#include "radishroad/http/response_head.h"
+
 #include <algorithm>
 #include <atomic>
 #include <curl/curl.h>
@@ -14,6 +17,28 @@
 /// lost.
 constexpr int kPollTimeoutMs = 5000;
 
+/// A body that ends with the connection is not accepted, since it may be
+/// truncated.
+bool
+isWhole(const ResponseHead& aHead, std::size_t aBodyBytes)
+{
+  return aHead.isWhole(aBodyBytes) &&
+         aHead.framing() != ResponseHead::Framing::ConnectionEnd;
+}
+
+std::string
+describeError(CURLcode aCode, const ResponseHead& aHead)
+{
+  if (!aHead.error().empty()) {
+    return "malformed response: " + std::string(aHead.error());
+  }
+  if (aCode != CURLE_OK) {
+    return curl_easy_strerror(aCode);
+  }
+  return aHead.ended() ? "response without length"
+                       : "the connection ended in the response's head";
+}
+
 struct CurlGlobal
 {
   CurlGlobal() { curl_global_init(CURL_GLOBAL_DEFAULT); }
@@ -110,38 +135,36 @@
     return message == nullptr ? CURLE_FAILED_INIT : message->data.result;
   }
 
-  std::optional<std::string> capturedHeader() const
+  std::optional<std::string> capturedHeader(const ResponseHead& aHead) const
   {
-    curl_header* header = nullptr;
-    if (mOptions.mCapturedHeader.empty() ||
-        curl_easy_header(mEasy,
-                         mOptions.mCapturedHeader.c_str(),
-                         0,
-                         CURLH_HEADER,
-                         -1,
-                         &header) != CURLHE_OK) {
-      return std::nullopt;
+    for (const wire::HeaderT& header : aHead.headers()) {
+      if (sameHeaderName(header.name, mOptions.mCapturedHeader)) {
+        return header.value;
+      }
     }
-    return std::string(header->value);
+    return std::nullopt;
   }
 
   HttpResponse run()
   {
     HttpResponse response;
     Body body{ response.mBody, mOptions.mMaxBodyBytes };
+    ResponseHead head;
     curl_easy_setopt(mEasy, CURLOPT_WRITEDATA, &body);
+    curl_easy_setopt(mEasy, CURLOPT_HEADERFUNCTION, &ResponseHead::addCurlLine);
+    curl_easy_setopt(mEasy, CURLOPT_HEADERDATA, &head);
     curl_multi_add_handle(mMulti, mEasy);
     const CURLcode code = perform();
-    if (code == CURLE_OK) {
-      curl_easy_getinfo(mEasy, CURLINFO_RESPONSE_CODE, &response.mStatus);
-      response.mHeader = capturedHeader();
+    if (code == CURLE_OK && isWhole(head, response.mBody.size())) {
+      response.mStatus = head.status();
+      response.mHeader = capturedHeader(head);
     } else {
       curl_off_t connectedAfter = 0;
       curl_easy_getinfo(mEasy, CURLINFO_CONNECT_TIME_T, &connectedAfter);
       response.mNeverSent = connectedAfter <= 0;
       response.mTimedOut =
         code == CURLE_OPERATION_TIMEDOUT || code == CURLE_ABORTED_BY_CALLBACK;
-      response.mError = curl_easy_strerror(code);
+      response.mError = describeError(code, head);
     }
     curl_multi_remove_handle(mMulti, mEasy);
     return response;
