--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -46,6 +46,14 @@
   return encodeRecord(makeRecord(std::move(publish), {}, {}));
 }
 
+/// Whether only a sample of such runs is logged.
+bool
+isOrdinary(const QueuedRequest& aQueued, const Answer& aAnswer, bool aIsLate)
+{
+  return aAnswer.kind == AnswerKind::Answered && !aIsLate &&
+         aQueued.mResponse.mEnd == ResponseTrace::End::Whole;
+}
+
 /// Logs how the daemon next to the upstream handled a request. The daemon that
 /// received it from the caller logs it as "request". aOutage: of the own zone;
 /// null if it is in service.
@@ -56,10 +64,11 @@
        const config::ZoneOutage* aOutage)
 {
   const ForwardRequest& request = aQueued.mRequest;
+  const ResponseTrace& response = aQueued.mResponse;
   const Millis elapsed = monotonicNow() - aQueued.mQueuedAt;
   const bool late =
     request.objective_ms > 0 && elapsed.mCount > request.objective_ms;
-  if (aAnswer.kind == AnswerKind::Answered && !late && aOutage == nullptr &&
+  if (isOrdinary(aQueued, aAnswer, late) && aOutage == nullptr &&
       !isSampled(request.request_id)) {
     return;
   }
@@ -76,7 +85,12 @@
                           { "running", aStats.mRunning },
                           { "run_ms", aStats.mRunMs },
                           { "cold_per_second", aStats.mColdPerSecond },
-                          { "limit_per_second", aStats.mLimitPerSecond } };
+                          { "limit_per_second", aStats.mLimitPerSecond },
+                          { "response_end", responseEndName(response.mEnd) },
+                          { "response_error", response.mError },
+                          { "framing", framingName(response.mFraming) },
+                          { "body_bytes", response.mBodyBytes },
+                          { "connection_reused", response.mConnectionReused } };
   if (aOutage != nullptr) {
     line["zone_known_out_ms"] = (monotonicNow() - aOutage->mLearnedAt).mCount;
   }
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -31,6 +31,9 @@
 {
   using RunId = std::uint64_t;
 
+  /// UpstreamRequest::mPurpose of a caller's request.
+  static constexpr std::string_view kRunPurpose = "run";
+
   /// Assumed until the upstream has reported its slots.
   static constexpr std::uint32_t kDefaultSlots = 4;
 
@@ -147,13 +150,15 @@
   void tryStartRun(QueuedRequest aQueued, Millis aNow);
   void startRun(QueuedRequest aQueued, const ServeDecision& aDecision);
   bool maySend(RunId aId);
+  /// Counts a response that is not complete, and logs it unless the line of its
+  /// run tells about it.
+  void recordIncomplete(std::string_view aPurpose, const ResponseTrace& aTrace);
   void onRunEnd(RunId aId,
                 ExchangeOutcome aOutcome,
-                CURLcode aCode,
                 UpstreamResponse aResponse);
   void onComplete(Run aRun, UpstreamResponse aResponse);
   void onNotSent(Run aRun, ExchangeOutcome aOutcome);
-  void onIncomplete(Run aRun, CURLcode aCode);
+  void onIncomplete(Run aRun);
   /// Aborts the run and answers its request: with aReason if it was not written
   /// yet, otherwise that the outcome is unknown. A request that was not written
   /// because the lease lapsed returns to the queue.
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -1,8 +1,10 @@
 #include "gate_impl.h"
 
+#include "radishroad/base/json_log.h"
 #include "radishroad/upstream/upstream_headers.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace radishroad {
 
@@ -130,6 +132,7 @@
   const RunId id = mNextRun++;
   Run& run = mRuns[id];
   run.mQueued = std::move(aQueued);
+  run.mQueued.mResponse = {};
   run.mEpoch = aDecision.mEpoch;
   run.mServeUntil = aDecision.mServeUntil;
 
@@ -138,6 +141,7 @@
   const Millis left = run.mEndTime - now;
   UpstreamRequest upstream;
   upstream.mUpstream = mOptions.mUpstream;
+  upstream.mPurpose = kRunPurpose;
   upstream.mMethod = request.method;
   upstream.mTarget = request.target;
   upstream.mHeaderLines = mOptions.mProtocol.mHeaderLines(
@@ -152,9 +156,8 @@
   run.mExchange = mExchanges.start(
     upstream,
     [this, id] { return maySend(id); },
-    [this,
-     id](ExchangeOutcome aOutcome, CURLcode aCode, UpstreamResponse aResponse) {
-      onRunEnd(id, aOutcome, aCode, std::move(aResponse));
+    [this, id](ExchangeOutcome aOutcome, CURLcode, UpstreamResponse aResponse) {
+      onRunEnd(id, aOutcome, std::move(aResponse));
     });
 }
 
@@ -178,14 +181,39 @@
   return run.mSent;
 }
 
+void
+Gate::Impl::recordIncomplete(std::string_view aPurpose,
+                             const ResponseTrace& aTrace)
+{
+  using End = ResponseTrace::End;
+  const std::string_view end = responseEndName(aTrace.mEnd);
+  mMetrics.count("radishroad_gate_refused_responses_total{purpose=\"" +
+                 std::string(aPurpose) + "\",cause=\"" + std::string(end) +
+                 "\"}");
+  const bool hasBytes =
+    aTrace.mEnd != End::None && aTrace.mEnd != End::BeforeHead &&
+    aTrace.mEnd != End::Failed && aTrace.mEnd != End::TimedOut;
+  if (aPurpose == kRunPurpose || !hasBytes) {
+    return;
+  }
+  logEvent(LogLevel::Warn,
+           "upstream_response_refused",
+           { { "purpose", aPurpose },
+             { "response_end", end },
+             { "response_error", aTrace.mError },
+             { "framing", framingName(aTrace.mFraming) },
+             { "body_bytes", aTrace.mBodyBytes },
+             { "connection_reused", aTrace.mConnectionReused } });
+}
+
 void
 Gate::Impl::onRunEnd(RunId aId,
                      ExchangeOutcome aOutcome,
-                     CURLcode aCode,
                      UpstreamResponse aResponse)
 {
   auto node = mRuns.extract(aId);
   Run& run = node.mapped();
+  run.mQueued.mResponse = aResponse.mTrace;
   switch (aOutcome) {
     case ExchangeOutcome::Complete:
       onComplete(std::move(run), std::move(aResponse));
@@ -195,7 +223,7 @@
       onNotSent(std::move(run), aOutcome);
       break;
     case ExchangeOutcome::Incomplete:
-      onIncomplete(std::move(run), aCode);
+      onIncomplete(std::move(run));
       break;
   }
 }
@@ -293,15 +321,13 @@
 }
 
 void
-Gate::Impl::onIncomplete(Run aRun, CURLcode aCode)
+Gate::Impl::onIncomplete(Run aRun)
 {
+  using End = ResponseTrace::End;
   const Millis now = mHooks.mNow();
-  // CURLE_COULDNT_CONNECT: after the loss of a reused connection libcurl opens
-  // a new one, which is refused if the upstream process has just died.
-  const bool connectionLost =
-    aCode == CURLE_COULDNT_CONNECT || aCode == CURLE_RECV_ERROR ||
-    aCode == CURLE_SEND_ERROR || aCode == CURLE_GOT_NOTHING ||
-    aCode == CURLE_PARTIAL_FILE || aCode == CURLE_ABORTED_BY_CALLBACK;
+  const End end = aRun.mQueued.mResponse.mEnd;
+  const bool connectionLost = end == End::BeforeHead || end == End::InHead ||
+                              end == End::InBody || end == End::Failed;
   if (connectionLost) {
     suspectCrash(aRun);
   }
