Write no request to a connection that has input; take a new one

What callers saw: after an upstream had sent an answer twice, the second copy late, the next request on that connection failed with an unknown outcome, though its upstream ran it well.

Cause: a kept connection was believed to carry nothing but the answer to the request that is written next. libcurl 7.88 takes a connection with waiting input for alive and writes the request; the bytes in front are then read as its answer. The echoed id shows that they are not, but by then the request may have run.

The request hook, called before the first byte is written, now polls the connection. One that is readable, has ended or has failed before a request was written cannot give that request's answer, so the transfer is aborted, which closes the connection, and is done once more on a new one. Nothing was written, so no outcome is unknown. poll() leaves a pending socket error in place for libcurl. If a new connection has input too, the exchange ends as not sent. libcurl 7.88 does not tell the socket of a transfer under way (CURLINFO_ACTIVESOCKET is -1 in the hook), so it is found by the local port. The metric radishroad_gate_connections_rejected_total counts the closed connections.

Probes, grants and releases use the same exchanges and get the same.

--- a/include/radishroad/upstream/connection_counter.h
+++ b/include/radishroad/upstream/connection_counter.h
@@ -3,25 +3,35 @@
 
 #include <cstdint>
 #include <curl/curl.h>
+#include <unordered_map>
 
 namespace radishroad {
 
-/// Counts the sockets that libcurl opens to the upstream. Used on the gate's
-/// thread only; must outlive the multi handle.
+/// Counts and finds the sockets that libcurl opens to the upstream. Used on the
+/// gate's thread only; must outlive the multi handle.
 class ConnectionCounter
 {
 public:
   void attach(CURL* aHandle);
   /// Number of sockets that are open now.
-  std::uint32_t open() const { return mOpen; }
+  std::uint32_t open() const
+  {
+    return static_cast<std::uint32_t>(mLocalPorts.size());
+  }
   /// Number of sockets opened since the start.
   std::uint64_t opened() const { return mOpened; }
+  /// Whether the connected socket with this local port has input, has ended or
+  /// has failed. The input is not consumed.
+  bool isReadable(int aLocalPort);
 
 private:
   static curl_socket_t onOpen(void* aSelf, curlsocktype, curl_sockaddr*);
   static int onClose(void* aSelf, curl_socket_t aSocket);
 
-  std::uint32_t mOpen = 0;
+  curl_socket_t socketAt(int aLocalPort);
+
+  /// Local port of each open socket; 0 if not known yet.
+  std::unordered_map<curl_socket_t, int> mLocalPorts;
   std::uint64_t mOpened = 0;
 };
 
--- a/include/radishroad/upstream/exchange.h
+++ b/include/radishroad/upstream/exchange.h
@@ -69,7 +69,8 @@
 /// One HTTP exchange with the upstream on a curl easy handle. The request is
 /// written at most once: libcurl resends a request when a reused connection is
 /// closed before the first byte of the response, and Exchange blocks that
-/// retry.
+/// retry. It is not written to a connection that has input, which cannot be the
+/// response.
 class Exchange
 {
 public:
@@ -88,6 +89,11 @@
   CURL* handle() const;
   /// True once the first byte of the request may have been written.
   bool sent() const;
+  /// After an end without sent(): whether the pooled connection was rejected
+  /// because it had input or had ended, so that a new connection may succeed.
+  bool needsNewConnection() const;
+  /// Has the next transfer of the handle use a new connection.
+  void useNewConnection();
   ExchangeOutcome outcome(CURLcode aCode) const;
   UpstreamResponse& response();
 
@@ -101,7 +107,7 @@
   bool isConnectionRefused(CURLcode aCode) const;
   void onHeaderLine(std::string_view aLine);
 
-  static int onPreRequest(void* aSelf, char*, char*, int, int);
+  static int onPreRequest(void* aSelf, char*, char*, int, int aLocalPort);
   static std::size_t onHeader(char*, std::size_t, std::size_t, void* aSelf);
   static std::size_t onBody(char*, std::size_t, std::size_t, void* aSelf);
 
@@ -115,12 +121,15 @@
   };
 
   MaySendFn mMaySend;
+  ConnectionCounter& mConnections;
   std::size_t mMaxBodyBytes;
   std::string mEchoHeader;
   std::string mEchoValue;
   bool mAcceptsUnframedBody;
   bool mIsHead;
   bool mSent = false;
+  bool mHadUnexpectedInput = false;
+  bool mUsesNewConnection = false;
   std::size_t mHeaderBytes = 0;
   UpstreamResponse mResponse;
   std::unique_ptr<curl_slist, ListDeleter> mHeaderList;
--- a/include/radishroad/upstream/exchange_runner.h
+++ b/include/radishroad/upstream/exchange_runner.h
@@ -41,6 +41,9 @@
 
   std::uint32_t active() const;
   const ConnectionCounter& connections() const;
+  /// Pooled connections that were closed because they had input or had ended
+  /// when a request was about to be written.
+  std::uint64_t rejectedConnections() const;
 
 private:
   struct Entry
@@ -61,6 +64,7 @@
   std::unordered_map<ExchangeId, Entry> mEntries;
   std::unordered_map<CURL*, ExchangeId> mIds;
   ExchangeId mNextId = 1;
+  std::uint64_t mRejectedConnections = 0;
 };
 
 }
--- a/src/upstream/connection_counter.cpp
+++ b/src/upstream/connection_counter.cpp
@@ -1,10 +1,32 @@
 #include "radishroad/upstream/connection_counter.h"
 
+#include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 namespace radishroad {
 
+namespace {
+
+/// Local port of a socket; 0 if it has none.
+int
+localPortOf(curl_socket_t aSocket)
+{
+  sockaddr_storage address{};
+  socklen_t size = sizeof(address);
+  if (::getsockname(aSocket, reinterpret_cast<sockaddr*>(&address), &size) !=
+      0) {
+    return 0;
+  }
+  if (address.ss_family == AF_INET6) {
+    return ntohs(reinterpret_cast<const sockaddr_in6&>(address).sin6_port);
+  }
+  return ntohs(reinterpret_cast<const sockaddr_in&>(address).sin_port);
+}
+
+}
+
 void
 ConnectionCounter::attach(CURL* aHandle)
 {
@@ -23,7 +45,7 @@
     return CURL_SOCKET_BAD;
   }
   auto* self = static_cast<ConnectionCounter*>(aSelf);
-  ++self->mOpen;
+  self->mLocalPorts.emplace(fd, 0);
   ++self->mOpened;
   return fd;
 }
@@ -32,8 +54,28 @@
 ConnectionCounter::onClose(void* aSelf, curl_socket_t aSocket)
 {
   auto* self = static_cast<ConnectionCounter*>(aSelf);
-  --self->mOpen;
+  self->mLocalPorts.erase(aSocket);
   return ::close(aSocket);
 }
 
+curl_socket_t
+ConnectionCounter::socketAt(int aLocalPort)
+{
+  // libcurl does not tell the socket of a transfer before its end.
+  for (auto& [fd, port] : mLocalPorts) {
+    port = port == 0 ? localPortOf(fd) : port;
+    if (port == aLocalPort) {
+      return fd;
+    }
+  }
+  return CURL_SOCKET_BAD;
+}
+
+bool
+ConnectionCounter::isReadable(int aLocalPort)
+{
+  pollfd ready{ socketAt(aLocalPort), POLLIN, 0 };
+  return ready.fd != CURL_SOCKET_BAD && ::poll(&ready, 1, 0) > 0;
+}
+
 }
--- a/src/upstream/exchange.cpp
+++ b/src/upstream/exchange.cpp
@@ -52,6 +52,7 @@
                    MaySendFn aMaySend,
                    ConnectionCounter& aConnections)
   : mMaySend(std::move(aMaySend))
+  , mConnections(aConnections)
   , mMaxBodyBytes(aRequest.mMaxBodyBytes)
   , mEchoHeader(aRequest.mEchoHeader)
   , mEchoValue(aRequest.mEchoValue)
@@ -77,6 +78,20 @@
   return mSent;
 }
 
+bool
+Exchange::needsNewConnection() const
+{
+  return mHadUnexpectedInput && !mUsesNewConnection;
+}
+
+void
+Exchange::useNewConnection()
+{
+  mHadUnexpectedInput = false;
+  mUsesNewConnection = true;
+  curl_easy_setopt(mHandle.get(), CURLOPT_FRESH_CONNECT, 1L);
+}
+
 UpstreamResponse&
 Exchange::response()
 {
@@ -142,11 +157,16 @@
 }
 
 int
-Exchange::onPreRequest(void* aSelf, char*, char*, int, int)
+Exchange::onPreRequest(void* aSelf, char*, char*, int, int aLocalPort)
 {
   auto* self = static_cast<Exchange*>(aSelf);
   // A second call is a retry by libcurl; the first request may have run.
-  if (self->mSent || !self->mMaySend()) {
+  if (self->mSent) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  // libcurl reuses connections that have input. An abort closes them.
+  self->mHadUnexpectedInput = self->mConnections.isReadable(aLocalPort);
+  if (self->mHadUnexpectedInput || !self->mMaySend()) {
     return CURL_PREREQFUNC_ABORT;
   }
   self->mSent = true;
--- a/src/upstream/exchange_runner.cpp
+++ b/src/upstream/exchange_runner.cpp
@@ -83,6 +83,13 @@
     return;
   }
   const auto it = mEntries.find(id->second);
+  if (it->second.mExchange->needsNewConnection()) {
+    ++mRejectedConnections;
+    curl_multi_remove_handle(mMulti.get(), aHandle);
+    it->second.mExchange->useNewConnection();
+    curl_multi_add_handle(mMulti.get(), aHandle);
+    return;
+  }
   Entry entry = std::move(it->second);
   mEntries.erase(it);
   mIds.erase(id);
@@ -116,4 +123,10 @@
   return mConnections;
 }
 
+std::uint64_t
+ExchangeRunner::rejectedConnections() const
+{
+  return mRejectedConnections;
+}
+
 }
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -318,6 +318,8 @@
   std::uint64_t mNextQueueId = 1;
   /// Opened connections that have been reported to the pacer.
   std::uint64_t mPacedConnections = 0;
+  /// Rejected pooled connections that the metric has counted.
+  std::uint64_t mRejectedConnections = 0;
   std::uint64_t mProbeCount = 0;
   Millis mGaugesUpdatedAt;
 
--- a/src/upstream/gate_window.cpp
+++ b/src/upstream/gate_window.cpp
@@ -37,6 +37,10 @@
   for (; mPacedConnections < opened; ++mPacedConnections) {
     mPacer.onOpened(aNow);
   }
+  const std::uint64_t rejected = mExchanges.rejectedConnections();
+  for (; mRejectedConnections < rejected; ++mRejectedConnections) {
+    mMetrics.count("radishroad_gate_connections_rejected_total");
+  }
 }
 
 void
