Give no length to a body that ended with its upstream's connection

What callers saw: an answer that its upstream had sent without a length and ended early, in order, came as a success with a Content-Length that covers what was there.

Cause: a hop claimed that a body is whole without knowing it. Exchange took a body that the connection ended for complete, which the platform allows, but the mark was lost there, and addContentLength counted the bytes that had come. The same on every path: own upstream, peer link, deduplication cache.

The caller gets it without Content-Length, with Connection: close, as the last answer on its connection. What is queued behind it on the connection counts as not read: requests that may run once had not been started, running ones are cancelled, and nothing starts while the last answer is still being written. HEAD, 204 and 304 keep their connection.

Without a length, only a reset tells callers that a body is not whole, and the kernel ends the connections of a killed process in order. Therefore the socket resets on close until all bytes of such a body are handed to the kernel, and a write that times out leaves the close to the transport.

Weighed: a length (the fault), chunks (the last one claims the same; without it no such answer is ever whole), refusing such answers (the platform's rules allow them).

--- a/include/radishroad/caller/connection.h
+++ b/include/radishroad/caller/connection.h
@@ -74,12 +74,16 @@
   void start(PipelinedRequest& aEntry, std::uint64_t aSequence);
   void writeFrontAnswer(Millis aNow);
   void cancelRunningRequests();
+  /// The queued requests will not be answered: none of them starts any more.
+  void dropQueue();
   bool isLastAnswer(const ParsedRequest& aFront) const;
   void write(Response aResponse, bool aIsLast, Millis aNow);
   void flush(Millis aNow);
   void finishOutput(Millis aNow);
   void sendContinue();
   void shutDownOutput(Millis aNow);
+  /// Whether closing the socket resets the connection.
+  void setResetOnClose(bool aReset);
   void abort();
   bool isBusy() const;
   void updateBusyCount();
@@ -103,6 +107,7 @@
 
   OutputState mOutputState = OutputState::None;
   bool mIsLastResponse = false;
+  bool mResetsOnClose = false;
 
   bool mCountedBusy = false;
   RequestReader::Phase mLastPhase = RequestReader::Phase::Idle;
--- a/include/radishroad/caller/response.h
+++ b/include/radishroad/caller/response.h
@@ -16,6 +16,8 @@
 {
   std::string mHead;
   std::vector<std::uint8_t> mBody;
+  /// The body has no length and ends with the connection.
+  bool mEndsWithConnection = false;
 };
 
 /// Options for the serialization of a response.
@@ -32,9 +34,14 @@
   bool mRestrictStatuses = false;
 };
 
+/// Whether the response for this answer has no length, as that of the upstream
+/// had none, and must be the last on its connection.
+bool
+endsConnection(const Answer& aAnswer, bool aIsHead);
+
 /// Makes the response for an answer: the upstream's response if there is one,
 /// else a refusal in JSON. docs/upstream-protocol.md lists the status for each
-/// reason.
+/// reason. If endsConnection(), mKeepAlive has no effect.
 Response
 makeResponse(Answer aAnswer, RandomId aId, ResponseOptions aOptions);
 
--- a/include/radishroad/upstream/exchange.h
+++ b/include/radishroad/upstream/exchange.h
@@ -39,7 +39,8 @@
   std::string mEchoHeader;
   std::string mEchoValue;
   /// Accepts a body without a length or chunked encoding, which ends when the
-  /// connection is closed, as complete.
+  /// connection is closed in order. UpstreamResponse::mEndsWithConnection marks
+  /// it.
   bool mAcceptsUnframedBody = false;
 };
 
@@ -48,6 +49,9 @@
   int mStatus = 0;
   std::vector<wire::HeaderT> mHeaders;
   std::vector<std::uint8_t> mBody;
+  /// The body has no length or chunked encoding: it ended when the upstream
+  /// closed the connection, so that nobody knows whether it is whole.
+  bool mEndsWithConnection = false;
 
   /// Value of the first header with this name; empty if there is none.
   std::string_view header(std::string_view aName) const;
@@ -100,7 +104,7 @@
 private:
   void setRequest(const UpstreamRequest& aRequest);
   void setCallbacks(ConnectionCounter& aConnections);
-  bool isFramed() const;
+  bool endsWithConnection() const;
   /// Checked at the end of the headers: a final response repeats the expected
   /// echo value.
   bool hasExpectedEcho() const;
--- a/src/caller/connection.cpp
+++ b/src/caller/connection.cpp
@@ -205,7 +205,8 @@
                           outcome + "\"}");
   mContext.mMetrics.observe("radishroad_caller_latency_seconds",
                             aNow - parsed.mRequest.mReceivedAt);
-  const bool isLast = isLastAnswer(parsed);
+  const bool isLast =
+    isLastAnswer(parsed) || endsConnection(*entry.mAnswer, parsed.mIsHead);
   write(makeResponse(
           std::move(*entry.mAnswer),
           parsed.mRequest.mId,
--- a/src/caller/connection_output.cpp
+++ b/src/caller/connection_output.cpp
@@ -1,5 +1,9 @@
 #include "radishroad/caller/connection.h"
 
+#include "radishroad/base/json_log.h"
+
+#include <cerrno>
+#include <nlohmann/json.hpp>
 #include <sys/socket.h>
 
 namespace radishroad {
@@ -7,12 +11,18 @@
 void
 CallerConnection::write(Response aResponse, bool aIsLast, Millis aNow)
 {
+  // Until the body is sent, the connection must not end in order, or the body
+  // would look whole; not even if this process is killed.
+  if (aResponse.mEndsWithConnection) {
+    setResetOnClose(true);
+  }
   mSender.start(std::move(aResponse));
   mOutputState = OutputState::Pending;
   mIsLastResponse = aIsLast;
   mOutputProgressAt = aNow;
   if (aIsLast) {
     mDiscardInput = true;
+    dropQueue();
   }
   flush(aNow);
 }
@@ -81,9 +91,31 @@
   mOutputState = OutputState::Ended;
   mOutputProgressAt = aNow;
   mDiscardInput = true;
+  dropQueue();
+  if (mResetsOnClose) {
+    setResetOnClose(false);
+  }
+  ::shutdown(mSocket, SHUT_WR);
+}
+
+void
+CallerConnection::setResetOnClose(bool aReset)
+{
+  mResetsOnClose = aReset;
+  const linger option{ aReset ? 1 : 0, 0 };
+  if (::setsockopt(mSocket, SOL_SOCKET, SO_LINGER, &option, sizeof(option)) !=
+      0) {
+    logEvent(LogLevel::Warn,
+             "caller_socket_option_failed",
+             { { "option", "SO_LINGER" }, { "errno", errno } });
+  }
+}
+
+void
+CallerConnection::dropQueue()
+{
   cancelRunningRequests();
   mQueue.clear();
-  ::shutdown(mSocket, SHUT_WR);
 }
 
 void
@@ -91,7 +123,7 @@
 {
   // The transport reads the end of the stream and removes the connection.
   mDiscardInput = true;
-  ::shutdown(mSocket, SHUT_RDWR);
+  ::shutdown(mSocket, mResetsOnClose ? SHUT_RD : SHUT_RDWR);
 }
 
 }
--- a/src/caller/response.cpp
+++ b/src/caller/response.cpp
@@ -126,6 +126,14 @@
   return aStatus == kNoContent || aStatus == kNotModified;
 }
 
+/// Whether the upstream's response is passed on.
+bool
+isForwarded(const Answer& aAnswer)
+{
+  return aAnswer.kind == AnswerKind::Answered &&
+         aAnswer.status >= kFirstFinalStatus && aAnswer.status <= kLastStatus;
+}
+
 /// Content-Length of the upstream's response; empty if missing.
 std::string_view
 upstreamContentLength(const Answer& aAnswer)
@@ -154,7 +162,8 @@
     }
     return;
   }
-  if (aStatus != kNoContent) {
+  // A length would claim that the body is whole.
+  if (aStatus != kNoContent && !aAnswer.ends_with_connection) {
     aHead.add("Content-Length", std::to_string(aAnswer.body.size()));
   }
 }
@@ -176,6 +185,7 @@
   }
   addContentLength(head, aAnswer, aAnswer.status, aOptions.mIsHead);
   Response response;
+  response.mEndsWithConnection = endsConnection(aAnswer, aOptions.mIsHead);
   response.mHead =
     head.finish(aId, outcomeName(AnswerKind::Answered), aOptions.mKeepAlive);
   if (!aOptions.mIsHead && !isStatusWithoutBody(aAnswer.status)) {
@@ -268,12 +278,19 @@
   return aReason == NotRunReason::DeadlinePassed ? 504 : 502;
 }
 
+bool
+endsConnection(const Answer& aAnswer, bool aIsHead)
+{
+  return aAnswer.ends_with_connection && !aIsHead && isForwarded(aAnswer) &&
+         !isStatusWithoutBody(aAnswer.status);
+}
+
 Response
 makeResponse(Answer aAnswer, RandomId aId, ResponseOptions aOptions)
 {
-  const bool isForwardable =
-    aAnswer.status >= kFirstFinalStatus && aAnswer.status <= kLastStatus;
-  if (aAnswer.kind == AnswerKind::Answered && isForwardable) {
+  aOptions.mKeepAlive =
+    aOptions.mKeepAlive && !endsConnection(aAnswer, aOptions.mIsHead);
+  if (isForwarded(aAnswer)) {
     return forwardAnswer(std::move(aAnswer), aId, aOptions);
   }
   RefusalText text{ statusOf(aAnswer.kind, aAnswer.reason),
--- a/src/upstream/exchange.cpp
+++ b/src/upstream/exchange.cpp
@@ -95,6 +95,7 @@
 UpstreamResponse&
 Exchange::response()
 {
+  mResponse.mEndsWithConnection = endsWithConnection();
   return mResponse;
 }
 
@@ -235,15 +236,12 @@
 }
 
 bool
-Exchange::isFramed() const
+Exchange::endsWithConnection() const
 {
-  // A body without a length or chunked encoding ends with the connection, so
-  // that a truncated body cannot be distinguished from a complete one.
   const bool bodyless =
     mIsHead || mResponse.mStatus == 204 || mResponse.mStatus == 304;
-  return bodyless || mAcceptsUnframedBody ||
-         !mResponse.header("content-length").empty() ||
-         listContains(mResponse.header("transfer-encoding"), "chunked");
+  return !bodyless && mResponse.header("content-length").empty() &&
+         !listContains(mResponse.header("transfer-encoding"), "chunked");
 }
 
 bool
@@ -262,8 +260,8 @@
     return isConnectionRefused(aCode) ? ExchangeOutcome::ConnectionRefused
                                       : ExchangeOutcome::NotSent;
   }
-  const bool isComplete =
-    aCode == CURLE_OK && mResponse.mStatus >= 200 && isFramed();
+  const bool isComplete = aCode == CURLE_OK && mResponse.mStatus >= 200 &&
+                          (mAcceptsUnframedBody || !endsWithConnection());
   return isComplete ? ExchangeOutcome::Complete : ExchangeOutcome::Incomplete;
 }
 
--- a/src/upstream/upstream_headers.cpp
+++ b/src/upstream/upstream_headers.cpp
@@ -141,6 +141,7 @@
     }
   }
   answer.body = std::move(aResponse.mBody);
+  answer.ends_with_connection = aResponse.mEndsWithConnection;
   return answer;
 }
 
--- a/tests/process/spoilt_answer_test.cpp
+++ b/tests/process/spoilt_answer_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/test/unit_test.hpp>
+#include <csignal>
 #include <iomanip>
 #include <map>
 #include <mutex>
@@ -328,6 +329,31 @@
   BOOST_TEST(counts.count(kForeign) == 0);
 }
 
+// The kernel ends the connections of a killed process in order.
+BOOST_AUTO_TEST_CASE(body_without_a_length_from_a_killed_daemon_is_not_whole)
+{
+  constexpr std::size_t kBodyBytes = 16U << 20;
+  const PlatformSite::Service service{ "plain", false, false, 1 };
+  PlatformSite site("killed", { service }, [](UpstreamAnswer aAnswer) {
+    if (requestIdOf(aAnswer) == "first") {
+      return Reply{ frame(aAnswer, Framing::Length) };
+    }
+    aAnswer.mBody.resize(kBodyBytes, 'x');
+    return Reply{ frame(aAnswer, Framing::Connection), true };
+  });
+  BOOST_REQUIRE(site.start());
+  BOOST_REQUIRE(waitFor([&] { return isServed(site, service); }, 10_s));
+  Vm& vm = site.vms().front();
+  RawClient client(PlatformSite::kCallers, vm.mIp);
+  client.send("GET /plain/x HTTP/1.1\r\nHost: shop.example\r\n"
+              "X-Request-Id: large\r\nX-Deadline-Ms: 3000\r\n\r\n");
+  BOOST_REQUIRE(client.waitForInput());
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  vm.mDaemon->signal(SIGKILL);
+  BOOST_REQUIRE(vm.mDaemon->waitForExit(10_s).has_value());
+  BOOST_TEST(!client.receive().has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/tests/support/raw_client.h
+++ b/tests/support/raw_client.h
@@ -112,6 +112,14 @@
     return response;
   }
 
+  /// Waits until bytes or the end of the stream can be received; false on
+  /// timeout.
+  bool waitForInput() const
+  {
+    pollfd ready{ mSocket, POLLIN, 0 };
+    return ::poll(&ready, 1, kTimeoutMs) == 1;
+  }
+
   /// Waits until the server closes the stream; false if bytes arrive instead or
   /// the receive times out.
   bool receiveEnd() { return mInput.empty() && !receiveSome() && mEnded; }
@@ -119,9 +127,10 @@
   void close() { ::shutdown(mSocket, SHUT_RDWR); }
 
 private:
+  static constexpr int kTimeoutMs = 10000;
+
   bool receiveSome()
   {
-    constexpr int kTimeoutMs = 10000;
     pollfd ready{ mSocket, POLLIN, 0 };
     if (::poll(&ready, 1, kTimeoutMs) != 1) {
       return false;
--- a/tests/unit/caller_server_test.cpp
+++ b/tests/unit/caller_server_test.cpp
@@ -42,6 +42,15 @@
   return answer;
 }
 
+/// An answer whose body ended with the upstream's connection.
+Answer
+unframedAnswer(std::string_view aBody, std::uint16_t aStatus = 200)
+{
+  Answer answer = answerWith(aBody, aStatus);
+  answer.ends_with_connection = true;
+  return answer;
+}
+
 /// A server whose requests the test receives and answers from its own thread.
 class Fixture
 {
@@ -291,6 +300,69 @@
   first.mAnswer(answerWith("late"));
 }
 
+// A body that ended with the upstream's connection was given a length, which
+// made a truncated one look whole.
+BOOST_AUTO_TEST_CASE(body_without_a_length_ends_with_the_connection)
+{
+  CallerServer::Options options;
+  options.mMayRunConcurrently = [](const CallerRequest& aRequest) {
+    return aRequest.mTarget != "/once";
+  };
+  Fixture fixture(options);
+  RawClient client(fixture.port());
+  client.send(get("/first") + get("/unframed") + get("/running") +
+              get("/once"));
+  ReceivedRequest first = fixture.take();
+  fixture.take().mAnswer(unframedAnswer("part"));
+  ReceivedRequest running = fixture.take();
+  first.mAnswer(answerWith("first"));
+  BOOST_TEST(client.receive().value().mBody == "first");
+  const std::optional<RawResponse> response = client.receive();
+  BOOST_REQUIRE(response.has_value());
+  BOOST_TEST(response->mEndsWithConnection);
+  BOOST_TEST(response->field("Content-Length").empty());
+  BOOST_TEST(response->field("Connection") == "close");
+  BOOST_TEST(response->mBody == "part");
+  BOOST_TEST(fixture.mCancelledTargets.pop(kWaitTimeout).value_or("") ==
+             "/running");
+  running.mAnswer(answerWith("running"));
+  BOOST_TEST(fixture.hasNoRequest());
+}
+
+BOOST_AUTO_TEST_CASE(responses_without_a_body_keep_the_connection)
+{
+  Fixture fixture;
+  RawClient client(fixture.port());
+  client.send("HEAD /a HTTP/1.1\r\n\r\n");
+  fixture.take().mAnswer(unframedAnswer(""));
+  BOOST_TEST(client.receive(true).value().field("Connection") == "keep-alive");
+  for (const std::uint16_t status : { 204, 304 }) {
+    client.send(get("/b"));
+    fixture.take().mAnswer(unframedAnswer("", status));
+    BOOST_TEST(client.receive().value().mStatus == status);
+  }
+  client.send(get("/c"));
+  Answer unknown = makeUnknownAnswer({});
+  unknown.ends_with_connection = true;
+  fixture.take().mAnswer(std::move(unknown));
+  BOOST_TEST(client.receive().value().mStatus == 502);
+  client.send(get("/d"));
+  fixture.take().mAnswer(answerWith("d"));
+  BOOST_TEST(client.receive().value().mBody == "d");
+}
+
+BOOST_AUTO_TEST_CASE(body_without_a_length_reaches_an_http_1_0_caller)
+{
+  Fixture fixture;
+  RawClient client(fixture.port());
+  client.send("GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n");
+  fixture.take().mAnswer(unframedAnswer("a"));
+  const std::optional<RawResponse> response = client.receive();
+  BOOST_REQUIRE(response.has_value());
+  BOOST_TEST(response->mEndsWithConnection);
+  BOOST_TEST(response->mBody == "a");
+}
+
 BOOST_AUTO_TEST_CASE(requests_after_connection_close_are_not_run)
 {
   CallerServer::Options options;
--- a/tests/unit/deduplication_test.cpp
+++ b/tests/unit/deduplication_test.cpp
@@ -67,6 +67,19 @@
   BOOST_TEST((other.mVerdict == Verdict::Mismatch));
 }
 
+// The replay of a body without a length must not get one.
+BOOST_AUTO_TEST_CASE(copies_get_a_body_without_a_length_as_such)
+{
+  DeduplicationCache cache;
+  const auto first = cache.admit(makeCopy(1, "k"), 9, kIgnoreAnswer, 0_ms);
+  Answer answer = makeAnswered(3);
+  answer.ends_with_connection = true;
+  cache.finish(first.mKey, answer, 10_ms);
+  const auto second = cache.admit(makeCopy(2, "k"), 9, kIgnoreAnswer, 20_ms);
+  BOOST_TEST((second.mVerdict == Verdict::Replay));
+  BOOST_TEST(second.mAnswer.ends_with_connection);
+}
+
 BOOST_AUTO_TEST_CASE(not_run_request_may_run_and_unknown_one_may_not)
 {
   DeduplicationCache cache;
--- a/tests/unit/peer_transport_test.cpp
+++ b/tests/unit/peer_transport_test.cpp
@@ -64,10 +64,12 @@
   BOOST_TEST((call->first.body == sent));
   Answer reply;
   reply.body = std::move(call->first.body);
+  reply.ends_with_connection = true;
   call->second(std::move(reply));
   const std::optional<Answer> answer = caller.mAnswers.pop(kTestTimeout);
   BOOST_REQUIRE(answer.has_value());
   BOOST_TEST((answer->body == sent));
+  BOOST_TEST(answer->ends_with_connection);
 }
 
 BOOST_AUTO_TEST_CASE(answers_out_of_order_are_matched_to_their_requests)
--- a/tests/unit/platform_gate_test.cpp
+++ b/tests/unit/platform_gate_test.cpp
@@ -109,6 +109,11 @@
                false,
                mEndless };
     }
+    if (mIsUnframed) {
+      Reply reply{ mHead + "X-Request-Id: " + echo + "\r\n\r\nok", true };
+      reply.mReset = mIsReset;
+      return reply;
+    }
     const std::string bytes =
       mHead + "X-Request-Id: " + (mEcho.empty() ? echo : mEcho) +
       "\r\nContent-Length: 2\r\n\r\nok";
@@ -180,6 +185,8 @@
   std::string mEndless;
   bool mEndlessBody = false;
   bool mSendTwice = false;
+  bool mIsUnframed = false;
+  bool mIsReset = false;
   std::uint32_t mSlots = 4;
   std::atomic<int> mRunMs{ 0 };
   std::atomic<int> mArrivals{ 0 };
@@ -293,6 +300,20 @@
   BOOST_TEST(answered > 0);
 }
 
+// A body without a length looked like one with a length from here on.
+BOOST_AUTO_TEST_CASE(a_body_that_ends_with_its_connection_is_marked)
+{
+  PlatformGate gate;
+  gate.report(UpstreamReport::Kind::Ready, 1);
+  BOOST_TEST(!gate.run("framed").ends_with_connection);
+  gate.mIsUnframed = true;
+  const Answer answer = gate.run("unframed");
+  BOOST_TEST((answer.kind == AnswerKind::Answered));
+  BOOST_TEST(answer.ends_with_connection);
+  gate.mIsReset = true;
+  BOOST_TEST((gate.run("reset").kind == AnswerKind::Unknown));
+}
+
 BOOST_AUTO_TEST_CASE(a_success_without_a_signature_is_not_forwarded)
 {
   PlatformGate gate;
