--- a/include/radishroad/upstream/exchange.h
+++ b/include/radishroad/upstream/exchange.h
@@ -43,7 +43,8 @@
   std::string mEchoHeader;
   std::string mEchoValue;
   /// Accepts a body without a length or chunked encoding, which ends when the
-  /// connection is closed, as complete.
+  /// connection is closed in order. UpstreamResponse::mEndsWithConnection marks
+  /// it.
   bool mAcceptsUnframedBody = false;
 };
 
@@ -52,6 +53,9 @@
   int mStatus = 0;
   std::vector<wire::HeaderT> mHeaders;
   std::vector<std::uint8_t> mBody;
+  /// The body has no length or chunked encoding: it ended when the upstream
+  /// closed the connection, so that nobody knows whether it is whole.
+  bool mEndsWithConnection = false;
   ResponseTrace mTrace;
 
   /// Value of the first header with this name; empty if there is none.
@@ -74,7 +78,8 @@
 /// One HTTP exchange with the upstream on a curl easy handle. The request is
 /// written at most once: libcurl resends a request when a reused connection is
 /// closed before the first byte of the response, and Exchange blocks that
-/// retry.
+/// retry. It is not written to a connection that has input, which cannot be the
+/// response.
 class Exchange
 {
 public:
@@ -94,6 +99,11 @@
   /// True once the first byte of the request may have been written.
   bool sent() const;
   std::string_view purpose() const { return mPurpose; }
+  /// After an end without sent(): whether the pooled connection was rejected
+  /// because it had input or had ended, so that a new connection may succeed.
+  bool needsNewConnection() const;
+  /// Has the next transfer of the handle use a new connection.
+  void useNewConnection();
   ExchangeOutcome outcome(CURLcode aCode) const;
   ResponseTrace trace(CURLcode aCode) const;
   UpstreamResponse& response();
@@ -101,7 +111,8 @@
 private:
   void setRequest(const UpstreamRequest& aRequest);
   void setCallbacks(ConnectionCounter& aConnections);
-  bool isFramed() const;
+  /// The body has no length or chunked encoding: it ends with the connection.
+  bool endsWithConnection() const;
   ResponseTrace::End endOf(CURLcode aCode) const;
   /// The final head repeats the expected echo value.
   bool hasExpectedEcho() const;
@@ -110,7 +121,7 @@
   /// connection.
   bool onHeadEnd();
 
-  static int onPreRequest(void* aSelf, char*, char*, int, int);
+  static int onPreRequest(void* aSelf, char*, char*, int, int aLocalPort);
   static std::size_t onHeader(char*, std::size_t, std::size_t, void* aSelf);
   static std::size_t onBody(char*, std::size_t, std::size_t, void* aSelf);
 
@@ -125,6 +136,7 @@
 
   std::string_view mPurpose;
   MaySendFn mMaySend;
+  ConnectionCounter& mConnections;
   std::size_t mMaxBodyBytes;
   std::string mEchoHeader;
   std::string mEchoValue;
@@ -132,6 +144,7 @@
   bool mIsHead;
   bool mSent = false;
   bool mConnectionReused = false;
+  bool mHadUnexpectedInput = false;
   ResponseHead mHead;
   bool mTooLarge = false;
   UpstreamResponse mResponse;
--- a/src/upstream/exchange.cpp
+++ b/src/upstream/exchange.cpp
@@ -36,6 +36,7 @@
                    ConnectionCounter& aConnections)
   : mPurpose(aRequest.mPurpose)
   , mMaySend(std::move(aMaySend))
+  , mConnections(aConnections)
   , mMaxBodyBytes(aRequest.mMaxBodyBytes)
   , mEchoHeader(aRequest.mEchoHeader)
   , mEchoValue(aRequest.mEchoValue)
@@ -62,9 +63,23 @@
   return mSent;
 }
 
+bool
+Exchange::needsNewConnection() const
+{
+  return mHadUnexpectedInput && mConnectionReused;
+}
+
+void
+Exchange::useNewConnection()
+{
+  mHadUnexpectedInput = false;
+  curl_easy_setopt(mHandle.get(), CURLOPT_FRESH_CONNECT, 1L);
+}
+
 UpstreamResponse&
 Exchange::response()
 {
+  mResponse.mEndsWithConnection = endsWithConnection();
   return mResponse;
 }
 
@@ -127,17 +142,22 @@
 }
 
 int
-Exchange::onPreRequest(void* aSelf, char*, char*, int, int)
+Exchange::onPreRequest(void* aSelf, char*, char*, int, int aLocalPort)
 {
   auto* self = static_cast<Exchange*>(aSelf);
   // A second call is a retry by libcurl; the first request may have run.
-  if (self->mSent || !self->mMaySend()) {
+  if (self->mSent) {
     return CURL_PREREQFUNC_ABORT;
   }
-  self->mSent = true;
   long opened = 0;
   curl_easy_getinfo(self->mHandle.get(), CURLINFO_NUM_CONNECTS, &opened);
   self->mConnectionReused = opened == 0;
+  // libcurl reuses connections that have input. An abort closes them.
+  self->mHadUnexpectedInput = self->mConnections.isReadable(aLocalPort);
+  if (self->mHadUnexpectedInput || !self->mMaySend()) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  self->mSent = true;
   return CURL_PREREQFUNC_OK;
 }
 
@@ -191,16 +211,19 @@
   const auto differs = [&](const wire::HeaderT& aHeader) {
     return names(aHeader) && aHeader.value != mEchoValue;
   };
-  return mEchoHeader.empty() ||
-         (std::ranges::any_of(mResponse.mHeaders, names) &&
-          std::ranges::none_of(mResponse.mHeaders, differs));
+  if (mEchoHeader.empty()) {
+    return true;
+  }
+  // A request without an id gets a response without one.
+  const bool isNamed =
+    mEchoValue.empty() || std::ranges::any_of(mResponse.mHeaders, names);
+  return isNamed && std::ranges::none_of(mResponse.mHeaders, differs);
 }
 
 bool
-Exchange::isFramed() const
+Exchange::endsWithConnection() const
 {
-  return mAcceptsUnframedBody ||
-         mHead.framing() != ResponseHead::Framing::ConnectionEnd;
+  return mHead.framing() == ResponseHead::Framing::ConnectionEnd;
 }
 
 bool
@@ -233,7 +256,8 @@
   switch (aCode) {
     case CURLE_OK:
       if (mHead.isWhole(mResponse.mBody.size())) {
-        return isFramed() ? End::Whole : End::Unframed;
+        return mAcceptsUnframedBody || !endsWithConnection() ? End::Whole
+                                                             : End::Unframed;
       }
       return mHead.bytes() == 0 ? End::BeforeHead : early;
     case CURLE_PARTIAL_FILE:
