Log why an upstream's process is taken for ended, and attempts that repeat an id

No line told whether a daemon believed that the process beside it had ended because its port refused connections or because of some response, nor whether a request's id had been sent to the same upstream before. Both are needed to tell a second copy of a response from a response.

upstream_process_ended names the cause and the instance that responded; the run line has repeats_id.

--- a/include/radishroad/upstream/queued_request.h
+++ b/include/radishroad/upstream/queued_request.h
@@ -32,6 +32,8 @@
   /// It was sent once, then cancelled and requeued because the upstream turned
   /// cold.
   bool mRequeued = false;
+  /// The upstream has responded to an earlier attempt with the same id.
+  bool mRepeatsId = false;
 };
 
 }
--- a/src/upstream/gate_grant.cpp
+++ b/src/upstream/gate_grant.cpp
@@ -192,7 +192,7 @@
   switch (aOutcome) {
     case ExchangeOutcome::ConnectionRefused:
       mGrants.onRefused(operation.mGrant, now);
-      onHealthChange(mHealth.onRefused());
+      onProcessEnded(LostCause::ConnectionRefused);
       return;
     case ExchangeOutcome::NotSent:
       mGrants.onRefused(operation.mGrant, now);
@@ -312,7 +312,7 @@
   }
   ++it->second.mCompleted;
   if (aOutcome == ExchangeOutcome::ConnectionRefused) {
-    onHealthChange(mHealth.onRefused());
+    onProcessEnded(LostCause::ConnectionRefused);
   } else if (aOutcome == ExchangeOutcome::Complete &&
              aResponse.mStatus == kStatusOk) {
     mGrants.onReleased(run);
--- a/src/upstream/gate_health.cpp
+++ b/src/upstream/gate_health.cpp
@@ -1,5 +1,9 @@
 #include "gate_impl.h"
 
+#include "radishroad/base/json_log.h"
+
+#include <nlohmann/json.hpp>
+
 namespace radishroad {
 
 namespace {
@@ -74,7 +78,7 @@
     return;
   }
   if (aOutcome == ExchangeOutcome::ConnectionRefused) {
-    onHealthChange(mHealth.onRefused());
+    onProcessEnded(LostCause::ConnectionRefused);
     return;
   }
   onHealthChange(mHealth.onProbeTimeout());
@@ -119,6 +123,22 @@
   }
 }
 
+void
+Gate::Impl::onProcessEnded(LostCause aCause, std::string_view aInstance)
+{
+  const HealthChange change = mHealth.onRefused();
+  if (change == HealthChange::Lost) {
+    logEvent(LogLevel::Warn,
+             "upstream_process_ended",
+             { { "instance", mAppliedReport.mInstance },
+               { "cause",
+                 aCause == LostCause::ConnectionRefused ? "connection-refused"
+                                                        : "other-instance" },
+               { "response_instance", aInstance } });
+  }
+  onHealthChange(change);
+}
+
 void
 Gate::Impl::suspectCrash(const Run& aRun)
 {
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -16,6 +16,7 @@
 #include "radishroad/upstream/health_tracker.h"
 #include "radishroad/upstream/load_counter.h"
 #include "radishroad/upstream/request_queue.h"
+#include "radishroad/upstream/sent_ids.h"
 
 #include <atomic>
 #include <map>
@@ -263,6 +264,13 @@
   void probe(Millis aNow);
   void onProbeEnd(ExchangeOutcome aOutcome, const UpstreamResponse& aResponse);
   void onHealthChange(HealthChange aChange);
+  enum class LostCause
+  {
+    ConnectionRefused,
+    OtherInstance,
+  };
+  /// The upstream's process has ended. aInstance: instance that responds now.
+  void onProcessEnded(LostCause aCause, std::string_view aInstance = {});
   void suspectCrash(const Run& aRun);
   bool isCrashSuspect(std::uint64_t aFingerprint) const;
   void reportCrash();
@@ -289,6 +297,7 @@
   RetryBudget mRetryBudget;
   DeduplicationCache mDeduplicationCache;
   AnsweredSet mAnswered;
+  SentIds mSentIds;
   GrantManager mGrants;
   bool mGrantsStarted = false;
   std::map<std::uint64_t, KeyOperation> mKeyOperations;
--- a/src/upstream/gate_report.cpp
+++ b/src/upstream/gate_report.cpp
@@ -64,9 +64,10 @@
   if (mAppliedReport.mInstance.empty()) {
     return;
   }
-  if (aResponse.header(protocol.mInstanceHeader) != mAppliedReport.mInstance) {
+  const std::string_view instance = aResponse.header(protocol.mInstanceHeader);
+  if (instance != mAppliedReport.mInstance) {
     // Another upstream process uses the address now; it will send reports.
-    onHealthChange(mHealth.onRefused());
+    onProcessEnded(LostCause::OtherInstance, instance);
     return;
   }
   if (protocol.mColdTimeLeft) {
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -23,6 +23,21 @@
 constexpr Millis kGrantPollInterval{ 5 };
 constexpr int kMaxRejections = 3;
 
+/// The id that the upstream sees.
+std::string
+attemptId(const ForwardRequest& aRequest)
+{
+  return aRequest.request_id.empty() ? idOf(aRequest).toString()
+                                     : aRequest.request_id;
+}
+
+/// When the request expires at the daemon that took it.
+Millis
+callerDeadline(const QueuedRequest& aQueued)
+{
+  return aQueued.mQueuedAt + Millis{ aQueued.mRequest.time_left_ms };
+}
+
 }
 
 std::uint32_t
@@ -130,6 +145,7 @@
   const RunId id = mNextRun++;
   Run& run = mRuns[id];
   run.mQueued = std::move(aQueued);
+  run.mQueued.mRepeatsId = mSentIds.contains(attemptId(run.mQueued.mRequest));
   run.mEpoch = aDecision.mEpoch;
   run.mServeUntil = aDecision.mServeUntil;
 
@@ -212,6 +228,7 @@
       mHealth.onAnswer(aResponse.header(protocol.mInstanceHeader)));
   }
   QueuedRequest& queued = aRun.mQueued;
+  mSentIds.add(attemptId(queued.mRequest), callerDeadline(queued), now);
   const NotRunReason reason = protocol.mReadNotRunReason(aResponse);
   if (protocol.mIsAuthentic(aResponse)) {
     recordNotice(aResponse, aRun.mSentAt);
@@ -232,7 +249,8 @@
   const bool notHeld =
     reason == NotRunReason::NotOwner && protocol.mPushesReports;
   if (notHeld && isFromOtherInstance(aResponse)) {
-    onHealthChange(mHealth.onRefused());
+    onProcessEnded(LostCause::OtherInstance,
+                   aResponse.header(protocol.mInstanceHeader));
     refuse(queued, NotRunReason::UpstreamDown);
     return;
   }
@@ -283,7 +301,7 @@
   if (!aRun.mSendDenied) {
     mMetrics.count("radishroad_gate_connect_failures_total");
     if (aOutcome == ExchangeOutcome::ConnectionRefused) {
-      onHealthChange(mHealth.onRefused());
+      onProcessEnded(LostCause::ConnectionRefused);
     }
     mHealth.requestProbe(now);
     queued.mNotBefore = now + kReconnectPause;
