Send an id over each connection to the upstream only once

What callers saw: "not run, try again" (421, 503) for requests that an upstream was running, and requests that must not be repeated ran twice.

Cause: a response was taken for the answer to an attempt because it repeats the request's id. The id tells the request, not the attempt: after a refusal the gate, or the daemon that took the request, sends the same id again, mostly over the same pooled connection. A second copy of the refusal that comes where the next response is expected was then read as the answer to the new attempt, which the upstream ran: the request was refused, or sent and run once more.

Ruled out: the response's own id (it matches), the instance in the refusal (it is the right one), waiting bytes at the time of reuse (the copy comes after the request was written), and the peer link: a Forwarder turns a NotRun for an id with an abandoned attempt into an unknown outcome.

Fix: the gate keeps the ids that the upstream has responded to until their caller's deadline. An attempt that repeats one opens a connection, which cannot carry a response to an earlier attempt. Attempts that were aborted or ended incompletely need no entry, since their connections are closed. Connections are opened for repeated attempts only, not for each refusal.

--- a/include/radishroad/upstream/exchange.h
+++ b/include/radishroad/upstream/exchange.h
@@ -34,6 +34,9 @@
   /// A pooled connection that has been idle for longer is not reused.
   Millis mMaxIdle;
   std::size_t mMaxBodyBytes = 0;
+  /// Opens a connection instead of reusing a pooled one, on which a copy of an
+  /// earlier response may arrive.
+  bool mNeedsFreshConnection = false;
   /// Response header that must hold mEchoValue. A response with another value
   /// belongs to another request, and its connection is closed. Empty: no check.
   std::string mEchoHeader;
--- a/src/upstream/exchange.cpp
+++ b/src/upstream/exchange.cpp
@@ -95,6 +95,8 @@
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(
+    easy, CURLOPT_FRESH_CONNECT, aRequest.mNeedsFreshConnection ? 1L : 0L);
   curl_easy_setopt(
     easy, CURLOPT_TIMEOUT_MS, static_cast<long>(aRequest.mTimeout.mCount));
   curl_easy_setopt(
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -142,6 +142,8 @@
   /// The window has room for one more request that is not idempotent.
   bool hasNonIdempotentRoom() const;
   bool mayStart(Millis aNow);
+  /// New connections wait for mPacer.
+  bool pacesConnections() const;
   /// A pooled connection is free, or a new one may be opened.
   bool hasConnection(Millis aNow) const;
   /// Starts the request, refuses it, or returns it to the queue.
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -133,6 +133,14 @@
     mQueue.pushFront(std::move(aQueued));
     return;
   }
+  aQueued.mRepeatsId = mSentIds.contains(attemptId(aQueued.mRequest));
+  const bool mustWaitForConnection =
+    aQueued.mRepeatsId && pacesConnections() && !mPacer.mayOpen(aNow);
+  if (mustWaitForConnection) {
+    aQueued.mNotBefore = mPacer.nextOpen();
+    mQueue.pushFront(std::move(aQueued));
+    return;
+  }
   startRun(std::move(aQueued), decision);
 }
 
@@ -145,7 +153,6 @@
   const RunId id = mNextRun++;
   Run& run = mRuns[id];
   run.mQueued = std::move(aQueued);
-  run.mQueued.mRepeatsId = mSentIds.contains(attemptId(run.mQueued.mRequest));
   run.mEpoch = aDecision.mEpoch;
   run.mServeUntil = aDecision.mServeUntil;
 
@@ -162,6 +169,9 @@
   upstream.mTimeout = left + kTimeoutMargin;
   upstream.mMaxIdle = request.idempotent ? kMaxIdle : kMaxIdleNotIdempotent;
   upstream.mMaxBodyBytes = mOptions.mMaxBodyBytes;
+  // A response tells which id it belongs to, not which attempt. An id is
+  // therefore sent over each connection once.
+  upstream.mNeedsFreshConnection = run.mQueued.mRepeatsId;
   upstream.mEchoHeader = mOptions.mProtocol.mEchoHeader;
   upstream.mEchoValue = request.request_id;
   upstream.mAcceptsUnframedBody = mOptions.mProtocol.mAcceptsUnframedBody;
--- a/src/upstream/gate_window.cpp
+++ b/src/upstream/gate_window.cpp
@@ -23,6 +23,12 @@
 
 }
 
+bool
+Gate::Impl::pacesConnections() const
+{
+  return !mOptions.mLimitsDisabled && !mOptions.mProtocol.mPushesReports;
+}
+
 bool
 Gate::Impl::hasConnection(Millis aNow) const
 {
--- a/tests/process/support/platform_site.cpp
+++ b/tests/process/support/platform_site.cpp
@@ -64,7 +64,8 @@
 
 PlatformSite::PlatformSite(const std::string& aName,
                            const std::vector<Service>& aServices,
-                           PlatformUpstream::SendFn aSend)
+                           PlatformUpstream::SendFn aSend,
+                           PlatformUpstream::RefusesFn aRefuses)
   : mFolder(fs::path(RADISHROAD_BUILD_DIR) / "test-runs" / aName)
 {
   fs::remove_all(mFolder);
@@ -87,6 +88,7 @@
       options.mReportPort = kReports;
       options.mSend = aSend;
       options.mTokenPrefix = service.mTokenPrefix;
+      options.mRefuses = aRefuses;
       vm.mUpstream = std::make_unique<PlatformUpstream>(std::move(options));
       mVms.push_back(std::move(vm));
     }
--- a/tests/process/support/platform_site.h
+++ b/tests/process/support/platform_site.h
@@ -50,7 +50,8 @@
   /// prefix /NAME/; those with /NAME/once/ are not idempotent.
   PlatformSite(const std::string& aName,
                const std::vector<Service>& aServices,
-               PlatformUpstream::SendFn aSend = {});
+               PlatformUpstream::SendFn aSend = {},
+               PlatformUpstream::RefusesFn aRefuses = {});
 
   /// Starts all daemons and waits until each is ready; false on timeout.
   bool start();
--- a/tests/process/support/platform_upstream.cpp
+++ b/tests/process/support/platform_upstream.cpp
@@ -176,9 +176,13 @@
   std::unique_lock<std::mutex> lock(mMutex);
   Key* key = mOptions.mKeyed ? &mKeys.at(std::stoul("0" + keyText)) : nullptr;
   const bool isOther = !target.empty() && target != "i-" + mOptions.mVm;
-  if (isOther || (key != nullptr && key->mHeldUntil <= monotonicNow())) {
+  const bool isNotHeld = key != nullptr && key->mHeldUntil <= monotonicNow();
+  const bool isRefused = mOptions.mRefuses && mOptions.mRefuses(id);
+  if (isOther || isNotHeld || isRefused) {
     lock.unlock();
-    answer.mStatus = "421 Misdirected Request";
+    const bool isFull = !isOther && key == nullptr;
+    answer.mStatus =
+      isFull ? "503 Service Unavailable" : "421 Misdirected Request";
     answer.mHeaders.emplace_back("X-Not-Executed: 1");
     answer.mHeaders.push_back("X-Instance-Id: i-" + mOptions.mVm);
     return mOptions.mSend ? mOptions.mSend(answer) : plainReply(answer);
--- a/tests/process/support/platform_upstream.h
+++ b/tests/process/support/platform_upstream.h
@@ -54,6 +54,9 @@
   using Reply = FakeUpstream::Reply;
   /// Turns an answer to a request of a caller into bytes.
   using SendFn = std::function<Reply(const UpstreamAnswer&)>;
+  /// Whether a request is refused although it could be run. Called on several
+  /// threads.
+  using RefusesFn = std::function<bool(const std::string& aRequestId)>;
 
   struct Options
   {
@@ -69,6 +72,7 @@
     SendFn mSend;
     /// Handover tokens begin with this.
     std::string mTokenPrefix = "t";
+    RefusesFn mRefuses;
   };
 
   explicit PlatformUpstream(Options aOptions);
