Tell the response to a release from a copy of an earlier one

What callers could see: a key served by two upstreams (OWNER), as one released it by a response that was not the one to its release.

Any 200 on a kept connection was read as the response to what was asked last. A second copy of the response to a grant, or of that to a request, counted as the end of a release, while the upstream was still at work on the keys.

Fix: a response with a request id is not one to a call of the daemon. Responses without are not taken, their connection is closed, and the release, which may be repeated, is sent again over a new connection, on which there is no earlier response. Ordinary releases open no connections.

Remains: a copy of the response to a grant can still be read as that to the next grant on its connection. The upstream then refuses requests on keys that it does not hold (not run); the true response closes the connection.

--- a/include/radishroad/upstream/exchange.h
+++ b/include/radishroad/upstream/exchange.h
@@ -18,6 +18,8 @@
 
 class ConnectionCounter;
 
+struct UpstreamResponse;
+
 /// The request of one HTTP exchange with the upstream.
 struct UpstreamRequest
 {
@@ -41,6 +43,10 @@
   /// belongs to another request, and its connection is closed. Empty: no check.
   std::string mEchoHeader;
   std::string mEchoValue;
+  /// Whether a response can be the one to this request, by its status and
+  /// headers; otherwise as with mEchoHeader. Without side effects; may be
+  /// empty.
+  std::function<bool(const UpstreamResponse&)> mIsPossibleResponse;
   /// Accepts a body without a length or chunked encoding, which ends when the
   /// connection is closed, as complete.
   bool mAcceptsUnframedBody = false;
@@ -99,7 +105,7 @@
   void setCallbacks(ConnectionCounter& aConnections);
   bool isFramed() const;
   /// Checked at the end of the headers: a final response repeats the expected
-  /// echo value.
+  /// echo value and can be the one to this request.
   bool hasExpectedEcho() const;
   bool isConnectionRefused(CURLcode aCode) const;
   void onHeaderLine(std::string_view aLine);
@@ -121,6 +127,7 @@
   std::size_t mMaxBodyBytes;
   std::string mEchoHeader;
   std::string mEchoValue;
+  std::function<bool(const UpstreamResponse&)> mIsPossibleResponse;
   bool mAcceptsUnframedBody;
   bool mIsHead;
   bool mSent = false;
--- a/src/upstream/exchange.cpp
+++ b/src/upstream/exchange.cpp
@@ -55,6 +55,7 @@
   , mMaxBodyBytes(aRequest.mMaxBodyBytes)
   , mEchoHeader(aRequest.mEchoHeader)
   , mEchoValue(aRequest.mEchoValue)
+  , mIsPossibleResponse(aRequest.mIsPossibleResponse)
   , mAcceptsUnframedBody(aRequest.mAcceptsUnframedBody)
   , mIsHead(aRequest.mMethod == "HEAD")
   , mHandle(curl_easy_init())
@@ -212,8 +213,12 @@
 bool
 Exchange::hasExpectedEcho() const
 {
-  return mEchoHeader.empty() || mResponse.mStatus < 200 ||
-         mResponse.header(mEchoHeader) == mEchoValue;
+  if (mResponse.mStatus < 200) {
+    return true;
+  }
+  const bool isEchoed =
+    mEchoHeader.empty() || mResponse.header(mEchoHeader) == mEchoValue;
+  return isEchoed && (!mIsPossibleResponse || mIsPossibleResponse(mResponse));
 }
 
 bool
--- a/src/upstream/gate_grant.cpp
+++ b/src/upstream/gate_grant.cpp
@@ -1,5 +1,6 @@
 #include "gate_impl.h"
 
+#include "radishroad/base/hash.h"
 #include "radishroad/base/json_log.h"
 
 #include <algorithm>
@@ -139,14 +140,18 @@
   }
   for (const KeyGrant& grant :
        mGrants.dueGrants(kMaxKeyOperations - mKeyOperations.size(), aNow)) {
-    startKeyOperation(mOptions.mProtocol.mGrant(grant),
-                      { grant, 0, aNow, {} },
-                      kGrantTimeout,
-                      [this](std::uint64_t aOperationId,
-                             ExchangeOutcome aOutcome,
-                             const UpstreamResponse& aResponse) {
-                        onGrantEnd(aOperationId, aOutcome, aResponse.mStatus);
-                      });
+    startKeyOperation(
+      mOptions.mProtocol.mGrant(grant),
+      { grant, 0, aNow, false, {} },
+      kGrantTimeout,
+      [this](const UpstreamResponse& aResponse) {
+        return mOptions.mProtocol.mHandover(aResponse).empty();
+      },
+      [this](std::uint64_t aOperationId,
+             ExchangeOutcome aOutcome,
+             const UpstreamResponse& aResponse) {
+        onGrantEnd(aOperationId, aOutcome, aResponse.mStatus);
+      });
   }
 }
 
@@ -154,6 +159,7 @@
 Gate::Impl::startKeyOperation(ControlRequest aRequest,
                               KeyOperation aEntry,
                               Millis aTimeout,
+                              IsPossibleResponseFn aIsPossibleResponse,
                               KeyOperationCompletionFn aOnCompletion)
 {
   const std::uint64_t id = mNextKeyOperation++;
@@ -170,6 +176,10 @@
   request.mTimeout = aTimeout;
   request.mMaxIdle = kMaxIdle;
   request.mMaxBodyBytes = kMaxKeyResponseBytes;
+  request.mNeedsFreshConnection = entry.mNeedsFreshConnection;
+  // A response with an id belongs to a request of a caller.
+  request.mEchoHeader = mOptions.mProtocol.mEchoHeader;
+  request.mIsPossibleResponse = std::move(aIsPossibleResponse);
   request.mAcceptsUnframedBody = true;
   mExchanges.start(
     request,
@@ -245,18 +255,7 @@
          mKeyOperations.size() < kMaxKeyOperations) {
     const std::uint32_t run = release.mToSend.back();
     release.mToSend.pop_back();
-    KeyOperation operation;
-    operation.mKeyRun = run;
-    operation.mSentAt = aNow;
-    startKeyOperation(mOptions.mProtocol.mRelease(
-                        mGrants.layout().rangeOfRun(run), release.mEpoch),
-                      std::move(operation),
-                      kReleaseTimeout,
-                      [this](std::uint64_t aOperationId,
-                             ExchangeOutcome aOutcome,
-                             const UpstreamResponse& aResponse) {
-                        onReleaseEnd(aOperationId, aOutcome, aResponse);
-                      });
+    sendRelease(run, release.mEpoch, false);
   }
   const bool free = release.mCompleted == mGrants.layout().runsPerShard() &&
                     aNow >= mGrants.freeFrom(aShard, aNow);
@@ -266,6 +265,38 @@
   return free;
 }
 
+void
+Gate::Impl::sendRelease(std::uint32_t aRun,
+                        Epoch aEpoch,
+                        bool aNeedsFreshConnection)
+{
+  KeyOperation operation;
+  operation.mKeyRun = aRun;
+  operation.mSentAt = mHooks.mNow();
+  operation.mNeedsFreshConnection = aNeedsFreshConnection;
+  startKeyOperation(
+    mOptions.mProtocol.mRelease(mGrants.layout().rangeOfRun(aRun), aEpoch),
+    std::move(operation),
+    kReleaseTimeout,
+    [this, aNeedsFreshConnection](const UpstreamResponse& aResponse) {
+      return aNeedsFreshConnection ||
+             isNewHandover(mOptions.mProtocol.mHandover(aResponse));
+    },
+    [this](std::uint64_t aOperationId,
+           ExchangeOutcome aOutcome,
+           const UpstreamResponse& aResponse) {
+      onReleaseEnd(aOperationId, aOutcome, aResponse);
+    });
+}
+
+bool
+Gate::Impl::isNewHandover(const std::string& aToken) const
+{
+  // Responses to control calls have no id. On a pooled connection, only a token
+  // that was not seen before tells a response from a copy of an earlier one.
+  return !aToken.empty() && !mHandoverTokens.contains(hash64(aToken));
+}
+
 bool
 Gate::Impl::releaseByReport(Shard aShard, Millis aNow)
 {
@@ -306,18 +337,30 @@
 {
   const auto node = mKeyOperations.extract(aOperationId);
   const std::uint32_t run = node.mapped().mKeyRun;
+  const std::string token = mOptions.mProtocol.mHandover(aResponse);
+  const bool isReleased =
+    aOutcome == ExchangeOutcome::Complete && aResponse.mStatus == kStatusOk;
+  if (isReleased && !token.empty()) {
+    mHandoverTokens.insert(hash64(token));
+  }
   const auto it = mReleases.find(KeyLayout::shardOfRun(run));
   if (it == mReleases.end()) {
     return;
   }
+  const bool isOfOtherCall = aOutcome == ExchangeOutcome::Incomplete &&
+                             aResponse.mStatus != 0 &&
+                             !node.mapped().mNeedsFreshConnection;
+  if (isOfOtherCall) {
+    mMetrics.count("radishroad_gate_releases_resent_total");
+    sendRelease(run, it->second.mEpoch, true);
+    return;
+  }
   ++it->second.mCompleted;
   if (aOutcome == ExchangeOutcome::ConnectionRefused) {
     onProcessEnded(LostCause::ConnectionRefused);
-  } else if (aOutcome == ExchangeOutcome::Complete &&
-             aResponse.mStatus == kStatusOk) {
+  } else if (isReleased) {
     mGrants.onReleased(run);
-    it->second.mTokens.at(KeyLayout::indexInShard(run)) =
-      mOptions.mProtocol.mHandover(aResponse);
+    it->second.mTokens.at(KeyLayout::indexInShard(run)) = token;
   } else {
     mMetrics.count("radishroad_gate_release_failures_total");
   }
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -23,6 +23,7 @@
 #include <mutex>
 #include <set>
 #include <thread>
+#include <unordered_set>
 
 namespace radishroad {
 
@@ -87,6 +88,7 @@
     KeyGrant mGrant;
     std::uint32_t mKeyRun = 0;
     Millis mSentAt;
+    bool mNeedsFreshConnection = false;
     /// Must outlive the exchange, because libcurl does not copy it.
     std::string mBody;
   };
@@ -233,9 +235,11 @@
     std::function<void(std::uint64_t aOperationId,
                        ExchangeOutcome aOutcome,
                        const UpstreamResponse&)>;
+  using IsPossibleResponseFn = std::function<bool(const UpstreamResponse&)>;
   void startKeyOperation(ControlRequest aRequest,
                          KeyOperation aEntry,
                          Millis aTimeout,
+                         IsPossibleResponseFn aIsPossibleResponse,
                          KeyOperationCompletionFn aOnCompletion);
   void sendGrants(Millis aNow);
   void onGrantEnd(std::uint64_t aOperationId,
@@ -246,6 +250,11 @@
   /// Starts or continues the release of a shard; true once none of its keys is
   /// held.
   bool releaseShard(Shard aShard, Millis aNow);
+  void sendRelease(std::uint32_t aRun,
+                   Epoch aEpoch,
+                   bool aNeedsFreshConnection);
+  /// Whether a response with this handover token can be the one to a release.
+  bool isNewHandover(const std::string& aToken) const;
   void onReleaseEnd(std::uint64_t aOperationId,
                     ExchangeOutcome aOutcome,
                     const UpstreamResponse& aResponse);
@@ -304,6 +313,8 @@
   bool mGrantsStarted = false;
   std::map<std::uint64_t, KeyOperation> mKeyOperations;
   std::map<Shard, Release> mReleases;
+  /// Hashes of the handover tokens that the upstream has given out.
+  std::unordered_set<std::uint64_t> mHandoverTokens;
   std::uint64_t mNextKeyOperation = 1;
   ColdStartLimiter mColdStartLimiter;
   UpstreamReport mAppliedReport;
--- a/tests/unit/repeated_response_test.cpp
+++ b/tests/unit/repeated_response_test.cpp
@@ -198,6 +198,16 @@
   Gate mGate;
 };
 
+bool
+isReached(const std::atomic<int>& aCount, int aExpected)
+{
+  const Millis end = monotonicNow() + 5_s;
+  while (aCount < aExpected && monotonicNow() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  return aCount >= aExpected;
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(repeated_response)
@@ -234,4 +244,29 @@
   BOOST_TEST(upstream.mRuns == 1);
 }
 
+// A second copy of the response to a grant, or to another release, is taken for
+// that to a release, and the keys go to another upstream while work on them
+// runs.
+BOOST_AUTO_TEST_CASE(copy_of_a_grant_does_not_release_keys)
+{
+  for (const bool hasTokens : { true, false }) {
+    BOOST_TEST_CONTEXT("with handover tokens " << hasTokens)
+    {
+      RepeatingUpstream upstream(Grants::ByCall);
+      upstream.mRepeatsGrants = true;
+      upstream.mHasTokens = hasTokens;
+      upstream.mReleaseMs = 100;
+      const int runs = static_cast<int>(KeyLayout().runsPerShard());
+      BOOST_TEST(isReached(upstream.mGrantCalls, runs));
+      std::promise<int> done;
+      const Shard shard = kOwnShard;
+      upstream.mGate.pauseShards({ &shard, 1 }, [&upstream, &done] {
+        done.set_value(upstream.mReleasesDone);
+      });
+      // A release whose response proves nothing is sent once more.
+      BOOST_TEST(done.get_future().get() >= runs);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
