Don't take an upstream for ended by a response that proves nothing

Cause: a response to a probe without the instance counted as that of another process, and another process at the address as proof that the one before had ended. Its holds were forgotten and its shards handed off at once, while it held the keys. An extra response to a request, a rejection for lack of room or a spoilt head at the place of the probe's response was enough.

Another instance is asked for again on a new connection, which carries no late response; only then the process counts as ended.

--- a/src/upstream/gate_health.cpp
+++ b/src/upstream/gate_health.cpp
@@ -3,6 +3,7 @@
 #include "radishroad/base/json_log.h"
 
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace radishroad {
 
@@ -38,28 +39,38 @@
   probe.mTimeout = kProbeTimeout;
   probe.mMaxIdle = kMaxIdle;
   probe.mMaxBodyBytes = kMaxProbeResponseBytes;
+  const bool isFresh = std::exchange(mNextProbeNeedsFreshConnection, false);
+  probe.mNeedsFreshConnection = isFresh;
+  if (mOptions.mProtocol.mPushesReports) {
+    // A response with an id belongs to a request of a caller.
+    probe.mEchoHeader = mOptions.mProtocol.mEchoHeader;
+    probe.mIsPossibleResponse = [this](const UpstreamResponse& aResponse) {
+      return namesInstance(aResponse);
+    };
+  }
   mExchanges.start(
     probe,
     [] { return true; },
-    [this, load](
+    [this, load, isFresh](
       ExchangeOutcome aOutcome, CURLcode, const UpstreamResponse& aResponse) {
       if (load && aOutcome == ExchangeOutcome::Complete) {
         mProbeInFlight = false;
         onLoadResponse(aResponse);
         return;
       }
-      onProbeEnd(aOutcome, aResponse);
+      onProbeEnd(aOutcome, aResponse, isFresh);
     });
 }
 
 void
 Gate::Impl::onProbeEnd(ExchangeOutcome aOutcome,
-                       const UpstreamResponse& aResponse)
+                       const UpstreamResponse& aResponse,
+                       bool aIsFreshConnection)
 {
   mProbeInFlight = false;
   if (aOutcome == ExchangeOutcome::Complete &&
       mOptions.mProtocol.mPushesReports) {
-    onHealthResponse(aResponse);
+    onHealthResponse(aResponse, aIsFreshConnection);
     return;
   }
   if (aOutcome == ExchangeOutcome::Complete) {
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -190,7 +190,10 @@
 
   // gate_report.cpp: reports of the upstream.
   void applyReport(const UpstreamReport& aReport);
-  void onHealthResponse(const UpstreamResponse& aResponse);
+  /// Whether a response names one instance, as each response to a probe does.
+  bool namesInstance(const UpstreamResponse& aResponse) const;
+  void onHealthResponse(const UpstreamResponse& aResponse,
+                        bool aIsFreshConnection);
   void checkReportAge(Millis aNow);
   /// The response names another instance than the one that sent the reports.
   bool isFromOtherInstance(const UpstreamResponse& aResponse) const;
@@ -273,7 +276,9 @@
 
   // gate_health.cpp: probes, restarts and crashes.
   void probe(Millis aNow);
-  void onProbeEnd(ExchangeOutcome aOutcome, const UpstreamResponse& aResponse);
+  void onProbeEnd(ExchangeOutcome aOutcome,
+                  const UpstreamResponse& aResponse,
+                  bool aIsFreshConnection);
   void onHealthChange(HealthChange aChange);
   enum class LostCause
   {
@@ -301,6 +306,7 @@
   HealthTracker mHealth;
   bool mProbeInFlight = false;
   Millis mProbeStartedAt;
+  bool mNextProbeNeedsFreshConnection = false;
   std::vector<CrashSuspect> mCrashSuspects;
   config::Service mService;
   ConcurrencyWindow mWindow;
--- a/src/upstream/gate_report.cpp
+++ b/src/upstream/gate_report.cpp
@@ -1,8 +1,10 @@
 #include "gate_impl.h"
 
 #include "radishroad/base/json_log.h"
+#include "radishroad/upstream/header_text.h"
 
 #include <algorithm>
+#include <cctype>
 #include <nlohmann/json.hpp>
 
 namespace radishroad {
@@ -57,14 +59,36 @@
   onHealthChange(mHealth.onProbeAnswer(kStatusOk, incarnationText(aReport)));
 }
 
+bool
+Gate::Impl::namesInstance(const UpstreamResponse& aResponse) const
+{
+  const std::string& header = mOptions.mProtocol.mInstanceHeader;
+  const auto count =
+    std::ranges::count_if(aResponse.mHeaders, [&](const auto& aHeader) {
+      return sameHeaderName(aHeader.name, header);
+    });
+  const std::string_view instance = aResponse.header(header);
+  return count == 1 && !instance.empty() &&
+         std::ranges::all_of(instance, [](unsigned char aByte) {
+           return std::isgraph(aByte) != 0;
+         });
+}
+
 void
-Gate::Impl::onHealthResponse(const UpstreamResponse& aResponse)
+Gate::Impl::onHealthResponse(const UpstreamResponse& aResponse,
+                             bool aIsFreshConnection)
 {
   const UpstreamProtocol& protocol = mOptions.mProtocol;
   if (mAppliedReport.mInstance.empty()) {
     return;
   }
   const std::string_view instance = aResponse.header(protocol.mInstanceHeader);
+  if (instance != mAppliedReport.mInstance && !aIsFreshConnection) {
+    // It may have been sent before the upstream that reports now started.
+    mNextProbeNeedsFreshConnection = true;
+    mHealth.requestProbe(mHooks.mNow());
+    return;
+  }
   if (instance != mAppliedReport.mInstance) {
     // Another upstream process uses the address now; it will send reports.
     onProcessEnded(LostCause::OtherInstance, instance);
--- a/tests/unit/repeated_response_test.cpp
+++ b/tests/unit/repeated_response_test.cpp
@@ -244,6 +244,53 @@
   BOOST_TEST(upstream.mRuns == 1);
 }
 
+// A response to a request that comes where that to a probe is expected is taken
+// for proof that the process has ended, and its keys go to another upstream.
+BOOST_AUTO_TEST_CASE(copy_of_an_answer_does_not_end_the_upstream)
+{
+  RepeatingUpstream upstream(Grants::ByReport);
+  upstream.mRepeatsAnswers = true;
+  BOOST_TEST((upstream.run("mine", true).kind == AnswerKind::Answered));
+  // The upstream stops reporting, so that it is probed.
+  BOOST_TEST(isReached(upstream.mProbes, 1));
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  BOOST_TEST(upstream.mDowns == 0);
+}
+
+// A probe's response without the instance, or with an unreadable one, proves
+// neither that the process runs nor that it has ended.
+BOOST_AUTO_TEST_CASE(response_without_an_instance_does_not_end_the_upstream)
+{
+  for (const char* head :
+       { "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n",
+         "HTTP/1.1 200 OK\r\n",
+         "HTTP/1.1 200 OK\r\nX-Instance-Id:\r\n",
+         "HTTP/1.1 200 OK\r\nX-Instance-Id: i-\x01\r\n",
+         "HTTP/1.1 200 OK\r\nX-Instance-Id: i 2\r\n",
+         "HTTP/1.1 200 OK\r\nX-Instance-Id: i-2\r\n"
+         "X-Instance-Id: i-1\r\n" }) {
+    BOOST_TEST_CONTEXT(head)
+    {
+      RepeatingUpstream upstream(Grants::ByReport);
+      upstream.setProbeReply(std::string(head) + "Content-Length: 0\r\n\r\n");
+      BOOST_TEST(isReached(upstream.mProbes, 1));
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      BOOST_TEST(upstream.mDowns == 0);
+    }
+  }
+}
+
+// Another instance that a probe finds at the address has ended the upstream
+// only if the response is no late one: that is asked on a new connection.
+BOOST_AUTO_TEST_CASE(another_instance_ends_the_upstream_once_confirmed)
+{
+  RepeatingUpstream upstream(Grants::ByCall);
+  upstream.setProbeReply("HTTP/1.1 200 OK\r\nX-Instance-Id: i-2\r\n"
+                         "Content-Length: 0\r\n\r\n");
+  BOOST_TEST(isReached(upstream.mDowns, 1));
+  BOOST_TEST(upstream.mProbes == 2);
+}
+
 // A second copy of the response to a grant, or to another release, is taken for
 // that to a release, and the keys go to another upstream while work on them
 // runs.
