--- a/include/radishroad/upstream/exchange.h
+++ b/include/radishroad/upstream/exchange.h
@@ -20,6 +20,8 @@
 
 class ConnectionCounter;
 
+struct UpstreamResponse;
+
 /// The request of one HTTP exchange with the upstream.
 struct UpstreamRequest
 {
@@ -38,10 +40,17 @@
   /// A pooled connection that has been idle for longer is not reused.
   Millis mMaxIdle;
   std::size_t mMaxBodyBytes = 0;
+  /// Opens a connection instead of reusing a pooled one, on which a copy of an
+  /// earlier response may arrive.
+  bool mNeedsFreshConnection = false;
   /// Response header that must hold mEchoValue. A response with another value
   /// belongs to another request, and its connection is closed. Empty: no check.
   std::string mEchoHeader;
   std::string mEchoValue;
+  /// Whether a response can be the one to this request, by its status and
+  /// headers; otherwise as with mEchoHeader. Without side effects; may be
+  /// empty.
+  std::function<bool(const UpstreamResponse&)> mIsPossibleResponse;
   /// Accepts a body without a length or chunked encoding, which ends when the
   /// connection is closed in order. UpstreamResponse::mEndsWithConnection marks
   /// it.
@@ -114,7 +123,8 @@
   /// The body has no length or chunked encoding: it ends with the connection.
   bool endsWithConnection() const;
   ResponseTrace::End endOf(CURLcode aCode) const;
-  /// The final head repeats the expected echo value.
+  /// The final head repeats the expected echo value, and the response can be
+  /// the one to this request.
   bool hasExpectedEcho() const;
   bool isConnectionRefused(CURLcode aCode) const;
   /// Called when the final head has ended; returns false to close the
@@ -140,6 +150,7 @@
   std::size_t mMaxBodyBytes;
   std::string mEchoHeader;
   std::string mEchoValue;
+  std::function<bool(const UpstreamResponse&)> mIsPossibleResponse;
   bool mAcceptsUnframedBody;
   bool mIsHead;
   bool mSent = false;
--- a/include/radishroad/upstream/queued_request.h
+++ b/include/radishroad/upstream/queued_request.h
@@ -35,6 +35,8 @@
   bool mRequeued = false;
   /// How the upstream's last response to it was received.
   ResponseTrace mResponse;
+  /// The upstream has responded to an earlier attempt with the same id.
+  bool mRepeatsId = false;
 };
 
 }
--- a/src/upstream/exchange.cpp
+++ b/src/upstream/exchange.cpp
@@ -40,6 +40,7 @@
   , mMaxBodyBytes(aRequest.mMaxBodyBytes)
   , mEchoHeader(aRequest.mEchoHeader)
   , mEchoValue(aRequest.mEchoValue)
+  , mIsPossibleResponse(aRequest.mIsPossibleResponse)
   , mAcceptsUnframedBody(aRequest.mAcceptsUnframedBody)
   , mIsHead(aRequest.mMethod == "HEAD")
   , mHead(mIsHead)
@@ -95,6 +96,8 @@
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(
+    easy, CURLOPT_FRESH_CONNECT, aRequest.mNeedsFreshConnection ? 1L : 0L);
   curl_easy_setopt(
     easy, CURLOPT_TIMEOUT_MS, static_cast<long>(aRequest.mTimeout.mCount));
   curl_easy_setopt(
@@ -211,13 +214,13 @@
   const auto differs = [&](const wire::HeaderT& aHeader) {
     return names(aHeader) && aHeader.value != mEchoValue;
   };
-  if (mEchoHeader.empty()) {
-    return true;
-  }
   // A request without an id gets a response without one.
-  const bool isNamed =
-    mEchoValue.empty() || std::ranges::any_of(mResponse.mHeaders, names);
-  return isNamed && std::ranges::none_of(mResponse.mHeaders, differs);
+  const bool isNamed = mEchoHeader.empty() || mEchoValue.empty() ||
+                       std::ranges::any_of(mResponse.mHeaders, names);
+  const bool isEchoed =
+    mEchoHeader.empty() ||
+    (isNamed && std::ranges::none_of(mResponse.mHeaders, differs));
+  return isEchoed && (!mIsPossibleResponse || mIsPossibleResponse(mResponse));
 }
 
 bool
--- a/src/upstream/gate_health.cpp
+++ b/src/upstream/gate_health.cpp
@@ -1,5 +1,10 @@
 #include "gate_impl.h"
 
+#include "radishroad/base/json_log.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
 namespace radishroad {
 
 namespace {
@@ -35,28 +40,38 @@
   probe.mTimeout = kProbeTimeout;
   probe.mMaxIdle = kMaxIdle;
   probe.mMaxBodyBytes = kMaxProbeResponseBytes;
+  const bool isFresh = std::exchange(mNextProbeNeedsFreshConnection, false);
+  probe.mNeedsFreshConnection = isFresh;
+  if (mOptions.mProtocol.mPushesReports) {
+    // A response with an id belongs to a request of a caller.
+    probe.mEchoHeader = mOptions.mProtocol.mEchoHeader;
+    probe.mIsPossibleResponse = [this](const UpstreamResponse& aResponse) {
+      return namesInstance(aResponse);
+    };
+  }
   mExchanges.start(
     probe,
     [] { return true; },
-    [this, load](
+    [this, load, isFresh](
       ExchangeOutcome aOutcome, CURLcode, const UpstreamResponse& aResponse) {
       if (load && aOutcome == ExchangeOutcome::Complete) {
         mProbeInFlight = false;
         onLoadResponse(aResponse);
         return;
       }
-      onProbeEnd(aOutcome, aResponse);
+      onProbeEnd(aOutcome, aResponse, isFresh);
     });
 }
 
 void
 Gate::Impl::onProbeEnd(ExchangeOutcome aOutcome,
-                       const UpstreamResponse& aResponse)
+                       const UpstreamResponse& aResponse,
+                       bool aIsFreshConnection)
 {
   mProbeInFlight = false;
   if (aOutcome == ExchangeOutcome::Complete &&
       mOptions.mProtocol.mPushesReports) {
-    onHealthResponse(aResponse);
+    onHealthResponse(aResponse, aIsFreshConnection);
     return;
   }
   if (aOutcome == ExchangeOutcome::Complete) {
@@ -75,7 +90,7 @@
     return;
   }
   if (aOutcome == ExchangeOutcome::ConnectionRefused) {
-    onHealthChange(mHealth.onRefused());
+    onProcessEnded(LostCause::ConnectionRefused);
     return;
   }
   onHealthChange(mHealth.onProbeTimeout());
@@ -120,6 +135,22 @@
   }
 }
 
+void
+Gate::Impl::onProcessEnded(LostCause aCause, std::string_view aInstance)
+{
+  const HealthChange change = mHealth.onRefused();
+  if (change == HealthChange::Lost) {
+    logEvent(LogLevel::Warn,
+             "upstream_process_ended",
+             { { "instance", mAppliedReport.mInstance },
+               { "cause",
+                 aCause == LostCause::ConnectionRefused ? "connection-refused"
+                                                        : "other-instance" },
+               { "response_instance", aInstance } });
+  }
+  onHealthChange(change);
+}
+
 void
 Gate::Impl::suspectCrash(const Run& aRun)
 {
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -16,12 +16,14 @@
 #include "radishroad/upstream/health_tracker.h"
 #include "radishroad/upstream/load_counter.h"
 #include "radishroad/upstream/request_queue.h"
+#include "radishroad/upstream/sent_ids.h"
 
 #include <atomic>
 #include <map>
 #include <mutex>
 #include <set>
 #include <thread>
+#include <unordered_set>
 
 namespace radishroad {
 
@@ -89,6 +91,7 @@
     KeyGrant mGrant;
     std::uint32_t mKeyRun = 0;
     Millis mSentAt;
+    bool mNeedsFreshConnection = false;
     /// Must outlive the exchange, because libcurl does not copy it.
     std::string mBody;
   };
@@ -144,6 +147,8 @@
   /// The window has room for one more request that is not idempotent.
   bool hasNonIdempotentRoom() const;
   bool mayStart(Millis aNow);
+  /// New connections wait for mPacer.
+  bool pacesConnections() const;
   /// A pooled connection is free, or a new one may be opened.
   bool hasConnection(Millis aNow) const;
   /// Starts the request, refuses it, or returns it to the queue.
@@ -190,7 +195,10 @@
 
   // gate_report.cpp: reports of the upstream.
   void applyReport(const UpstreamReport& aReport);
-  void onHealthResponse(const UpstreamResponse& aResponse);
+  /// Whether a response names one instance, as each response to a probe does.
+  bool namesInstance(const UpstreamResponse& aResponse) const;
+  void onHealthResponse(const UpstreamResponse& aResponse,
+                        bool aIsFreshConnection);
   void checkReportAge(Millis aNow);
   /// The response names another instance than the one that sent the reports.
   bool isFromOtherInstance(const UpstreamResponse& aResponse) const;
@@ -235,9 +243,11 @@
     std::function<void(std::uint64_t aOperationId,
                        ExchangeOutcome aOutcome,
                        const UpstreamResponse&)>;
+  using IsPossibleResponseFn = std::function<bool(const UpstreamResponse&)>;
   void startKeyOperation(ControlRequest aRequest,
                          KeyOperation aEntry,
                          Millis aTimeout,
+                         IsPossibleResponseFn aIsPossibleResponse,
                          KeyOperationCompletionFn aOnCompletion);
   void sendGrants(Millis aNow);
   void onGrantEnd(std::uint64_t aOperationId,
@@ -248,6 +258,11 @@
   /// Starts or continues the release of a shard; true once none of its keys is
   /// held.
   bool releaseShard(Shard aShard, Millis aNow);
+  void sendRelease(std::uint32_t aRun,
+                   Epoch aEpoch,
+                   bool aNeedsFreshConnection);
+  /// Whether a response with this handover token can be the one to a release.
+  bool isNewHandover(const std::string& aToken) const;
   void onReleaseEnd(std::uint64_t aOperationId,
                     ExchangeOutcome aOutcome,
                     const UpstreamResponse& aResponse);
@@ -266,8 +281,17 @@
 
   // gate_health.cpp: probes, restarts and crashes.
   void probe(Millis aNow);
-  void onProbeEnd(ExchangeOutcome aOutcome, const UpstreamResponse& aResponse);
+  void onProbeEnd(ExchangeOutcome aOutcome,
+                  const UpstreamResponse& aResponse,
+                  bool aIsFreshConnection);
   void onHealthChange(HealthChange aChange);
+  enum class LostCause
+  {
+    ConnectionRefused,
+    OtherInstance,
+  };
+  /// The upstream's process has ended. aInstance: instance that responds now.
+  void onProcessEnded(LostCause aCause, std::string_view aInstance = {});
   void suspectCrash(const Run& aRun);
   bool isCrashSuspect(std::uint64_t aFingerprint) const;
   void reportCrash();
@@ -287,6 +311,7 @@
   HealthTracker mHealth;
   bool mProbeInFlight = false;
   Millis mProbeStartedAt;
+  bool mNextProbeNeedsFreshConnection = false;
   std::vector<CrashSuspect> mCrashSuspects;
   config::Service mService;
   ConcurrencyWindow mWindow;
@@ -294,10 +319,13 @@
   RetryBudget mRetryBudget;
   DeduplicationCache mDeduplicationCache;
   AnsweredSet mAnswered;
+  SentIds mSentIds;
   GrantManager mGrants;
   bool mGrantsStarted = false;
   std::map<std::uint64_t, KeyOperation> mKeyOperations;
   std::map<Shard, Release> mReleases;
+  /// Hashes of the handover tokens that the upstream has given out.
+  std::unordered_set<std::uint64_t> mHandoverTokens;
   std::uint64_t mNextKeyOperation = 1;
   ColdStartLimiter mColdStartLimiter;
   UpstreamReport mAppliedReport;
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -25,6 +25,21 @@
 constexpr Millis kGrantPollInterval{ 5 };
 constexpr int kMaxRejections = 3;
 
+/// The id that the upstream sees.
+std::string
+attemptId(const ForwardRequest& aRequest)
+{
+  return aRequest.request_id.empty() ? idOf(aRequest).toString()
+                                     : aRequest.request_id;
+}
+
+/// When the request expires at the daemon that took it.
+Millis
+callerDeadline(const QueuedRequest& aQueued)
+{
+  return aQueued.mQueuedAt + Millis{ aQueued.mRequest.time_left_ms };
+}
+
 }
 
 std::uint32_t
@@ -120,6 +135,14 @@
     mQueue.pushFront(std::move(aQueued));
     return;
   }
+  aQueued.mRepeatsId = mSentIds.contains(attemptId(aQueued.mRequest));
+  const bool mustWaitForConnection =
+    aQueued.mRepeatsId && pacesConnections() && !mPacer.mayOpen(aNow);
+  if (mustWaitForConnection) {
+    aQueued.mNotBefore = mPacer.nextOpen();
+    mQueue.pushFront(std::move(aQueued));
+    return;
+  }
   startRun(std::move(aQueued), decision);
 }
 
@@ -150,6 +173,9 @@
   upstream.mTimeout = left + kTimeoutMargin;
   upstream.mMaxIdle = request.idempotent ? kMaxIdle : kMaxIdleNotIdempotent;
   upstream.mMaxBodyBytes = mOptions.mMaxBodyBytes;
+  // A response tells which id it belongs to, not which attempt. An id is
+  // therefore sent over each connection once.
+  upstream.mNeedsFreshConnection = run.mQueued.mRepeatsId;
   upstream.mEchoHeader = mOptions.mProtocol.mEchoHeader;
   upstream.mEchoValue = request.request_id;
   upstream.mAcceptsUnframedBody = mOptions.mProtocol.mAcceptsUnframedBody;
@@ -240,6 +266,7 @@
       mHealth.onAnswer(aResponse.header(protocol.mInstanceHeader)));
   }
   QueuedRequest& queued = aRun.mQueued;
+  mSentIds.add(attemptId(queued.mRequest), callerDeadline(queued), now);
   const NotRunReason reason = protocol.mReadNotRunReason(aResponse);
   if (protocol.mIsAuthentic(aResponse)) {
     recordNotice(aResponse, aRun.mSentAt);
@@ -260,7 +287,8 @@
   const bool notHeld =
     reason == NotRunReason::NotOwner && protocol.mPushesReports;
   if (notHeld && isFromOtherInstance(aResponse)) {
-    onHealthChange(mHealth.onRefused());
+    onProcessEnded(LostCause::OtherInstance,
+                   aResponse.header(protocol.mInstanceHeader));
     refuse(queued, NotRunReason::UpstreamDown);
     return;
   }
@@ -311,7 +339,7 @@
   if (!aRun.mSendDenied) {
     mMetrics.count("radishroad_gate_connect_failures_total");
     if (aOutcome == ExchangeOutcome::ConnectionRefused) {
-      onHealthChange(mHealth.onRefused());
+      onProcessEnded(LostCause::ConnectionRefused);
     }
     mHealth.requestProbe(now);
     queued.mNotBefore = now + kReconnectPause;
