Load engine: an answer that ends in its head is no success

The client with which rr-load and the process tests judge answers took libcurl's success for a whole answer, as the daemon did; it would not have seen such an answer.

--- a/tools/common/load_engine.cpp
+++ b/tools/common/load_engine.cpp
@@ -1,6 +1,7 @@
 #include "common/load_engine.h"
 
 #include "common/timer_fd.h"
+#include "radishroad/http/response_head.h"
 
 #include <curl/curl.h>
 #include <string_view>
@@ -20,12 +21,15 @@
   CURL* mEasy = nullptr;
   curl_slist* mHeaders = nullptr;
   bool mKeepBody = false;
+  ResponseHead mHead;
+  std::uint64_t mBodyBytes = 0;
 };
 
 std::size_t
 onBody(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
 {
   Transfer& transfer = *static_cast<Transfer*>(aTransfer);
+  transfer.mBodyBytes += aSize * aCount;
   if (transfer.mKeepBody) {
     transfer.mResult.mBody.append(aData, aSize * aCount);
   }
@@ -46,8 +50,12 @@
 std::size_t
 onHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
 {
-  LoadResult& result = static_cast<Transfer*>(aTransfer)->mResult;
+  Transfer& transfer = *static_cast<Transfer*>(aTransfer);
+  LoadResult& result = transfer.mResult;
   const std::string_view line(aData, aSize * aCount);
+  if (!transfer.mHead.addLine(line)) {
+    return 0;
+  }
   const std::size_t colon = line.find(':');
   if (colon == std::string_view::npos) {
     return aSize * aCount;
@@ -162,12 +170,12 @@
     Clock::now() - result.mRequest.mSendAt;
   result.mLatencyMs = latency.count();
   result.mEndedWallMs = wallNow().mCount;
-  if (aCode == CURLE_OK) {
-    long status = 0;
-    curl_easy_getinfo(aTransfer.mEasy, CURLINFO_RESPONSE_CODE, &status);
-    result.mStatus = static_cast<int>(status);
-  } else {
+  if (aCode != CURLE_OK) {
     result.mError = curl_easy_strerror(aCode);
+  } else if (aTransfer.mHead.isWhole(aTransfer.mBodyBytes)) {
+    result.mStatus = aTransfer.mHead.status();
+  } else {
+    result.mError = "incomplete response";
   }
   curl_multi_remove_handle(mMulti, aTransfer.mEasy);
   curl_slist_free_all(aTransfer.mHeaders);
