Keep the status of a store's failure whose body has no length

A store that answers a bare 410 or 412 and closes would have made an expired offset or a conflict an unknown outcome, so that a reader doesn't start over and a writer doesn't know that it lost. Of a failure the ended head is enough; only a success needs its whole body.

--- a/include/radishroad/log/http_client.h
+++ b/include/radishroad/log/http_client.h
@@ -17,7 +17,7 @@
 /// Result of one HTTP call.
 struct HttpResponse
 {
-  /// 0 if no complete response was received. One whose body ends with the
+  /// 0 if no complete response was received. A success whose body ends with the
   /// connection is not complete.
   long mStatus = 0;
   std::string mBody;
--- a/src/log/http_client.cpp
+++ b/src/log/http_client.cpp
@@ -17,13 +17,15 @@
 /// lost.
 constexpr int kPollTimeoutMs = 5000;
 
-/// A body that ends with the connection is not accepted, since it may be
-/// truncated.
+/// The body of a success that ends with the connection is not accepted, since
+/// it may be truncated. Of a failure the status is enough.
 bool
 isWhole(const ResponseHead& aHead, std::size_t aBodyBytes)
 {
+  constexpr int kFirstError = 400;
   return aHead.isWhole(aBodyBytes) &&
-         aHead.framing() != ResponseHead::Framing::ConnectionEnd;
+         (aHead.framing() != ResponseHead::Framing::ConnectionEnd ||
+          aHead.status() >= kFirstError);
 }
 
 std::string
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -77,6 +77,19 @@
   }
 }
 
+// A conflict that the store reports without a length counts as an append with
+// an unknown outcome.
+BOOST_AUTO_TEST_CASE(a_failure_without_a_length_loses_its_status)
+{
+  Server server;
+  server.mBytes = "HTTP/1.1 412 Precondition Failed\r\nStore-Era: 7\r\n\r\n";
+  HttpClient client({ .mCapturedHeader = "Store-Era" });
+  const HttpResponse got =
+    client.get("http://" + server.mUpstream.address() + "/", 5_s);
+  BOOST_TEST(got.mStatus == 412, got.describe());
+  BOOST_TEST(got.mHeader.value_or("") == "7");
+}
+
 BOOST_AUTO_TEST_CASE(a_page_cut_at_any_byte_is_an_error)
 {
   Server server;
