--- a/src/upstream/gate_report.cpp
+++ b/src/upstream/gate_report.cpp
@@ -1,7 +1,7 @@
 #include "gate_impl.h"
 
 #include "radishroad/base/json_log.h"
-#include "radishroad/upstream/header_text.h"
+#include "radishroad/http/header_text.h"
 
 #include <algorithm>
 #include <cctype>
