--- a/tests/process/platform_soak_test.cpp
+++ b/tests/process/platform_soak_test.cpp
@@ -503,6 +503,16 @@
   soak(901);
 }
 
+BOOST_AUTO_TEST_CASE(platform_seed_902)
+{
+  soak(902);
+}
+
+BOOST_AUTO_TEST_CASE(platform_seed_903)
+{
+  soak(903);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
