Count a planned stop from the signal; let running requests have all of it

Cause: the stop time was split. Hand-offs had 60%, and what they did not use was lost; requests had 40%, counted from the end of the hand-offs; the gate then waited for runs without a limit, though no connection was left for their answers. The belief was that the parts of a stop come one after the other.

Fix: StopSchedule holds the times of a stop, all counted from its request. While hand-offs go on and earlier requests run, callers are served as before. What is left then is cancelled, so that its caller gets an answer whose outcome is unknown, and the gate waits no longer. A daemon that rejoins ends by the same steps in 40% of the time, as before.

caller_hang_ups_total counts closed connections only, no longer requests that are dropped behind a last answer.

--- a/include/radishroad/base/millis.h
+++ b/include/radishroad/base/millis.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <functional>
+#include <limits>
 
 namespace radishroad {
 
@@ -13,6 +14,12 @@
 {
   std::int64_t mCount = 0;
 
+  /// A time that never comes.
+  static constexpr Millis max()
+  {
+    return { std::numeric_limits<std::int64_t>::max() };
+  }
+
   // NOLINTNEXTLINE(modernize-use-nullptr): false positive on <=>
   constexpr auto operator<=>(const Millis&) const = default;
 
--- a/include/radishroad/caller/connection.h
+++ b/include/radishroad/caller/connection.h
@@ -110,6 +110,7 @@
   bool mResetsOnClose = false;
 
   bool mCountedBusy = false;
+  std::uint64_t mBusyGeneration = 0;
   RequestReader::Phase mLastPhase = RequestReader::Phase::Idle;
   /// When the current phase of reading began.
   Millis mPhaseStartedAt;
--- a/include/radishroad/caller/server.h
+++ b/include/radishroad/caller/server.h
@@ -50,10 +50,18 @@
   Result<void> start();
   /// The listening port; 0 before start.
   std::uint16_t port() const;
+  /// Returns when the requests that are in progress at the call are answered,
+  /// or after the timeout. Others are served meanwhile.
+  void waitCurrentServed(Millis aTimeout);
   /// Refuses new connections, answers requests with "Connection: close", and
   /// closes idle connections after the grace period. Returns when no request is
   /// in progress and idle connections had time to close, or after the timeout.
   void drain(Millis aTimeout);
+  /// Waits for the answers to requests in progress. Cancels the requests that
+  /// still run after the timeout, and waits until they are answered. The
+  /// handler must refuse requests that arrive meanwhile.
+  void finish(Millis aTimeout);
+  /// Closes all connections.
   void stop();
 
 private:
--- a/include/radishroad/caller/server_context.h
+++ b/include/radishroad/caller/server_context.h
@@ -21,6 +21,8 @@
     Draining,
     /// Idle connections are closed; requests that still arrive are served.
     Closing,
+    /// Requests that still run are cancelled, so that they get an answer.
+    Cancelling,
   };
 
   ServerContext(CallerServer::Options aOptions,
@@ -36,10 +38,14 @@
 
   void connectionOpened();
   void connectionClosed();
-  /// A connection has begun to read, run or answer a request.
-  void connectionBusy();
+  /// A connection has begun to read, run or answer a request. Returns a value
+  /// for connectionIdle().
+  std::uint64_t connectionBusy();
   /// A connection is no longer reading, running or answering a request.
-  void connectionIdle();
+  void connectionIdle(std::uint64_t aGeneration);
+  /// Waits until each connection that is busy at the call has been idle; false
+  /// on timeout.
+  bool waitCurrentServed(Millis aTimeout);
   /// Waits until no connection is busy; false on timeout.
   bool waitIdle(Millis aTimeout);
   /// Waits until no connection is open; false on timeout.
@@ -51,6 +57,10 @@
   std::condition_variable mCountsChanged;
   std::int64_t mOpenConnections = 0;
   std::int64_t mBusyConnections = 0;
+  /// Grows with each call of waitCurrentServed().
+  std::uint64_t mGeneration = 0;
+  /// Busy connections that became so in an earlier generation.
+  std::int64_t mBusyFromEarlier = 0;
 };
 
 }
--- a/include/radishroad/daemon/daemon.h
+++ b/include/radishroad/daemon/daemon.h
@@ -12,6 +12,7 @@
 
 class RetryPolicy;
 struct DaemonHooks;
+struct StopSchedule;
 
 /// One incarnation of the daemon, with all its threads and the state that they
 /// share. A daemon that was removed from its cell rejoins as a new incarnation.
@@ -46,6 +47,10 @@
 
 private:
   struct Impl;
+
+  /// Lets requests that run end, and stops all threads.
+  void finish(const StopSchedule& aSchedule);
+
   std::unique_ptr<Impl> mImpl;
 };
 
--- a/include/radishroad/upstream/gate.h
+++ b/include/radishroad/upstream/gate.h
@@ -129,8 +129,10 @@
   };
   /// Thread-safe.
   Status gateStatus() const;
-  /// Returns once all queued and running requests have been answered.
-  void stop();
+  /// Returns once all queued and running requests have been answered. Those
+  /// that are left at aUntil get an answer whose outcome is unknown, or a
+  /// refusal if they were not sent.
+  void stop(Millis aUntil = Millis::max());
 
   struct Load
   {
--- a/src/caller/connection.cpp
+++ b/src/caller/connection.cpp
@@ -45,7 +45,7 @@
 CallerConnection::~CallerConnection()
 {
   if (mCountedBusy) {
-    mContext.connectionIdle();
+    mContext.connectionIdle(mBusyGeneration);
   }
   mContext.connectionClosed();
 }
@@ -221,6 +221,11 @@
 void
 CallerConnection::onClosed()
 {
+  for (const PipelinedRequest& entry : mQueue) {
+    if (entry.mCancel) {
+      mContext.mMetrics.count("radishroad_caller_hang_ups_total");
+    }
+  }
   cancelRunningRequests();
 }
 
@@ -230,7 +235,6 @@
   for (PipelinedRequest& entry : mQueue) {
     const CancelFn cancel = std::exchange(entry.mCancel, nullptr);
     if (cancel) {
-      mContext.mMetrics.count("radishroad_caller_hang_ups_total");
       cancel();
     }
   }
@@ -272,9 +276,9 @@
   }
   mCountedBusy = busy;
   if (busy) {
-    mContext.connectionBusy();
+    mBusyGeneration = mContext.connectionBusy();
   } else {
-    mContext.connectionIdle();
+    mContext.connectionIdle(mBusyGeneration);
   }
 }
 
--- a/src/caller/connection_timeouts.cpp
+++ b/src/caller/connection_timeouts.cpp
@@ -60,13 +60,16 @@
     }
     return;
   }
+  if (mContext.phase() == ServerContext::Phase::Cancelling) {
+    cancelRunningRequests();
+  }
   if (isBusy()) {
     if (!mDiscardInput && mQueue.empty() && hasTimedOut(aNow)) {
       refuseTimedOutRequest(aNow);
     }
     return;
   }
-  const bool closing = mContext.phase() == ServerContext::Phase::Closing;
+  const bool closing = mContext.phase() >= ServerContext::Phase::Closing;
   if (closing || aNow - mPhaseStartedAt > mContext.mOptions.mIdleTimeout) {
     shutDownOutput(aNow);
   }
--- a/src/caller/server.cpp
+++ b/src/caller/server.cpp
@@ -1,5 +1,6 @@
 #include "radishroad/caller/server.h"
 
+#include "radishroad/base/json_log.h"
 #include "radishroad/caller/listen_socket.h"
 #include <arpa/inet.h>
 
@@ -7,6 +8,7 @@
 #include "radishroad/caller/transport.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <pistache/listener.h>
 
 namespace radishroad {
@@ -16,6 +18,9 @@
 constexpr int kBacklog = 1024;
 /// How long a drain waits at its end for idle connections to close.
 constexpr Millis kIdleCloseTimeout{ 500 };
+/// How long the answers to cancelled requests are waited for. Connections learn
+/// of a phase at their next tick.
+constexpr Millis kCancelTimeout{ 400 };
 
 }
 
@@ -84,6 +89,12 @@
            : 0;
 }
 
+void
+CallerServer::waitCurrentServed(Millis aTimeout)
+{
+  mImpl->mContext->waitCurrentServed(std::max(aTimeout, Millis{ 0 }));
+}
+
 void
 CallerServer::drain(Millis aTimeout)
 {
@@ -105,6 +116,21 @@
   context.waitClosed(std::min(left, kIdleCloseTimeout));
 }
 
+void
+CallerServer::finish(Millis aTimeout)
+{
+  ServerContext& context = *mImpl->mContext;
+  if (context.waitIdle(std::max(aTimeout, Millis{ 0 }))) {
+    return;
+  }
+  context.setPhase(ServerContext::Phase::Cancelling);
+  if (!context.waitIdle(kCancelTimeout)) {
+    logEvent(LogLevel::Warn,
+             "caller_requests_unanswered",
+             { { "listen_address", context.mOptions.mListenAddress } });
+  }
+}
+
 void
 CallerServer::stop()
 {
--- a/src/caller/server_context.cpp
+++ b/src/caller/server_context.cpp
@@ -32,21 +32,34 @@
   mCountsChanged.notify_all();
 }
 
-void
+std::uint64_t
 ServerContext::connectionBusy()
 {
   std::lock_guard<std::mutex> lock(mMutex);
   ++mBusyConnections;
+  return mGeneration;
 }
 
 void
-ServerContext::connectionIdle()
+ServerContext::connectionIdle(std::uint64_t aGeneration)
 {
   std::lock_guard<std::mutex> lock(mMutex);
   --mBusyConnections;
+  mBusyFromEarlier -= aGeneration < mGeneration ? 1 : 0;
   mCountsChanged.notify_all();
 }
 
+bool
+ServerContext::waitCurrentServed(Millis aTimeout)
+{
+  std::unique_lock<std::mutex> lock(mMutex);
+  ++mGeneration;
+  mBusyFromEarlier = mBusyConnections;
+  return mCountsChanged.wait_for(lock,
+                                 std::chrono::milliseconds(aTimeout.mCount),
+                                 [this] { return mBusyFromEarlier == 0; });
+}
+
 bool
 ServerContext::waitIdle(Millis aTimeout)
 {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,6 +1,7 @@
 #include "radishroad/daemon/daemon.h"
 
 #include "radishroad/base/json_log.h"
+#include "radishroad/policy/stop_schedule.h"
 
 #include "daemon_impl.h"
 
@@ -15,9 +16,9 @@
 /// How often run() checks whether this incarnation has to end.
 constexpr Millis kStopPollInterval{ 100 };
 constexpr std::chrono::milliseconds kDrainPollInterval{ 20 };
-/// Percentage of the planned stop time for hand-offs; the rest is for callers'
-/// requests that still run.
-constexpr std::int64_t kHandoffPercent = 60;
+/// Percentage of the planned stop time for the end of an incarnation that was
+/// removed: callers get no new connections meanwhile.
+constexpr std::int64_t kRejoinPercent = 40;
 
 }
 
@@ -36,7 +37,7 @@
 {
   const Result<void> started = mImpl->start();
   if (!started) {
-    mImpl->stop();
+    mImpl->stop(monotonicNow());
     return tl::unexpected<Error>(started.error());
   }
   logEvent(LogLevel::Info,
@@ -46,25 +47,36 @@
   while (!stopRequested && !mImpl->mRemoved) {
     stopRequested = aWaitForStop(kStopPollInterval);
   }
-  const ExitReason exitReason =
-    stopRequested ? ExitReason::Stopped : ExitReason::Rejoin;
-  if (exitReason == ExitReason::Stopped) {
-    logEvent(LogLevel::Info, "stopping", nlohmann::json::object());
-    mImpl->mLeaveRequested = true;
-    mImpl->mLoop.post([this] { mImpl->mLoop.scheduleImmediateTick(); });
-    const Millis limit =
-      monotonicNow() + mImpl->mSettings.stopTime() * kHandoffPercent / 100;
-    while (!mImpl->drained() && monotonicNow() < limit) {
-      std::this_thread::sleep_for(kDrainPollInterval);
-    }
-  }
   const Millis stopTime = mImpl->mSettings.stopTime();
-  mImpl->mCallerServer.drain(stopTime - stopTime * kHandoffPercent / 100);
-  mImpl->stop();
+  if (!stopRequested) {
+    finish(StopSchedule::make(monotonicNow(), stopTime * kRejoinPercent / 100));
+    logEvent(LogLevel::Info, "rejoin", nlohmann::json::object());
+    return ExitReason::Rejoin;
+  }
+  const Millis requestedAt = monotonicNow();
+  const StopSchedule schedule = StopSchedule::make(requestedAt, stopTime);
+  logEvent(LogLevel::Info, "stopping", nlohmann::json::object());
+  mImpl->mLeaveRequested = true;
+  mImpl->mLoop.post([this] { mImpl->mLoop.scheduleImmediateTick(); });
+  while (!mImpl->drained() && monotonicNow() < schedule.mHandoffsUntil) {
+    std::this_thread::sleep_for(kDrainPollInterval);
+  }
+  // While earlier requests keep the process, it serves new callers too.
+  mImpl->mCallerServer.waitCurrentServed(schedule.mHandoffsUntil -
+                                         monotonicNow());
+  finish(schedule);
   logEvent(LogLevel::Info,
-           exitReason == ExitReason::Stopped ? "stop" : "rejoin",
-           nlohmann::json::object());
-  return exitReason;
+           "stop",
+           { { "took_ms", (monotonicNow() - requestedAt).mCount } });
+  return ExitReason::Stopped;
+}
+
+void
+Daemon::finish(const StopSchedule& aSchedule)
+{
+  mImpl->mCallerServer.drain(aSchedule.mAnswersUntil - monotonicNow());
+  mImpl->mCallerServer.finish(aSchedule.mAnswersUntil - monotonicNow());
+  mImpl->stop(aSchedule.mAnswersUntil);
 }
 
 }
--- a/src/daemon/daemon_impl.cpp
+++ b/src/daemon/daemon_impl.cpp
@@ -171,7 +171,7 @@
 }
 
 void
-Daemon::Impl::stop()
+Daemon::Impl::stop(Millis aUntil)
 {
   mCallerServer.stop();
   for (CallerServer* server : { mReportServer.get(), mReadinessServer.get() }) {
@@ -180,7 +180,7 @@
     }
   }
   mAdmin.stop();
-  mGate->stop();
+  mGate->stop(aUntil);
   // Followers post to the loop, and the loop adds followers. Once the loop has
   // stopped, blocked posts return and no follower is added.
   mLoop.stop();
--- a/src/daemon/daemon_impl.h
+++ b/src/daemon/daemon_impl.h
@@ -54,7 +54,8 @@
        DaemonHooks aHooks);
 
   Result<void> start();
-  void stop();
+  /// aUntil: running requests are not waited for after this time.
+  void stop(Millis aUntil);
   /// True once a planned stop may go on: the daemon has left its cell, or no
   /// member can take over.
   bool drained();
--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -136,9 +136,10 @@
 }
 
 void
-Gate::stop()
+Gate::stop(Millis aUntil)
 {
   Impl& impl = *mImpl;
+  impl.mStopUntil = aUntil;
   impl.mStopping = true;
   // Requests pushed after this are refused; those pushed before are answered.
   impl.mSubmitted.close();
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -133,6 +133,8 @@
   void refuseMoved();
   /// Refuses requests that are left when the thread has ended or never ran.
   void refuseSubmitted();
+  /// At the end of the time to stop: answers all requests that are left.
+  void abandonAll();
   void completePauses();
   Millis nextWake(Millis aNow);
   bool finished() const;
@@ -360,6 +362,8 @@
   BoundedQueue<QueuedRequest> mSubmitted;
   std::atomic<std::uint32_t> mQueuedCount{ 0 };
   std::atomic<bool> mStopping{ false };
+  /// While stopping: time after which no running request is waited for.
+  std::atomic<Millis> mStopUntil{ Millis::max() };
   LoadCounter mLoad;
   std::atomic<std::uint32_t> mInFlight{ 0 };
   std::atomic<bool> mPublishedHealthy{ false };
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -1,6 +1,9 @@
 #include "gate_impl.h"
 
+#include "radishroad/base/json_log.h"
+
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace radishroad {
 
@@ -48,6 +51,10 @@
   while (!finished()) {
     const Millis now = mHooks.mNow();
     processInbox();
+    if (mStopping && now >= mStopUntil.load()) {
+      abandonAll();
+      break;
+    }
     // Before any I/O, since the thread may have been suspended for long.
     checkRuns(now);
     checkPendingAges(now);
@@ -294,6 +301,19 @@
   }
 }
 
+void
+Gate::Impl::abandonAll()
+{
+  logEvent(LogLevel::Warn,
+           "gate_stopped_early",
+           { { "running", mRuns.size() },
+             { "queued", mQueue.size() },
+             { "pauses", mPendingPauses.size() } });
+  while (!mRuns.empty()) {
+    abandon(mRuns.begin()->first, NotRunReason::Draining);
+  }
+}
+
 void
 Gate::Impl::completePauses()
 {
@@ -361,6 +381,9 @@
   if (!mProbeInFlight) {
     next = std::min(next, mHealth.nextProbe());
   }
+  if (mStopping) {
+    next = std::min(next, mStopUntil.load());
+  }
   // Events that are already due were handled in this iteration; sleeping at
   // least 1 ms avoids a busy loop.
   return std::max(Millis{ 1 }, next - aNow);
--- a/tests/process/support/platform_site.cpp
+++ b/tests/process/support/platform_site.cpp
@@ -89,6 +89,8 @@
       options.mSend = aSend;
       options.mTokenPrefix = service.mTokenPrefix;
       options.mRefuses = aRefuses;
+      options.mSlots = service.mSlots;
+      options.mRunTime = service.mRunTime;
       vm.mUpstream = std::make_unique<PlatformUpstream>(std::move(options));
       mVms.push_back(std::move(vm));
     }
@@ -100,22 +102,26 @@
 {
   nlohmann::json routes = nlohmann::json::array();
   nlohmann::json services = nlohmann::json::array();
-  const auto addRoute = [&](const std::string& aService,
-                            const std::string& aPath,
-                            const char* aKind) {
-    routes.push_back({ aService + aPath,
-                       "shop.example",
-                       "/" + aService + aPath,
-                       aKind,
-                       2000,
-                       400,
-                       1,
-                       aService,
-                       2 });
-  };
+  const auto addRoute =
+    [&](const Service& aService, const std::string& aPath, const char* aKind) {
+      routes.push_back({ aService.mName + aPath,
+                         "shop.example",
+                         "/" + aService.mName + aPath,
+                         aKind,
+                         aService.mTimeout.mCount,
+                         400,
+                         1,
+                         aService.mName,
+                         2 });
+    };
   for (const Service& service : aServices) {
-    addRoute(service.mName, "/", "idempotent");
-    addRoute(service.mName, "/once/", "non_idempotent");
+    addRoute(service, "/", "idempotent");
+    addRoute(service, "/once/", "non_idempotent");
+    for (const std::string& path : service.mRoutes) {
+      addRoute(service,
+               path,
+               path.ends_with("/once/") ? "non_idempotent" : "idempotent");
+    }
     const char* grants = service.mGrantsByReport ? "heartbeat" : "call";
     services.push_back(
       { service.mName, "/healthz", 130, 3.0, 1000.0, service.mKeyed, grants });
@@ -161,7 +167,7 @@
     { "InternalPorts.0", std::to_string(kOperators) },
     { "LocalApp", aVm.mUpstream->address() },
     { "Platform.Address", mStore.address() },
-    { "Bounds.GraceS", "6" },
+    { "Bounds.GraceS", std::to_string(kGraceTime.mCount / 1000) },
     { "Bounds.DrainMs", "2000" },
     { "Bounds.HoldMaxMs", "10000" },
     { "Bounds.EvacuateMs", std::to_string(kZoneOutTime.mCount) },
--- a/tests/process/support/platform_site.h
+++ b/tests/process/support/platform_site.h
@@ -26,6 +26,12 @@
     bool mGrantsByReport = false;
     int mVms = 3;
     std::string mTokenPrefix = "t";
+    /// Paths of routes beside "/" and "/once/"; those that end in "/once/" are
+    /// not idempotent.
+    std::vector<std::string> mRoutes = {};
+    Millis mTimeout{ 2000 };
+    int mSlots = 9;
+    PlatformUpstream::RunTimeFn mRunTime = {};
   };
 
   /// A daemon with the upstream beside it.
@@ -45,6 +51,8 @@
   static constexpr int kZones = 3;
   /// Time within which a zone must be out of service.
   static constexpr Millis kZoneOutTime{ 5000 };
+  /// Time from SIGTERM until a daemon would be killed.
+  static constexpr Millis kGraceTime{ 6000 };
 
   /// Zones are z1 to z3, by turns. All requests to a service have the path
   /// prefix /NAME/; those with /NAME/once/ are not idempotent.
--- a/tests/process/support/platform_upstream.cpp
+++ b/tests/process/support/platform_upstream.cpp
@@ -13,7 +13,7 @@
 constexpr std::chrono::milliseconds kReportInterval(300);
 /// A report while released keys still have running work.
 constexpr std::chrono::milliseconds kReleaseReportInterval(50);
-constexpr int kSlots = 9;
+constexpr Millis kDefaultRunTime{ 15 };
 constexpr std::size_t kBodyBytes = 600;
 
 UpstreamAnswer
@@ -187,13 +187,19 @@
     answer.mHeaders.push_back("X-Instance-Id: i-" + mOptions.mVm);
     return mOptions.mSend ? mOptions.mSend(answer) : plainReply(answer);
   }
-  mRuns.push_back({ id, mOptions.mVm, monotonicNow() });
+  const bool isTimed = mOptions.mRunTime != nullptr;
+  const Millis runTime =
+    isTimed ? mOptions.mRunTime(aRequest.mTarget) : kDefaultRunTime;
+  const Millis deadline =
+    isTimed ? Millis{ std::stoll("0" + headerOf(aRequest, "x-deadline-ms")) }
+            : Millis::max();
+  mRuns.push_back({ id, mOptions.mVm, monotonicNow(), runTime, deadline });
   if (key != nullptr) {
     ++key->mRunning;
   }
   lock.unlock();
   std::this_thread::sleep_for(
-    std::chrono::milliseconds(mOptions.mRunTime.mCount));
+    std::chrono::milliseconds(std::min(runTime, deadline).mCount));
   lock.lock();
   if (key != nullptr) {
     --key->mRunning;
@@ -202,7 +208,11 @@
   mChanged.notify_all();
   answer.mIsRun = true;
   answer.mHeaders.push_back("X-Upstream-Signature: s-" + id);
-  answer.mHeaders.push_back("X-Upstream-Load: 1,0," + std::to_string(kSlots));
+  answer.mHeaders.push_back("X-Upstream-Load: 1,0," +
+                            std::to_string(mOptions.mSlots));
+  if (runTime > deadline) {
+    answer.mStatus = "504 Gateway Timeout";
+  }
   answer.mBody = bodyOf(id);
   return mOptions.mSend ? mOptions.mSend(answer) : plainReply(answer);
 }
@@ -257,7 +267,7 @@
       { { "Service", mOptions.mService },
         { "Version", "v1" },
         { "Zone", mOptions.mZone },
-        { "Slots", kSlots } } },
+        { "Slots", mOptions.mSlots } } },
     { "Status",
       { { "State", "ready" }, { "Seq", ++mSequence }, { "WarmupLeftMs", 0 } } }
   };
--- a/tests/process/support/platform_upstream.h
+++ b/tests/process/support/platform_upstream.h
@@ -44,6 +44,9 @@
   std::string mRequestId;
   std::string mVm;
   Millis mAt;
+  /// How long the upstream works on it, and the time that it was given.
+  Millis mRunTime;
+  Millis mDeadline;
 };
 
 /// An upstream that speaks the platform's protocol: it reports to the daemon
@@ -58,6 +61,8 @@
   /// threads.
   using RefusesFn = std::function<bool(const std::string& aRequestId)>;
 
+  using RunTimeFn = std::function<Millis(const std::string& aTarget)>;
+
   struct Options
   {
     std::string mVm;
@@ -68,7 +73,9 @@
     /// Address of the daemon's listener for reports.
     std::uint32_t mReportIp = 0;
     std::uint16_t mReportPort = 0;
-    Millis mRunTime{ 15 };
+    /// By the request's target; 15 ms by default.
+    RunTimeFn mRunTime;
+    int mSlots = 9;
     SendFn mSend;
     /// Handover tokens begin with this.
     std::string mTokenPrefix = "t";
