Take no request that cannot end before the process does

What callers saw: requests that came late in a planned stop were taken and passed on, and cut at the end of the time to stop without an answer, among them such that may not be repeated (LOST; reported by another operator).

Cause: a stopping daemon and the gate beside the upstream took each request as before, whatever time was left. The belief was that what is taken in time ends in time. The upstream was told the caller's deadline, which may lie behind the end of the process.

Evidence: planned_stop/late_requests_*, work of 0.5 to 8 s, sent at each half second of the stop, on new and on kept connections, idempotent and not.

Fix: from the signal on, a request is taken if its deadline lies before the time until which upstreams may work, or if the longest time that its kind took lately does, with a margin. Others are refused at once as not run, with the time until which the process is gone. The daemon that took a request decides this for each attempt, and the gate for all that waits at the upstream, also for requests from other daemons, which then try another owner. As work may take longer than before, upstreams are told no later deadline than that time (work_left_ms in peers' frames): their own answer still comes in time. A connection counts as busy before its request starts, so that a stop cannot miss it.

--- a/include/radishroad/daemon/ingress.h
+++ b/include/radishroad/daemon/ingress.h
@@ -3,7 +3,9 @@
 
 #include "radishroad/base/metrics.h"
 #include "radishroad/base/millis.h"
+#include "radishroad/policy/longest_run_times.h"
 #include "radishroad/policy/notice_cache.h"
+#include "radishroad/policy/stop_schedule.h"
 #include "radishroad/policy/token_cache.h"
 #include "radishroad/policy/upstream_selector.h"
 #include "radishroad/request/caller_headers.h"
@@ -12,6 +14,8 @@
 
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <string>
 
 namespace radishroad {
@@ -81,6 +85,10 @@
   bool mayRunConcurrently(const CallerRequest& aRequest) const;
   /// Returns a function that cancels the request.
   CancelFn handle(CallerRequest aRequest, AnswerFn aAnswer);
+  /// From now on requests that will not end in time are refused as not
+  /// executed, and upstreams get no more time than is left. May be called again
+  /// with earlier times.
+  void beginStop(const StopSchedule& aSchedule);
 
 private:
   struct PendingRequest;
@@ -113,6 +121,7 @@
   /// attempt is left.
   bool consumeAttempt(PendingRequest& aPending) const;
   void recordAnswer(const PendingRequest& aPending, const Answer& aAnswer);
+  void recordRunTime(const PendingRequest& aPending, const Answer& aAnswer);
   /// Remembers what an upstream says about itself. Called before the answer is
   /// passed on.
   void recordNotice(const PendingRequest& aPending, const Answer& aAnswer);
@@ -124,6 +133,9 @@
   /// withdrawn while the request waits.
   NotRunReason checkCallerKey(const ForwardRequest& aRequest,
                               const FleetView& aView) const;
+  /// While stopping, refuses a request that will not end in time; true if it
+  /// did.
+  bool refuseUnfinishable(const PendingRequestPtr& aPending);
   void admit(const PendingRequestPtr& aPending);
   void refuseRateLimited(const PendingRequestPtr& aPending);
   void cancelTokenWait(const PendingRequestPtr& aPending);
@@ -143,6 +155,10 @@
   Timer& mTimer;
   Metrics& mMetrics;
   Hooks mHooks;
+  mutable std::mutex mStopMutex;
+  std::optional<StopSchedule> mStop;
+  /// Of attempts, as seen here.
+  LongestRunTimes mRunTimes;
   std::mutex mNoticeMutex;
   NoticeCache mNotices;
   std::mutex mSelectorMutex;
--- a/include/radishroad/upstream/gate.h
+++ b/include/radishroad/upstream/gate.h
@@ -20,6 +20,7 @@
 namespace radishroad {
 
 struct QueuedRequest;
+struct StopSchedule;
 
 /// Whether this daemon may serve a key now. The gate checks this immediately
 /// before it writes a request to the upstream.
@@ -129,6 +130,9 @@
   };
   /// Thread-safe.
   Status gateStatus() const;
+  /// Thread-safe. From now on requests that will not end in time are refused,
+  /// and the upstream gets no more time than is left.
+  void beginStop(const StopSchedule& aSchedule);
   /// Returns once all queued and running requests have been answered. Those
   /// that are left at aUntil get an answer whose outcome is unknown, or a
   /// refusal if they were not sent.
--- a/include/radishroad/upstream/queued_request.h
+++ b/include/radishroad/upstream/queued_request.h
@@ -19,6 +19,8 @@
   std::string mDeduplicationKey;
   /// Monotonic time at which the request expires.
   Millis mDeadline;
+  /// The upstream may work on it until then; at most mDeadline.
+  Millis mWorkUntil;
   /// Earliest time of the next attempt, for example after a failed connection
   /// or while the lease has lapsed.
   Millis mNotBefore;
--- a/src/caller/connection.cpp
+++ b/src/caller/connection.cpp
@@ -58,6 +58,8 @@
   }
   mReader.feed(aBytes);
   readRequests(aNow);
+  // Before a request starts, so that a stop waits for it.
+  updateBusyCount();
   processQueue(aNow);
   updateBusyCount();
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -49,13 +49,17 @@
   }
   const Millis stopTime = mImpl->mSettings.stopTime();
   if (!stopRequested) {
-    finish(StopSchedule::make(monotonicNow(), stopTime * kRejoinPercent / 100));
+    const StopSchedule schedule =
+      StopSchedule::make(monotonicNow(), stopTime * kRejoinPercent / 100);
+    mImpl->beginStop(schedule);
+    finish(schedule);
     logEvent(LogLevel::Info, "rejoin", nlohmann::json::object());
     return ExitReason::Rejoin;
   }
   const Millis requestedAt = monotonicNow();
   const StopSchedule schedule = StopSchedule::make(requestedAt, stopTime);
   logEvent(LogLevel::Info, "stopping", nlohmann::json::object());
+  mImpl->beginStop(schedule);
   mImpl->mLeaveRequested = true;
   mImpl->mLoop.post([this] { mImpl->mLoop.scheduleImmediateTick(); });
   while (!mImpl->drained() && monotonicNow() < schedule.mHandoffsUntil) {
@@ -75,6 +79,8 @@
 Daemon::finish(const StopSchedule& aSchedule)
 {
   mImpl->mCallerServer.drain(aSchedule.mAnswersUntil - monotonicNow());
+  // All that arrives from now on is refused.
+  mImpl->mIngress.beginStop(StopSchedule::make(monotonicNow(), {}));
   mImpl->mCallerServer.finish(aSchedule.mAnswersUntil - monotonicNow());
   mImpl->stop(aSchedule.mAnswersUntil);
 }
--- a/src/daemon/daemon_impl.cpp
+++ b/src/daemon/daemon_impl.cpp
@@ -170,6 +170,13 @@
   return mCallerServer.start();
 }
 
+void
+Daemon::Impl::beginStop(const StopSchedule& aSchedule)
+{
+  mIngress.beginStop(aSchedule);
+  mGate->beginStop(aSchedule);
+}
+
 void
 Daemon::Impl::stop(Millis aUntil)
 {
--- a/src/daemon/daemon_impl.h
+++ b/src/daemon/daemon_impl.h
@@ -54,6 +54,8 @@
        DaemonHooks aHooks);
 
   Result<void> start();
+  /// From now on requests that will not end in time are refused.
+  void beginStop(const StopSchedule& aSchedule);
   /// aUntil: running requests are not waited for after this time.
   void stop(Millis aUntil);
   /// True once a planned stop may go on: the daemon has left its cell, or no
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -83,6 +83,13 @@
   aTo.body.assign(aFrom.mBody.begin(), aFrom.mBody.end());
 }
 
+/// Identifies requests that take similar times.
+std::uint32_t
+runKind(const ForwardRequest& aRequest)
+{
+  return static_cast<std::uint32_t>(hash64(aRequest.service)) ^ aRequest.kind;
+}
+
 /// Whether a later attempt may succeed, since the key is changing its owner or
 /// is not served at present.
 bool
@@ -192,6 +199,38 @@
   return mHooks.mConfigFresh() ? NotRunReason::None : NotRunReason::NoOwner;
 }
 
+void
+Ingress::beginStop(const StopSchedule& aSchedule)
+{
+  const std::lock_guard<std::mutex> lock(mStopMutex);
+  mStop = aSchedule;
+}
+
+bool
+Ingress::refuseUnfinishable(const PendingRequestPtr& aPending)
+{
+  const Millis now = mHooks.mNow();
+  Millis retryAfter;
+  {
+    const std::lock_guard<std::mutex> lock(mStopMutex);
+    const bool isTaken =
+      !mStop || mRunTimes.willEndBy(mStop->mWorkUntil,
+                                    aPending->mDeadline,
+                                    runKind(aPending->mRequest),
+                                    now);
+    if (isTaken) {
+      return false;
+    }
+    // The next process on this VM starts no later.
+    retryAfter = std::max(kUnservedRetryAfter, mStop->mAnswersUntil - now);
+  }
+  mMetrics.count("radishroad_stop_refusals_total");
+  finish(aPending,
+         makeNotRunAnswer(
+           idOf(aPending->mRequest), NotRunReason::Draining, retryAfter));
+  return true;
+}
+
 void
 Ingress::admit(const PendingRequestPtr& aPending)
 {
@@ -200,6 +239,10 @@
     finishCancelled(aPending);
     return;
   }
+  if (refuseUnfinishable(aPending)) {
+    cancelTokenWait(aPending);
+    return;
+  }
   if (aPending->mRateExempt) {
     send(aPending);
     return;
@@ -264,6 +307,9 @@
       makeNotRunAnswer(idOf(aPending->mRequest), reason, kRetryAfterOutage));
     return;
   }
+  if (refuseUnfinishable(aPending)) {
+    return;
+  }
   const std::shared_ptr<const FleetView> view = mViews.get();
   const NotRunReason reason = checkCallerKey(aPending->mRequest, *view);
   if (reason == NotRunReason::NoOwner) {
@@ -303,8 +349,17 @@
 {
   const Millis now = mHooks.mNow();
   ForwardRequest request = aPending.mRequest;
-  request.time_left_ms =
-    (aPending.mDeadline - now - kAnswerTransmissionMargin).mCount;
+  Millis deadline = aPending.mDeadline;
+  {
+    const std::lock_guard<std::mutex> lock(mStopMutex);
+    if (mStop && deadline > mStop->mWorkUntil) {
+      // The upstream gives up before this daemon does, so that the caller gets
+      // its answer.
+      request.work_left_ms = (mStop->mWorkUntil - now).mCount;
+      deadline = std::min(deadline, mStop->mAnswersUntil);
+    }
+  }
+  request.time_left_ms = (deadline - now - kAnswerTransmissionMargin).mCount;
   request.config_version = aView.mConfigVersion;
   const bool hasObjective = aPending.mObjectiveAt != aPending.mDeadline;
   const Millis left = std::max(
@@ -325,6 +380,7 @@
     this->onAnswer(aPending, std::move(aAnswer));
   };
   const std::lock_guard<std::mutex> lock(aPending->mAttemptMutex);
+  aPending->mSentAt = mHooks.mNow();
   aPending->mSentTo = aOwner.mIncarnation;
   aPending->mPeerAddress = aOwner.mPeerAddress;
   aPending->mSentToVm = aOwner.mVm;
@@ -363,6 +419,7 @@
 {
   recordNotice(*aPending, aAnswer);
   recordAnswer(*aPending, aAnswer);
+  recordRunTime(*aPending, aAnswer);
   if (aPending->mCancelled) {
     finish(aPending, std::move(aAnswer));
     return;
@@ -408,6 +465,19 @@
   finish(aPending, std::move(aAnswer));
 }
 
+void
+Ingress::recordRunTime(const PendingRequest& aPending, const Answer& aAnswer)
+{
+  const bool hasRun = aAnswer.kind == AnswerKind::Answered ||
+                      (aAnswer.kind == AnswerKind::Unknown &&
+                       aAnswer.reason == NotRunReason::DeadlinePassed);
+  if (hasRun) {
+    const Millis now = mHooks.mNow();
+    const std::lock_guard<std::mutex> lock(mStopMutex);
+    mRunTimes.add(runKind(aPending.mRequest), now - aPending.mSentAt, now);
+  }
+}
+
 void
 Ingress::recordNotice(const PendingRequest& aPending, const Answer& aAnswer)
 {
--- a/src/daemon/ingress_pending_request.h
+++ b/src/daemon/ingress_pending_request.h
@@ -43,6 +43,8 @@
   /// Held while an attempt is dispatched, so that its cancellation cannot
   /// overtake it.
   std::mutex mAttemptMutex;
+  /// When the last attempt was sent.
+  Millis mSentAt;
   /// Daemon to which the last attempt was sent; 0 before the first.
   Incarnation mSentTo = 0;
   std::string mPeerAddress;
--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -43,6 +43,9 @@
   queued.mDeadline = aNow + Millis{ aRequest.time_left_ms };
   queued.mQueuedAt = aNow;
   queued.mKeyWaitUntil = aNow + maxKeyWait(aRequest);
+  queued.mWorkUntil = aRequest.work_left_ms > 0
+                        ? aNow + Millis{ aRequest.work_left_ms }
+                        : queued.mDeadline;
   queued.mRequest = std::move(aRequest);
   queued.mAnswer = std::move(aAnswer);
   return queued;
@@ -135,6 +138,12 @@
   });
 }
 
+void
+Gate::beginStop(const StopSchedule& aSchedule)
+{
+  mImpl->post([impl = mImpl.get(), aSchedule] { impl->mStop = aSchedule; });
+}
+
 void
 Gate::stop(Millis aUntil)
 {
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -8,9 +8,11 @@
 #include "radishroad/policy/concurrency_window.h"
 #include "radishroad/policy/connection_pacer.h"
 #include "radishroad/policy/deduplication_cache.h"
+#include "radishroad/policy/longest_run_times.h"
 #include "radishroad/policy/named_limit.h"
 #include "radishroad/policy/retry_budget.h"
 #include "radishroad/policy/run_time_estimator.h"
+#include "radishroad/policy/stop_schedule.h"
 #include "radishroad/upstream/exchange_runner.h"
 #include "radishroad/upstream/gate.h"
 #include "radishroad/upstream/health_tracker.h"
@@ -131,6 +133,10 @@
   void refuseBeyondLimit(Millis aNow);
   /// Refuses queued requests whose key has moved to another owner.
   void refuseMoved();
+  /// While stopping, refuses queued requests that will not end in time.
+  void refuseUnfinishable(Millis aNow);
+  /// Time until which the upstream may work on the request.
+  Millis workUntil(const QueuedRequest& aQueued) const;
   /// Refuses requests that are left when the thread has ended or never ran.
   void refuseSubmitted();
   /// At the end of the time to stop: answers all requests that are left.
@@ -348,6 +354,8 @@
   Millis mLimitUseFrom;
   std::uint32_t mSlots = kDefaultSlots;
   RunTimeEstimator mRunTimes;
+  LongestRunTimes mLongestRunTimes;
+  std::optional<StopSchedule> mStop;
   double mSlowness = 1;
   Millis mSlownessAt;
   std::uint64_t mNextQueueId = 1;
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -58,6 +58,7 @@
     // Before any I/O, since the thread may have been suspended for long.
     checkRuns(now);
     checkPendingAges(now);
+    refuseUnfinishable(now);
     expireQueued(now);
     sendCancels(now);
     checkReportAge(now);
@@ -220,7 +221,7 @@
   const bool down = !mHealth.healthy();
   std::vector<QueuedRequest> late =
     mQueue.removeIf([this, aNow](const QueuedRequest& aQueued) {
-      return aNow >= latestSendTime(aQueued);
+      return aNow >= std::min(latestSendTime(aQueued), aQueued.mWorkUntil);
     });
   for (QueuedRequest& queued : late) {
     refuse(queued,
@@ -269,6 +270,29 @@
   return aQueued.mDeadline - need;
 }
 
+Millis
+Gate::Impl::workUntil(const QueuedRequest& aQueued) const
+{
+  return mStop ? std::min(aQueued.mWorkUntil, mStop->mWorkUntil)
+               : aQueued.mWorkUntil;
+}
+
+void
+Gate::Impl::refuseUnfinishable(Millis aNow)
+{
+  if (!mStop) {
+    return;
+  }
+  std::vector<QueuedRequest> unfinishable =
+    mQueue.removeIf([this, aNow](const QueuedRequest& aQueued) {
+      return !mLongestRunTimes.willEndBy(
+        mStop->mWorkUntil, aQueued.mWorkUntil, aQueued.mRequest.kind, aNow);
+    });
+  for (QueuedRequest& queued : unfinishable) {
+    refuse(queued, NotRunReason::Draining);
+  }
+}
+
 void
 Gate::Impl::refuseMoved()
 {
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -162,13 +162,14 @@
   const ForwardRequest& request = run.mQueued.mRequest;
   run.mEndTime = std::min(run.mQueued.mDeadline, now + mService.mRunLimit);
   const Millis left = run.mEndTime - now;
+  const Millis workLeft = std::min(left, workUntil(run.mQueued) - now);
   UpstreamRequest upstream;
   upstream.mUpstream = mOptions.mUpstream;
   upstream.mPurpose = kRunPurpose;
   upstream.mMethod = request.method;
   upstream.mTarget = request.target;
   upstream.mHeaderLines = mOptions.mProtocol.mHeaderLines(
-    request, mAppliedReport.mInstance, run.mEpoch, left);
+    request, mAppliedReport.mInstance, run.mEpoch, workLeft);
   upstream.mBody = request.body;
   upstream.mTimeout = left + kTimeoutMargin;
   upstream.mMaxIdle = request.idempotent ? kMaxIdle : kMaxIdleNotIdempotent;
@@ -196,7 +197,7 @@
   const bool served =
     decision.mRefusal == NotRunReason::None && decision.mEpoch == run.mEpoch;
   const Millis now = mHooks.mNow();
-  const bool inTime = now < run.mEndTime;
+  const bool inTime = now < std::min(run.mEndTime, workUntil(run.mQueued));
   run.mSendDenied = !served || !inTime || isShardPaused(request.shard) ||
                     !holdsKey(request, run.mEpoch) || isDrainOver(now);
   run.mServeUntil = decision.mServeUntil;
@@ -313,6 +314,7 @@
   const Millis took = now - aRun.mSentAt;
   mWindow.onAnswer(took, aRun.mInFlight, now);
   mRunTimes.addRun(queued.mRequest.kind, took, slowness(now));
+  mLongestRunTimes.add(queued.mRequest.kind, took, now);
   if (protocol.mPushesReports) {
     // The upstream still runs, so earlier failures were lost connections, not
     // crashes.
@@ -384,6 +386,7 @@
   const Millis now = mHooks.mNow();
   if (aReason == NotRunReason::DeadlinePassed) {
     mWindow.onTimeout(now - run.mSentAt, now);
+    mLongestRunTimes.add(run.mQueued.mRequest.kind, now - run.mSentAt, now);
   }
   trackAbandoned(run, now);
   Answer unknown = makeUnknownAnswer(idOf(run.mQueued.mRequest));
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -348,6 +348,28 @@
   stop.check();
 }
 
+// LOST: requests that a stopping daemon took late were cut at its end.
+BOOST_AUTO_TEST_CASE(late_requests_are_answered_or_refused_at_once)
+{
+  Stop stop("planned_stop_late", false);
+  stop.run(Handoffs::Fast, kLastMoment);
+  stop.check();
+}
+
+BOOST_AUTO_TEST_CASE(late_requests_are_answered_or_refused_with_slow_handoffs)
+{
+  Stop stop("planned_stop_late_slow", true);
+  stop.run(Handoffs::Slow, kLastMoment);
+  stop.check();
+}
+
+BOOST_AUTO_TEST_CASE(late_requests_are_answered_or_refused_without_handoffs)
+{
+  Stop stop("planned_stop_late_no_store", true);
+  stop.run(Handoffs::Impossible, kLastMoment);
+  stop.check();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/tests/unit/caller_server_test.cpp
+++ b/tests/unit/caller_server_test.cpp
@@ -688,6 +688,42 @@
   drainer.join();
 }
 
+// LOST: connections of requests at work were closed without an answer.
+BOOST_AUTO_TEST_CASE(requests_at_work_are_answered_when_time_is_up)
+{
+  Fixture fixture;
+  RawClient client(fixture.port());
+  client.send(get("/a"));
+  ReceivedRequest received = fixture.take();
+  std::thread finisher([&fixture] { fixture.mServer.finish(100_ms); });
+  BOOST_TEST(fixture.mCancelledTargets.pop(kWaitTimeout).value() == "/a");
+  received.mAnswer(makeUnknownAnswer(received.mRequest.mId));
+  BOOST_TEST(client.receive().value().mStatus == 502);
+  finisher.join();
+}
+
+BOOST_AUTO_TEST_CASE(others_are_served_while_current_requests_are_waited_for)
+{
+  Fixture fixture;
+  RawClient early(fixture.port());
+  early.send(get("/early"));
+  ReceivedRequest first = fixture.take();
+  std::atomic<bool> served{ false };
+  std::thread waiter([&fixture, &served] {
+    fixture.mServer.waitCurrentServed(kWaitTimeout);
+    served = true;
+  });
+  RawClient late(fixture.port());
+  late.send(get("/late"));
+  fixture.take().mAnswer(answerWith("late"));
+  const std::optional<RawResponse> response = late.receive();
+  BOOST_TEST(response.value().field("Connection") == "keep-alive");
+  BOOST_TEST(!served.load());
+  first.mAnswer(answerWith("early"));
+  BOOST_TEST(early.receive().value().mBody == "early");
+  waiter.join();
+}
+
 BOOST_AUTO_TEST_CASE(closing_cancels_only_unanswered_requests)
 {
   Fixture fixture;
--- a/tests/unit/gate_test.cpp
+++ b/tests/unit/gate_test.cpp
@@ -1,4 +1,5 @@
 #include "gate_fixture.h"
+#include "radishroad/policy/stop_schedule.h"
 
 #include <curl/curl.h>
 
@@ -224,4 +225,43 @@
   BOOST_TEST((last.get().reason == NotRunReason::QueueFull));
 }
 
+// LOST: a stopping daemon passed on requests that could not end in time.
+BOOST_AUTO_TEST_CASE(what_cannot_end_before_the_stop_is_refused)
+{
+  GateFixture fixture([](const Request&) { return FakeUpstream::ok("a"); });
+  fixture.mGate.beginStop(StopSchedule::make(monotonicNow(), 1200_ms));
+  ForwardRequest request = makeRequest("GET", 1);
+  request.time_left_ms = 900;
+  BOOST_TEST((fixture.run(std::move(request)).kind == AnswerKind::Answered));
+  // Now the time that such requests take is known.
+  BOOST_TEST((fixture.run(makeRequest("GET", 2)).kind == AnswerKind::Answered));
+  ForwardRequest unknown = makeRequest("GET", 3);
+  unknown.kind = 5;
+  const Answer refusal = fixture.run(std::move(unknown));
+  BOOST_TEST((refusal.kind == AnswerKind::NotRun));
+  BOOST_TEST((refusal.reason == NotRunReason::Draining));
+  BOOST_TEST(fixture.mUpstream.requests("GET").size() == 2U);
+}
+
+// LOST: the gate waited for runs until the process was killed.
+BOOST_AUTO_TEST_CASE(a_stop_ends_in_time_and_answers_all)
+{
+  ReplyLatch latch;
+  GateFixture fixture([&latch](const Request&) {
+    return latch.waitAndReturn(FakeUpstream::ok("late"));
+  });
+  std::future<Answer> running = fixture.submit(makeRequest("GET", 1));
+  BOOST_TEST(fixture.mUpstream.waitFor("GET", 1));
+  fixture.pause({ 9 });
+  std::future<Answer> queued;
+  const Millis from = monotonicNow();
+  fixture.mRefusal = NotRunReason::LeaseLapsed;
+  queued = fixture.submit(makeRequest("GET", 2));
+  fixture.mGate.stop(from + 300_ms);
+  BOOST_TEST((monotonicNow() - from < 1_s));
+  BOOST_TEST((running.get().kind == AnswerKind::Unknown));
+  BOOST_TEST((queued.get().kind == AnswerKind::NotRun));
+  latch.release();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/ingress_platform_test.cpp
+++ b/tests/unit/ingress_platform_test.cpp
@@ -293,4 +293,46 @@
   BOOST_TEST((ingress.answer().kind == AnswerKind::Unknown));
 }
 
+// LOST: a stopping daemon took requests that could not end in time.
+BOOST_AUTO_TEST_CASE(a_request_that_cannot_end_before_the_stop_is_refused)
+{
+  PlatformIngress ingress;
+  ingress.mIngress.beginStop(StopSchedule::make(monotonicNow(), 600_ms));
+  ingress.handle("/unkeyed/1");
+  const Answer refusal = ingress.answer();
+  BOOST_TEST((refusal.kind == AnswerKind::NotRun));
+  BOOST_TEST((refusal.reason == NotRunReason::Draining));
+  BOOST_TEST(refusal.retry_after_ms > 400);
+  BOOST_TEST(ingress.mSent.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_takes_little_time_is_served_while_stopping)
+{
+  PlatformIngress ingress;
+  ingress.handle("/unkeyed/1");
+  Answer answered;
+  answered.kind = AnswerKind::Answered;
+  answered.status = 200;
+  ingress.sent().mAnswer(std::move(answered));
+  BOOST_TEST((ingress.answer().kind == AnswerKind::Answered));
+  ingress.mIngress.beginStop(StopSchedule::make(monotonicNow(), 960_ms));
+  ingress.handle("/unkeyed/1");
+  const Sent sent = ingress.sent();
+  // The upstream has less time than this daemon waits for it.
+  BOOST_TEST(sent.mRequest.work_left_ms > 0);
+  BOOST_TEST(sent.mRequest.work_left_ms <= 800);
+  BOOST_TEST(sent.mRequest.time_left_ms > sent.mRequest.work_left_ms);
+  BOOST_TEST(sent.mRequest.time_left_ms <= 840);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_may_have_run_is_not_refused_while_stopping)
+{
+  PlatformIngress ingress;
+  ingress.handle("/unkeyed/1");
+  const Sent sent = ingress.sent();
+  ingress.mIngress.beginStop(StopSchedule::make(monotonicNow(), {}));
+  sent.mAnswer(makeUnknownAnswer({ 0, 7 }));
+  BOOST_TEST((ingress.answer().kind == AnswerKind::Unknown));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
