Serve on when a state names an owner that is no member

What callers would see: a daemon that ends, again after each restart, and closes the connections of its requests (LOST).

Cause: a cell's state from the store or from a peer is checked for its form, but not for whether each owner is a member. The daemon that looks up the owner's address used map::at(); for a request that is sent again this runs on the timer's thread, where nothing catches.

Evidence, with the test on: ingress_platform/a_key_whose_owner_is_no_member_is_refused: 'fatal error: std::out_of_range: map::at' The state of the test is encoded and read back, so decodeState() accepts it. Not seen on real daemons: only this project writes such states.

Fix: such a key has no owner just now; its requests wait and are refused as not run. The state is not refused as a whole, as its other keys hold.

--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -331,7 +331,13 @@
     scheduleResend(aPending, NotRunReason::NoOwner);
     return;
   }
-  const Member& owner = cell->mMembers.at(ownership.mOwner);
+  const auto member = cell->mMembers.find(ownership.mOwner);
+  if (member == cell->mMembers.end()) {
+    // Another writer's state may name an owner that is no member.
+    scheduleResend(aPending, NotRunReason::NoOwner);
+    return;
+  }
+  const Member& owner = member->second;
   // The owner's daemon may have learned of the zone's removal later.
   if (!view->mayServeKeys(owner.mZone, mHooks.mNow())) {
     scheduleResend(aPending, NotRunReason::Draining);
--- a/tests/unit/ingress_platform_test.cpp
+++ b/tests/unit/ingress_platform_test.cpp
@@ -8,6 +8,7 @@
 #include "radishroad/config/model.h"
 #include "radishroad/daemon/fleet_view.h"
 #include "radishroad/ownership/key_layout.h"
+#include "radishroad/state/snapshot_codec.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -293,6 +294,26 @@
   BOOST_TEST((ingress.answer().kind == AnswerKind::Unknown));
 }
 
+// LOST: the process ended (std::out_of_range) for a state of the store whose
+// owner of a key is no member.
+BOOST_AUTO_TEST_CASE(a_key_whose_owner_is_no_member_is_refused)
+{
+  PlatformIngress ingress;
+  std::shared_ptr<CellState> state =
+    std::make_shared<CellState>(*ingress.mView.mCells["keyed"]);
+  for (Ownership& shard : state->mShards) {
+    shard.mOwner = 77;
+  }
+  CellState decoded;
+  BOOST_REQUIRE(decodeState(encodeState(*state), decoded).has_value());
+  ingress.mView.mCells["keyed"] = std::make_shared<CellState>(decoded);
+  ingress.mViews.set(std::make_shared<FleetView>(ingress.mView));
+  ingress.handle("/keyed/1");
+  const Answer refusal = ingress.answer();
+  BOOST_TEST((refusal.kind == AnswerKind::NotRun));
+  BOOST_TEST((refusal.reason == NotRunReason::NoOwner));
+}
+
 // LOST: a stopping daemon took requests that could not end in time.
 BOOST_AUTO_TEST_CASE(a_request_that_cannot_end_before_the_stop_is_refused)
 {
