Ignore the response to a release of an earlier key layout

What callers would see: daemons that end while they hand off shards (LOST), or a key with two holders (OWNER).

Cause: a release names its keys by the number of a key run, and numbers mean other keys once the cell's state has another layout, as after the store came back without it. The response to an earlier release then ended the hold of other keys, or had a number beyond the last run: vector::at() throws on the gate's thread, where nothing catches. Handover tokens in a report met the same.

Evidence, with the test on: platform_gate/a_release_of_an_earlier_layout_is_ignored: 'fatal error: signal: SIGABRT' The second holder was not shown, only read. On the platform live daemons write a newer state again, so a layout seldom changes.

Fix: each call remembers its layout, and releases in progress begin anew with another one. After a change all keys count as held for the longest hold, as before.

--- a/src/upstream/gate_grant.cpp
+++ b/src/upstream/gate_grant.cpp
@@ -61,10 +61,20 @@
 void
 Gate::Impl::setGrantableShards(const GrantableShards& aGrantable)
 {
-  mGrants.setLayout(aGrantable.mLayout);
+  setLayout(aGrantable.mLayout);
   mGrants.setGrantableShards(aGrantable.mShards);
 }
 
+void
+Gate::Impl::setLayout(const KeyLayout& aLayout)
+{
+  if (aLayout == mGrants.layout()) {
+    return;
+  }
+  mReleases.clear();
+  mGrants.setLayout(aLayout);
+}
+
 ReportAnswer
 Gate::Impl::answerReport(const UpstreamReport& aReport)
 {
@@ -74,7 +84,7 @@
   const Millis now = mHooks.mNow();
   const std::optional<GrantableShards> grantable = currentGrantableShards(now);
   if (grantable) {
-    mGrants.setLayout(grantable->mLayout);
+    setLayout(grantable->mLayout);
   }
   if (aReport.mHolds) {
     mGrants.onReportedHolds(*aReport.mHolds);
@@ -165,6 +175,7 @@
   const std::uint64_t id = mNextKeyOperation++;
   KeyOperation& entry = mKeyOperations[id];
   entry = std::move(aEntry);
+  entry.mLayout = mGrants.layout();
   entry.mBody = std::move(aRequest.mBody);
   UpstreamRequest request;
   request.mUpstream = mOptions.mUpstream;
@@ -345,7 +356,8 @@
     mHandoverTokens.insert(hash64(token));
   }
   const auto it = mReleases.find(KeyLayout::shardOfRun(run));
-  if (it == mReleases.end()) {
+  const bool isOutdated = node.mapped().mLayout != mGrants.layout();
+  if (it == mReleases.end() || isOutdated) {
     return;
   }
   const bool isOfOtherCall = aOutcome == ExchangeOutcome::Incomplete &&
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -96,6 +96,8 @@
     bool mNeedsFreshConnection = false;
     /// Must outlive the exchange, because libcurl does not copy it.
     std::string mBody;
+    /// In which mKeyRun is counted.
+    KeyLayout mLayout{};
   };
   /// The release of a shard by the upstream.
   struct Release
@@ -240,6 +242,8 @@
   /// know.
   std::optional<GrantableShards> currentGrantableShards(Millis aNow) const;
   void setGrantableShards(const GrantableShards& aGrantable);
+  /// Releases in progress begin anew with another layout.
+  void setLayout(const KeyLayout& aLayout);
   /// Records what the upstream holds and returns what it should hold.
   ReportAnswer answerReport(const UpstreamReport& aReport);
   void storeHandoverTokens(const UpstreamReport& aReport);
--- a/tests/unit/platform_gate_test.cpp
+++ b/tests/unit/platform_gate_test.cpp
@@ -59,8 +59,10 @@
       return decision;
     };
     hooks.mOnHealth = [this](bool aUp) { mUp = aUp; };
-    hooks.mGrantableShards = [] {
-      return GrantableShards{ KeyLayout(), { { kOwnShard, kEpoch } } };
+    hooks.mGrantableShards = [this] {
+      const KeyLayout layout(mRunKeys);
+      ++mLayoutReads;
+      return GrantableShards{ layout, { { kOwnShard, kEpoch } } };
     };
     hooks.mEpochOf = [](Shard) { return kEpoch; };
     hooks.mOnReleased = [this](Shard, const std::vector<std::string>& aTokens) {
@@ -77,6 +79,12 @@
     if (aRequest.mTarget.starts_with("/catalog")) {
       std::this_thread::sleep_for(std::chrono::milliseconds(mRunMs.load()));
     }
+    if (aRequest.mTarget == "/api/release") {
+      ++mReleasesRead;
+      while (mHoldsReleases) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      }
+    }
     const std::lock_guard<std::mutex> lock(mMutex);
     if (aRequest.mTarget == "/api/grant") {
       const nlohmann::json body = nlohmann::json::parse(aRequest.mBody);
@@ -192,6 +200,10 @@
   bool mIsReset = false;
   std::uint32_t mSlots = 4;
   std::atomic<int> mRunMs{ 0 };
+  std::atomic<std::uint32_t> mRunKeys{ kDefaultRunKeys };
+  std::atomic<int> mLayoutReads{ 0 };
+  std::atomic<bool> mHoldsReleases{ false };
+  std::atomic<int> mReleasesRead{ 0 };
   const Millis mDrainPeriod;
   std::atomic<int> mArrivals{ 0 };
   std::atomic<bool> mUp{ false };
@@ -263,6 +275,35 @@
               std::vector<std::string>(KeyLayout().runsPerShard(), "t")));
 }
 
+// LOST: the process ended (std::out_of_range) for a response to a release that
+// was sent before the cell's state came back with another layout of keys.
+BOOST_AUTO_TEST_CASE(a_release_of_an_earlier_layout_is_ignored)
+{
+  PlatformGate gate;
+  gate.report(UpstreamReport::Kind::Ready, 1);
+  BOOST_TEST((gate.run("first").kind == AnswerKind::Answered));
+  gate.mHoldsReleases = true;
+  std::promise<void> done;
+  const Shard shard = kOwnShard;
+  gate.mGate.pauseShards({ &shard, 1 }, [&done] { done.set_value(); });
+  const auto waitUntil = [](const std::function<bool()>& aCondition) {
+    const Millis end = monotonicNow() + 5_s;
+    while (!aCondition() && monotonicNow() < end) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    BOOST_TEST(aCondition());
+  };
+  waitUntil([&gate] { return gate.mReleasesRead > 0; });
+  gate.mRunKeys = kDefaultRunKeys * 4;
+  const int reads = gate.mLayoutReads;
+  // The second read shows that the gate has applied the first.
+  waitUntil([&gate, reads] { return gate.mLayoutReads > reads + 1; });
+  gate.mHoldsReleases = false;
+  std::future<void> released = done.get_future();
+  BOOST_TEST(
+    (released.wait_for(std::chrono::seconds(10)) == std::future_status::ready));
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_upstream_gets_no_requests_after_the_period)
 {
   PlatformGate gate;
