Let no report end a hold whose grant may still be on its way

What callers would see: a key served by two upstreams for up to its hold time (OWNER), where keys are granted by the answers to reports.

Cause: a report that does not name a key counted as proof that the upstream does not hold it. An upstream waits a second for an answer and reports each 870 ms, so a report may have been sent before the answer to the one before it arrived, and then tells nothing about the keys that this answer grants. A shard that is handed off at that moment was free at once.

Evidence, with the code before: report_grant/a_report_sent_before_an_answer_arrived_ends_no_hold: check manager.freeFrom(0, 130_ms) >= kHoldTime has failed The simulation in report_grant took answers to the newest report only; now it takes late ones too, as an upstream does. Not seen on real daemons.

Only a shard that is handed off right after it was granted waits for one report more.

onReportedHolds() takes the time; the tests that call it pass it.

--- a/include/radishroad/ownership/grant_manager.h
+++ b/include/radishroad/ownership/grant_manager.h
@@ -124,8 +124,9 @@
   void onReleased(std::uint32_t aRun);
   /// The upstream rejected a request because it does not hold the key.
   void onNotHeld(std::uint64_t aKeyHash, Millis aNow);
-  /// The upstream reported that it holds these keys and no others.
-  void onReportedHolds(std::span<const ReportedHold> aHolds);
+  /// The upstream reported that it holds these keys and no others. aNow: when
+  /// the report arrived.
+  void onReportedHolds(std::span<const ReportedHold> aHolds, Millis aNow);
   /// Returns the rows of the answer to a report; adjacent runs of one epoch are
   /// merged into one row. aFits is called for each row in turn and returns
   /// false if the answer has no room left for it. Rows for keys that the
@@ -162,6 +163,9 @@
     Millis mNextGrantAt;
     /// An unanswered grant may cause the run to be held until then.
     Millis mUnconfirmedUntil;
+    /// A report that arrives earlier may have been sent before the upstream
+    /// received the answer that grants the run.
+    Millis mUnreportedUntil;
     bool mInFlight = false;
   };
   struct HandoverTokens
--- a/src/ownership/grant_manager.cpp
+++ b/src/ownership/grant_manager.cpp
@@ -226,7 +226,7 @@
 }
 
 void
-GrantManager::onReportedHolds(std::span<const ReportedHold> aHolds)
+GrantManager::onReportedHolds(std::span<const ReportedHold> aHolds, Millis aNow)
 {
   std::vector<Epoch> epochs(mRuns.size());
   std::vector<std::uint32_t> keys(mRuns.size());
@@ -243,7 +243,7 @@
   for (std::uint32_t n = 0; n < mRuns.size(); ++n) {
     Run& run = mRuns[n];
     run.mGrantedEpoch = epochs[n];
-    if (keys[n] == 0) {
+    if (keys[n] == 0 && aNow >= run.mUnreportedUntil) {
       // The first report that a restarted process receives may be an old one.
       run.mMayBeHeldUntil = run.mUnconfirmedUntil;
     }
@@ -285,8 +285,10 @@
   mAnsweredAt = aNow;
   for (const std::uint32_t n : grantedRuns) {
     Run& run = mRuns[n];
-    run.mHeldFrom =
-      run.mGrantedEpoch != 0 ? run.mHeldFrom : aNow + kAnswerProcessingTime;
+    if (run.mGrantedEpoch == 0) {
+      run.mHeldFrom = aNow + kAnswerProcessingTime;
+      run.mUnreportedUntil = aNow + kDeliveryTime * 2;
+    }
     run.mGrantedEpoch = run.mDesiredEpoch;
     run.mHeldUntil = aNow + mHoldTime;
     run.mMayBeHeldUntil =
--- a/src/upstream/gate_grant.cpp
+++ b/src/upstream/gate_grant.cpp
@@ -87,7 +87,7 @@
     setLayout(grantable->mLayout);
   }
   if (aReport.mHolds) {
-    mGrants.onReportedHolds(*aReport.mHolds);
+    mGrants.onReportedHolds(*aReport.mHolds, now);
     storeHandoverTokens(aReport);
   }
   ReportAnswer answer;
--- a/tests/unit/report_grant_test.cpp
+++ b/tests/unit/report_grant_test.cpp
@@ -132,8 +132,9 @@
     std::uint64_t mIncarnation = 1;
     std::uint64_t mSequence = 0;
     Millis mNextReport;
-    Millis mSentAt;
     bool mHasSlowClock = false;
+    /// Of the report whose answer was last accepted.
+    std::uint64_t mAcceptedSequence = 0;
     /// By key run.
     std::map<std::uint32_t, Hold> mHolds;
     std::map<std::uint32_t, Epoch> mHighestEpoch;
@@ -156,6 +157,8 @@
   struct Message
   {
     Millis mDeliverAt;
+    /// When the report was sent.
+    Millis mSentAt;
     std::size_t mNode = 0;
     std::uint64_t mIncarnation = 0;
     std::uint64_t mSequence = 0;
@@ -200,8 +203,8 @@
       return;
     }
     upstream.mNextReport = mNow + kReportInterval;
-    upstream.mSentAt = mNow;
     Message report;
+    report.mSentAt = mNow;
     report.mNode = aNode;
     report.mIncarnation = upstream.mIncarnation;
     report.mSequence = ++upstream.mSequence;
@@ -265,7 +268,7 @@
         grantableShards.push_back({ shard, owned.mEpoch });
       }
     }
-    daemon.mGrantManager.onReportedHolds(aReport.mHolds);
+    daemon.mGrantManager.onReportedHolds(aReport.mHolds, mNow);
     daemon.mGrantManager.setGrantableShards(grantableShards);
     Message answer = aReport;
     answer.mIsAnswer = true;
@@ -276,12 +279,15 @@
   void onAnswer(const Message& aAnswer)
   {
     Upstream& upstream = mUpstreams[aAnswer.mNode];
+    // Reports are sent more often than an answer is waited for, so an answer
+    // may come after the next report was sent.
     const bool accepted = aAnswer.mIncarnation == upstream.mIncarnation &&
-                          aAnswer.mSequence == upstream.mSequence &&
-                          mNow - upstream.mSentAt <= kMaxAnswerAge;
+                          aAnswer.mSequence > upstream.mAcceptedSequence &&
+                          mNow - aAnswer.mSentAt <= kMaxAnswerAge;
     if (!accepted) {
       return;
     }
+    upstream.mAcceptedSequence = aAnswer.mSequence;
     std::map<std::uint32_t, Hold> holds;
     const Millis hold =
       upstream.mHasSlowClock ? kHoldTime + kHoldTime / 50 : kHoldTime;
@@ -292,7 +298,7 @@
            ++run) {
         if (row.mEpoch >= upstream.mHighestEpoch[run]) {
           upstream.mHighestEpoch[run] = row.mEpoch;
-          holds[run] = { row.mEpoch, upstream.mSentAt + hold };
+          holds[run] = { row.mEpoch, aAnswer.mSentAt + hold };
         }
       }
     }
@@ -316,6 +322,7 @@
           mUpstreams[node].mHighestEpoch.clear();
           ++mUpstreams[node].mIncarnation;
           mUpstreams[node].mSequence = 0;
+          mUpstreams[node].mAcceptedSequence = 0;
         }
         break;
       case 2: // The daemon restarts while its upstream runs.
@@ -417,7 +424,7 @@
 {
   GrantManager manager = makeGrantManager(KeyLayout(256));
   manager.setGrantableShards(shards(0, 63, 4));
-  manager.onReportedHolds({});
+  manager.onReportedHolds({}, 0_ms);
   const std::vector<KeyGrant> rows = answerAll(manager, 100_ms);
   BOOST_REQUIRE(rows.size() == 1U);
   BOOST_TEST((rows[0].mKeys == KeyRange{ 0, 64 * 256 - 1 }));
@@ -435,27 +442,44 @@
 {
   GrantManager manager = makeGrantManager(KeyLayout(256));
   manager.setGrantableShards(shards(0, 1, 4));
-  manager.onReportedHolds({});
+  manager.onReportedHolds({}, 0_ms);
   std::vector<ReportedHold> held = heldOf(answerAll(manager, 0_ms));
-  manager.onReportedHolds(held);
+  manager.onReportedHolds(held, 870_ms);
   manager.setGrantableShards(shards(0, 0, 4));
   answerAll(manager, 870_ms);
   BOOST_TEST((manager.freeFrom(1, 870_ms) > 870_ms));
   // The upstream still reports keys of the shard, which it is working on.
-  manager.onReportedHolds(held);
+  manager.onReportedHolds(held, 970_ms);
   answerAll(manager, 970_ms);
   BOOST_TEST((manager.freeFrom(1, 970_ms) > 970_ms));
   held[0].mKeys.mLast = 255;
-  manager.onReportedHolds(held);
+  manager.onReportedHolds(held, 1070_ms);
   BOOST_TEST((manager.freeFrom(1, 1070_ms) == 1070_ms));
   BOOST_TEST((manager.freeFrom(0, 1070_ms) > 1070_ms));
 }
 
+// OWNER: a report that was sent before the answer to the one before it arrived
+// ended holds that this answer granted.
+BOOST_AUTO_TEST_CASE(a_report_sent_before_an_answer_arrived_ends_no_hold)
+{
+  GrantManager manager = makeGrantManager(KeyLayout(256));
+  manager.setGrantableShards(shards(0, 0, 4));
+  manager.onReportedHolds({}, 0_ms);
+  answerAll(manager, 0_ms);
+  // The shard is handed off before the upstream has received the answer.
+  manager.setGrantableShards({});
+  manager.onReportedHolds({}, 130_ms);
+  answerAll(manager, 130_ms);
+  BOOST_TEST((manager.freeFrom(0, 130_ms) >= kHoldTime));
+  manager.onReportedHolds({}, 870_ms);
+  BOOST_TEST((manager.freeFrom(0, 870_ms) == 870_ms));
+}
+
 BOOST_AUTO_TEST_CASE(a_rejection_right_after_an_answer_is_retried_soon)
 {
   GrantManager manager = makeGrantManager(KeyLayout(256));
   manager.setGrantableShards(shards(0, 0, 1));
-  manager.onReportedHolds({});
+  manager.onReportedHolds({}, 0_ms);
   answerAll(manager, 0_ms);
   manager.onNotHeld(0, 6_ms);
   BOOST_TEST(!manager.holds(0, 1, 7_ms));
@@ -499,7 +523,7 @@
         grantableShards.push_back({ each, at });
       }
       const std::vector<ReportedHold> held = heldOf(rows);
-      manager.onReportedHolds(held);
+      manager.onReportedHolds(held, Millis{ round * 100 });
       manager.setGrantableShards(grantableShards);
       std::size_t size = 0;
       rows = manager.answerReport(
@@ -523,7 +547,7 @@
       grantableShards.push_back({ shard, 1000 + shard });
     }
     manager.setGrantableShards(grantableShards);
-    manager.onReportedHolds({});
+    manager.onReportedHolds({}, 0_ms);
     std::size_t size = 0;
     std::size_t leftOut = 0;
     manager.answerReport(
