Bound the time that a peer gives for work by the time that is left

A frame's work_left_ms came as it was: a value near 2^63 would overflow the time until which an upstream may work, as time_left_ms is bounded and this was not. Only daemons of this project send it; seen when the diff was read again. gate/time_for_work_is_bounded_by_the_time_left passes; without the bound the sum is undefined, and the test was not run so. A stopping gate also compares the earlier of both times.

--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -221,7 +221,7 @@
     if (isTaken) {
       return false;
     }
-    // The next process on this VM starts no later.
+    // This process has ended by then.
     retryAfter = std::max(kUnservedRetryAfter, mStop->mAnswersUntil - now);
   }
   mMetrics.count("radishroad_stop_refusals_total");
--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -43,9 +43,11 @@
   queued.mDeadline = aNow + Millis{ aRequest.time_left_ms };
   queued.mQueuedAt = aNow;
   queued.mKeyWaitUntil = aNow + maxKeyWait(aRequest);
-  queued.mWorkUntil = aRequest.work_left_ms > 0
-                        ? aNow + Millis{ aRequest.work_left_ms }
-                        : queued.mDeadline;
+  const Millis workLeft{ aRequest.work_left_ms };
+  queued.mWorkUntil =
+    workLeft > Millis{}
+      ? aNow + std::min(workLeft, Millis{ aRequest.time_left_ms })
+      : queued.mDeadline;
   queued.mRequest = std::move(aRequest);
   queued.mAnswer = std::move(aAnswer);
   return queued;
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -286,7 +286,10 @@
   std::vector<QueuedRequest> unfinishable =
     mQueue.removeIf([this, aNow](const QueuedRequest& aQueued) {
       return !mLongestRunTimes.willEndBy(
-        mStop->mWorkUntil, aQueued.mWorkUntil, aQueued.mRequest.kind, aNow);
+        mStop->mWorkUntil,
+        std::min(aQueued.mDeadline, aQueued.mWorkUntil),
+        aQueued.mRequest.kind,
+        aNow);
     });
   for (QueuedRequest& queued : unfinishable) {
     refuse(queued, NotRunReason::Draining);
--- a/tests/unit/gate_test.cpp
+++ b/tests/unit/gate_test.cpp
@@ -2,6 +2,7 @@
 #include "radishroad/policy/stop_schedule.h"
 
 #include <curl/curl.h>
+#include <limits>
 
 using namespace radishroad;
 using namespace radishroad::literals;
@@ -243,6 +244,21 @@
   BOOST_TEST(fixture.mUpstream.requests("GET").size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(time_for_work_is_bounded_by_the_time_left)
+{
+  GateFixture fixture([](const Request&) { return FakeUpstream::ok("a"); });
+  ForwardRequest request = makeRequest("GET", 1);
+  request.time_left_ms = 900;
+  request.work_left_ms = std::numeric_limits<std::int64_t>::max();
+  BOOST_TEST((fixture.run(std::move(request)).kind == AnswerKind::Answered));
+  ForwardRequest late = makeRequest("GET", 2);
+  late.work_left_ms = 1;
+  fixture.mRefusal = NotRunReason::LeaseLapsed;
+  const Answer refusal = fixture.run(std::move(late));
+  BOOST_TEST((refusal.kind == AnswerKind::NotRun));
+  BOOST_TEST(fixture.mUpstream.requests("GET").size() == 1U);
+}
+
 // LOST: the gate waited for runs until the process was killed.
 BOOST_AUTO_TEST_CASE(a_stop_ends_in_time_and_answers_all)
 {
