Close the port after the hand-offs again, but on the platform

What callers saw: nothing; a daemon of the own protocol took 4.35 s to stop together with its whole fleet, which may take 4 s. Since it served new callers while it waited for earlier requests; as the whole fleet had stopped, these new requests had no owner either and waited for one in turn.

On the own protocol a caller that is refused a connection goes to another daemon, so that nothing is lost by closing the port. The platform's callers have only the daemon on their VM; there the resends are short.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -65,9 +65,12 @@
   while (!mImpl->drained() && monotonicNow() < schedule.mHandoffsUntil) {
     std::this_thread::sleep_for(kDrainPollInterval);
   }
-  // While earlier requests keep the process, it serves new callers too.
-  mImpl->mCallerServer.waitCurrentServed(schedule.mHandoffsUntil -
-                                         monotonicNow());
+  // The platform's callers have no other daemon, so they are served for as long
+  // as earlier requests keep the process. Others go to another daemon.
+  if (mImpl->mProtocol.isPlatform()) {
+    mImpl->mCallerServer.waitCurrentServed(schedule.mHandoffsUntil -
+                                           monotonicNow());
+  }
   finish(schedule);
   logEvent(LogLevel::Info,
            "stop",
