Log by which configuration a request was refused, of what age, and who told it

The users' record could not tell a daemon that had heard of no change from one that had read it and not put it into force: a line of a refused request named position 0 or 7 of the operators' stream, and no version. config_version of no-route was 0, because it was set only once a route was found, and objective_ms was minus the steady clock.

A refusal by the configuration now names its position, the operators' version and the time since the daemon last asked the store (config_age_ms). config_in_force names the operators' version too, and operator_entries says who the entries came from. explain prints the age. No decision changes.

--- a/include/radishroad/daemon/fleet_state.h
+++ b/include/radishroad/daemon/fleet_state.h
@@ -56,7 +56,9 @@
                const CellState& aState);
   /// Sets a configuration that does not come from the log, and the zones that
   /// are out of service. Ignored if aVersion is lower than the present version.
+  /// aOperatorVersion is the version that operators gave the configuration.
   void setModel(std::uint64_t aVersion,
+                std::uint64_t aOperatorVersion,
                 std::shared_ptr<const config::Model> aModel,
                 std::map<std::string, config::ZoneOutage> aZonesOut,
                 Bytes aEncoded);
@@ -124,6 +126,7 @@
   StreamLoader<ConfigState> mConfig;
   std::shared_ptr<const config::Model> mModel;
   std::uint64_t mModelVersion = 0;
+  std::uint64_t mOperatorVersion = 0;
   std::map<std::string, config::ZoneOutage> mZonesOut;
   /// Encoded form of the configuration, to be sent to peers. Set by setModel
   /// only.
--- a/include/radishroad/daemon/fleet_view.h
+++ b/include/radishroad/daemon/fleet_view.h
@@ -17,7 +17,10 @@
 /// by the request path and published by the control thread.
 struct FleetView
 {
+  /// Position in the stream of configurations; peers compare by it.
   std::uint64_t mConfigVersion = 0;
+  /// Version that operators gave the configuration; 0 if they give none.
+  std::uint64_t mOperatorVersion = 0;
   /// Null before the first valid configuration.
   std::shared_ptr<const config::Model> mModel;
   /// Zones that operators have taken out of service, by name. Only with the
--- a/include/radishroad/daemon/ingress.h
+++ b/include/radishroad/daemon/ingress.h
@@ -52,6 +52,9 @@
     /// Whether the configuration is recent enough to check callers' keys
     /// against it.
     std::function<bool()> mConfigFresh;
+    /// Time since the newest moment at which the configuration was known to be
+    /// the newest one, for logs; nullopt if there was none.
+    std::function<std::optional<Millis>()> mConfigAge;
     ForwardFn mSendToOwnUpstream;
     std::function<void(const std::string& aAddress, ForwardRequest, AnswerFn)>
       mSendToPeer;
--- a/src/daemon/daemon_impl_hooks.cpp
+++ b/src/daemon/daemon_impl_hooks.cpp
@@ -166,6 +166,11 @@
     return mRateLimiter.tokenState(aWorkspace);
   };
   hooks.mConfigFresh = [this] { return configFresh(); };
+  hooks.mConfigAge = [this]() -> std::optional<Millis> {
+    const Millis readAt{ mLastConfigRead };
+    return readAt == Millis{} ? std::nullopt
+                              : std::optional(monotonicNow() - readAt);
+  };
   hooks.mSendToOwnUpstream = [this](ForwardRequest aRequest, AnswerFn aAnswer) {
     mGate->submit(std::move(aRequest), attachLoad(std::move(aAnswer)));
   };
--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -439,10 +439,21 @@
   if (aEntries.mIsRestored) {
     rewriteOwnState();
   }
+  logEvent(
+    LogLevel::Info,
+    "operator_entries",
+    { { "position", aEntries.mNext },
+      { "position_before", mNextOperatorPosition },
+      { "entries", aEntries.mEntries.size() },
+      { "complete", aEntries.mIsComplete },
+      { "restored", aEntries.mIsRestored },
+      { "learned_from", aSource == EntrySource::Store ? "store" : "peer" },
+      { "operator_version", mOperatorState.version() } });
   mNextOperatorPosition = aEntries.mNext;
   mConfirmedPosition.onRelayed(aEntries.mNext);
   mOperatorState.setZonesOutOfService(std::move(zonesOut));
   mFleet.setModel(mNextOperatorPosition,
+                  mOperatorState.version(),
                   mOperatorState.model(),
                   mOperatorState.zonesOutOfService(),
                   encodeEntries(mNextOperatorPosition, mOperatorEntries));
--- a/src/daemon/fleet_state.cpp
+++ b/src/daemon/fleet_state.cpp
@@ -345,6 +345,7 @@
 
 void
 FleetState::setModel(std::uint64_t aVersion,
+                     std::uint64_t aOperatorVersion,
                      std::shared_ptr<const config::Model> aModel,
                      std::map<std::string, config::ZoneOutage> aZonesOut,
                      Bytes aEncoded)
@@ -354,6 +355,7 @@
     return;
   }
   mModelVersion = aVersion;
+  mOperatorVersion = aOperatorVersion;
   mModel = std::move(aModel);
   mZonesOut = std::move(aZonesOut);
   mEncodedModel = std::move(aEncoded);
@@ -367,6 +369,7 @@
   logEvent(LogLevel::Info,
            "config_in_force",
            { { "version", mModelVersion },
+             { "operator_version", mOperatorVersion },
              { "routes", mModel->mRoutes.size() },
              { "services", mModel->mServices.size() },
              { "workspaces", mModel->mWorkspaces.size() } });
@@ -385,6 +388,7 @@
 {
   std::shared_ptr<FleetView> view = std::make_shared<FleetView>();
   view->mConfigVersion = mModelVersion;
+  view->mOperatorVersion = mOperatorVersion;
   view->mModel = mModel;
   view->mZonesOut = mZonesOut;
   view->mCells = mPublishedCells;
--- a/src/daemon/ingress_platform.cpp
+++ b/src/daemon/ingress_platform.cpp
@@ -43,6 +43,15 @@
     kLowestRank, workspace * kWorkspaceRankStep + aRoute.mPriorityRank));
 }
 
+/// Whether the answer says that the configuration does not allow the request.
+bool
+refusesForGood(const Answer& aAnswer)
+{
+  return aAnswer.kind == AnswerKind::NotRun &&
+         (aAnswer.reason == NotRunReason::Unauthorized ||
+          aAnswer.reason == NotRunReason::NoRoute);
+}
+
 bool
 isRefusedBy(std::span<const Incarnation> aRefusedBy, Incarnation aMember)
 {
@@ -59,6 +68,7 @@
   const CallerHeaders callerHeaders = mHooks.mParseCallerHeaders(aRequest);
   ForwardRequest& request = aPending.mRequest;
   request.request_id = callerHeaders.mRequestId;
+  request.config_version = aView.mConfigVersion;
   if (aView.mModel == nullptr) {
     return NotRunReason::NoOwner;
   }
@@ -145,7 +155,6 @@
 {
   ForwardRequest& request = aPending.mRequest;
   const config::Model& model = *aView.mModel;
-  request.config_version = aView.mConfigVersion;
   if (aHeaders.mCallerKey) {
     const std::string stored = sha256Hex(*aHeaders.mCallerKey);
     request.workspace = findWorkspace(model, stored);
@@ -296,6 +305,10 @@
       (isOrdinary && !isSampled(request.request_id))) {
     return;
   }
+  // A request without a route has no objective.
+  const Millis objective = aPending.mObjectiveAt == Millis{}
+                             ? Millis{}
+                             : aPending.mObjectiveAt - aPending.mReceivedAt;
   nlohmann::json line = {
     { "outcome", outcomeName(aAnswer.kind) },
     { "reason", reasonName(aAnswer.reason) },
@@ -306,9 +319,14 @@
     { "sent_to", std::to_string(aPending.mSentTo) },
     { "config_version", request.config_version },
     { "took_ms", (now - aPending.mReceivedAt).mCount },
-    { "objective_ms", (aPending.mObjectiveAt - aPending.mReceivedAt).mCount },
+    { "objective_ms", objective.mCount },
     { "retry_after_ms", aAnswer.retry_after_ms }
   };
+  if (refusesForGood(aAnswer)) {
+    line["operator_version"] = mViews.get()->mOperatorVersion;
+    const std::optional<Millis> age = mHooks.mConfigAge();
+    line["config_age_ms"] = age ? age->mCount : -1;
+  }
   if (!aPending.mZoneOut.empty()) {
     line["zone_out"] = aPending.mZoneOut;
     line["zone_known_out_ms"] = aPending.mZoneKnownOut.mCount;
--- a/src/operator/explain.cpp
+++ b/src/operator/explain.cpp
@@ -129,8 +129,13 @@
            run;
   }
   if (reason == "unauthorized" || reason == "no-route") {
-    return "refused by configuration version " +
-           fieldText(aRequest, "config_version") + ": " + reason;
+    const std::string cause = "refused by configuration version " +
+                              fieldText(aRequest, "config_version") + ": " +
+                              reason;
+    const std::string age = fieldText(aRequest, "config_age_ms");
+    return age.empty()
+             ? cause
+             : cause + ", " + age + " ms after it was known to be the newest";
   }
   if (aOwnerVm.empty()) {
     return "not sent to any upstream: " + reason;
--- a/tests/unit/ingress_platform_test.cpp
+++ b/tests/unit/ingress_platform_test.cpp
@@ -83,6 +83,7 @@
     hooks.mCancelTokenWait = [](const std::string&) {};
     hooks.mRetryAfter = [](const std::string&) { return Millis{}; };
     hooks.mConfigFresh = [] { return true; };
+    hooks.mConfigAge = [] { return Millis{}; };
     hooks.mSendToPeer = [this](const std::string& aAddress,
                                ForwardRequest aRequest,
                                AnswerFn aAnswer) {
--- a/tests/unit/ingress_test.cpp
+++ b/tests/unit/ingress_test.cpp
@@ -49,6 +49,7 @@
     };
     hooks.mRetryAfter = [](const std::string&) { return Millis{}; };
     hooks.mConfigFresh = [] { return true; };
+    hooks.mConfigAge = [] { return Millis{}; };
     hooks.mSendToPeer =
       [this](const std::string&, const ForwardRequest&, AnswerFn aAnswer) {
         mSent.tryPush(std::move(aAnswer));
--- a/tests/unit/operator_test.cpp
+++ b/tests/unit/operator_test.cpp
@@ -422,6 +422,15 @@
   const nlohmann::json explanation = json({ "explain", "r", file });
   BOOST_TEST(explanation.at("cause") ==
              "refused by configuration version 7: no-route");
+  folder.write("b.log",
+               R"({"ms":1,"event":"request","vm":"a","request_id":"r",)"
+               R"("outcome":"not-run","reason":"no-route","sent_to":"0",)"
+               R"("config_version":7,"config_age_ms":900})"
+               "\n");
+  const std::string withAge = (folder.path() / "b.log").string();
+  BOOST_TEST(json({ "explain", "r", withAge }).at("cause") ==
+             "refused by configuration version 7: no-route, 900 ms after it "
+             "was known to be the newest");
   BOOST_TEST((exitCodeOf({ "explain", "r", file }) == ExitCode::Ok));
   BOOST_TEST((exitCodeOf({ "explain", "other", file }) == ExitCode::Negative));
   BOOST_TEST((exitCodeOf({ "explain", "r" }) == ExitCode::Usage));
