Refuse for good only by a configuration known to be the newest (CONFIG)

What callers saw: 401 on a key, or 404 on a route, that the store had confirmed for longer than the time in which a configuration must be in force. In the users' record all daemons refuse so within 0.2 s, at one position, and log nothing else.

Cause: the daemon took its configuration for the newest one because no news had come, on each path: the ingress, a key withdrawn in transit, a start, a peer's position, a restored copy, an entry that cannot be read. A read that waits for news is as silent for 17 s when there is news that it is not told.

Change: Freshness tracks as of when the configuration in force is known to be the newest. Only a read of the store to its end tells; peers pass its age on with their positions. A cell's coordinator asks three times in that time, so that refusals stay immediate and a silent read hides no change.

Why it works: a request is sent before it is received, and what was confirmed before the read was sent is in it, so no configuration that must be in force for the request can be missing.

Ruled out: one daemon that lags (three VMs of two zones at one position), a daemon without a configuration (config_version 0 was a wrong field), suspended clocks. Not excluded: an entry that could not be read; covered too.

--- a/include/radishroad/daemon/control_context.h
+++ b/include/radishroad/daemon/control_context.h
@@ -6,6 +6,7 @@
 #include "radishroad/state/cell_state.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,9 @@
   ClockFn mNow;
   /// Members that do not answer. They are given no shards or keys.
   std::function<std::vector<Incarnation>()> mSuspects;
+  /// Time as of which the configuration in force is known to be the newest one;
+  /// nullopt if that is not known.
+  std::function<std::optional<Millis>()> mConfigAsOf;
 
   /// This daemon's entry in the cell state; null unless it is an active
   /// member.
--- a/include/radishroad/daemon/ingress.h
+++ b/include/radishroad/daemon/ingress.h
@@ -52,9 +52,16 @@
     /// Whether the configuration is recent enough to check callers' keys
     /// against it.
     std::function<bool()> mConfigFresh;
-    /// Time since the newest moment at which the configuration was known to be
-    /// the newest one, for logs; nullopt if there was none.
-    std::function<std::optional<Millis>()> mConfigAge;
+    /// Time as of which the configuration in force is known to be the newest
+    /// one. Asked before the view is read by which a request is refused.
+    std::function<std::optional<Millis>()> mConfigAsOf;
+    /// Whether a request received at aReceivedAt may be refused for good by
+    /// what is known as of aAsOf.
+    std::function<bool(std::optional<Millis> aAsOf, Millis aReceivedAt)>
+      mMayRefuseForGood;
+    /// Has the newest configuration read; returns whether that may succeed
+    /// soon.
+    std::function<bool()> mCheckConfig;
     ForwardFn mSendToOwnUpstream;
     std::function<void(const std::string& aAddress, ForwardRequest, AnswerFn)>
       mSendToPeer;
@@ -97,6 +104,10 @@
   struct PendingRequest;
   using PendingRequestPtr = std::shared_ptr<PendingRequest>;
 
+  /// Admits the request, or refuses it by the configuration. Waits for a short
+  /// time if it is not known whether that is the newest one.
+  void begin(const PendingRequestPtr& aPending);
+
   NotRunReason prepare(CallerRequest& aRequest,
                        const FleetView& aView,
                        PendingRequest& aPending) const;
--- a/include/radishroad/daemon/settings.h
+++ b/include/radishroad/daemon/settings.h
@@ -40,6 +40,7 @@
   std::string mDrainTimeMs = "2000";
   std::string mLongestHoldMs = "10000";
   std::string mZoneOutTimeMs = "5000";
+  std::string mConfigTimeMs = "2000";
 
   LogLevel logLevel() const;
   unsigned callerThreads() const;
@@ -54,6 +55,9 @@
   /// Time from taking an availability zone out of service until it must get no
   /// more requests.
   Millis zoneOutTime() const;
+  /// Time from the store's confirmation of a configuration until it must be in
+  /// force.
+  Millis configTime() const;
 };
 
 /// Parsed command line.
--- a/include/radishroad/log/poll_loop.h
+++ b/include/radishroad/log/poll_loop.h
@@ -26,6 +26,9 @@
     Millis mInterval;
     /// Delay before the first poll.
     Millis mInitialDelay;
+    /// Delay before a requested poll, so that requests that follow each other
+    /// closely share one.
+    Millis mCoalesceTime{ 100 };
     /// Ends a poll in progress. Called from any thread.
     std::function<void()> mAbort;
   };
@@ -36,8 +39,7 @@
   PollLoop& operator=(const PollLoop&) = delete;
 
   void start();
-  /// Thread-safe. Starts the next poll before the interval has passed; requests
-  /// that follow each other closely share one poll.
+  /// Thread-safe. Starts the next poll before the interval has passed.
   void requestPoll();
   /// No hook is called after stop() has returned. Must not be called from a
   /// hook.
--- a/include/radishroad/log/state_store.h
+++ b/include/radishroad/log/state_store.h
@@ -74,6 +74,8 @@
   /// the read continued. mEntries may lack entries, or hold old ones, that
   /// operators have yet to write again.
   bool mIsRestored = false;
+  /// The store had no entry after them when it answered.
+  bool mIsAtEnd = false;
   std::vector<OperatorEntry> mEntries;
 };
 
--- a/src/caller/response.cpp
+++ b/src/caller/response.cpp
@@ -28,7 +28,7 @@
   std::string_view mMessage;
 };
 
-constexpr std::array<ReasonText, 16> kReasons{ {
+constexpr std::array<ReasonText, 17> kReasons{ {
   { NotRunReason::None, "none", 503, "the request was not run" },
   { NotRunReason::NotOwner, "not-owner", 503, "the key's owner has changed" },
   { NotRunReason::NoOwner, "no-owner", 503, "the key has no owner just now" },
@@ -66,6 +66,10 @@
     "duplicate-in-flight",
     409,
     "a request with the same idempotency key is under way" },
+  { NotRunReason::ConfigUnconfirmed,
+    "config-unconfirmed",
+    503,
+    "the configuration may have changed" },
 } };
 
 const ReasonText&
--- a/src/daemon/daemon_impl.cpp
+++ b/src/daemon/daemon_impl.cpp
@@ -73,7 +73,8 @@
                 sendControl(aTo, std::move(aBody));
               },
               monotonicNow,
-              [this] { return mLease.suspects(); } }
+              [this] { return mLease.suspects(); },
+              [this] { return mConfigFreshness.asOf(); } }
   , mMembership(mContext, monotonicNow() + aJoinDelay)
   , mLease(
       mContext,
@@ -154,6 +155,7 @@
   mLoop.post([this] {
     if (mProtocol.isPlatform()) {
       followOperators();
+      startConfigCheck();
       followStates(cellStream(mSettings.mService));
       return;
     }
@@ -197,6 +199,9 @@
   for (const auto& [stream, feed] : mPollLoops) {
     feed->stop();
   }
+  if (mConfigCheck) {
+    mConfigCheck->stop();
+  }
   mPeerTransport->stop();
   if (mAppender) {
     mAppender->stop();
@@ -219,7 +224,9 @@
   mHandoff.tick(draining());
   mCoordinator.tick();
   mRateLimiter.tick();
-  if (!mProtocol.isPlatform()) {
+  if (mProtocol.isPlatform()) {
+    checkConfigForCell();
+  } else {
     mSnapshots.tick();
   }
   mCellLoaded = mFleet.ownCellLoaded();
@@ -291,6 +298,24 @@
          mAuthority.leaseUntil() > now;
 }
 
+std::optional<Millis>
+Daemon::Impl::configAsOf() const
+{
+  // The own log is read to its end again and again.
+  const Millis asOf{ mProtocol.isPlatform() ? mConfigAsOf.load()
+                                            : mLastConfigRead.load() };
+  return asOf == Millis{} ? std::nullopt : std::optional(asOf);
+}
+
+bool
+Daemon::Impl::mayRefuseForGood(std::optional<Millis> aAsOf,
+                               Millis aReceivedAt) const
+{
+  const Millis limit =
+    mProtocol.isPlatform() ? mSettings.configTime() : kConfigFreshness;
+  return config::mayRefuseForGood(aAsOf, aReceivedAt, limit);
+}
+
 void
 Daemon::Impl::followLog(const std::string& aStream)
 {
--- a/src/daemon/daemon_impl.h
+++ b/src/daemon/daemon_impl.h
@@ -4,6 +4,7 @@
 #include "radishroad/base/metrics.h"
 #include "radishroad/base/timer.h"
 #include "radishroad/caller/server.h"
+#include "radishroad/config/freshness.h"
 #include "radishroad/config/operator_state.h"
 #include "radishroad/daemon/cell_coordinator.h"
 #include "radishroad/daemon/control_context.h"
@@ -74,6 +75,8 @@
   ServeAuthority mAuthority;
   RetryPolicy& mRetryPolicy;
   std::atomic<std::int64_t> mLastConfigRead{ 0 };
+  /// As Freshness::asOf(), for the request path; 0 for none.
+  std::atomic<std::int64_t> mConfigAsOf{ 0 };
   std::atomic<bool> mRemoved{ false };
   std::atomic<bool> mLeaveRequested{ false };
   std::atomic<bool> mLeft{ false };
@@ -118,12 +121,24 @@
   config::OperatorState mOperatorState;
   /// How far operators' entries are known.
   ConfirmedPosition mConfirmedPosition;
+  config::Freshness mConfigFreshness;
+  /// Reads the operators' entries without waiting for news.
+  std::unique_ptr<PollLoop> mConfigCheck;
+  std::atomic<std::int64_t> mNextConfigCheck{ 0 };
+  /// Position from which that reads; see mNextOperatorPosition.
+  std::atomic<std::uint64_t> mConfigCheckFrom{ 0 };
+  /// Whether its last read failed.
+  std::atomic<bool> mConfigCheckFails{ false };
+  Millis mNextCellCheck;
+  std::atomic<bool> mIsConfigReadable{ true };
   /// Position up to which operators' entries have been applied.
   std::uint64_t mNextOperatorPosition = 0;
   /// Operators' entries in force, by key, to be relayed to peers.
   std::map<std::string, Bytes> mOperatorEntries;
   /// Key of the entry with the configuration in force.
   std::string mConfigurationKey;
+  /// The newest entry, if it could not be read. It may hold a configuration.
+  std::optional<OperatorEntry> mUnreadableEntry;
   std::atomic<bool> mCellLoaded{ false };
   /// By client of the store: whether its last call failed.
   std::map<std::string, bool> mUnavailableStores;
@@ -167,6 +182,20 @@
   /// Writes the proposals that the coordinator has not committed in time.
   void writeOverdueProposals();
   void followOperators();
+  /// Applies what a read of the store has returned.
+  void onOperatorRead(const OperatorEntries& aEntries, Millis aSentAt);
+  void startConfigCheck();
+  /// Has the store asked whether the configuration is the newest one, unless it
+  /// was asked just before. Returns whether an answer can be expected soon.
+  /// Thread-safe.
+  bool checkConfig();
+  /// The coordinator of a cell asks for all its members, which learn of it
+  /// with their lease renewals.
+  void checkConfigForCell();
+  void publishConfigAsOf();
+  /// For the request path; thread-safe.
+  std::optional<Millis> configAsOf() const;
+  bool mayRefuseForGood(std::optional<Millis> aAsOf, Millis aReceivedAt) const;
   void recordStoreStatus(const std::string& aClient,
                          bool aAnswers,
                          const std::string& aError);
--- a/src/daemon/daemon_impl_hooks.cpp
+++ b/src/daemon/daemon_impl_hooks.cpp
@@ -115,8 +115,10 @@
     mLoop.tryPost([this, aFrom, body] { onControlFrame(aFrom, *body); });
   };
   hooks.mOnRequest = [this](ForwardRequest aRequest, AnswerFn aAnswer) {
+    const std::optional<Millis> asOf = configAsOf();
+    const bool mayRefuse = mayRefuseForGood(asOf, monotonicNow());
     const NotRunReason reason =
-      checkPeerRequest(*mViews.get(), mSettings.mService, aRequest);
+      checkPeerRequest(*mViews.get(), mSettings.mService, aRequest, mayRefuse);
     if (reason != NotRunReason::None) {
       aAnswer(makeNotRunAnswer(idOf(aRequest), reason));
       return;
@@ -166,11 +168,12 @@
     return mRateLimiter.tokenState(aWorkspace);
   };
   hooks.mConfigFresh = [this] { return configFresh(); };
-  hooks.mConfigAge = [this]() -> std::optional<Millis> {
-    const Millis readAt{ mLastConfigRead };
-    return readAt == Millis{} ? std::nullopt
-                              : std::optional(monotonicNow() - readAt);
+  hooks.mConfigAsOf = [this] { return configAsOf(); };
+  hooks.mMayRefuseForGood = [this](std::optional<Millis> aAsOf,
+                                   Millis aReceivedAt) {
+    return mayRefuseForGood(aAsOf, aReceivedAt);
   };
+  hooks.mCheckConfig = [this] { return checkConfig(); };
   hooks.mSendToOwnUpstream = [this](ForwardRequest aRequest, AnswerFn aAnswer) {
     mGate->submit(std::move(aRequest), attachLoad(std::move(aAnswer)));
   };
--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -32,16 +32,35 @@
 /// Time that the upstream may take to end a run after its limit has passed.
 constexpr Millis kRunLimitMargin{ 100 };
 constexpr std::string_view kJson = "application/json";
+constexpr Millis kConfigCheckTimeout{ 1000 };
+constexpr Millis kMinConfigCheckInterval{ 200 };
+constexpr Millis kFailedConfigCheckInterval{ 1000 };
+/// Checks are made on request.
+constexpr Millis kUnrequestedCheckInterval{ 3600000 };
+/// Leaves the members of a cell time to learn of a check before its answer is
+/// too old to refuse requests by.
+constexpr std::int64_t kCellChecksPerConfigTime = 3;
+constexpr const char* kConfigCheckName = "config-check";
 
 Bytes
-encodeEntries(std::uint64_t aNext, const std::map<std::string, Bytes>& aEntries)
+encodeEntries(std::uint64_t aNext,
+              const std::map<std::string, Bytes>& aEntries,
+              const std::optional<OperatorEntry>& aUnreadable)
 {
   wire::PublishT publish;
   publish.base_version = aNext;
-  for (const auto& [key, value] : aEntries) {
+  const auto add = [&publish](const std::string& aKey, const Bytes& aValue) {
     publish.files.push_back(std::make_unique<wire::ConfigFileT>());
-    publish.files.back()->name = key;
-    publish.files.back()->text.assign(value.begin(), value.end());
+    publish.files.back()->name = aKey;
+    publish.files.back()->text.assign(aValue.begin(), aValue.end());
+  };
+  for (const auto& [key, value] : aEntries) {
+    add(key, value);
+  }
+  if (aUnreadable) {
+    // After the one that it would have replaced, so that a peer knows as little
+    // of it.
+    add(aUnreadable->mKey, aUnreadable->mValue);
   }
   return encodeRecord(makeRecord(std::move(publish), {}, {}));
 }
@@ -355,9 +374,7 @@
     recordStoreStatus(stream, true, {});
     position->onRead(*read, sentAt);
     mLoop.post([this, stream, sentAt, entries = *read] {
-      onOperatorEntries(entries, EntrySource::Store);
-      mConfirmedPosition.onRead(entries.mNext, sentAt);
-      mFleet.onReadSucceeded(stream, sentAt);
+      onOperatorRead(entries, sentAt);
     });
     return {};
   };
@@ -371,6 +388,92 @@
   mPollLoops[stream]->start();
 }
 
+void
+Daemon::Impl::onOperatorRead(const OperatorEntries& aEntries, Millis aSentAt)
+{
+  onOperatorEntries(aEntries, EntrySource::Store);
+  mConfirmedPosition.onRead(aEntries.mNext, aSentAt);
+  mFleet.onReadSucceeded(std::string(kConfigStream), aSentAt);
+  if (aEntries.mIsAtEnd) {
+    mConfigFreshness.onRead(
+      aEntries.mNext, aSentAt, monotonicNow(), aEntries.mIsRestored);
+  }
+  publishConfigAsOf();
+}
+
+void
+Daemon::Impl::startConfigCheck()
+{
+  const std::shared_ptr<OperatorFeed> feed =
+    std::make_shared<OperatorFeed>(mProtocol.mOpenFeed());
+  PollLoop::Hooks hooks;
+  hooks.mPoll = [this, feed]() -> Result<void> {
+    const std::uint64_t from = mConfigCheckFrom;
+    if (from == 0) {
+      // The first entries are read by followOperators().
+      return {};
+    }
+    const Millis sentAt = monotonicNow();
+    const Result<OperatorEntries> read =
+      feed->mRead(from, Millis{}, kConfigCheckTimeout);
+    mConfigCheckFails = !read;
+    if (!read) {
+      return tl::unexpected<Error>(read.error());
+    }
+    recordStoreStatus(kConfigCheckName, true, {});
+    mLoop.post(
+      [this, sentAt, entries = *read] { onOperatorRead(entries, sentAt); });
+    return {};
+  };
+  hooks.mOnError = [this](const Error& aError) {
+    recordStoreStatus(kConfigCheckName, false, aError.mMessage);
+  };
+  hooks.mAbort = [feed] { feed->mAbort(); };
+  hooks.mInterval = kUnrequestedCheckInterval;
+  hooks.mCoalesceTime = Millis{};
+  mConfigCheck = std::make_unique<PollLoop>(std::move(hooks), systemRandom());
+  mConfigCheck->start();
+}
+
+bool
+Daemon::Impl::checkConfig()
+{
+  if (!mConfigCheck || !mIsConfigReadable) {
+    return false;
+  }
+  const Millis interval =
+    mConfigCheckFails ? kFailedConfigCheckInterval : kMinConfigCheckInterval;
+  const std::int64_t now = monotonicNow().mCount;
+  std::int64_t next = mNextConfigCheck;
+  if (now >= next &&
+      mNextConfigCheck.compare_exchange_strong(next, now + interval.mCount)) {
+    mConfigCheck->requestPoll();
+  }
+  return !mConfigCheckFails;
+}
+
+void
+Daemon::Impl::checkConfigForCell()
+{
+  const Millis now = monotonicNow();
+  const Millis interval = mSettings.configTime() / kCellChecksPerConfigTime;
+  const std::optional<Millis> asOf = mConfigFreshness.asOf();
+  const bool isFresh = asOf && now - *asOf < interval;
+  if (isFresh || now < mNextCellCheck ||
+      coordinatorOf(mFleet.ownCell()) != mSelf) {
+    return;
+  }
+  mNextCellCheck = now + interval;
+  checkConfig();
+}
+
+void
+Daemon::Impl::publishConfigAsOf()
+{
+  mIsConfigReadable = !mUnreadableEntry;
+  mConfigAsOf = mConfigFreshness.asOf().value_or(Millis{}).mCount;
+}
+
 void
 Daemon::Impl::onOperatorEntries(const OperatorEntries& aEntries,
                                 EntrySource aSource)
@@ -406,6 +509,7 @@
                  { "position", aEntries.mNext },
                  { "error", change.error().mMessage },
                  { "version_in_force", mOperatorState.version() } });
+      mUnreadableEntry = entry;
       continue;
     }
     if (config::VersionedModel* model =
@@ -423,6 +527,7 @@
       }
       mConfigurationKey = entry.mKey;
       mOperatorEntries[entry.mKey] = entry.mValue;
+      mUnreadableEntry.reset();
     }
     const OperatorChange::ZoneState* zone =
       std::get_if<OperatorChange::ZoneState>(&change->mChange);
@@ -450,13 +555,19 @@
       { "learned_from", aSource == EntrySource::Store ? "store" : "peer" },
       { "operator_version", mOperatorState.version() } });
   mNextOperatorPosition = aEntries.mNext;
+  mConfigCheckFrom = aEntries.mNext;
   mConfirmedPosition.onRelayed(aEntries.mNext);
   mOperatorState.setZonesOutOfService(std::move(zonesOut));
-  mFleet.setModel(mNextOperatorPosition,
-                  mOperatorState.version(),
-                  mOperatorState.model(),
-                  mOperatorState.zonesOutOfService(),
-                  encodeEntries(mNextOperatorPosition, mOperatorEntries));
+  mFleet.setModel(
+    mNextOperatorPosition,
+    mOperatorState.version(),
+    mOperatorState.model(),
+    mOperatorState.zonesOutOfService(),
+    encodeEntries(mNextOperatorPosition, mOperatorEntries, mUnreadableEntry));
+  // Only now may requests be refused by what was read.
+  mConfigFreshness.onApplied(aEntries.mNext);
+  mConfigFreshness.setReadable(!mUnreadableEntry);
+  publishConfigAsOf();
 }
 
 void
@@ -499,6 +610,11 @@
   for (const std::unique_ptr<wire::StreamPositionT>& position : aPositions) {
     if (aAskedAt && position->stream == kConfigStream) {
       mConfirmedPosition.onPeer(position->next_offset, *aAskedAt);
+      if (position->as_of_ms_ago >= 0) {
+        mConfigFreshness.onPeer(position->next_offset,
+                                *aAskedAt - Millis{ position->as_of_ms_ago });
+        publishConfigAsOf();
+      }
     }
   }
 }
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -32,6 +32,10 @@
 /// Part of the deadline reserved for the transmission of the answer.
 constexpr Millis kAnswerTransmissionMargin{ 5 };
 constexpr Millis kRetryAfterOutage{ 1000 };
+/// How often a request checks whether the newest configuration is known, and
+/// for how long.
+constexpr Millis kConfigPollInterval{ 5 };
+constexpr Millis kMaxConfigWait{ 100 };
 /// Retry-after for requests whose key is changing its owner or has none.
 constexpr Millis kUnservedRetryAfter{ 250 };
 constexpr std::string_view kBearer = "Bearer ";
@@ -90,6 +94,14 @@
   return static_cast<std::uint32_t>(hash64(aRequest.service)) ^ aRequest.kind;
 }
 
+/// Whether the reason says that the configuration does not allow the request.
+bool
+isRefusalForGood(NotRunReason aReason)
+{
+  return aReason == NotRunReason::Unauthorized ||
+         aReason == NotRunReason::NoRoute || aReason == NotRunReason::Malformed;
+}
+
 /// Whether a later attempt may succeed, since the key is changing its owner or
 /// is not served at present.
 bool
@@ -120,22 +132,13 @@
 CancelFn
 Ingress::handle(CallerRequest aRequest, AnswerFn aAnswer)
 {
-  const std::shared_ptr<const FleetView> view = mViews.get();
   const PendingRequestPtr pending = std::make_shared<PendingRequest>();
   pending->mAnswer = std::move(aAnswer);
   pending->mReceivedAt = aRequest.mReceivedAt;
   pending->mRequest.id_high = aRequest.mId.mHigh;
   pending->mRequest.id_low = aRequest.mId.mLow;
-  const NotRunReason reason =
-    mHooks.mParseCallerHeaders
-      ? preparePlatformRequest(aRequest, *view, *pending)
-      : prepare(aRequest, *view, *pending);
-  if (reason != NotRunReason::None) {
-    finish(pending, makeNotRunAnswer(aRequest.mId, reason));
-    return {};
-  }
-  mHooks.mOnRequest();
-  admit(pending);
+  pending->mCallerRequest = std::move(aRequest);
+  begin(pending);
   return [this, weak = std::weak_ptr<PendingRequest>(pending)] {
     if (const PendingRequestPtr locked = weak.lock()) {
       cancel(*locked);
@@ -143,6 +146,44 @@
   };
 }
 
+void
+Ingress::begin(const PendingRequestPtr& aPending)
+{
+  if (aPending->mCancelled) {
+    finishCancelled(aPending);
+    return;
+  }
+  aPending->mConfigAsOf = mHooks.mConfigAsOf();
+  const std::shared_ptr<const FleetView> view = mViews.get();
+  CallerRequest& request = aPending->mCallerRequest;
+  NotRunReason reason = mHooks.mParseCallerHeaders
+                          ? preparePlatformRequest(request, *view, *aPending)
+                          : prepare(request, *view, *aPending);
+  if (reason == NotRunReason::None) {
+    mHooks.mOnRequest();
+    admit(aPending);
+    return;
+  }
+  const RandomId id = idOf(aPending->mRequest);
+  const Millis receivedAt = aPending->mReceivedAt;
+  if (!isRefusalForGood(reason) ||
+      mHooks.mMayRefuseForGood(aPending->mConfigAsOf, receivedAt)) {
+    finish(aPending, makeNotRunAnswer(id, reason));
+    return;
+  }
+  const bool isAsked = mHooks.mCheckConfig();
+  if (isAsked && mHooks.mNow() < receivedAt + kMaxConfigWait) {
+    mTimer.after(kConfigPollInterval, [this, aPending] { begin(aPending); });
+    return;
+  }
+  finish(
+    aPending,
+    makeNotRunAnswer(
+      id,
+      NotRunReason::ConfigUnconfirmed,
+      retryAfterOutage(kRetryAfterOutage, aPending->mRequest.rank, id.mLow)));
+}
+
 NotRunReason
 Ingress::prepare(CallerRequest& aRequest,
                  const FleetView& aView,
@@ -310,9 +351,16 @@
   if (refuseUnfinishable(aPending)) {
     return;
   }
+  aPending->mConfigAsOf = mHooks.mConfigAsOf();
   const std::shared_ptr<const FleetView> view = mViews.get();
-  const NotRunReason reason = checkCallerKey(aPending->mRequest, *view);
-  if (reason == NotRunReason::NoOwner) {
+  NotRunReason reason = checkCallerKey(aPending->mRequest, *view);
+  if (reason == NotRunReason::Unauthorized &&
+      !mHooks.mMayRefuseForGood(aPending->mConfigAsOf, aPending->mReceivedAt)) {
+    reason = NotRunReason::ConfigUnconfirmed;
+    mHooks.mCheckConfig();
+  }
+  if (reason == NotRunReason::NoOwner ||
+      reason == NotRunReason::ConfigUnconfirmed) {
     scheduleResend(aPending, reason);
     return;
   }
--- a/src/daemon/ingress_pending_request.h
+++ b/src/daemon/ingress_pending_request.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,8 @@
 /// A caller's request that has not been answered yet.
 struct Ingress::PendingRequest
 {
+  /// As received; moved into mRequest once a route is found.
+  CallerRequest mCallerRequest;
   ForwardRequest mRequest;
   AnswerFn mAnswer;
   Millis mReceivedAt;
@@ -43,6 +46,8 @@
   /// Held while an attempt is dispatched, so that its cancellation cannot
   /// overtake it.
   std::mutex mAttemptMutex;
+  /// See Ingress::Hooks::mConfigAsOf.
+  std::optional<Millis> mConfigAsOf;
   /// When the last attempt was sent.
   Millis mSentAt;
   /// Daemon to which the last attempt was sent; 0 before the first.
--- a/src/daemon/ingress_platform.cpp
+++ b/src/daemon/ingress_platform.cpp
@@ -43,13 +43,14 @@
     kLowestRank, workspace * kWorkspaceRankStep + aRoute.mPriorityRank));
 }
 
-/// Whether the answer says that the configuration does not allow the request.
+/// Whether the answer was made by the configuration and its age.
 bool
-refusesForGood(const Answer& aAnswer)
+isByConfig(const Answer& aAnswer)
 {
   return aAnswer.kind == AnswerKind::NotRun &&
          (aAnswer.reason == NotRunReason::Unauthorized ||
-          aAnswer.reason == NotRunReason::NoRoute);
+          aAnswer.reason == NotRunReason::NoRoute ||
+          aAnswer.reason == NotRunReason::ConfigUnconfirmed);
 }
 
 bool
@@ -309,23 +310,21 @@
   const Millis objective = aPending.mObjectiveAt == Millis{}
                              ? Millis{}
                              : aPending.mObjectiveAt - aPending.mReceivedAt;
-  nlohmann::json line = {
-    { "outcome", outcomeName(aAnswer.kind) },
-    { "reason", reasonName(aAnswer.reason) },
-    { "status", aAnswer.status },
-    { "service", request.service },
-    { "workspace", request.workspace },
-    { "shard", request.shard },
-    { "sent_to", std::to_string(aPending.mSentTo) },
-    { "config_version", request.config_version },
-    { "took_ms", (now - aPending.mReceivedAt).mCount },
-    { "objective_ms", objective.mCount },
-    { "retry_after_ms", aAnswer.retry_after_ms }
-  };
-  if (refusesForGood(aAnswer)) {
+  nlohmann::json line = { { "outcome", outcomeName(aAnswer.kind) },
+                          { "reason", reasonName(aAnswer.reason) },
+                          { "status", aAnswer.status },
+                          { "service", request.service },
+                          { "workspace", request.workspace },
+                          { "shard", request.shard },
+                          { "sent_to", std::to_string(aPending.mSentTo) },
+                          { "config_version", request.config_version },
+                          { "took_ms", (now - aPending.mReceivedAt).mCount },
+                          { "objective_ms", objective.mCount },
+                          { "retry_after_ms", aAnswer.retry_after_ms } };
+  if (isByConfig(aAnswer)) {
     line["operator_version"] = mViews.get()->mOperatorVersion;
-    const std::optional<Millis> age = mHooks.mConfigAge();
-    line["config_age_ms"] = age ? age->mCount : -1;
+    const std::optional<Millis> asOf = aPending.mConfigAsOf;
+    line["config_age_ms"] = asOf ? (aPending.mReceivedAt - *asOf).mCount : -1;
   }
   if (!aPending.mZoneOut.empty()) {
     line["zone_out"] = aPending.mZoneOut;
--- a/src/daemon/lease_manager.cpp
+++ b/src/daemon/lease_manager.cpp
@@ -200,15 +200,21 @@
 LeaseManager::positions() const
 {
   Positions list;
-  const auto add = [&list](const std::string& aStream, std::uint64_t aNext) {
+  const auto add = [&list](const std::string& aStream,
+                           std::uint64_t aNext) -> wire::StreamPositionT& {
     std::unique_ptr<wire::StreamPositionT> position =
       std::make_unique<wire::StreamPositionT>();
     position->stream = aStream;
     position->next_offset = aNext;
     list.push_back(std::move(position));
+    return *list.back();
   };
   const std::string config(kConfigStream);
-  add(config, mContext.mFleet.nextOffset(config));
+  wire::StreamPositionT& position =
+    add(config, mContext.mFleet.nextOffset(config));
+  if (const std::optional<Millis> asOf = mContext.mConfigAsOf()) {
+    position.as_of_ms_ago = (mContext.mNow() - *asOf).mCount;
+  }
   for (const auto& [service, cell] : mContext.mFleet.cells()) {
     add(cellStream(service), cell->mNextOffset);
   }
--- a/src/daemon/peer_check.cpp
+++ b/src/daemon/peer_check.cpp
@@ -7,13 +7,17 @@
 NotRunReason
 checkPeerRequest(const FleetView& aView,
                  const std::string& aOwnService,
-                 const ForwardRequest& aRequest)
+                 const ForwardRequest& aRequest,
+                 bool aMayRefuseForGood)
 {
   if (aRequest.service != aOwnService) {
     return NotRunReason::NotOwner;
   }
-  return isKeyWithdrawn(aView, aRequest) ? NotRunReason::Unauthorized
-                                         : NotRunReason::None;
+  if (!isKeyWithdrawn(aView, aRequest)) {
+    return NotRunReason::None;
+  }
+  return aMayRefuseForGood ? NotRunReason::Unauthorized
+                           : NotRunReason::ConfigUnconfirmed;
 }
 
 }
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -34,7 +34,7 @@
   const char* mHelp;
 };
 
-constexpr std::array<Setting, 18> kSettings{ {
+constexpr std::array<Setting, 19> kSettings{ {
   { "vm", "RADISHROAD_VM", &DaemonSettings::mVm, Kind::Name, "name of the VM" },
   { "zone",
     "RADISHROAD_ZONE",
@@ -121,6 +121,11 @@
     &DaemonSettings::mZoneOutTimeMs,
     Kind::Duration,
     "time after which a zone out of service gets no more requests (5000)" },
+  { "config-time-ms",
+    "RADISHROAD_CONFIG_TIME_MS",
+    &DaemonSettings::mConfigTimeMs,
+    Kind::Duration,
+    "time after which a new configuration must be in force (2000)" },
 } };
 
 constexpr std::size_t kMaxNameLength = 64;
@@ -322,6 +327,12 @@
   return { toUnsigned(mZoneOutTimeMs) };
 }
 
+Millis
+DaemonSettings::configTime() const
+{
+  return { toUnsigned(mConfigTimeMs) };
+}
+
 bool
 isSocketAddress(const std::string& aText)
 {
--- a/src/log/poll_loop.cpp
+++ b/src/log/poll_loop.cpp
@@ -13,9 +13,6 @@
 constexpr Millis kInitialBackoff{ 100 };
 /// Short enough to notice within a second that the store is available again.
 constexpr Millis kMaxBackoff{ 800 };
-/// Delay before a requested poll: several states may follow each other closely,
-/// and one poll then reads the last.
-constexpr std::chrono::milliseconds kCoalesceDelay{ 100 };
 
 }
 
@@ -40,7 +37,9 @@
     mWakeUp.wait_for(
       lock, delay, [this] { return mStopped || mPollRequested; });
     if (mPollRequested) {
-      mWakeUp.wait_for(lock, kCoalesceDelay, [this] { return mStopped; });
+      mWakeUp.wait_for(lock,
+                       std::chrono::milliseconds(mHooks.mCoalesceTime.mCount),
+                       [this] { return mStopped; });
       mPollRequested = false;
     }
   }
--- a/tests/process/support/platform_site.cpp
+++ b/tests/process/support/platform_site.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cstdlib>
 #include <fstream>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -28,11 +29,23 @@
   return aIp + ":" + std::to_string(aPort);
 }
 
+/// Folder of an earlier version that is tested instead, built as its deploy
+/// file says; empty for the present one.
+fs::path
+earlierVersion()
+{
+  const char* folder = std::getenv("RADISHROAD_TEST_VERSION");
+  return folder == nullptr ? fs::path() : fs::path(folder);
+}
+
 /// The words of the deploy file's command for a daemon.
 std::vector<std::string>
 daemonCommand(const std::map<std::string, std::string>& aValues)
 {
-  std::ifstream file(fs::path(RADISHROAD_SOURCE_DIR) / "deploy/system.toml");
+  const fs::path earlier = earlierVersion();
+  const fs::path source =
+    earlier.empty() ? fs::path(RADISHROAD_SOURCE_DIR) : earlier;
+  std::ifstream file(source / "deploy/system.toml");
   std::string line;
   while (std::getline(file, line) && !line.starts_with("run = \"")) {
   }
@@ -50,7 +63,9 @@
   }
   command.back().pop_back();
   command.front() =
-    (fs::path(RADISHROAD_BUILD_DIR) / "src/main/radishroadd").string();
+    earlier.empty()
+      ? (fs::path(RADISHROAD_BUILD_DIR) / "src/main/radishroadd").string()
+      : (earlier / command.front()).string();
   return command;
 }
 
@@ -98,56 +113,70 @@
 }
 
 void
-PlatformSite::publish(const std::vector<Service>& aServices, int aVersion)
+PlatformSite::publish(const std::vector<Service>& aServices,
+                      int aVersion,
+                      const std::vector<Workspace>& aWorkspaces)
 {
   nlohmann::json routes = nlohmann::json::array();
   nlohmann::json services = nlohmann::json::array();
-  const auto addRoute =
-    [&](const Service& aService, const std::string& aPath, const char* aKind) {
-      routes.push_back({ aService.mName + aPath,
-                         "shop.example",
-                         "/" + aService.mName + aPath,
-                         aKind,
-                         aService.mTimeout.mCount,
-                         400,
-                         1,
-                         aService.mName,
-                         2 });
-    };
+  const auto addRoute = [&](const Service& aService,
+                            const std::string& aPrefix,
+                            const char* aKind) {
+    routes.push_back({ aPrefix.substr(1),
+                       "shop.example",
+                       aPrefix,
+                       aKind,
+                       aService.mTimeout.mCount,
+                       400,
+                       1,
+                       aService.mName,
+                       2 });
+  };
   for (const Service& service : aServices) {
-    addRoute(service, "/", "idempotent");
-    addRoute(service, "/once/", "non_idempotent");
+    const std::string root = "/" + service.mName;
+    addRoute(service, root + "/", "idempotent");
+    addRoute(service, root + "/once/", "non_idempotent");
     for (const std::string& path : service.mRoutes) {
       addRoute(service,
-               path,
+               root + path,
                path.ends_with("/once/") ? "non_idempotent" : "idempotent");
     }
+    for (const std::string& prefix : service.mPrefixes) {
+      addRoute(service, prefix, "idempotent");
+    }
     const char* grants = service.mGrantsByReport ? "heartbeat" : "call";
     services.push_back(
       { service.mName, "/healthz", 130, 3.0, 1000.0, service.mKeyed, grants });
   }
-  const nlohmann::json configuration = { { "Version",
-                                           "r" + std::to_string(aVersion) },
-                                         { "Routes",
-                                           table({ "Name",
-                                                   "Host",
-                                                   "Prefix",
-                                                   "Kind",
-                                                   "TimeoutMs",
-                                                   "TargetLatencyMs",
-                                                   "Priority",
-                                                   "Service",
-                                                   "MaxAttempts" },
-                                                 routes) },
-                                         { "Services",
-                                           table({ "Name",
-                                                   "HealthPath",
-                                                   "MaxConnections",
-                                                   "WarmupS",
-                                                   "WarmupPerS",
-                                                   "Sharded",
-                                                   "Grants" },
-                                                 services) } };
+  nlohmann::json configuration = { { "Version",
+                                     "r" + std::to_string(aVersion) },
+                                   { "Routes",
+                                     table({ "Name",
+                                             "Host",
+                                             "Prefix",
+                                             "Kind",
+                                             "TimeoutMs",
+                                             "TargetLatencyMs",
+                                             "Priority",
+                                             "Service",
+                                             "MaxAttempts" },
+                                           routes) },
+                                   { "Services",
+                                     table({ "Name",
+                                             "HealthPath",
+                                             "MaxConnections",
+                                             "WarmupS",
+                                             "WarmupPerS",
+                                             "Sharded",
+                                             "Grants" },
+                                           services) } };
+  nlohmann::json workspaces = nlohmann::json::array();
+  for (const Workspace& workspace : aWorkspaces) {
+    workspaces.push_back({ workspace.mName, workspace.mKeys });
+  }
+  if (!aWorkspaces.empty()) {
+    configuration["Tenants"] = table({ "Name", "ApiKeys" }, workspaces);
+  }
   mStore.put("keyed.op", "config", configuration.dump());
 }
 
@@ -170,6 +199,7 @@
     { "Bounds.GraceS", std::to_string(kGraceTime.mCount / 1000) },
     { "Bounds.DrainMs", "2000" },
     { "Bounds.HoldMaxMs", "10000" },
+    { "Bounds.ConfigApplyMs", std::to_string(kConfigTime.mCount) },
     { "Bounds.EvacuateMs", std::to_string(kZoneOutTime.mCount) },
   });
   aVm.mDaemon =
--- a/tests/process/support/platform_site.h
+++ b/tests/process/support/platform_site.h
@@ -29,11 +29,19 @@
     /// Paths of routes beside "/" and "/once/"; those that end in "/once/" are
     /// not idempotent.
     std::vector<std::string> mRoutes = {};
+    /// Whole prefixes of further idempotent routes.
+    std::vector<std::string> mPrefixes = {};
     Millis mTimeout{ 2000 };
     int mSlots = 9;
     PlatformUpstream::RunTimeFn mRunTime = {};
   };
 
+  struct Workspace
+  {
+    std::string mName;
+    std::vector<std::string> mKeys;
+  };
+
   /// A daemon with the upstream beside it.
   struct Vm
   {
@@ -54,6 +62,9 @@
   /// Time from SIGTERM until a daemon would be killed.
   static constexpr Millis kGraceTime{ 6000 };
 
+  /// Time within which a configuration must be in force.
+  static constexpr Millis kConfigTime{ 2000 };
+
   /// Zones are z1 to z3, by turns. All requests to a service have the path
   /// prefix /NAME/; those with /NAME/once/ are not idempotent.
   PlatformSite(const std::string& aName,
@@ -67,8 +78,11 @@
   std::vector<Vm>& vms() { return mVms; }
   FakeStore& store() { return mStore; }
   void setZoneOutOfService(const std::string& aZone, bool aIsOut);
-  /// Puts the services' routes into force as version r<aVersion>.
-  void publish(const std::vector<Service>& aServices, int aVersion);
+  /// Puts the services' routes into force as version r<aVersion>. Without
+  /// workspaces, callers need no key.
+  void publish(const std::vector<Service>& aServices,
+               int aVersion,
+               const std::vector<Workspace>& aWorkspaces = {});
   bool isReady(const Vm& aVm) const;
   /// All runs of all upstreams.
   std::vector<PlatformRun> runs() const;
--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -2,6 +2,7 @@
 
 #include "radishroad/request/text_answer.h"
 
+#include <algorithm>
 #include <boost/algorithm/string.hpp>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -147,11 +148,31 @@
   ++mEra;
 }
 
+void
+FakeStore::setLongPollsSilent(bool aSilent)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mAreLongPollsSilent = aSilent;
+  if (aSilent) {
+    std::ranges::move(mHeldPolls, std::back_inserter(mSilentPolls));
+    mHeldPolls.clear();
+  }
+}
+
 void
 FakeStore::handle(const CallerRequest& aRequest, const AnswerFn& aAnswer)
 {
   ++mCalls;
   const std::lock_guard<std::mutex> lock(mMutex);
+  if (mAreLongPollsSilent && isLongPoll(aRequest)) {
+    mSilentPolls.push_back({ aRequest, aAnswer, {} });
+    return;
+  }
+  if (mFault == Fault::Slow) {
+    mHeldPolls.push_back(
+      { aRequest, aAnswer, monotonicNow() + kSlowAnswer, true });
+    return;
+  }
   if (mayHold(aRequest)) {
     const std::string wait =
       queryParameter(aRequest.mTarget, "WaitMs").value_or("0");
@@ -162,6 +183,13 @@
   aAnswer(complete(answerCall(aRequest)));
 }
 
+bool
+FakeStore::isLongPoll(const CallerRequest& aRequest)
+{
+  return aRequest.mTarget.starts_with("/api/log-read") &&
+         queryParameter(aRequest.mTarget, "WaitMs").value_or("0") != "0";
+}
+
 bool
 FakeStore::mayHold(const CallerRequest& aRequest)
 {
@@ -169,8 +197,7 @@
   const std::uint64_t end =
     mTopics[queryParameter(target, "Topic").value_or("")].mEndOffset;
   return mLongPollMode == LongPolls::Held && mFault == Fault::None &&
-         target.starts_with("/api/log-read") &&
-         queryParameter(target, "WaitMs").value_or("0") != "0" &&
+         isLongPoll(aRequest) &&
          queryParameter(target, "From") == std::to_string(end);
 }
 
@@ -180,7 +207,8 @@
   const std::lock_guard<std::mutex> lock(mMutex);
   const Millis now = monotonicNow();
   std::erase_if(mHeldPolls, [&](const HeldPoll& aPoll) {
-    const bool isDue = now >= aPoll.mUntil || !mayHold(aPoll.mRequest);
+    const bool isDue =
+      now >= aPoll.mUntil || (!aPoll.mIsDelayed && !mayHold(aPoll.mRequest));
     if (isDue) {
       aPoll.mAnswer(complete(answerCall(aPoll.mRequest)));
     }
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -29,7 +29,10 @@
     Busy,
     /// Appends take effect, but are answered with an error.
     LosesAnswers,
+    /// Answers each call after kSlowAnswer.
+    Slow,
   };
+  static constexpr Millis kSlowAnswer{ 1500 };
 
   enum class LongPolls
   {
@@ -43,6 +46,9 @@
 
   std::string address() const;
   void setFault(Fault aFault) { mFault = aFault; }
+  /// While set, long polls are never answered; nor are those that are held when
+  /// it is set. Other calls are.
+  void setLongPollsSilent(bool aSilent);
   /// Writes a record as an operator does; an empty value deletes the key.
   void put(const std::string& aTopic,
            const std::string& aKey,
@@ -87,11 +93,14 @@
     CallerRequest mRequest;
     AnswerFn mAnswer;
     Millis mUntil;
+    /// Answered at mUntil, whatever happens before.
+    bool mIsDelayed = false;
   };
 
   void handle(const CallerRequest& aRequest, const AnswerFn& aAnswer);
   /// Adds the headers that all answers have.
   Answer complete(Answer aAnswer) const;
+  static bool isLongPoll(const CallerRequest& aRequest);
   bool mayHold(const CallerRequest& aRequest);
   /// Answers the held polls whose topic has grown or whose time has passed.
   void answerHeldPolls();
@@ -113,6 +122,9 @@
   std::uint64_t mEra = 1;
   const LongPolls mLongPollMode;
   std::vector<HeldPoll> mHeldPolls;
+  bool mAreLongPollsSilent = false;
+  /// Never answered.
+  std::vector<HeldPoll> mSilentPolls;
   std::atomic<bool> mStopped{ false };
   std::thread mPollThread;
   Metrics mMetrics;
--- a/tests/unit/ingress_platform_test.cpp
+++ b/tests/unit/ingress_platform_test.cpp
@@ -5,12 +5,14 @@
 #include "radishroad/base/bounded_queue.h"
 #include "radishroad/base/hash.h"
 #include "radishroad/base/timer.h"
+#include "radishroad/config/freshness.h"
 #include "radishroad/config/model.h"
 #include "radishroad/daemon/fleet_view.h"
 #include "radishroad/ownership/key_layout.h"
 #include "radishroad/state/snapshot_codec.h"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 
 using namespace radishroad;
@@ -83,7 +85,15 @@
     hooks.mCancelTokenWait = [](const std::string&) {};
     hooks.mRetryAfter = [](const std::string&) { return Millis{}; };
     hooks.mConfigFresh = [] { return true; };
-    hooks.mConfigAge = [] { return Millis{}; };
+    hooks.mConfigAsOf = [this] {
+      const Millis asOf{ mConfigAsOf };
+      return asOf == Millis{} ? std::nullopt : std::optional(asOf);
+    };
+    hooks.mMayRefuseForGood = [](std::optional<Millis> aAsOf,
+                                 Millis aReceivedAt) {
+      return config::mayRefuseForGood(aAsOf, aReceivedAt, 2000_ms);
+    };
+    hooks.mCheckConfig = [this] { return mMayCheckConfig.load(); };
     hooks.mSendToPeer = [this](const std::string& aAddress,
                                ForwardRequest aRequest,
                                AnswerFn aAnswer) {
@@ -137,7 +147,7 @@
       header.value = value;
       request.mHeaders.push_back(std::move(header));
     }
-    mIngress.handle(std::move(request), [this](Answer aAnswer) {
+    mCancel = mIngress.handle(std::move(request), [this](Answer aAnswer) {
       mAnswers.tryPush(std::move(aAnswer));
     });
   }
@@ -151,6 +161,10 @@
   FleetViewStore mViews;
   Metrics mMetrics;
   Timer mTimer;
+  /// 0 for none.
+  std::atomic<std::int64_t> mConfigAsOf{ monotonicNow().mCount };
+  std::atomic<bool> mMayCheckConfig{ false };
+  CancelFn mCancel;
   Ingress mIngress;
 };
 
@@ -190,6 +204,50 @@
   BOOST_TEST((ingress.answer().reason == NotRunReason::NoOwner));
 }
 
+// Routes and keys that an old configuration lacks were refused with 404 and
+// 401.
+BOOST_AUTO_TEST_CASE(a_configuration_of_unknown_age_refuses_nothing_for_good)
+{
+  PlatformIngress ingress;
+  for (const Millis asOf : { Millis{}, monotonicNow() - 2100_ms }) {
+    ingress.mConfigAsOf = asOf.mCount;
+    for (const char* target : { "/other/1", "/keyed/1" }) {
+      ingress.handle(target, "wrong");
+      const Answer answer = ingress.answer();
+      BOOST_TEST((answer.reason == NotRunReason::ConfigUnconfirmed));
+      BOOST_TEST(answer.retry_after_ms > 0);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_route_waits_for_the_newest_configuration)
+{
+  PlatformIngress ingress;
+  ingress.mMayCheckConfig = true;
+  ingress.mConfigAsOf = 0;
+  ingress.handle("/other/1");
+  ingress.mConfigAsOf = monotonicNow().mCount;
+  BOOST_TEST((ingress.answer().reason == NotRunReason::NoRoute));
+  ingress.mConfigAsOf = 0;
+  ingress.handle("/other/1");
+  std::shared_ptr<config::Model> model =
+    std::make_shared<config::Model>(*ingress.mView.mModel);
+  model->mRoutes.front().mPrefix = "/other/";
+  ingress.mView.mModel = model;
+  ingress.mViews.set(std::make_shared<FleetView>(ingress.mView));
+  BOOST_TEST(ingress.sent().mRequest.target == "/other/1");
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_waits_for_the_configuration_is_cancelled)
+{
+  PlatformIngress ingress;
+  ingress.mMayCheckConfig = true;
+  ingress.mConfigAsOf = 0;
+  ingress.handle("/other/1");
+  ingress.mCancel();
+  BOOST_TEST((ingress.answer().reason == NotRunReason::Cancelled));
+}
+
 BOOST_AUTO_TEST_CASE(
   a_request_for_an_unserved_key_is_refused_early_with_a_retry_time)
 {
--- a/tests/unit/ingress_test.cpp
+++ b/tests/unit/ingress_test.cpp
@@ -49,7 +49,11 @@
     };
     hooks.mRetryAfter = [](const std::string&) { return Millis{}; };
     hooks.mConfigFresh = [] { return true; };
-    hooks.mConfigAge = [] { return Millis{}; };
+    hooks.mConfigAsOf = [] { return monotonicNow(); };
+    hooks.mMayRefuseForGood = [](std::optional<Millis>, Millis) {
+      return true;
+    };
+    hooks.mCheckConfig = [] { return false; };
     hooks.mSendToPeer =
       [this](const std::string&, const ForwardRequest&, AnswerFn aAnswer) {
         mSent.tryPush(std::move(aAnswer));
--- a/tests/unit/peer_check_test.cpp
+++ b/tests/unit/peer_check_test.cpp
@@ -14,9 +14,10 @@
 {
   ForwardRequest request;
   request.service = "catalog";
-  BOOST_TEST((checkPeerRequest({}, "catalog", request) == NotRunReason::None));
   BOOST_TEST(
-    (checkPeerRequest({}, "library", request) == NotRunReason::NotOwner));
+    (checkPeerRequest({}, "catalog", request, true) == NotRunReason::None));
+  BOOST_TEST(
+    (checkPeerRequest({}, "library", request, true) == NotRunReason::NotOwner));
 }
 
 BOOST_AUTO_TEST_CASE(a_key_withdrawn_in_transit_is_refused)
@@ -29,8 +30,23 @@
   request.workspace = "guild";
   request.caller_key = "hash";
   request.config_version = 4;
-  BOOST_TEST(
-    (checkPeerRequest(view, "catalog", request) == NotRunReason::Unauthorized));
+  BOOST_TEST((checkPeerRequest(view, "catalog", request, true) ==
+              NotRunReason::Unauthorized));
+}
+
+// A daemon that may itself be behind called a key unknown that had come back.
+BOOST_AUTO_TEST_CASE(a_view_of_unknown_age_does_not_call_a_key_withdrawn)
+{
+  FleetView view;
+  view.mConfigVersion = 5;
+  view.mModel = std::make_shared<config::Model>();
+  ForwardRequest request;
+  request.service = "catalog";
+  request.workspace = "guild";
+  request.caller_key = "hash";
+  request.config_version = 4;
+  BOOST_TEST((checkPeerRequest(view, "catalog", request, false) ==
+              NotRunReason::ConfigUnconfirmed));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
