Read a restored store again two seconds after it was noticed, not at once (EVAC)

What callers and upstreams saw: after the store came back from a copy, requests reached a zone that was out of service.

Cause: all entries are read once more 2 s after a restore, when operators have written again what the copy lacks. The time counted from when the read that noticed the restore was sent. That read may have waited up to 15 s, so the second one came at once, and the copy was taken for all that operators had written.

The test zone_out/a_restored_copy_puts_no_zone_back_in_service failed on (2 checks) and passes now; it puts a zone out, waits longer than its time limit, and restores the store.

--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -372,7 +372,8 @@
       return tl::unexpected<Error>(read.error());
     }
     recordStoreStatus(stream, true, {});
-    position->onRead(*read, sentAt);
+    // The read may have waited long before the store was restored.
+    position->onRead(*read, monotonicNow());
     mLoop.post([this, stream, sentAt, entries = *read] {
       onOperatorRead(entries, sentAt);
     });
--- a/tests/process/zone_out_test.cpp
+++ b/tests/process/zone_out_test.cpp
@@ -186,6 +186,22 @@
   test.checkLimit(outAt);
 }
 
+// The entries of a restored copy were read as all that operators had written.
+BOOST_AUTO_TEST_CASE(a_restored_copy_puts_no_zone_back_in_service)
+{
+  SingleOwnerSite test("zone-out-restored");
+  test.mSite.store().copy();
+  test.mSite.setZoneOutOfService(kZone, true);
+  const Millis outAt = monotonicNow();
+  sleepFor(PlatformSite::kZoneOutTime + 1_s);
+  test.mSite.store().restore();
+  // Operators write again what the copy lacks within two seconds.
+  sleepFor(1800_ms);
+  test.mSite.setZoneOutOfService(kZone, true);
+  sleepFor(500_ms);
+  test.checkLimit(outAt);
+}
+
 BOOST_AUTO_TEST_CASE(keys_are_served_while_their_zone_goes_out_of_service)
 {
   PlatformSite site(
