--- a/include/radishroad/daemon/caller_key.h
+++ b/include/radishroad/daemon/caller_key.h
@@ -17,12 +17,14 @@
 std::string
 findWorkspace(const config::Model& aModel, const std::string& aCallerKey);
 
-/// Whether the caller's key has been withdrawn by a later configuration than
-/// the one under which the request was accepted. A request may be queued, or
-/// delayed between daemons, for longer than a withdrawal takes to be published.
-/// False for requests on open routes.
-bool
-isKeyWithdrawn(const FleetView& aView, const ForwardRequest& aRequest);
+/// Returns why a request must not run by a later configuration than the one
+/// under which it was accepted, or None if it may: Unauthorized if its key was
+/// withdrawn, ConfigUnconfirmed if the key is another workspace's now, so that
+/// the caller has to ask again. A request may be queued, or delayed between
+/// daemons, for longer than a change takes to be published. None for requests
+/// on open routes.
+NotRunReason
+checkKeyAgain(const FleetView& aView, const ForwardRequest& aRequest);
 
 }
 
--- a/src/daemon/caller_key.cpp
+++ b/src/daemon/caller_key.cpp
@@ -11,14 +11,21 @@
   return it == aModel.mWorkspaceOfKey.end() ? std::string() : it->second;
 }
 
-bool
-isKeyWithdrawn(const FleetView& aView, const ForwardRequest& aRequest)
+NotRunReason
+checkKeyAgain(const FleetView& aView, const ForwardRequest& aRequest)
 {
   // A configuration older than the sender's may not contain the key yet.
   const bool isNewer = aView.mConfigVersion > aRequest.config_version;
-  return !aRequest.caller_key.empty() && isNewer && aView.mModel != nullptr &&
-         findWorkspace(*aView.mModel, aRequest.caller_key) !=
-           aRequest.workspace;
+  if (aRequest.caller_key.empty() || !isNewer || aView.mModel == nullptr) {
+    return NotRunReason::None;
+  }
+  const std::string workspace =
+    findWorkspace(*aView.mModel, aRequest.caller_key);
+  if (workspace == aRequest.workspace) {
+    return NotRunReason::None;
+  }
+  return workspace.empty() ? NotRunReason::Unauthorized
+                           : NotRunReason::ConfigUnconfirmed;
 }
 
 }
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -232,9 +232,13 @@
   if (aRequest.caller_key.empty()) {
     return NotRunReason::None;
   }
-  if (aRequest.workspace.empty() || isKeyWithdrawn(aView, aRequest)) {
+  if (aRequest.workspace.empty()) {
     return NotRunReason::Unauthorized;
   }
+  const NotRunReason reason = checkKeyAgain(aView, aRequest);
+  if (reason != NotRunReason::None) {
+    return reason;
+  }
   // An outdated configuration might still contain a withdrawn key, so the
   // request is refused.
   return mHooks.mConfigFresh() ? NotRunReason::None : NotRunReason::NoOwner;
@@ -359,13 +363,16 @@
     reason = NotRunReason::ConfigUnconfirmed;
     mHooks.mCheckConfig();
   }
-  if (reason == NotRunReason::NoOwner ||
-      reason == NotRunReason::ConfigUnconfirmed) {
+  if (reason == NotRunReason::NoOwner) {
     scheduleResend(aPending, reason);
     return;
   }
   if (reason != NotRunReason::None) {
-    finish(aPending, makeNotRunAnswer(idOf(aPending->mRequest), reason));
+    const Millis retryAfter = reason == NotRunReason::ConfigUnconfirmed
+                                ? kUnservedRetryAfter
+                                : Millis{};
+    finish(aPending,
+           makeNotRunAnswer(idOf(aPending->mRequest), reason, retryAfter));
     return;
   }
   const CellState* cell = view->cell(aPending->mRequest.service);
--- a/src/daemon/peer_check.cpp
+++ b/src/daemon/peer_check.cpp
@@ -13,11 +13,10 @@
   if (aRequest.service != aOwnService) {
     return NotRunReason::NotOwner;
   }
-  if (!isKeyWithdrawn(aView, aRequest)) {
-    return NotRunReason::None;
-  }
-  return aMayRefuseForGood ? NotRunReason::Unauthorized
-                           : NotRunReason::ConfigUnconfirmed;
+  const NotRunReason reason = checkKeyAgain(aView, aRequest);
+  return reason == NotRunReason::Unauthorized && !aMayRefuseForGood
+           ? NotRunReason::ConfigUnconfirmed
+           : reason;
 }
 
 }
--- a/tests/unit/caller_key_test.cpp
+++ b/tests/unit/caller_key_test.cpp
@@ -32,10 +32,13 @@
   request.workspace = "maple";
   request.caller_key = "k1";
   request.config_version = 3;
-  BOOST_TEST(!isKeyWithdrawn(makeView(4, "k1", "maple"), request));
-  BOOST_TEST(isKeyWithdrawn(makeView(4, "k2", "maple"), request));
+  BOOST_TEST(
+    (checkKeyAgain(makeView(4, "k1", "maple"), request) == NotRunReason::None));
+  BOOST_TEST((checkKeyAgain(makeView(4, "k2", "maple"), request) ==
+              NotRunReason::Unauthorized));
   // The key now belongs to another workspace.
-  BOOST_TEST(isKeyWithdrawn(makeView(4, "k1", "birch"), request));
+  BOOST_TEST((checkKeyAgain(makeView(4, "k1", "birch"), request) ==
+              NotRunReason::ConfigUnconfirmed));
 }
 
 BOOST_AUTO_TEST_CASE(earlier_configuration_does_not_withdraw_key)
@@ -44,15 +47,17 @@
   request.workspace = "maple";
   request.caller_key = "k1";
   request.config_version = 3;
-  BOOST_TEST(!isKeyWithdrawn(makeView(2, "k2", "maple"), request));
-  BOOST_TEST(!isKeyWithdrawn(FleetView{}, request));
+  BOOST_TEST(
+    (checkKeyAgain(makeView(2, "k2", "maple"), request) == NotRunReason::None));
+  BOOST_TEST((checkKeyAgain(FleetView{}, request) == NotRunReason::None));
 }
 
 BOOST_AUTO_TEST_CASE(public_route_needs_no_key)
 {
   ForwardRequest request;
   request.workspace = "maple";
-  BOOST_TEST(!isKeyWithdrawn(makeView(4, "k2", "maple"), request));
+  BOOST_TEST(
+    (checkKeyAgain(makeView(4, "k2", "maple"), request) == NotRunReason::None));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/peer_check_test.cpp
+++ b/tests/unit/peer_check_test.cpp
@@ -34,6 +34,23 @@
               NotRunReason::Unauthorized));
 }
 
+// A key that had moved to another workspace was refused with 401.
+BOOST_AUTO_TEST_CASE(a_key_of_another_workspace_in_transit_is_to_be_asked_again)
+{
+  FleetView view;
+  view.mConfigVersion = 5;
+  std::shared_ptr<config::Model> model = std::make_shared<config::Model>();
+  model->mWorkspaceOfKey["hash"] = "other";
+  view.mModel = model;
+  ForwardRequest request;
+  request.service = "catalog";
+  request.workspace = "guild";
+  request.caller_key = "hash";
+  request.config_version = 4;
+  BOOST_TEST((checkPeerRequest(view, "catalog", request, true) ==
+              NotRunReason::ConfigUnconfirmed));
+}
+
 // A daemon that may itself be behind called a key unknown that had come back.
 BOOST_AUTO_TEST_CASE(a_view_of_unknown_age_does_not_call_a_key_withdrawn)
 {
