--- a/src/daemon/peer_check.cpp
+++ b/src/daemon/peer_check.cpp
@@ -7,13 +7,16 @@
 NotRunReason
 checkPeerRequest(const FleetView& aView,
                  const std::string& aOwnService,
-                 const ForwardRequest& aRequest)
+                 const ForwardRequest& aRequest,
+                 bool aMayRefuseForGood)
 {
   if (aRequest.service != aOwnService) {
     return NotRunReason::NotOwner;
   }
-  return isKeyWithdrawn(aView, aRequest) ? NotRunReason::Unauthorized
-                                         : NotRunReason::None;
+  const NotRunReason reason = checkKeyAgain(aView, aRequest);
+  return reason == NotRunReason::Unauthorized && !aMayRefuseForGood
+           ? NotRunReason::ConfigUnconfirmed
+           : reason;
 }
 
 }
