--- a/src/daemon/daemon_impl.h
+++ b/src/daemon/daemon_impl.h
@@ -122,15 +122,20 @@
   /// How far operators' entries are known.
   ConfirmedPosition mConfirmedPosition;
   config::Freshness mConfigFreshness;
-  /// Reads the operators' entries without waiting for news.
+  /// Reads the operators' entries without waiting for news. The members below
+  /// are shared with its thread and the request path.
   std::unique_ptr<PollLoop> mConfigCheck;
+  /// Time before which it is not asked to read again.
   std::atomic<std::int64_t> mNextConfigCheck{ 0 };
-  /// Position from which that reads; see mNextOperatorPosition.
+  /// Position from which it reads; see mNextOperatorPosition.
   std::atomic<std::uint64_t> mConfigCheckFrom{ 0 };
   /// Whether its last read failed.
   std::atomic<bool> mConfigCheckFails{ false };
-  Millis mNextCellCheck;
+  /// False if mUnreadableEntry is set; a read would tell no more then.
   std::atomic<bool> mIsConfigReadable{ true };
+  /// When this daemon next reads for its cell, as the coordinator. Control
+  /// thread only.
+  Millis mNextCellCheck;
   /// Position up to which operators' entries have been applied.
   std::uint64_t mNextOperatorPosition = 0;
   /// Operators' entries in force, by key, to be relayed to peers.
