Log by which configuration a refusal was decided, and where

`config_age_ms` was below 0 once a request had waited for the store, so that -1 read as "never"; `operator_version` was that of the moment of the line, which may be newer than the version that refused; and a 401 by the upstream's daemon was logged with the age that the caller's daemon knew, while the one that refused logged nothing.

The basis of a refusal is now kept where it is decided and logged only there. The daemon beside the upstream logs `peer_request_refused` with its own. An age is 0 if the configuration was confirmed after the request had been received.

freshness/what_was_learned_after_the_request_has_no_negative_age: the age was worked out in the log line before (no function to test), and 1,500 - 1,501 gave -1.

--- a/include/radishroad/config/freshness.h
+++ b/include/radishroad/config/freshness.h
@@ -55,6 +55,11 @@
                  Millis aReceivedAt,
                  Millis aConfigTime);
 
+/// How long before aAt the configuration was last known to be the newest one,
+/// in milliseconds: 0 if that was learned later, -1 if it is not known.
+std::int64_t
+configAge(std::optional<Millis> aAsOf, Millis aAt);
+
 }
 
 #endif
--- a/src/config/freshness.cpp
+++ b/src/config/freshness.cpp
@@ -57,4 +57,10 @@
   return aAsOf && aReceivedAt - *aAsOf <= aConfigTime;
 }
 
+std::int64_t
+configAge(std::optional<Millis> aAsOf, Millis aAt)
+{
+  return aAsOf ? std::max(Millis{}, aAt - *aAsOf).mCount : -1;
+}
+
 }
--- a/src/daemon/daemon_impl_hooks.cpp
+++ b/src/daemon/daemon_impl_hooks.cpp
@@ -1,6 +1,7 @@
 #include "radishroad/base/json_log.h"
 
 #include "daemon_impl.h"
+#include "radishroad/caller/response.h"
 #include "radishroad/daemon/peer_check.h"
 #include "radishroad/ownership/ownership_change.h"
 #include "radishroad/policy/hot_key_report.h"
@@ -116,10 +117,17 @@
   };
   hooks.mOnRequest = [this](ForwardRequest aRequest, AnswerFn aAnswer) {
     const std::optional<Millis> asOf = configAsOf();
-    const bool mayRefuse = mayRefuseForGood(asOf, monotonicNow());
-    const NotRunReason reason =
-      checkPeerRequest(*mViews.get(), mSettings.mService, aRequest, mayRefuse);
+    const Millis now = monotonicNow();
+    const std::shared_ptr<const FleetView> view = mViews.get();
+    const NotRunReason reason = checkPeerRequest(
+      *view, mSettings.mService, aRequest, mayRefuseForGood(asOf, now));
     if (reason != NotRunReason::None) {
+      logRequest("peer_request_refused",
+                 aRequest.request_id,
+                 { { "reason", reasonName(reason) },
+                   { "config_version", view->mConfigVersion },
+                   { "operator_version", view->mOperatorVersion },
+                   { "config_age_ms", config::configAge(asOf, now) } });
       aAnswer(makeNotRunAnswer(idOf(aRequest), reason));
       return;
     }
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -153,7 +153,7 @@
     finishCancelled(aPending);
     return;
   }
-  aPending->mConfigAsOf = mHooks.mConfigAsOf();
+  const std::optional<Millis> asOf = mHooks.mConfigAsOf();
   const std::shared_ptr<const FleetView> view = mViews.get();
   CallerRequest& request = aPending->mCallerRequest;
   NotRunReason reason = mHooks.mParseCallerHeaders
@@ -166,8 +166,8 @@
   }
   const RandomId id = idOf(aPending->mRequest);
   const Millis receivedAt = aPending->mReceivedAt;
-  if (!isRefusalForGood(reason) ||
-      mHooks.mMayRefuseForGood(aPending->mConfigAsOf, receivedAt)) {
+  aPending->mRefusalBasis = { view->mOperatorVersion, asOf };
+  if (!isRefusalForGood(reason) || mHooks.mMayRefuseForGood(asOf, receivedAt)) {
     finish(aPending, makeNotRunAnswer(id, reason));
     return;
   }
@@ -355,11 +355,11 @@
   if (refuseUnfinishable(aPending)) {
     return;
   }
-  aPending->mConfigAsOf = mHooks.mConfigAsOf();
+  const std::optional<Millis> asOf = mHooks.mConfigAsOf();
   const std::shared_ptr<const FleetView> view = mViews.get();
   NotRunReason reason = checkCallerKey(aPending->mRequest, *view);
   if (reason == NotRunReason::Unauthorized &&
-      !mHooks.mMayRefuseForGood(aPending->mConfigAsOf, aPending->mReceivedAt)) {
+      !mHooks.mMayRefuseForGood(asOf, aPending->mReceivedAt)) {
     reason = NotRunReason::ConfigUnconfirmed;
     mHooks.mCheckConfig();
   }
@@ -371,6 +371,7 @@
     const Millis retryAfter = reason == NotRunReason::ConfigUnconfirmed
                                 ? kUnservedRetryAfter
                                 : Millis{};
+    aPending->mRefusalBasis = { view->mOperatorVersion, asOf };
     finish(aPending,
            makeNotRunAnswer(idOf(aPending->mRequest), reason, retryAfter));
     return;
--- a/src/daemon/ingress_pending_request.h
+++ b/src/daemon/ingress_pending_request.h
@@ -46,8 +46,15 @@
   /// Held while an attempt is dispatched, so that its cancellation cannot
   /// overtake it.
   std::mutex mAttemptMutex;
-  /// See Ingress::Hooks::mConfigAsOf.
-  std::optional<Millis> mConfigAsOf;
+  /// By what this daemon refused the request, for logs. Not set if another
+  /// daemon refused it.
+  struct RefusalBasis
+  {
+    std::uint64_t mOperatorVersion = 0;
+    /// See Ingress::Hooks::mConfigAsOf.
+    std::optional<Millis> mConfigAsOf;
+  };
+  std::optional<RefusalBasis> mRefusalBasis;
   /// When the last attempt was sent.
   Millis mSentAt;
   /// Daemon to which the last attempt was sent; 0 before the first.
--- a/src/daemon/ingress_platform.cpp
+++ b/src/daemon/ingress_platform.cpp
@@ -6,6 +6,7 @@
 #include "radishroad/base/json_log.h"
 #include "radishroad/caller/header_filter.h"
 #include "radishroad/caller/response.h"
+#include "radishroad/config/freshness.h"
 #include "radishroad/config/model.h"
 #include "radishroad/config/prefix_match.h"
 #include "radishroad/daemon/caller_key.h"
@@ -321,10 +322,11 @@
                           { "took_ms", (now - aPending.mReceivedAt).mCount },
                           { "objective_ms", objective.mCount },
                           { "retry_after_ms", aAnswer.retry_after_ms } };
-  if (isByConfig(aAnswer)) {
-    line["operator_version"] = mViews.get()->mOperatorVersion;
-    const std::optional<Millis> asOf = aPending.mConfigAsOf;
-    line["config_age_ms"] = asOf ? (aPending.mReceivedAt - *asOf).mCount : -1;
+  if (isByConfig(aAnswer) && aPending.mRefusalBasis) {
+    const PendingRequest::RefusalBasis& basis = *aPending.mRefusalBasis;
+    line["operator_version"] = basis.mOperatorVersion;
+    line["config_age_ms"] =
+      config::configAge(basis.mConfigAsOf, aPending.mReceivedAt);
   }
   if (!aPending.mZoneOut.empty()) {
     line["zone_out"] = aPending.mZoneOut;
--- a/tests/unit/freshness_test.cpp
+++ b/tests/unit/freshness_test.cpp
@@ -110,4 +110,12 @@
   BOOST_TEST(config::mayRefuseForGood(6_s, 5_s, 2_s));
 }
 
+// An age below 0 was logged, and -1 read as "never".
+BOOST_AUTO_TEST_CASE(what_was_learned_after_the_request_has_no_negative_age)
+{
+  BOOST_TEST(config::configAge(1000_ms, 1500_ms) == 500);
+  BOOST_TEST(config::configAge(1501_ms, 1500_ms) == 0);
+  BOOST_TEST(config::configAge(std::nullopt, 1500_ms) == -1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
