Ask the store again after an entry that cannot be read (CONFIG)

What callers saw: 503 for a route that had been added, for as long as the read that waits for news was silent, up to 17 s, after an operators' entry that could not be read.

Cause: such an entry makes the configuration unconfirmed, and the check that reads without waiting was then not made at all: "a read would tell no more". It tells of the entry that mends it.

Change: the store is asked as while it does not answer, once a second at most. Requests still do not wait for it, since it will mostly not help.

Ruled out: the relay by peers (no daemon had read the entry) and the version (r2 after an unreadable r9 is taken as soon as it is read).

--- a/src/daemon/daemon_impl.h
+++ b/src/daemon/daemon_impl.h
@@ -131,11 +131,11 @@
   std::atomic<std::uint64_t> mConfigCheckFrom{ 0 };
   /// Whether its last read failed.
   std::atomic<bool> mConfigCheckFails{ false };
-  /// False if mUnreadableEntry is set; a read would tell no more then.
+  /// False if mUnreadableEntry is set: then only a newer entry helps.
   std::atomic<bool> mIsConfigReadable{ true };
-  /// When this daemon next reads for its cell, as the coordinator. Control
-  /// thread only.
-  Millis mNextCellCheck;
+  /// Time before which checkConfigInTime() does not ask again. Control thread
+  /// only.
+  Millis mNextTimedCheck;
   /// Position up to which operators' entries have been applied.
   std::uint64_t mNextOperatorPosition = 0;
   /// Operators' entries in force, by key, to be relayed to peers.
--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -439,18 +439,19 @@
 bool
 Daemon::Impl::checkConfig()
 {
-  if (!mConfigCheck || !mIsConfigReadable) {
+  if (!mConfigCheck) {
     return false;
   }
+  const bool mayHelpSoon = !mConfigCheckFails && mIsConfigReadable;
   const Millis interval =
-    mConfigCheckFails ? kFailedConfigCheckInterval : kMinConfigCheckInterval;
+    mayHelpSoon ? kMinConfigCheckInterval : kFailedConfigCheckInterval;
   const std::int64_t now = monotonicNow().mCount;
   std::int64_t next = mNextConfigCheck;
   if (now >= next &&
       mNextConfigCheck.compare_exchange_strong(next, now + interval.mCount)) {
     mConfigCheck->requestPoll();
   }
-  return !mConfigCheckFails;
+  return mayHelpSoon;
 }
 
 void
--- a/tests/process/refusal_test.cpp
+++ b/tests/process/refusal_test.cpp
@@ -281,6 +281,22 @@
   checkNotRefusedForGood(site.probeAll("/added/", kOldKey, 3_s), confirmedAt);
 }
 
+// The store was not asked again after an entry that could not be read.
+BOOST_AUTO_TEST_CASE(silent_long_polls_hide_no_mended_configuration)
+{
+  Site site("refusal_mended");
+  site->store().put("keyed.op", "config", R"({"Version":"r9","Routes":7})");
+  BOOST_REQUIRE(waitFor(
+    [&] { return probe(site->vms().front(), "/x/", kOldKey).mStatus == 503; },
+    kServeTimeout));
+  site->store().setLongPollsSilent(true);
+  const Millis confirmedAt = site.publish({ "/added/" }, { kOldKey });
+  const std::vector<Probe> probes =
+    site.probeAll("/added/", kOldKey, kProbeTime);
+  checkNotRefusedForGood(probes, confirmedAt);
+  checkServedInTime(probes, confirmedAt);
+}
+
 // What is known is said at once.
 BOOST_AUTO_TEST_CASE(what_no_configuration_allows_is_refused_for_good)
 {
