Do not repeat a failed check of the configuration by itself

Cause: the check ran in a poll loop, which repeats a poll that failed after 0.1 to 0.8 s until one succeeds, whether or not a request needs it. While the store is away each daemon that was asked once went on at 1.3 calls a second, beside the read that waits for news and does the same.

Change: a failed check counts as done. It is asked for again on request, once a second at most, and by the coordinator in time.

--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -418,17 +418,17 @@
     const Result<OperatorEntries> read =
       feed->mRead(from, Millis{}, kConfigCheckTimeout);
     mConfigCheckFails = !read;
+    recordStoreStatus(
+      kConfigCheckName, read.has_value(), read ? "" : read.error().mMessage);
     if (!read) {
-      return tl::unexpected<Error>(read.error());
+      // Repeated on request only: each call to the store has its price.
+      return {};
     }
-    recordStoreStatus(kConfigCheckName, true, {});
     mLoop.post(
       [this, sentAt, entries = *read] { onOperatorRead(entries, sentAt); });
     return {};
   };
-  hooks.mOnError = [this](const Error& aError) {
-    recordStoreStatus(kConfigCheckName, false, aError.mMessage);
-  };
+  hooks.mOnError = [](const Error&) {};
   hooks.mAbort = [feed] { feed->mAbort(); };
   hooks.mInterval = kUnrequestedCheckInterval;
   hooks.mCoalesceTime = Millis{};
