Let each member of a cell ask the store if its coordinator did not (CONFIG)

What callers saw: requests with a key that a version had dropped were served 2.06 to 2.47 s after the store had confirmed it, by two daemons of three, while reads that wait for news were silent. The bound is 2 s.

Cause: only the coordinator of a cell asked in time; its members took what they had as the newest for as long as no peer told them otherwise. What a request may not do is asked for before it is refused, but nobody asks before a request is run by a route or key that was dropped. The coordinator asks when its own knowledge is 0.67 s old, and the news then passes from peer to peer, at times over two of them.

As long as renewals bring it in time, as they do without a change, no call is added.

Ruled out: the upstream's daemon let the key pass (it was the one that took the request), and a lost check (the coordinator's read is in its log).

--- a/src/daemon/daemon_impl.cpp
+++ b/src/daemon/daemon_impl.cpp
@@ -225,7 +225,7 @@
   mCoordinator.tick();
   mRateLimiter.tick();
   if (mProtocol.isPlatform()) {
-    checkConfigForCell();
+    checkConfigInTime();
   } else {
     mSnapshots.tick();
   }
--- a/src/daemon/daemon_impl.h
+++ b/src/daemon/daemon_impl.h
@@ -194,9 +194,10 @@
   /// was asked just before. Returns whether an answer can be expected soon.
   /// Thread-safe.
   bool checkConfig();
-  /// The coordinator of a cell asks for all its members, which learn of it
-  /// with their lease renewals.
-  void checkConfigForCell();
+  /// Has the store asked before what is known of the configuration is too old.
+  /// The coordinator of a cell asks for all its members, which learn of it with
+  /// their lease renewals; a member that does not learn of it asks by itself.
+  void checkConfigInTime();
   void publishConfigAsOf();
   /// For the request path; thread-safe.
   std::optional<Millis> configAsOf() const;
--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -39,7 +39,9 @@
 constexpr Millis kUnrequestedCheckInterval{ 3600000 };
 /// Leaves the members of a cell time to learn of a check before its answer is
 /// too old to refuse requests by.
-constexpr std::int64_t kCellChecksPerConfigTime = 3;
+constexpr std::int64_t kCoordinatorCheckPercent = 33;
+/// Members ask by themselves if they have not learned of a check by then.
+constexpr std::int64_t kMemberCheckPercent = 80;
 constexpr const char* kConfigCheckName = "config-check";
 
 Bytes
@@ -455,17 +457,19 @@
 }
 
 void
-Daemon::Impl::checkConfigForCell()
+Daemon::Impl::checkConfigInTime()
 {
   const Millis now = monotonicNow();
-  const Millis interval = mSettings.configTime() / kCellChecksPerConfigTime;
+  const bool isCoordinator = coordinatorOf(mFleet.ownCell()) == mSelf;
+  const Millis interval =
+    mSettings.configTime() *
+    (isCoordinator ? kCoordinatorCheckPercent : kMemberCheckPercent) / 100;
   const std::optional<Millis> asOf = mConfigFreshness.asOf();
   const bool isFresh = asOf && now - *asOf < interval;
-  if (isFresh || now < mNextCellCheck ||
-      coordinatorOf(mFleet.ownCell()) != mSelf) {
+  if (isFresh || now < mNextTimedCheck) {
     return;
   }
-  mNextCellCheck = now + interval;
+  mNextTimedCheck = now + interval;
   checkConfig();
 }
 
--- a/tests/process/refusal_test.cpp
+++ b/tests/process/refusal_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <csignal>
 #include <thread>
 #include <vector>
 
@@ -106,16 +107,19 @@
     return monotonicNow();
   }
 
-  /// Sends the request to each VM in turn until aTime has passed.
+  /// Sends the request to each VM but aSkipped in turn until aTime has passed.
   std::vector<Probe> probeAll(const std::string& aPath,
                               const std::string& aKey,
-                              Millis aTime)
+                              Millis aTime,
+                              const Vm* aSkipped = nullptr)
   {
     std::vector<Probe> probes;
     const Millis end = monotonicNow() + aTime;
     while (monotonicNow() < end) {
       for (const Vm& vm : mSite.vms()) {
-        probes.push_back(probe(vm, aPath, aKey));
+        if (&vm != aSkipped) {
+          probes.push_back(probe(vm, aPath, aKey));
+        }
       }
       std::this_thread::sleep_for(
         std::chrono::milliseconds(kProbeInterval.mCount));
@@ -178,6 +182,23 @@
   }
 }
 
+/// What was dropped at aDroppedAt is refused with aStatus once that has to be
+/// in force.
+void
+checkRefusedInTime(const std::vector<Probe>& aProbes,
+                   Millis aDroppedAt,
+                   int aStatus)
+{
+  int late = 0;
+  for (const Probe& probe : aProbes) {
+    if (probe.mSentAt > aDroppedAt + PlatformSite::kConfigTime) {
+      ++late;
+      BOOST_TEST(probe.mStatus == aStatus, probe.describe(aDroppedAt));
+    }
+  }
+  BOOST_TEST(late > 0);
+}
+
 constexpr Millis kProbeTime = 6_s;
 
 }
@@ -207,6 +228,64 @@
   checkServedInTime(probes, confirmedAt);
 }
 
+// CONFIG: reads that wait for news got none, and what was dropped was served.
+BOOST_AUTO_TEST_CASE(silent_long_polls_serve_no_dropped_route)
+{
+  Site site("refusal_silent_dropped_route");
+  site.publish({ "/added/" }, { kOldKey });
+  BOOST_REQUIRE(site.waitUntilServed("/added/", kOldKey));
+  site->store().setLongPollsSilent(true);
+  const Millis droppedAt = site.publish({}, { kOldKey });
+  checkRefusedInTime(
+    site.probeAll("/added/", kOldKey, kProbeTime), droppedAt, 404);
+}
+
+BOOST_AUTO_TEST_CASE(silent_long_polls_serve_no_dropped_key)
+{
+  Site site("refusal_silent_dropped_key", true);
+  site.publish({}, { kOldKey, kNewKey });
+  BOOST_REQUIRE(site.waitUntilServed("/catalog/", kNewKey));
+  site->store().setLongPollsSilent(true);
+  const Millis droppedAt = site.publish({}, { kOldKey });
+  checkRefusedInTime(
+    site.probeAll("/catalog/", kNewKey, kProbeTime), droppedAt, 401);
+}
+
+// The daemon that asks the store for its cell was frozen, and its peers served
+// what was dropped.
+BOOST_AUTO_TEST_CASE(a_frozen_daemon_serves_no_dropped_route_elsewhere)
+{
+  Site site("refusal_frozen");
+  site->store().setLongPollsSilent(true);
+  for (Vm& frozen : site->vms()) {
+    site.publish({ "/added/" }, { kOldKey });
+    BOOST_REQUIRE(site.waitUntilServed("/added/", kOldKey));
+    frozen.mDaemon->signal(SIGSTOP);
+    const Millis droppedAt = site.publish({}, { kOldKey });
+    const std::vector<Probe> probes =
+      site.probeAll("/added/", kOldKey, 4_s, &frozen);
+    frozen.mDaemon->signal(SIGCONT);
+    checkRefusedInTime(probes, droppedAt, 404);
+  }
+}
+
+// A read that did not reach the end was taken for all that is confirmed.
+BOOST_AUTO_TEST_CASE(a_partial_read_makes_no_added_route_unknown)
+{
+  Site site("refusal_partial");
+  site->store().setOneRecordAtATime(true);
+  site->store().setFault(FakeStore::Fault::Slow);
+  constexpr int kEarlierVersions = 6;
+  for (int n = 0; n < kEarlierVersions; ++n) {
+    site.publish({}, { kOldKey });
+  }
+  const Millis confirmedAt = site.publish({ "/added/" }, { kOldKey });
+  checkNotRefusedForGood(site.probeAll("/added/", kOldKey, kProbeTime),
+                         confirmedAt);
+  site->store().setFault(FakeStore::Fault::None);
+  BOOST_TEST(site.waitUntilServed("/added/", kOldKey));
+}
+
 // A daemon that cannot ask the store refused an added key as unknown.
 BOOST_AUTO_TEST_CASE(a_lost_store_makes_no_added_key_unknown)
 {
--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -196,7 +196,9 @@
   const std::string& target = aRequest.mTarget;
   const std::uint64_t end =
     mTopics[queryParameter(target, "Topic").value_or("")].mEndOffset;
-  return mLongPollMode == LongPolls::Held && mFault == Fault::None &&
+  const bool answersReads =
+    mFault == Fault::None || mFault == Fault::RejectsAppends;
+  return mLongPollMode == LongPolls::Held && answersReads &&
          isLongPoll(aRequest) &&
          queryParameter(target, "From") == std::to_string(end);
 }
@@ -237,7 +239,8 @@
   const std::string path =
     aRequest.mTarget.substr(0, aRequest.mTarget.find('?'));
   if (path == "/api/log-append") {
-    return append(topic, aRequest);
+    return mFault == Fault::RejectsAppends ? makeTextAnswer(503, kJson, "{}")
+                                           : append(topic, aRequest);
   }
   if (path != "/api/log-read" && path != "/api/log-newest") {
     return makeTextAnswer(404, kJson, "{}");
@@ -271,7 +274,7 @@
 }
 
 Answer
-FakeStore::read(const Topic& aTopic, const CallerRequest& aRequest)
+FakeStore::read(const Topic& aTopic, const CallerRequest& aRequest) const
 {
   const std::uint64_t from =
     std::stoull(queryParameter(aRequest.mTarget, "From").value_or("0"));
@@ -283,8 +286,11 @@
     bigEndian(aTopic.mEndOffset, 8) + bigEndian(aTopic.mFirstOffset, 8);
   constexpr std::uint64_t kBytesPerKb = 1024;
   const std::uint64_t maxBytes =
-    kBytesPerKb *
-    std::stoull(queryParameter(aRequest.mTarget, "MaxKb").value_or("1024"));
+    mIsOneRecordAtATime
+      ? 0
+      : kBytesPerKb *
+          std::stoull(
+            queryParameter(aRequest.mTarget, "MaxKb").value_or("1024"));
   const std::size_t headerSize = body.size();
   for (const Item& item : aTopic.mItems) {
     if (item.mOffset < from ||
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -31,6 +31,8 @@
     LosesAnswers,
     /// Answers each call after kSlowAnswer.
     Slow,
+    /// Rejects appends without effect and serves reads.
+    RejectsAppends,
   };
   static constexpr Millis kSlowAnswer{ 1500 };
 
@@ -57,6 +59,8 @@
   void putRaw(const std::string& aTopic, const std::string& aRecord);
   /// Puts a JSON value before the items of each list of the newest records.
   void setOddItem(const std::string& aJson);
+  /// While set, each read returns one record at most.
+  void setOneRecordAtATime(bool aIsOne) { mIsOneRecordAtATime = aIsOne; }
   /// Each list of the newest records says that there are more.
   void setEndlessPages(bool aEndless) { mEndlessPages = aEndless; }
   /// Deletes all records from the log; the newest record of each key remains
@@ -106,12 +110,13 @@
   void answerHeldPolls();
   Answer answerCall(const CallerRequest& aRequest);
   Answer append(Topic& aTopic, const CallerRequest& aRequest);
-  static Answer read(const Topic& aTopic, const CallerRequest& aRequest);
+  Answer read(const Topic& aTopic, const CallerRequest& aRequest) const;
   Answer newest(const Topic& aTopic) const;
   static void add(Topic& aTopic, std::string aKey, std::string aValue);
 
   std::atomic<Fault> mFault{ Fault::None };
   std::atomic<bool> mEndlessPages{ false };
+  std::atomic<bool> mIsOneRecordAtATime{ false };
   std::atomic<int> mCalls{ 0 };
   std::atomic<std::uint64_t> mBytesSent{ 0 };
   std::atomic<int> mLongPolls{ 0 };
