--- a/include/radishroad/log/confirmed_position.h
+++ b/include/radishroad/log/confirmed_position.h
@@ -14,14 +14,14 @@
 class ConfirmedPosition
 {
 public:
-  /// A read sent at aSentAt returned all entries below aNext, which have been
-  /// applied.
+  /// A read sent at aSentAt returned all entries that the store had, those
+  /// below aNext, which have been applied.
   void onRead(std::uint64_t aNext, Millis aSentAt);
   /// All entries below aNext have been applied, as a peer sent them.
   void onRelayed(std::uint64_t aNext);
-  /// A peer that answered a message sent at aSentAt has applied all entries
-  /// below aNext.
-  void onPeer(std::uint64_t aNext, Millis aSentAt);
+  /// A peer has applied all entries below aNext, and a read of the store has
+  /// shown that they were all as of aAsOf.
+  void onPeer(std::uint64_t aNext, Millis aAsOf);
 
   std::uint64_t next() const { return mNext; }
   /// nullopt for a process without any evidence, such as before its first read.
--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -395,9 +395,9 @@
 Daemon::Impl::onOperatorRead(const OperatorEntries& aEntries, Millis aSentAt)
 {
   onOperatorEntries(aEntries, EntrySource::Store);
-  mConfirmedPosition.onRead(aEntries.mNext, aSentAt);
   mFleet.onReadSucceeded(std::string(kConfigStream), aSentAt);
   if (aEntries.mIsAtEnd) {
+    mConfirmedPosition.onRead(aEntries.mNext, aSentAt);
     mConfigFreshness.onRead(
       aEntries.mNext, aSentAt, monotonicNow(), aEntries.mIsRestored);
   }
@@ -614,13 +614,12 @@
                                       std::optional<Millis> aAskedAt)
 {
   for (const std::unique_ptr<wire::StreamPositionT>& position : aPositions) {
-    if (aAskedAt && position->stream == kConfigStream) {
-      mConfirmedPosition.onPeer(position->next_offset, *aAskedAt);
-      if (position->as_of_ms_ago >= 0) {
-        mConfigFreshness.onPeer(position->next_offset,
-                                *aAskedAt - Millis{ position->as_of_ms_ago });
-        publishConfigAsOf();
-      }
+    if (aAskedAt && position->stream == kConfigStream &&
+        position->as_of_ms_ago >= 0) {
+      const Millis asOf = *aAskedAt - Millis{ position->as_of_ms_ago };
+      mConfirmedPosition.onPeer(position->next_offset, asOf);
+      mConfigFreshness.onPeer(position->next_offset, asOf);
+      publishConfigAsOf();
     }
   }
 }
--- a/src/log/confirmed_position.cpp
+++ b/src/log/confirmed_position.cpp
@@ -20,13 +20,13 @@
 }
 
 void
-ConfirmedPosition::onPeer(std::uint64_t aNext, Millis aSentAt)
+ConfirmedPosition::onPeer(std::uint64_t aNext, Millis aAsOf)
 {
   mHighestReported = std::max(mHighestReported, aNext);
   // A peer that is behind confirms nothing, nor does one at the same position
   // once another has been ahead.
   if (mNext > 0 && aNext == mNext && mHighestReported == mNext) {
-    confirm(aSentAt);
+    confirm(aAsOf);
   }
 }
 
--- a/tests/process/zone_out_test.cpp
+++ b/tests/process/zone_out_test.cpp
@@ -202,6 +202,37 @@
   test.checkLimit(outAt);
 }
 
+// Daemons without the store took each other's word that their zone was in
+// service, and counted the time limit from then.
+BOOST_AUTO_TEST_CASE(peers_without_the_store_confirm_no_zone)
+{
+  PlatformSite site("zone-out-peers", { { "keyed", true, false, 3 } });
+  BOOST_REQUIRE(site.start());
+  std::vector<std::unique_ptr<KeyTraffic>> traffic;
+  for (const Vm& vm : site.vms()) {
+    traffic.push_back(
+      std::make_unique<KeyTraffic>(vm, std::vector<std::string>{ "keyed" }));
+  }
+  // Until all keys have owners and reads of the store are old.
+  sleepFor(8_s);
+  site.store().setFault(FakeStore::Fault::Busy);
+  sleepFor(1_s);
+  site.setZoneOutOfService(kZone, true);
+  const Millis outAt = monotonicNow();
+  sleepFor(4_s);
+  // Keys cannot move, so that only the time limit ends the requests.
+  site.store().setFault(FakeStore::Fault::RejectsAppends);
+  sleepFor(outAt + kObserved - monotonicNow());
+  const Millis limit = outAt + PlatformSite::kZoneOutTime;
+  for (const Vm& vm : site.vms()) {
+    const std::vector<PlatformRun> runs = vm.mUpstream->runs();
+    const auto late = std::ranges::count_if(
+      runs, [&](const PlatformRun& aRun) { return aRun.mAt > limit; });
+    BOOST_TEST((vm.mZone != kZone || late == 0), vm.mName << ": " << late);
+    BOOST_TEST((vm.mZone == kZone || late > 0), vm.mName << " runs nothing");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(keys_are_served_while_their_zone_goes_out_of_service)
 {
   PlatformSite site(
