--- a/tests/process/unanswered_test.cpp
+++ b/tests/process/unanswered_test.cpp
@@ -12,11 +12,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <thread>
 #include <vector>
 
 /// Requests that a daemon has taken get an answer while configurations change,
-/// settings are reloaded, and daemons are stopped, restarted or killed.
+/// settings are reloaded, and daemons are stopped, restarted, frozen or killed.
 
 namespace radishroad::test {
 
@@ -56,6 +57,8 @@
   /// 0 if there was no whole answer.
   int mStatus = 0;
   bool mIsOfUpstream = false;
+  /// The answer before it ended the connection.
+  bool mIsBehindClose = false;
 
   std::string describe(Millis aStart) const
   {
@@ -74,8 +77,18 @@
                                  : Millis{ std::atoll(&aTarget[at + 2]) };
 }
 
-/// Sends requests through one daemon, one after the other, half of them on kept
-/// connections.
+std::string
+textOf(const Exchange& aExchange)
+{
+  const std::size_t key = std::hash<std::string>()(aExchange.mId) % kKeys;
+  return "GET " + aExchange.mPath + " HTTP/1.1\r\nHost: shop.example\r\n" +
+         "X-Request-Id: " + aExchange.mId +
+         "\r\nX-Shard-Key: " + std::to_string(key) +
+         "\r\nX-Deadline-Ms: " + std::to_string(kDeadline.mCount) + "\r\n\r\n";
+}
+
+/// Sends requests through one daemon: one after the other, on new connections
+/// or on a kept one, or several at once on a kept one.
 class Caller
 {
 public:
@@ -97,28 +110,24 @@
 private:
   void run()
   {
-    static const std::vector<std::string> sPaths{
-      "/catalog/", "/catalog/once/", "/moved/", "/library/", "/library/once/"
-    };
+    constexpr std::size_t kPipelined = 3;
     const bool isKept = mNumber % 2 == 0;
+    const std::size_t size = mNumber % 4 == 2 ? kPipelined : 1;
     std::unique_ptr<RawClient> client;
-    for (std::size_t n = 0; !mStopped; ++n) {
-      Exchange exchange;
-      exchange.mId =
-        mVm + "." + std::to_string(mNumber) + "." + std::to_string(n);
-      exchange.mVm = mVm;
-      const std::size_t number = n + static_cast<std::size_t>(mNumber);
-      exchange.mPath = sPaths[number % sPaths.size()] + "w" +
-                       std::to_string(kWork.at(number % kWork.size()).mCount);
-      exchange.mIsKept = isKept && client != nullptr;
+    while (!mStopped) {
       try {
-        if (!client || !isKept) {
+        const bool isNew = !client || !isKept;
+        if (isNew) {
           client = std::make_unique<RawClient>(PlatformSite::kCallers, mIp);
         }
-        if (!exchangeOn(*client, exchange)) {
+        std::vector<Exchange> batch;
+        for (std::size_t n = 0; n < size; ++n) {
+          batch.push_back(makeExchange(!isNew || n > 0));
+        }
+        if (!exchangeOn(*client, batch)) {
           client.reset();
         }
-        mExchanges.push_back(std::move(exchange));
+        std::ranges::move(batch, std::back_inserter(mExchanges));
       } catch (const std::runtime_error&) {
         // The daemon takes no connections.
         client.reset();
@@ -127,30 +136,56 @@
     }
   }
 
-  /// Returns whether the connection can be used again.
-  static bool exchangeOn(RawClient& aClient, Exchange& aExchange)
+  Exchange makeExchange(bool aIsKept)
+  {
+    static const std::vector<std::string> sPaths{
+      "/catalog/", "/catalog/once/", "/moved/", "/library/", "/library/once/"
+    };
+    Exchange exchange;
+    exchange.mId =
+      mVm + "." + std::to_string(mNumber) + "." + std::to_string(mSent);
+    exchange.mVm = mVm;
+    const std::size_t number = mSent + static_cast<std::size_t>(mNumber);
+    exchange.mPath = sPaths[number % sPaths.size()] + "w" +
+                     std::to_string(kWork.at(number % kWork.size()).mCount);
+    exchange.mIsKept = aIsKept;
+    ++mSent;
+    return exchange;
+  }
+
+  /// Sends all requests before it reads an answer. Returns whether the
+  /// connection can be used again.
+  static bool exchangeOn(RawClient& aClient, std::span<Exchange> aBatch)
   {
-    aExchange.mSentAt = monotonicNow();
-    const std::size_t key = std::hash<std::string>()(aExchange.mId) % kKeys;
-    aClient.send("GET " + aExchange.mPath + " HTTP/1.1\r\n" +
-                 "Host: shop.example\r\nX-Request-Id: " + aExchange.mId +
-                 "\r\nX-Shard-Key: " + std::to_string(key) +
-                 "\r\nX-Deadline-Ms: " + std::to_string(kDeadline.mCount) +
-                 "\r\n\r\n");
-    const std::optional<RawResponse> answer = aClient.receive();
-    aExchange.mTook = monotonicNow() - aExchange.mSentAt;
-    if (!answer) {
-      return false;
+    const Millis sentAt = monotonicNow();
+    std::string text;
+    for (Exchange& exchange : aBatch) {
+      exchange.mSentAt = sentAt;
+      text += textOf(exchange);
     }
-    aExchange.mStatus = answer->mStatus;
-    aExchange.mIsOfUpstream = !answer->field("X-Upstream-Signature").empty();
-    return !answer->mEndsWithConnection &&
-           answer->field("Connection") != "close";
+    aClient.send(text);
+    bool isOpen = true;
+    for (Exchange& exchange : aBatch) {
+      exchange.mIsBehindClose = !isOpen;
+      const std::optional<RawResponse> answer =
+        isOpen ? aClient.receive() : std::nullopt;
+      exchange.mTook = monotonicNow() - sentAt;
+      if (!answer) {
+        isOpen = false;
+        continue;
+      }
+      exchange.mStatus = answer->mStatus;
+      exchange.mIsOfUpstream = !answer->field("X-Upstream-Signature").empty();
+      isOpen =
+        !answer->mEndsWithConnection && answer->field("Connection") != "close";
+    }
+    return isOpen;
   }
 
   const std::string mVm;
   const std::uint32_t mIp;
   const int mNumber;
+  std::size_t mSent = 0;
   std::vector<Exchange> mExchanges;
   std::atomic<bool> mStopped{ false };
   std::thread mThread;
@@ -161,8 +196,8 @@
 class Site
 {
 public:
-  explicit Site(const std::string& aName)
-    : mSite(aName, services(0))
+  explicit Site(const std::string& aName, PlatformUpstream::SendFn aSend = {})
+    : mSite(aName, services(0), std::move(aSend))
   {
     BOOST_REQUIRE(mSite.start());
     BOOST_REQUIRE(waitFor([this] { return servesAll(); }, kServeTimeout));
@@ -263,7 +298,8 @@
   {
     const std::string text = aExchange.describe(mStart);
     if (aRun == nullptr) {
-      BOOST_TEST((aExchange.mStatus != 0 || aExchange.mTook < kCrossingTime),
+      const bool isUnread = aExchange.mIsBehindClose || isCrossing(aExchange);
+      BOOST_TEST((aExchange.mStatus != 0 || isUnread),
                  "taken and not answered: " << text);
       return;
     }
@@ -274,6 +310,11 @@
                "run and refused: " << text);
   }
 
+  static bool isCrossing(const Exchange& aExchange)
+  {
+    return aExchange.mTook < kCrossingTime;
+  }
+
   PlatformSite mSite;
   Millis mStart;
   std::vector<Exchange> mExchanges;
@@ -351,6 +392,46 @@
   site.check(killed.mName);
 }
 
+// LOST: requests behind an answer without a length were run, and dropped with
+// their connection.
+BOOST_AUTO_TEST_CASE(answers_without_a_length_cut_no_pipelined_request)
+{
+  Site site("unanswered_unframed", [](const UpstreamAnswer& aAnswer) {
+    return FakeUpstream::Reply{ frame(aAnswer, Framing::Connection), true };
+  });
+  site.run(kTrafficTime, [](Millis) {});
+  site.check();
+}
+
+// A frozen daemon was removed from its cell and rejoins.
+BOOST_AUTO_TEST_CASE(freezes_beside_changes_cut_no_request)
+{
+  // Longer than a lease.
+  constexpr Millis kFreezeTime = 4_s;
+  Site site("unanswered_freezes");
+  std::size_t n = 0;
+  Millis until;
+  Vm* frozen = nullptr;
+  site.run(kTrafficTime * 2, [&](Millis aTime) {
+    if (aTime < until) {
+      return;
+    }
+    if (frozen != nullptr) {
+      frozen->mDaemon->signal(SIGCONT);
+      frozen = nullptr;
+      until = aTime + 2_s;
+      return;
+    }
+    if (aTime > kTrafficTime * 2 - kFreezeTime * 2) {
+      return;
+    }
+    frozen = &site.vms()[n++ % site.vms().size()];
+    frozen->mDaemon->signal(SIGSTOP);
+    until = aTime + kFreezeTime;
+  });
+  site.check();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
