--- a/include/radishroad/caller/connection.h
+++ b/include/radishroad/caller/connection.h
@@ -70,7 +70,7 @@
   /// Starts the requests that may run now, and writes the answer of the first
   /// request if it is available.
   void processQueue(Millis aNow);
-  void startRequests(Millis aNow);
+  void startRequests();
   void start(PipelinedRequest& aEntry, std::uint64_t aSequence);
   void writeFrontAnswer(Millis aNow);
   void cancelRunningRequests();
--- a/include/radishroad/caller/server_context.h
+++ b/include/radishroad/caller/server_context.h
@@ -36,11 +36,6 @@
   Phase phase() const { return mPhase.load(); }
   void setPhase(Phase aPhase) { mPhase.store(aPhase); }
 
-  /// An answer came whose body has no length, so that it ends its connection.
-  void onUnframedAnswer(Millis aNow);
-  /// Whether one came lately, so that the next one may be such an answer too.
-  bool mayGetUnframedAnswers(Millis aNow) const;
-
   void connectionOpened();
   void connectionClosed();
   /// A connection has begun to read, run or answer a request. Returns a value
@@ -58,8 +53,6 @@
 
 private:
   std::atomic<Phase> mPhase{ Phase::Serving };
-  /// When the last answer without a length came; 0 for never.
-  std::atomic<std::int64_t> mUnframedAnswerAt{ 0 };
   std::mutex mMutex;
   std::condition_variable mCountsChanged;
   std::int64_t mOpenConnections = 0;
--- a/src/caller/connection.cpp
+++ b/src/caller/connection.cpp
@@ -107,19 +107,17 @@
 void
 CallerConnection::processQueue(Millis aNow)
 {
-  startRequests(aNow);
+  startRequests();
   if (mOutputState == OutputState::None) {
     writeFrontAnswer(aNow);
   }
 }
 
 void
-CallerConnection::startRequests(Millis aNow)
+CallerConnection::startRequests()
 {
-  // Requests behind an answer that ends the connection get none.
-  const std::size_t limit =
-    mContext.mayGetUnframedAnswers(aNow) ? 1 : kMaxConcurrentRequests;
-  for (std::size_t n = 0; n < mQueue.size() && n < limit; ++n) {
+  for (std::size_t n = 0; n < mQueue.size() && n < kMaxConcurrentRequests;
+       ++n) {
     PipelinedRequest& entry = mQueue[n];
     if (entry.mStarted) {
       continue;
@@ -178,9 +176,6 @@
     return;
   }
   PipelinedRequest& entry = mQueue[position];
-  if (endsConnection(aAnswer, entry.mReadResult->mIsHead)) {
-    mContext.onUnframedAnswer(aNow);
-  }
   entry.mAnswer = std::move(aAnswer);
   entry.mCancel = nullptr;
   processQueue(aNow);
--- a/src/caller/server_context.cpp
+++ b/src/caller/server_context.cpp
@@ -4,14 +4,6 @@
 
 namespace radishroad {
 
-namespace {
-
-/// An upstream that sent a body without a length within this time may do so
-/// again.
-constexpr Millis kUnframedMemory{ 300000 };
-
-}
-
 ServerContext::ServerContext(CallerServer::Options aOptions,
                              CallerRequestFn aHandler,
                              Metrics& aMetrics)
@@ -21,19 +13,6 @@
 {
 }
 
-void
-ServerContext::onUnframedAnswer(Millis aNow)
-{
-  mUnframedAnswerAt = aNow.mCount;
-}
-
-bool
-ServerContext::mayGetUnframedAnswers(Millis aNow) const
-{
-  const Millis lastAt{ mUnframedAnswerAt };
-  return lastAt != Millis{} && aNow - lastAt < kUnframedMemory;
-}
-
 void
 ServerContext::connectionOpened()
 {
