Forget by what a request was nearly refused once it is admitted

A request that waited for the store and was then admitted kept the basis of the refusal that did not come, so that a later 401 by another daemon would have been logged as this one's. By reading; log lines only. Says what the two percentages of the configuration check are of.

--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -37,10 +37,11 @@
 constexpr Millis kFailedConfigCheckInterval{ 1000 };
 /// Checks are made on request.
 constexpr Millis kUnrequestedCheckInterval{ 3600000 };
-/// Leaves the members of a cell time to learn of a check before its answer is
-/// too old to refuse requests by.
+/// Age of what is known of the configuration, as a percentage of
+/// --config-time-ms, at which the coordinator of a cell asks the store. Leaves
+/// its members time to learn of the answer before it is too old to refuse by.
 constexpr std::int64_t kCoordinatorCheckPercent = 33;
-/// Members ask by themselves if they have not learned of a check by then.
+/// The same for a member, which has not learned of an answer by then.
 constexpr std::int64_t kMemberCheckPercent = 80;
 constexpr const char* kConfigCheckName = "config-check";
 
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -160,6 +160,7 @@
                           ? preparePlatformRequest(request, *view, *aPending)
                           : prepare(request, *view, *aPending);
   if (reason == NotRunReason::None) {
+    aPending->mRefusalBasis.reset();
     mHooks.mOnRequest();
     admit(aPending);
     return;
