--- a/src/operator/explain.cpp
+++ b/src/operator/explain.cpp
@@ -133,9 +133,9 @@
                               fieldText(aRequest, "config_version") + ": " +
                               reason;
     const std::string age = fieldText(aRequest, "config_age_ms");
-    return age.empty() ? cause
-                       : cause + ", " + age +
-                           " ms after it was last known to be the newest";
+    return age.empty()
+             ? cause
+             : cause + ", " + age + " ms after it was known to be the newest";
   }
   if (aOwnerVm.empty()) {
     return "not sent to any upstream: " + reason;
