Fill in the whole run line for the review's daemons again

Seen: no daemon of review/ started any more.

Cases and checks of review/ stay as they are. A unit test reads the command and fails if a starter of ours lacks one of its values; it failed on the rig as it was.

--- a/review/common/rig.h
+++ b/review/common/rig.h
@@ -853,6 +853,8 @@
     { "Bounds.DrainMs", "2000" },
     { "Bounds.HoldMaxMs", "10000" },
     { "Bounds.EvacuateMs", "5000" },
+    { "Bounds.ConfigApplyMs", "2000" },
+    { "Limits.MemoryMb", "260" },
   };
   for (const auto& [name, value] : values) {
     const std::string mark = "{{" + name + "}}";
