--- a/include/radishroad/caller/answer_queue.h
+++ b/include/radishroad/caller/answer_queue.h
@@ -20,6 +20,8 @@
   /// Sequence number of the answered request on its connection.
   std::uint64_t mSequence = 0;
   Answer mAnswer;
+  /// Counts the answer's body; set by push().
+  BodyShare mBodyShare;
 };
 
 /// Thread-safe queue that passes answers from any thread to the thread of one
@@ -31,6 +33,9 @@
 class AnswerQueue
 {
 public:
+  /// The bodies are counted in aMemory, which may be null.
+  explicit AnswerQueue(std::shared_ptr<BodyMemory> aMemory);
+
   /// Registers the wake-up notification with the transport's poller. Call once,
   /// before the first push.
   void bind(Pistache::Polling::Epoll& aPoller);
@@ -42,6 +47,7 @@
   std::vector<QueuedAnswer> popAll();
 
 private:
+  const std::shared_ptr<BodyMemory> mMemory;
   Pistache::NotifyFd mWakeUp;
   std::mutex mMutex;
   std::vector<QueuedAnswer> mAnswers;
--- a/include/radishroad/caller/connection.h
+++ b/include/radishroad/caller/connection.h
@@ -36,7 +36,10 @@
   CallerConnection& operator=(const CallerConnection&) = delete;
 
   void onData(std::string_view aBytes, Millis aNow);
-  void onAnswer(std::uint64_t aSequence, Answer aAnswer, Millis aNow);
+  void onAnswer(std::uint64_t aSequence,
+                Answer aAnswer,
+                BodyShare aBodyShare,
+                Millis aNow);
   void onWritable(Millis aNow);
   /// The caller has closed the connection: cancels the running requests.
   void onClosed();
@@ -63,6 +66,7 @@
     std::optional<Answer> mAnswer;
   };
 
+    BodyShare mAnswerShare;
   void readRequests(Millis aNow);
   /// Whether the queue has room for one more request.
   bool canQueue() const;
--- a/include/radishroad/caller/refusal.h
+++ b/include/radishroad/caller/refusal.h
@@ -1,6 +1,8 @@
 #ifndef RADISHROAD_CALLER_REFUSAL_H
 #define RADISHROAD_CALLER_REFUSAL_H
 
+#include "radishroad/base/millis.h"
+
 #include <string>
 
 namespace radishroad {
@@ -15,6 +17,8 @@
   std::string mReason;
   /// Human-readable description.
   std::string mMessage;
+  /// When the caller should repeat the request; 0 if it should not.
+  Millis mRetryAfter = {};
 };
 
 }
--- a/include/radishroad/caller/request_reader.h
+++ b/include/radishroad/caller/request_reader.h
@@ -33,6 +33,7 @@
   {
     std::size_t mMaxHeaderBytes = 16U << 10;
     std::size_t mMaxBodyBytes = 16U << 20;
+    std::shared_ptr<BodyMemory> mBodyMemory = {};
   };
 
   enum class Phase
@@ -59,6 +60,9 @@
   Phase phase() const;
   /// Number of bytes that were fed and not yet parsed.
   std::size_t bufferedBytes() const { return mInput.size(); }
+  /// Counts what is held of requests that are not complete; false if the memory
+  /// for bodies has no room for it.
+  bool reserveHeld();
   /// Returns true once for each request whose caller waits for
   /// "100 Continue".
   bool takeContinueWanted();
@@ -70,11 +74,13 @@
   std::optional<ReadResult> parseInput();
   std::optional<ReadResult> processHead();
   std::optional<ReadResult> checkPartialHead();
+  ReadResult refuseForMemory();
   ReadResult takeRequest(Millis aNow);
   ReadResult refuseParseError(int aError, std::string aMessage);
 
   Limits mLimits;
   std::string mInput;
+  BodyShare mShare;
   std::unique_ptr<Parser> mParser;
   bool mHeadChecked = false;
   bool mContinueWanted = false;
--- a/include/radishroad/caller/response.h
+++ b/include/radishroad/caller/response.h
@@ -16,6 +16,7 @@
 {
   std::string mHead;
   std::vector<std::uint8_t> mBody;
+  BodyShare mBodyShare;
   /// The body has no length and ends with the connection.
   bool mEndsWithConnection = false;
 };
--- a/include/radishroad/caller/server.h
+++ b/include/radishroad/caller/server.h
@@ -12,6 +12,8 @@
 
 namespace radishroad {
 
+class BodyMemory;
+
 /// HTTP server for callers, based on Pistache. It refuses malformed requests
 /// and passes complete requests to the handler. Pipelined requests are answered
 /// in order. A request is cancelled if its caller closes the connection before
@@ -26,6 +28,9 @@
     unsigned mThreads = 2;
     std::size_t mMaxHeaderBytes = 16U << 10;
     std::size_t mMaxBodyBytes = 16U << 20;
+    /// Input and bodies of requests and responses are counted there; may be
+    /// null.
+    std::shared_ptr<BodyMemory> mBodyMemory = {};
     Millis mHeaderTimeout{ 10000 };
     Millis mBodyTimeout{ 30000 };
     /// An idle connection is closed after this time.
--- a/include/radishroad/daemon/settings.h
+++ b/include/radishroad/daemon/settings.h
@@ -41,6 +41,8 @@
   std::string mLongestHoldMs = "10000";
   std::string mZoneOutTimeMs = "5000";
   std::string mConfigTimeMs = "2000";
+  std::string mMemoryMb = "160";
+  std::string mBodyMemoryPercent = "35";
 
   LogLevel logLevel() const;
   unsigned callerThreads() const;
@@ -58,6 +60,8 @@
   /// Time from the store's confirmation of a configuration until it must be in
   /// force.
   Millis configTime() const;
+  /// Limit of the bodies of all requests and responses held at a time.
+  std::size_t bodyMemoryBytes() const;
 };
 
 /// Parsed command line.
--- a/include/radishroad/http/response_head.h
+++ b/include/radishroad/http/response_head.h
@@ -50,6 +50,8 @@
   /// The final head, which follows any interim ones, has ended.
   bool ended() const;
   Framing framing() const { return mFraming; }
+  /// Of the body, with Framing::Length.
+  std::uint64_t length() const { return mLength; }
   /// Whether aBodyBytes are the whole body, given that the peer has ended the
   /// response as its framing says.
   bool isWhole(std::uint64_t aBodyBytes) const;
--- a/include/radishroad/peer/channel.h
+++ b/include/radishroad/peer/channel.h
@@ -34,6 +34,8 @@
   struct Hooks
   {
     std::function<void(wire::FrameBodyUnion, std::size_t aBytes)> mOnFrame;
+    /// See Connection::Hooks.
+    std::function<void(const ForwardedFrame&)> mOnSkipped;
     /// Called just before the frame is passed to the connection.
     std::function<void(const OutgoingFrame&)> mOnSend;
     /// Called when the connection or the attempt to connect has ended; no frame
--- a/include/radishroad/peer/connection.h
+++ b/include/radishroad/peer/connection.h
@@ -1,6 +1,7 @@
 #ifndef RADISHROAD_PEER_CONNECTION_H
 #define RADISHROAD_PEER_CONNECTION_H
 
+#include "radishroad/base/body_share.h"
 #include "radishroad/base/error.h"
 #include "radishroad/base/millis.h"
 #include "radishroad/peer/outgoing_frame.h"
@@ -44,6 +45,9 @@
     Identity mLocalIdentity;
     std::size_t mMaxFrameBytes = 0;
     std::size_t mMaxQueuedBytes = 0;
+    /// Large frames with bodies are counted there while they are read; may be
+    /// null.
+    std::shared_ptr<BodyMemory> mBodyMemory = {};
   };
 
   /// Called on the transport's thread, and never after mOnClosed.
@@ -54,6 +58,9 @@
     /// Called with every frame that is not a Hello; aBytes is its size on the
     /// wire.
     std::function<void(wire::FrameBodyUnion, std::size_t aBytes)> mOnFrame;
+    /// Called in place of mOnFrame with a request or answer for whose body no
+    /// memory is left.
+    std::function<void(const ForwardedFrame&)> mOnSkipped;
     /// Called once, when the connection has closed.
     std::function<void(const Error&)> mOnClosed;
     /// Returns whether this side is waiting for data from the peer.
@@ -81,6 +88,9 @@
   void onRead(std::size_t aCount);
   bool consume(std::span<const std::uint8_t>& aBytes);
   bool onPrefixComplete();
+  /// Decides whether a large frame is read or skipped.
+  void onFirstBytesComplete();
+  bool onFrameSkipped();
   bool onFrameComplete();
   bool onHello(const wire::HelloT& aHello);
   void write();
@@ -96,6 +106,11 @@
   std::vector<std::uint8_t> mReadBuffer;
   /// The frame being read, with its length prefix.
   boost::container::vector<std::uint8_t> mFrame;
+  /// Size of the whole frame, once its prefix has been read.
+  std::size_t mFrameBytes = 0;
+  /// Bytes of the frame that remain to be skipped.
+  std::size_t mSkipBytes = 0;
+  BodyShare mFrameShare;
   std::size_t mFrameBytesRead = 0;
 
   std::deque<OutgoingFramePtr> mSendQueue;
--- a/include/radishroad/peer/forwarder.h
+++ b/include/radishroad/peer/forwarder.h
@@ -58,6 +58,7 @@
   using PendingMap = std::unordered_map<RandomId, std::unique_ptr<Pending>>;
 
   void onFrame(wire::FrameBodyUnion aBody);
+  void onSkipped(const ForwardedFrame& aFrame);
   void onAnswer(Answer aAnswer);
   void onDeadline(RandomId aId);
   void onDisconnected();
--- a/include/radishroad/peer/frame.h
+++ b/include/radishroad/peer/frame.h
@@ -5,6 +5,7 @@
 #include "radishroad/generated/peer_generated.h"
 
 #include <cstdint>
+#include <optional>
 #include <span>
 
 namespace radishroad {
@@ -24,6 +25,19 @@
 Result<wire::FrameBodyUnion>
 decodeFrame(std::span<const std::uint8_t> aBytes);
 
+/// The request or answer that a frame holds.
+struct ForwardedFrame
+{
+  wire::FrameBody mType = wire::FrameBody::NONE;
+  std::uint64_t mIdHigh = 0;
+  std::uint64_t mIdLow = 0;
+};
+
+/// Reads which request or answer a frame with its length prefix holds from its
+/// first bytes alone. Nothing for other and damaged frames.
+std::optional<ForwardedFrame>
+readForwardedFrame(std::span<const std::uint8_t> aFirstBytes);
+
 /// Returns the frame length from a prefix of kFramePrefixBytes bytes.
 std::size_t
 frameLength(std::span<const std::uint8_t> aPrefix);
--- a/include/radishroad/peer/outgoing_frame.h
+++ b/include/radishroad/peer/outgoing_frame.h
@@ -1,6 +1,7 @@
 #ifndef RADISHROAD_PEER_OUTGOING_FRAME_H
 #define RADISHROAD_PEER_OUTGOING_FRAME_H
 
+#include "radishroad/base/body_share.h"
 #include "radishroad/peer/byte_budget.h"
 #include "radishroad/peer/frame.h"
 
@@ -41,7 +42,8 @@
       mBudget->release(mSize);
       mBudget.reset();
     }
-    mBuffer = FrameBuffer();
+    mBuffer.reset();
+    mBodyShare.resize(0);
   }
 
   /// Whether any part of the frame may have been written to a socket.
@@ -53,6 +55,8 @@
   std::size_t mSize;
   FrameBuffer mBuffer;
   std::shared_ptr<ByteBudget> mBudget;
+  /// Counts the frame if it has a body.
+  BodyShare mBodyShare;
 };
 
 using OutgoingFramePtr = std::shared_ptr<OutgoingFrame>;
--- a/include/radishroad/peer/peer_server.h
+++ b/include/radishroad/peer/peer_server.h
@@ -65,6 +65,7 @@
   void onFrame(std::uint64_t aSessionId,
                wire::FrameBodyUnion aBody,
                std::size_t aBytes);
+  void onSkipped(std::uint64_t aSessionId, const ForwardedFrame& aFrame);
   void onRequest(const std::shared_ptr<Session>& aSession,
                  ForwardRequest aRequest);
   void onCancel(const Session& aSession, RandomId aId);
--- a/include/radishroad/peer/peer_transport.h
+++ b/include/radishroad/peer/peer_transport.h
@@ -34,6 +34,8 @@
     std::size_t mMaxQueuedBytes = 64U << 20;
     std::size_t mMaxFrameBytes = 24U << 20;
     Millis mConnectTimeout{ 300 };
+    /// Frames of requests and answers are counted there; may be null.
+    std::shared_ptr<BodyMemory> mBodyMemory = {};
     /// "ip:port" on which peers reach this daemon; the bound address if empty.
     std::string mAdvertisedAddress = {};
   };
--- a/include/radishroad/policy/deduplication_cache.h
+++ b/include/radishroad/policy/deduplication_cache.h
@@ -52,6 +52,11 @@
     AnswerFn mAnswer;
   };
 
+  static constexpr std::size_t kMaxBytes = 32U << 20;
+
+  /// aMaxBytes: of stored answers; beyond it the oldest requests are forgotten.
+  explicit DeduplicationCache(std::size_t aMaxBytes = kMaxBytes);
+
   Admission admit(const ForwardRequest& aRequest,
                   std::uint64_t aFingerprint,
                   const AnswerFn& aAnswer,
@@ -87,6 +92,7 @@
   /// Oldest first.
   std::deque<CompletedEntry> mCompleted;
   std::size_t mBytes = 0;
+  const std::size_t mMaxBytes;
 };
 
 /// Returns the answer with another request's id.
--- a/include/radishroad/request/request.h
+++ b/include/radishroad/request/request.h
@@ -1,6 +1,7 @@
 #ifndef RADISHROAD_REQUEST_REQUEST_H
 #define RADISHROAD_REQUEST_REQUEST_H
 
+#include "radishroad/base/body_share.h"
 #include "radishroad/base/millis.h"
 #include "radishroad/base/random_id.h"
 #include "radishroad/generated/peer_generated.h"
@@ -27,6 +28,8 @@
   std::string mTarget;
   std::vector<wire::HeaderT> mHeaders;
   std::string mBody;
+  /// Counts the body until the request is answered.
+  BodyShare mBodyShare;
   /// Monotonic time at which the whole request had been read.
   Millis mReceivedAt;
 };
--- a/include/radishroad/upstream/exchange.h
+++ b/include/radishroad/upstream/exchange.h
@@ -1,6 +1,7 @@
 #ifndef RADISHROAD_UPSTREAM_EXCHANGE_H
 #define RADISHROAD_UPSTREAM_EXCHANGE_H
 
+#include "radishroad/base/body_share.h"
 #include "radishroad/base/millis.h"
 #include "radishroad/generated/peer_generated.h"
 #include "radishroad/http/response_head.h"
@@ -40,6 +41,8 @@
   /// A pooled connection that has been idle for longer is not reused.
   Millis mMaxIdle;
   std::size_t mMaxBodyBytes = 0;
+  /// The response's body is counted there; may be null.
+  std::shared_ptr<BodyMemory> mBodyMemory;
   /// Opens a connection instead of reusing a pooled one, on which a copy of an
   /// earlier response may arrive.
   bool mNeedsFreshConnection = false;
@@ -62,6 +65,7 @@
   int mStatus = 0;
   std::vector<wire::HeaderT> mHeaders;
   std::vector<std::uint8_t> mBody;
+  BodyShare mBodyShare;
   /// The body has no length or chunked encoding: it ended when the upstream
   /// closed the connection, so that nobody knows whether it is whole.
   bool mEndsWithConnection = false;
@@ -158,6 +162,7 @@
   bool mHadUnexpectedInput = false;
   ResponseHead mHead;
   bool mTooLarge = false;
+  bool mOutOfMemory = false;
   UpstreamResponse mResponse;
   std::unique_ptr<curl_slist, ListDeleter> mHeaderList;
   std::unique_ptr<CURL, EasyDeleter> mHandle;
--- a/include/radishroad/upstream/gate.h
+++ b/include/radishroad/upstream/gate.h
@@ -19,6 +19,7 @@
 
 namespace radishroad {
 
+class BodyMemory;
 struct QueuedRequest;
 struct StopSchedule;
 
@@ -52,6 +53,9 @@
     std::string mUpstream;
     std::size_t mMaxQueued = 512;
     std::size_t mMaxBodyBytes = 20U << 20;
+    /// Bodies of queued requests and of responses are counted there; may be
+    /// null.
+    std::shared_ptr<BodyMemory> mBodyMemory = {};
     /// Path of the health probes, unless the service's configuration has one.
     std::string mHealthPath = "/health";
     UpstreamProtocol mProtocol = defaultUpstreamProtocol();
--- a/include/radishroad/upstream/queued_request.h
+++ b/include/radishroad/upstream/queued_request.h
@@ -1,6 +1,7 @@
 #ifndef RADISHROAD_UPSTREAM_QUEUED_REQUEST_H
 #define RADISHROAD_UPSTREAM_QUEUED_REQUEST_H
 
+#include "radishroad/base/body_share.h"
 #include "radishroad/base/millis.h"
 #include "radishroad/request/request.h"
 #include "radishroad/upstream/response_trace.h"
@@ -13,6 +14,7 @@
 struct QueuedRequest
 {
   ForwardRequest mRequest;
+  BodyShare mBodyShare;
   AnswerFn mAnswer;
   std::uint64_t mFingerprint = 0;
   /// Key in DeduplicationCache; empty if the request may be run again.
--- a/include/radishroad/upstream/response_trace.h
+++ b/include/radishroad/upstream/response_trace.h
@@ -28,6 +28,8 @@
     /// The response repeats the id of another request.
     OtherRequest,
     TooLarge,
+    /// The memory for bodies had no room for the rest.
+    NoMemory,
     /// The body ends with the connection where that is not accepted.
     Unframed,
   };
--- a/src/caller/answer_queue.cpp
+++ b/src/caller/answer_queue.cpp
@@ -4,6 +4,11 @@
 
 namespace radishroad {
 
+AnswerQueue::AnswerQueue(std::shared_ptr<BodyMemory> aMemory)
+  : mMemory(std::move(aMemory))
+{
+}
+
 void
 AnswerQueue::bind(Pistache::Polling::Epoll& aPoller)
 {
@@ -19,6 +24,8 @@
 void
 AnswerQueue::push(QueuedAnswer aAnswer)
 {
+  aAnswer.mBodyShare = BodyShare(mMemory);
+  aAnswer.mBodyShare.resize(aAnswer.mAnswer.body.size());
   bool first = false;
   {
     std::lock_guard<std::mutex> lock(mMutex);
--- a/src/caller/connection.cpp
+++ b/src/caller/connection.cpp
@@ -35,8 +35,9 @@
   , mAnswerQueue(std::move(aAnswerQueue))
   , mSetWriteInterest(std::move(aSetWriteInterest))
   , mSender(aSocket)
-  , mReader(
-      { aContext.mOptions.mMaxHeaderBytes, aContext.mOptions.mMaxBodyBytes })
+  , mReader({ aContext.mOptions.mMaxHeaderBytes,
+              aContext.mOptions.mMaxBodyBytes,
+              aContext.mOptions.mBodyMemory })
   , mPhaseStartedAt(monotonicNow())
 {
   mContext.connectionOpened();
@@ -99,7 +100,8 @@
 void
 CallerConnection::limitBufferedInput()
 {
-  if (!canQueue() && mReader.bufferedBytes() > kMaxBufferedInputBytes) {
+  if (!canQueue() && (mReader.bufferedBytes() > kMaxBufferedInputBytes ||
+                      !mReader.reserveHeld())) {
     mDiscardInput = true;
   }
 }
@@ -166,7 +168,10 @@
 }
 
 void
-CallerConnection::onAnswer(std::uint64_t aSequence, Answer aAnswer, Millis aNow)
+CallerConnection::onAnswer(std::uint64_t aSequence,
+                           Answer aAnswer,
+                           BodyShare aBodyShare,
+                           Millis aNow)
 {
   // For a sequence number before the front, the difference wraps around to a
   // value beyond the queue's size.
@@ -184,6 +189,7 @@
 
 void
 CallerConnection::writeFrontAnswer(Millis aNow)
+  entry.mAnswerShare = std::move(aBodyShare);
 {
   if (mQueue.empty()) {
     return;
@@ -209,15 +215,15 @@
                             aNow - parsed.mRequest.mReceivedAt);
   const bool isLast =
     isLastAnswer(parsed) || endsConnection(*entry.mAnswer, parsed.mIsHead);
-  write(makeResponse(
-          std::move(*entry.mAnswer),
-          parsed.mRequest.mId,
-          { .mKeepAlive = !isLast,
-            .mIsHead = parsed.mIsHead,
-            .mFractionalRetryAfter = mContext.mOptions.mFractionalRetryAfter,
-            .mRestrictStatuses = mContext.mOptions.mRestrictStatuses }),
-        isLast,
-        aNow);
+  Response response = makeResponse(
+    std::move(*entry.mAnswer),
+    parsed.mRequest.mId,
+    { .mKeepAlive = !isLast,
+      .mIsHead = parsed.mIsHead,
+      .mFractionalRetryAfter = mContext.mOptions.mFractionalRetryAfter,
+      .mRestrictStatuses = mContext.mOptions.mRestrictStatuses });
+  response.mBodyShare = std::move(entry.mAnswerShare);
+  write(std::move(response), isLast, aNow);
 }
 
 void
--- a/src/caller/pending_answer.cpp
+++ b/src/caller/pending_answer.cpp
@@ -26,7 +26,8 @@
   if (mAnswered.exchange(true)) {
     return;
   }
-  mAnswerQueue->push({ std::move(mConnection), mSequence, std::move(aAnswer) });
+  mAnswerQueue->push(
+    { std::move(mConnection), mSequence, std::move(aAnswer), {} });
 }
 
 }
--- a/src/caller/request_reader.cpp
+++ b/src/caller/request_reader.cpp
@@ -12,6 +12,9 @@
 
 namespace http = boost::beast::http;
 
+/// Retry-After of a request for which no memory is left.
+constexpr Millis kMemoryRetryAfter{ 1000 };
+
 void
 skipEmptyLines(std::string& aInput)
 {
@@ -34,7 +37,8 @@
 };
 
 RequestReader::RequestReader(Limits aLimits)
-  : mLimits(aLimits)
+  : mLimits(std::move(aLimits))
+  , mShare(mLimits.mBodyMemory)
 {
 }
 
@@ -71,8 +75,9 @@
 RequestReader::refuse(Refusal aRefusal)
 {
   mEnded = true;
-  mInput.clear();
+  std::string().swap(mInput);
   mParser.reset();
+  mShare.resize(0);
   return tl::unexpected<Refusal>(std::move(aRefusal));
 }
 
@@ -94,6 +99,9 @@
     if (std::optional<ReadResult> refusal = parseInput()) {
       return refusal;
     }
+    if (!reserveHeld()) {
+      return refuseForMemory();
+    }
     if (mParser->mParser.is_done()) {
       return takeRequest(aNow);
     }
@@ -125,6 +133,22 @@
   return std::nullopt;
 }
 
+bool
+RequestReader::reserveHeld()
+{
+  const std::size_t body = mParser ? mParser->mParser.get().body().size() : 0;
+  return mShare.tryResize(mInput.size() + body);
+}
+
+RequestReader::ReadResult
+RequestReader::refuseForMemory()
+{
+  return refuse({ 503,
+                  "no-memory",
+                  "no memory is left for the request; retry it later",
+                  kMemoryRetryAfter });
+}
+
 std::optional<RequestReader::ReadResult>
 RequestReader::checkPartialHead()
 {
@@ -168,6 +192,16 @@
   if (std::optional<Refusal> refusal = checkHead(head)) {
     return refuse(std::move(*refusal));
   }
+  const boost::optional<std::uint64_t> length =
+    mParser->mParser.content_length();
+  const BodyMemory* memory = mLimits.mBodyMemory.get();
+  if (memory != nullptr && length &&
+      !BodyMemory::mayGrow(memory->maxBytes(),
+                           memory->usedBytes(),
+                           0,
+                           static_cast<std::size_t>(*length))) {
+    return refuseForMemory();
+  }
   const bool expects = head.count(http::field::expect) > 0;
   mContinueWanted = expects && !mParser->mParser.is_done();
   mParser->mFieldCount = std::distance(head.begin(), head.end());
@@ -206,6 +240,9 @@
     }
   }
   request.mBody = std::move(message.body());
+  mShare.resize(mInput.size());
+  request.mBodyShare = BodyShare(mLimits.mBodyMemory);
+  request.mBodyShare.resize(request.mBody.size());
   return parsed;
 }
 
--- a/src/caller/response.cpp
+++ b/src/caller/response.cpp
@@ -326,7 +326,7 @@
                         aRefusal.mReason,
                         outcomeName(AnswerKind::NotRun),
                         aRefusal.mMessage,
-                        {},
+                        aRefusal.mRetryAfter,
                         {} },
                       aId,
                       { .mKeepAlive = false, .mIsHead = aIsHead });
--- a/src/caller/transport.cpp
+++ b/src/caller/transport.cpp
@@ -82,7 +82,7 @@
 CallerTransport::CallerTransport(std::shared_ptr<ServerContext> aContext)
   : Transport(std::make_shared<PeerEventHandler>())
   , mContext(std::move(aContext))
-  , mAnswerQueue(std::make_shared<AnswerQueue>())
+  , mAnswerQueue(std::make_shared<AnswerQueue>(mContext->mOptions.mBodyMemory))
 {
 }
 
@@ -155,7 +155,10 @@
   for (QueuedAnswer& posted : mAnswerQueue->popAll()) {
     if (const std::shared_ptr<CallerConnection> connection =
           posted.mConnection.lock()) {
-      connection->onAnswer(posted.mSequence, std::move(posted.mAnswer), aNow);
+      connection->onAnswer(posted.mSequence,
+                           std::move(posted.mAnswer),
+                           std::move(posted.mBodyShare),
+                           aNow);
     }
   }
 }
--- a/src/daemon/daemon_impl.cpp
+++ b/src/daemon/daemon_impl.cpp
@@ -44,6 +44,7 @@
   : mSettings(aSettings)
   , mHooks(std::move(aHooks))
   , mProtocol(mHooks.mMakeProtocol(mSettings))
+  , mBodyMemory(std::make_shared<BodyMemory>(mSettings.bodyMemoryBytes()))
   , mSelf(makeIncarnation())
   , mAuthority(mViews, mSettings.mService, mSettings.mZone, mSelf)
   , mRetryPolicy(aRetryPolicy)
@@ -56,6 +57,7 @@
   })
   , mGate(std::make_unique<Gate>(
       Gate::Options{ .mUpstream = mSettings.mUpstreamAddress,
+                     .mBodyMemory = mBodyMemory,
                      .mProtocol = mProtocol.mUpstream,
                      .mDrainPeriod = drainPeriod(mSettings) },
       gateHooks(),
@@ -63,7 +65,8 @@
   , mPeerTransport(std::make_unique<PeerTransport>(
       PeerTransport::Options{ .mListenAddress = mSettings.mPeerAddress,
                               .mIncarnation = mSelf,
-                              .mVm = mSettings.mVm },
+                              .mVm = mSettings.mVm,
+                              .mBodyMemory = mBodyMemory },
       peerTransportHooks()))
   , mContext{ mSelf,
               mSettings,
@@ -117,6 +120,7 @@
   , mCallerServer(
       { .mListenAddress = mSettings.mCallerAddress,
         .mThreads = mSettings.callerThreads(),
+        .mBodyMemory = mBodyMemory,
         .mFractionalRetryAfter = mProtocol.isPlatform(),
         .mRestrictStatuses = mProtocol.isPlatform(),
         .mMayRunConcurrently =
--- a/src/daemon/daemon_impl.h
+++ b/src/daemon/daemon_impl.h
@@ -74,6 +74,7 @@
   FleetViewStore mViews;
   ServeAuthority mAuthority;
   RetryPolicy& mRetryPolicy;
+  const std::shared_ptr<BodyMemory> mBodyMemory;
   std::atomic<std::int64_t> mLastConfigRead{ 0 };
   /// As Freshness::asOf(), for the request path; 0 for none.
   std::atomic<std::int64_t> mConfigAsOf{ 0 };
@@ -174,6 +175,8 @@
   // peers.
   /// Sends the records just written to all peers.
   void broadcastStateChange(const std::string& aStream,
+  /// Refusals for want of memory that are already counted.
+  std::uint64_t mCountedRefusals = 0;
                             std::uint64_t aBase,
                             std::uint64_t aVersion,
                             const std::vector<Bytes>& aRecords);
@@ -258,3 +261,5 @@
 }
 
 #endif
+  /// Publishes the use of the memory for bodies, and logs refusals.
+  void recordBodyMemory();
--- a/src/daemon/daemon_impl_hooks.cpp
+++ b/src/daemon/daemon_impl_hooks.cpp
@@ -299,6 +299,26 @@
                  traffic.mControlBytesReceived -
                    mCountedTraffic.mControlBytesReceived);
   mCountedTraffic = traffic;
+  recordBodyMemory();
+  logStoreCalls(aNow);
+}
+
+void
+Daemon::Impl::recordBodyMemory()
+{
+  const std::size_t used = mBodyMemory->usedBytes();
+  const std::uint64_t refusals = mBodyMemory->refusals();
+  mMetrics.gauge("radishroad_body_memory_bytes", static_cast<double>(used));
+  mMetrics.count("radishroad_body_memory_refusals_total",
+                 refusals - mCountedRefusals);
+  if (refusals > mCountedRefusals) {
+    logEvent(LogLevel::Warn,
+             "body_memory_full",
+             { { "used_bytes", used },
+               { "max_bytes", mBodyMemory->maxBytes() },
+               { "refused", refusals - mCountedRefusals } });
+  }
+  mCountedRefusals = refusals;
 }
 
 void
--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -220,6 +220,7 @@
   }
 }
 
+  options.mBodyMemory = mBodyMemory;
 void
 Daemon::Impl::setPlatformGateHooks(Gate::Hooks& aHooks)
 {
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -85,6 +85,7 @@
     }
   }
   aTo.body.assign(aFrom.mBody.begin(), aFrom.mBody.end());
+  std::string().swap(aFrom.mBody);
 }
 
 /// Identifies requests that take similar times.
--- a/src/daemon/ingress_platform.cpp
+++ b/src/daemon/ingress_platform.cpp
@@ -114,6 +114,7 @@
   request.method = std::move(aRequest.mMethod);
   request.target = std::move(aRequest.mTarget);
   request.body.assign(aRequest.mBody.begin(), aRequest.mBody.end());
+  std::string().swap(aRequest.mBody);
   for (wire::HeaderT& header : aRequest.mHeaders) {
     if (!equalsIgnoringCase(header.name, "authorization")) {
       request.headers.push_back(
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -14,6 +14,7 @@
 #include <ctime>
 #include <curl/curl.h>
 #include <iostream>
+#include <malloc.h>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <semaphore.h>
@@ -39,6 +40,9 @@
                                                         0.05 };
 constexpr Millis kMaxJoinDelay{ 30000 };
 
+/// Larger blocks are given back to the system as soon as they are freed.
+constexpr int kMappedBlockBytes = 128 << 10;
+
 std::atomic<bool> sStopRequested{ false };
 std::atomic<bool> sReloadRequested{ false };
 /// Posted by the signal handlers; sem_post is async-signal-safe.
@@ -145,6 +149,7 @@
   }
   const DaemonSettings& settings = command->mSettings;
   startLog("daemon", settings.mVm, settings.mZone, settings.logLevel());
+  mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes);
   curl_global_init(CURL_GLOBAL_ALL);
   installSignalHandlers();
   const int status = runDaemon(settings, aHooks);
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -22,6 +22,8 @@
   ThreadCount,
   Protocol,
   Duration,
+  Memory,
+  Percent,
 };
 
 /// A setting with its flag, environment variable, target member and syntax.
@@ -34,7 +36,7 @@
   const char* mHelp;
 };
 
-constexpr std::array<Setting, 19> kSettings{ {
+constexpr std::array<Setting, 21> kSettings{ {
   { "vm", "RADISHROAD_VM", &DaemonSettings::mVm, Kind::Name, "name of the VM" },
   { "zone",
     "RADISHROAD_ZONE",
@@ -126,11 +128,24 @@
     &DaemonSettings::mConfigTimeMs,
     Kind::Duration,
     "time after which a new configuration must be in force (2000)" },
+  { "memory-mb",
+    "RADISHROAD_MEMORY_MB",
+    &DaemonSettings::mMemoryMb,
+    Kind::Memory,
+    "memory that the daemon may use, in MB (160)" },
+  { "body-memory-percent",
+    "RADISHROAD_BODY_MEMORY_PERCENT",
+    &DaemonSettings::mBodyMemoryPercent,
+    Kind::Percent,
+    "part of it for the bodies of requests and responses (35)" },
 } };
 
 constexpr std::size_t kMaxNameLength = 64;
 constexpr unsigned kMaxThreads = 64;
 constexpr unsigned kMaxDurationMs = 600000;
+constexpr unsigned kMinMemoryMb = 64;
+constexpr unsigned kMaxMemoryMb = 1U << 20;
+constexpr unsigned kMaxBodyPercent = 50;
 
 bool
 isName(const std::string& aText)
@@ -172,6 +187,13 @@
   return n >= 1 && n <= kMaxDurationMs;
 }
 
+bool
+isWithin(const std::string& aText, unsigned aMin, unsigned aMax)
+{
+  const unsigned n = toUnsigned(aText);
+  return n >= aMin && n <= aMax;
+}
+
 /// Describes the syntax of the kind if the text is invalid; empty if it is
 /// valid.
 std::string
@@ -192,6 +214,13 @@
       return aText == "own" || aText == "platform" ? "" : "own or platform";
     case Kind::Duration:
       return isDuration(aText) ? "" : "milliseconds from 1 to 600000";
+    case Kind::Memory:
+      return isWithin(aText, kMinMemoryMb, kMaxMemoryMb)
+               ? ""
+               : "megabytes from 64 to 1048576";
+    case Kind::Percent:
+      return isWithin(aText, 1, kMaxBodyPercent) ? ""
+                                                 : "a percentage from 1 to 50";
   }
   return "";
 }
@@ -333,6 +362,14 @@
   return { toUnsigned(mConfigTimeMs) };
 }
 
+std::size_t
+DaemonSettings::bodyMemoryBytes() const
+{
+  constexpr std::size_t kBytesPerMb = 1U << 20;
+  return toUnsigned(mMemoryMb) * kBytesPerMb * toUnsigned(mBodyMemoryPercent) /
+         100;
+}
+
 bool
 isSocketAddress(const std::string& aText)
 {
--- a/src/peer/channel.cpp
+++ b/src/peer/channel.cpp
@@ -113,6 +113,9 @@
   hooks.mOnFrame = [this](wire::FrameBodyUnion aBody, std::size_t aBytes) {
     mHooks.mOnFrame(std::move(aBody), aBytes);
   };
+  hooks.mOnSkipped = [this](const ForwardedFrame& aFrame) {
+    mHooks.mOnSkipped(aFrame);
+  };
   hooks.mOnClosed = [this, attempt](const Error& aReason) {
     if (attempt == mAttempt) {
       onDisconnected(aReason);
--- a/src/peer/connection.cpp
+++ b/src/peer/connection.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::size_t kReadBufferBytes = 64U << 10;
+/// Enough of a frame to tell which request or answer it holds.
+constexpr std::size_t kFirstBytes = 4U << 10;
 constexpr std::size_t kMaxHelloBytes = 4U << 10;
 /// Limits of one gathered write. They are small because all frames of a failed
 /// write count as possibly sent.
@@ -38,6 +40,7 @@
   , mOptions(std::move(aOptions))
   , mHooks(std::move(aHooks))
   , mReadBuffer(kReadBufferBytes)
+  , mFrameShare(mOptions.mBodyMemory)
   , mLastActivity(monotonicNow())
 {
 }
@@ -202,6 +205,16 @@
   if (mFrame.size() == kFramePrefixBytes) {
     return onPrefixComplete();
   }
+  if (mSkipBytes > 0) {
+    const std::size_t skipped = std::min(mSkipBytes, aBytes.size());
+    aBytes = aBytes.subspan(skipped);
+    mSkipBytes -= skipped;
+    return mSkipBytes > 0 || onFrameSkipped();
+  }
+  if (mFrame.size() < mFrameBytes) {
+    onFirstBytesComplete();
+    return true;
+  }
   return onFrameComplete();
 }
 
@@ -216,10 +229,35 @@
             "invalid frame length: " + std::to_string(length) + " bytes" });
     return false;
   }
+  mFrameBytes = kFramePrefixBytes + length;
+  mFrame.resize(length > kReadBufferBytes ? kFirstBytes : mFrameBytes,
+                boost::container::default_init);
+  return true;
+}
+
+void
+Connection::onFirstBytesComplete()
+{
+  const bool isForwarded =
+    readForwardedFrame({ mFrame.data(), mFrame.size() }).has_value();
+  if (isForwarded && !mFrameShare.tryResize(mFrameBytes)) {
+    mSkipBytes = mFrameBytes - mFrame.size();
+    return;
+  }
   // The new bytes are not zeroed, which would take some milliseconds for a
   // large body.
-  mFrame.resize(kFramePrefixBytes + length, boost::container::default_init);
-  return true;
+  mFrame.resize(mFrameBytes, boost::container::default_init);
+}
+
+bool
+Connection::onFrameSkipped()
+{
+  const std::optional<ForwardedFrame> frame =
+    readForwardedFrame({ mFrame.data(), mFrame.size() });
+  mFrame.resize(kFramePrefixBytes);
+  mFrameBytesRead = 0;
+  mHooks.mOnSkipped(*frame);
+  return !mClosed;
 }
 
 bool
@@ -246,6 +284,7 @@
     return false;
   }
   mHooks.mOnFrame(std::move(*body), size);
+  mFrameShare.resize(0);
   return !mClosed;
 }
 
--- a/src/peer/forwarder.cpp
+++ b/src/peer/forwarder.cpp
@@ -1,5 +1,8 @@
 #include "radishroad/peer/forwarder.h"
 
+#include "radishroad/base/json_log.h"
+
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace radishroad {
@@ -20,6 +23,7 @@
              { [this](wire::FrameBodyUnion aBody, std::size_t) {
                 onFrame(std::move(aBody));
               },
+               [this](const ForwardedFrame& aFrame) { onSkipped(aFrame); },
                [](const OutgoingFrame&) {},
                [this](const Error&) { onDisconnected(); },
                [this] { return !mPending.empty(); } })
@@ -108,6 +112,16 @@
   }
 }
 
+void
+Forwarder::onSkipped(const ForwardedFrame& aFrame)
+{
+  const RandomId id{ aFrame.mIdHigh, aFrame.mIdLow };
+  logEvent(LogLevel::Warn,
+           "peer_answer_skipped",
+           { { "request_id", id.toString() }, { "cause", "no-memory" } });
+  onAnswer(makeUnknownAnswer(id));
+}
+
 void
 Forwarder::onAnswer(Answer aAnswer)
 {
--- a/src/peer/frame.cpp
+++ b/src/peer/frame.cpp
@@ -14,6 +14,9 @@
 constexpr flatbuffers::uoffset_t kMaxTables = 100'000;
 constexpr flatbuffers::uoffset_t kMaxDepth = 16;
 
+/// Of a truncated frame: prefix, root offset and file identifier.
+constexpr std::size_t kMinTruncatedBytes = 12;
+
 std::size_t
 sizeHint(const wire::FrameBodyUnion& aBody)
 {
@@ -74,6 +77,63 @@
   return body;
 }
 
+std::optional<ForwardedFrame>
+readForwardedFrame(std::span<const std::uint8_t> aFirstBytes)
+{
+  using wire::ForwardAnswer;
+  using wire::ForwardRequest;
+  // Tables come before what they refer to, as buffers are built from the end.
+  if (aFirstBytes.size() < kMinTruncatedBytes) {
+    return std::nullopt;
+  }
+  // The verifier checks alignment from the prefix on.
+  flatbuffers::Verifier verifier(
+    aFirstBytes.data(), aFirstBytes.size(), kMaxDepth, kMaxTables);
+  const std::span<const std::uint8_t> bytes =
+    aFirstBytes.subspan(kFramePrefixBytes);
+  const std::size_t root =
+    flatbuffers::ReadScalar<flatbuffers::uoffset_t>(bytes.data());
+  const auto isTable = [&](const void* aTable) {
+    return verifier.VerifyTableStart(static_cast<const std::uint8_t*>(aTable));
+  };
+  const wire::Frame* frame =
+    root < bytes.size()
+      ? reinterpret_cast<const wire::Frame*>(bytes.data() + root)
+      : nullptr;
+  if (frame == nullptr || !isTable(frame)) {
+    return std::nullopt;
+  }
+  const auto* table = reinterpret_cast<const flatbuffers::Table*>(frame);
+  const bool hasBody =
+    table->VerifyField<std::uint8_t>(verifier, wire::Frame::VT_BODY_TYPE, 1) &&
+    table->VerifyOffset(verifier, wire::Frame::VT_BODY) &&
+    frame->body() != nullptr && isTable(frame->body());
+  if (!hasBody) {
+    return std::nullopt;
+  }
+  const auto* body = static_cast<const flatbuffers::Table*>(frame->body());
+  const auto read = [&](flatbuffers::voffset_t aHigh,
+                        flatbuffers::voffset_t aLow) {
+    constexpr std::size_t kAlignment = 8;
+    const bool isValid =
+      body->VerifyField<std::uint64_t>(verifier, aHigh, kAlignment) &&
+      body->VerifyField<std::uint64_t>(verifier, aLow, kAlignment);
+    return isValid ? std::optional<ForwardedFrame>(
+                       { frame->body_type(),
+                         body->GetField<std::uint64_t>(aHigh, 0),
+                         body->GetField<std::uint64_t>(aLow, 0) })
+                   : std::nullopt;
+  };
+  switch (frame->body_type()) {
+    case wire::FrameBody::ForwardRequest:
+      return read(ForwardRequest::VT_ID_HIGH, ForwardRequest::VT_ID_LOW);
+    case wire::FrameBody::ForwardAnswer:
+      return read(ForwardAnswer::VT_ID_HIGH, ForwardAnswer::VT_ID_LOW);
+    default:
+      return std::nullopt;
+  }
+}
+
 std::size_t
 frameLength(std::span<const std::uint8_t> aPrefix)
 {
--- a/src/peer/peer_server.cpp
+++ b/src/peer/peer_server.cpp
@@ -1,9 +1,11 @@
 #include "radishroad/peer/peer_server.h"
 
+#include "radishroad/base/json_log.h"
 #include "radishroad/peer/address.h"
 
 #include <boost/asio/post.hpp>
 #include <chrono>
+#include <nlohmann/json.hpp>
 
 namespace radishroad {
 
@@ -16,18 +18,21 @@
 constexpr std::chrono::milliseconds kAcceptRetryDelay{ 100 };
 
 OutgoingFramePtr
-encodeAnswer(Answer aAnswer, RandomId aId, std::size_t aMaxBytes)
+encodeAnswer(Answer aAnswer, RandomId aId, const Connection::Options& aOptions)
 {
   aAnswer.id_high = aId.mHigh;
   aAnswer.id_low = aId.mLow;
   wire::FrameBodyUnion body;
   body.Set(std::move(aAnswer));
   FrameBuffer buffer = encodeFrame(body);
-  if (buffer.size() > aMaxBytes) {
+  if (buffer.size() > aOptions.mMaxFrameBytes) {
     body.Set(makeUnknownAnswer(aId));
     buffer = encodeFrame(body);
   }
-  return std::make_shared<OutgoingFrame>(std::move(buffer));
+  OutgoingFramePtr frame = std::make_shared<OutgoingFrame>(std::move(buffer));
+  frame->mBodyShare = BodyShare(aOptions.mBodyMemory);
+  frame->mBodyShare.resize(frame->size());
+  return frame;
 }
 
 }
@@ -131,6 +136,9 @@
                                      std::size_t aBytes) {
     onFrame(sessionId, std::move(aBody), aBytes);
   };
+  hooks.mOnSkipped = [this, sessionId](const ForwardedFrame& aFrame) {
+    onSkipped(sessionId, aFrame);
+  };
   hooks.mOnClosed = [this, sessionId](const Error& aReason) {
     onClosed(sessionId, aReason);
   };
@@ -166,6 +174,22 @@
     session->mConnection->peerIncarnation(), std::move(aBody), aBytes);
 }
 
+void
+PeerServer::onSkipped(std::uint64_t aSessionId, const ForwardedFrame& aFrame)
+{
+  const auto it = mSessions.find(aSessionId);
+  const bool isRequest = aFrame.mType == wire::FrameBody::ForwardRequest;
+  if (it == mSessions.end() || !isRequest) {
+    return;
+  }
+  const RandomId id{ aFrame.mIdHigh, aFrame.mIdLow };
+  logEvent(LogLevel::Warn,
+           "peer_request_skipped",
+           { { "request_id", id.toString() }, { "cause", "no-memory" } });
+  it->second->mConnection->send(
+    encodeAnswer(makeNotRunAnswer(id, NotRunReason::QueueFull), id, mOptions));
+}
+
 void
 PeerServer::onRequest(const std::shared_ptr<Session>& aSession,
                       ForwardRequest aRequest)
@@ -184,8 +208,8 @@
   return [context = mContext,
           weakSession = std::weak_ptr<Session>(aSession),
           aId,
-          maxBytes = mOptions.mMaxFrameBytes](Answer aAnswer) {
-    OutgoingFramePtr frame = encodeAnswer(std::move(aAnswer), aId, maxBytes);
+          options = mOptions](Answer aAnswer) {
+    OutgoingFramePtr frame = encodeAnswer(std::move(aAnswer), aId, options);
     asio::post(*context, [weakSession, aId, frame = std::move(frame)] {
       const std::shared_ptr<Session> session = weakSession.lock();
       if (session && session->finishRequest(aId)) {
--- a/src/peer/peer_transport.cpp
+++ b/src/peer/peer_transport.cpp
@@ -135,6 +135,7 @@
     std::make_unique<Forwarder>(*mContext, channelOptions(aAddress));
   Channel::Hooks hooks;
   hooks.mOnFrame = [](const wire::FrameBodyUnion&, std::size_t) {};
+  hooks.mOnSkipped = [](const ForwardedFrame&) {};
   hooks.mOnSend = [this](const OutgoingFrame& aFrame) {
     mControlBytesSent += aFrame.size();
     ++mControlFramesSent;
@@ -229,6 +230,7 @@
     options.mLocalIdentity.mPeerAddress = mImpl->mServer.address();
   }
   options.mMaxFrameBytes = mImpl->mOptions.mMaxFrameBytes;
+  options.mBodyMemory = mImpl->mOptions.mBodyMemory;
   // Above the budgets, which refuse frames first; Cancel frames do not count
   // against the budgets.
   options.mMaxQueuedBytes = mImpl->mOptions.mMaxQueuedBytes * 2;
@@ -280,7 +282,9 @@
     aAnswer(makeNotRunAnswer(id, NotRunReason::Malformed));
     return;
   }
-  if (!budgets.mRequests->tryReserve(buffer.size())) {
+  BodyShare bodyShare(mImpl->mOptions.mBodyMemory);
+  if (!bodyShare.tryResize(buffer.size()) ||
+      !budgets.mRequests->tryReserve(buffer.size())) {
     aAnswer(makeNotRunAnswer(id, NotRunReason::QueueFull));
     return;
   }
@@ -291,6 +295,7 @@
   request->mId = id;
   request->mFrame =
     std::make_shared<OutgoingFrame>(std::move(buffer), budgets.mRequests);
+  request->mFrame->mBodyShare = std::move(bodyShare);
   request->mAnswerFn = std::move(aAnswer);
   request->mDeadline = deadline;
   const bool posted = mImpl->post([impl = mImpl.get(), aAddress, request] {
--- a/src/policy/deduplication_cache.cpp
+++ b/src/policy/deduplication_cache.cpp
@@ -6,7 +6,6 @@
 
 constexpr Millis kRetention{ 120000 };
 constexpr std::size_t kMaxCompletedEntries = 16384;
-constexpr std::size_t kMaxBytes = 32U << 20;
 constexpr std::size_t kMaxAnswerBytes = 1U << 20;
 /// Maximum number of copies that wait for the answer to one request.
 constexpr std::size_t kMaxWaiters = 16;
@@ -41,6 +40,11 @@
   return aAnswer;
 }
 
+DeduplicationCache::DeduplicationCache(std::size_t aMaxBytes)
+  : mMaxBytes(aMaxBytes)
+{
+}
+
 DeduplicationCache::Admission
 DeduplicationCache::admit(const ForwardRequest& aRequest,
                           std::uint64_t aFingerprint,
@@ -116,7 +120,7 @@
   while (!mCompleted.empty()) {
     const bool old = aNow - mCompleted.front().mAt > kRetention;
     if (!old && mCompleted.size() <= kMaxCompletedEntries &&
-        mBytes <= kMaxBytes) {
+        mBytes <= mMaxBytes) {
       return;
     }
     const auto it = mEntries.find(mCompleted.front().mKey);
--- a/src/upstream/exchange.cpp
+++ b/src/upstream/exchange.cpp
@@ -46,6 +46,7 @@
   , mHead(mIsHead)
   , mHandle(curl_easy_init())
 {
+  mResponse.mBodyShare = BodyShare(aRequest.mBodyMemory);
   setRequest(aRequest);
   setCallbacks(aConnections);
 }
@@ -169,7 +170,9 @@
 {
   mResponse.mStatus = mHead.status();
   mResponse.mHeaders = std::move(mHead.headers());
-  return hasExpectedEcho();
+  mTooLarge = mHead.framing() == ResponseHead::Framing::Length &&
+              mHead.length() > mMaxBodyBytes;
+  return !mTooLarge && hasExpectedEcho();
 }
 
 std::size_t
@@ -201,6 +204,10 @@
     self->mTooLarge = true;
     return 0;
   }
+  if (!self->mResponse.mBodyShare.tryResize(body.size() + n)) {
+    self->mOutOfMemory = true;
+    return 0;
+  }
   body.insert(body.end(), aData, aData + n);
   return n;
 }
@@ -247,6 +254,9 @@
   if (mTooLarge || mHead.bytes() > ResponseHead::kMaxBytes) {
     return End::TooLarge;
   }
+  if (mOutOfMemory) {
+    return End::NoMemory;
+  }
   if (!mHead.error().empty()) {
     return End::Malformed;
   }
--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -96,9 +96,12 @@
   const std::uint32_t queued = impl.mQueuedCount.fetch_add(1);
   const bool stopping = impl.mStopping.load();
   const AnswerFn refuse = aAnswer;
+  BodyShare bodyShare(impl.mOptions.mBodyMemory);
+  const bool fits = bodyShare.tryResize(aRequest.body.size());
   QueuedRequest entry =
     makeQueued(std::move(aRequest), std::move(aAnswer), impl.mHooks.mNow());
-  if (stopping || queued >= impl.mOptions.mMaxQueued * 2 ||
+  entry.mBodyShare = std::move(bodyShare);
+  if (stopping || !fits || queued >= impl.mOptions.mMaxQueued * 2 ||
       !impl.mSubmitted.tryPush(std::move(entry))) {
     impl.mQueuedCount.fetch_sub(1);
     refuse(makeNotRunAnswer(
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -330,6 +330,8 @@
   ConnectionPacer mPacer;
   RetryBudget mRetryBudget;
   DeduplicationCache mDeduplicationCache;
+  /// Counts the answers that the cache holds.
+  BodyShare mCacheShare;
   AnsweredSet mAnswered;
   SentIds mSentIds;
   GrantManager mGrants;
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -26,6 +26,17 @@
 /// multiples of the maximum queue length.
 constexpr std::size_t kSubmittedCapacityFactor = 2;
 
+/// Part of the memory for bodies that answers to copies may take.
+constexpr std::size_t kCachePart = 4;
+
+std::size_t
+maxCacheBytes(const BodyMemory* aMemory)
+{
+  return aMemory == nullptr ? DeduplicationCache::kMaxBytes
+                            : std::min(aMemory->maxBytes() / kCachePart,
+                                       DeduplicationCache::kMaxBytes);
+}
+
 }
 
 Gate::Impl::Impl(Options aOptions, Hooks aHooks, Metrics& aMetrics)
@@ -34,6 +45,8 @@
   , mMetrics(aMetrics)
   , mWindow(mService.mMaxInFlight)
   , mRetryBudget(kRetryRatio)
+  , mDeduplicationCache(maxCacheBytes(mOptions.mBodyMemory.get()))
+  , mCacheShare(mOptions.mBodyMemory)
   , mSubmitted(mOptions.mMaxQueued * kSubmittedCapacityFactor)
 {
   if (mOptions.mProtocol.mPushesReports) {
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -174,6 +174,7 @@
   upstream.mTimeout = left + kTimeoutMargin;
   upstream.mMaxIdle = request.idempotent ? kMaxIdle : kMaxIdleNotIdempotent;
   upstream.mMaxBodyBytes = mOptions.mMaxBodyBytes;
+  upstream.mBodyMemory = mOptions.mBodyMemory;
   // A response tells which id it belongs to, not which attempt. An id is
   // therefore sent over each connection once.
   upstream.mNeedsFreshConnection = run.mQueued.mRepeatsId;
@@ -258,6 +259,8 @@
 void
 Gate::Impl::onComplete(Run aRun, UpstreamResponse aResponse)
 {
+  // Held until the answer has been passed on.
+  const BodyShare bodyShare = std::move(aResponse.mBodyShare);
   const Millis now = mHooks.mNow();
   const UpstreamProtocol& protocol = mOptions.mProtocol;
   if (protocol.mPushesReports) {
@@ -421,6 +424,7 @@
   const std::vector<DeduplicationCache::Waiter> waiters =
     mDeduplicationCache.finish(
       aQueued.mDeduplicationKey, aAnswer, mHooks.mNow());
+  mCacheShare.resize(mDeduplicationCache.bytes());
   for (const DeduplicationCache::Waiter& waiter : waiters) {
     waiter.mAnswer(withId(aAnswer, waiter.mId));
   }
--- a/src/upstream/response_trace.cpp
+++ b/src/upstream/response_trace.cpp
@@ -26,6 +26,8 @@
       return "other-request";
     case ResponseTrace::End::TooLarge:
       return "too-large";
+    case ResponseTrace::End::NoMemory:
+      return "no-memory";
     case ResponseTrace::End::Unframed:
       return "unframed";
   }
--- a/tests/process/support/platform_site.cpp
+++ b/tests/process/support/platform_site.cpp
@@ -201,6 +201,7 @@
     { "Bounds.HoldMaxMs", "10000" },
     { "Bounds.ConfigApplyMs", std::to_string(kConfigTime.mCount) },
     { "Bounds.EvacuateMs", std::to_string(kZoneOutTime.mCount) },
+    { "Limits.MemoryMb", std::to_string(kMemoryMb) },
   });
   aVm.mDaemon =
     std::make_unique<ChildProcess>(command, mFolder / (aVm.mName + ".log"));
--- a/tests/process/support/platform_site.h
+++ b/tests/process/support/platform_site.h
@@ -62,6 +62,8 @@
   /// Time from SIGTERM until a daemon would be killed.
   static constexpr Millis kGraceTime{ 6000 };
 
+  /// Memory of each VM.
+  static constexpr int kMemoryMb = 160;
   /// Time within which a configuration must be in force.
   static constexpr Millis kConfigTime{ 2000 };
 
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -102,4 +102,22 @@
   BOOST_TEST(!read({ "extra" }, kCompleteEnvironment).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(memory_for_bodies_is_a_part_of_the_memory)
+{
+  const auto standard = read({}, kCompleteEnvironment);
+  BOOST_REQUIRE(standard.has_value());
+  BOOST_TEST(standard->mSettings.bodyMemoryBytes() == (56U << 20));
+  const auto given =
+    read({ "--memory-mb", "512", "--body-memory-percent", "50" },
+         kCompleteEnvironment);
+  BOOST_REQUIRE(given.has_value());
+  BOOST_TEST(given->mSettings.bodyMemoryBytes() == (256U << 20));
+  const auto rejected =
+    read({ "--memory-mb", "63", "--body-memory-percent", "51" },
+         kCompleteEnvironment);
+  BOOST_REQUIRE(!rejected.has_value());
+  BOOST_TEST(rejected.error().size() == 2U);
+  BOOST_TEST(rejected.error()[0].mSource == "--memory-mb");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
