Run no request behind an answer that may end its connection (LOST)

What callers saw: idempotent requests pipelined behind one whose upstream gave no length were run, and their connection ended without their answers.

Cause: the answer without a length must be the last on its connection, and requests behind it had been started beside it.

Change: a request waits if the answer before it may end the connection: its service has left out a length within the last minute, or has not answered yet (UnframedServices, without input or output).

What remains: requests that run behind the first answer without a length of a service that gave lengths until then.

--- a/include/radishroad/caller/connection.h
+++ b/include/radishroad/caller/connection.h
@@ -61,12 +61,14 @@
   {
     RequestReader::ReadResult mReadResult;
     bool mStarted = false;
+    /// No request behind this one may run.
+    bool mMayEndConnection = false;
     /// Cancels the running request; may be empty.
     CancelFn mCancel;
     std::optional<Answer> mAnswer;
+    BodyShare mAnswerShare;
   };
 
-    BodyShare mAnswerShare;
   void readRequests(Millis aNow);
   /// Whether the queue has room for one more request.
   bool canQueue() const;
--- a/include/radishroad/caller/server.h
+++ b/include/radishroad/caller/server.h
@@ -45,6 +45,9 @@
     /// Whether a request may run concurrently with those before it on its
     /// connection. If empty, the requests of a connection run one at a time.
     std::function<bool(const CallerRequest&)> mMayRunConcurrently = {};
+    /// Whether the answer to a request may end its connection, so that no
+    /// request may run behind it. If empty, none does.
+    std::function<bool(const CallerRequest&)> mMayEndConnection = {};
   };
 
   CallerServer(Options aOptions, CallerRequestFn aHandler, Metrics& aMetrics);
--- a/include/radishroad/daemon/ingress.h
+++ b/include/radishroad/daemon/ingress.h
@@ -7,6 +7,7 @@
 #include "radishroad/policy/notice_cache.h"
 #include "radishroad/policy/stop_schedule.h"
 #include "radishroad/policy/token_cache.h"
+#include "radishroad/policy/unframed_services.h"
 #include "radishroad/policy/upstream_selector.h"
 #include "radishroad/request/caller_headers.h"
 #include "radishroad/request/request.h"
@@ -93,6 +94,9 @@
   /// runs (HTTP pipelining). Only idempotent requests may: a caller resends
   /// them if the connection closes after the answer to an earlier request.
   bool mayRunConcurrently(const CallerRequest& aRequest) const;
+  /// Whether the answer to the request may end its connection, as its service
+  /// answers without lengths or has not answered yet.
+  bool mayEndConnection(const CallerRequest& aRequest) const;
   /// Returns a function that cancels the request.
   CancelFn handle(CallerRequest aRequest, AnswerFn aAnswer);
   /// From now on requests that will not end in time are refused as not
@@ -175,6 +179,8 @@
   LongestRunTimes mRunTimes;
   std::mutex mNoticeMutex;
   NoticeCache mNotices;
+  mutable std::mutex mUnframedMutex;
+  UnframedServices mUnframedServices;
   std::mutex mSelectorMutex;
   /// Keyed by service name.
   std::map<std::string, UpstreamSelector> mSelectors;
--- a/include/radishroad/request/request.h
+++ b/include/radishroad/request/request.h
@@ -32,6 +32,9 @@
   BodyShare mBodyShare;
   /// Monotonic time at which the whole request had been read.
   Millis mReceivedAt;
+  /// When it was handed to the handler, later if it had to wait for the answers
+  /// to those before it on its connection.
+  Millis mStartedAt;
 };
 
 /// Receives the answer to one request. Called exactly once, from any thread.
--- a/src/caller/connection.cpp
+++ b/src/caller/connection.cpp
@@ -75,7 +75,7 @@
     }
     mDiscardInput = !*result || !(*result)->mKeepAlive;
     mQueuedBodyBytes += *result ? (*result)->mRequest.mBody.size() : 0;
-    mQueue.push_back({ std::move(*result), false, {}, {} });
+    mQueue.push_back({ std::move(*result), false, false, {}, {}, {} });
     mPhaseStartedAt = aNow;
   }
   limitBufferedInput();
@@ -121,6 +121,9 @@
   for (std::size_t n = 0; n < mQueue.size() && n < kMaxConcurrentRequests;
        ++n) {
     PipelinedRequest& entry = mQueue[n];
+    if (n > 0 && mQueue[n - 1].mMayEndConnection) {
+      return;
+    }
     if (entry.mStarted) {
       continue;
     }
@@ -148,6 +151,10 @@
   const std::shared_ptr<PendingAnswer> pending =
     std::make_shared<PendingAnswer>(
       mAnswerQueue, weak_from_this(), aSequence, id);
+  parsed.mRequest.mStartedAt = monotonicNow();
+  aEntry.mMayEndConnection =
+    mContext.mOptions.mMayEndConnection &&
+    mContext.mOptions.mMayEndConnection(parsed.mRequest);
   CallerRequest request = std::move(parsed.mRequest);
   // The response needs these two fields after the request has been moved.
   parsed.mRequest.mId = id;
@@ -182,6 +189,7 @@
   }
   PipelinedRequest& entry = mQueue[position];
   entry.mAnswer = std::move(aAnswer);
+  entry.mAnswerShare = std::move(aBodyShare);
   entry.mCancel = nullptr;
   processQueue(aNow);
   updateBusyCount();
@@ -189,7 +197,6 @@
 
 void
 CallerConnection::writeFrontAnswer(Millis aNow)
-  entry.mAnswerShare = std::move(aBodyShare);
 {
   if (mQueue.empty()) {
     return;
--- a/src/caller/connection_timeouts.cpp
+++ b/src/caller/connection_timeouts.cpp
@@ -39,6 +39,8 @@
     { tl::unexpected<Refusal>(Refusal{
         408, "request-timeout", "the request did not arrive in time" }),
       false,
+      false,
+      {},
       {},
       {} });
   processQueue(aNow);
--- a/src/daemon/daemon_impl.cpp
+++ b/src/daemon/daemon_impl.cpp
@@ -126,6 +126,10 @@
         .mMayRunConcurrently =
           [this](const CallerRequest& aRequest) {
             return mIngress.mayRunConcurrently(aRequest);
+          },
+        .mMayEndConnection =
+          [this](const CallerRequest& aRequest) {
+            return mIngress.mayEndConnection(aRequest);
           } },
       [this](CallerRequest aRequest, AnswerFn aAnswer) {
         return mIngress.handle(std::move(aRequest), std::move(aAnswer));
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -136,6 +136,7 @@
   const PendingRequestPtr pending = std::make_shared<PendingRequest>();
   pending->mAnswer = std::move(aAnswer);
   pending->mReceivedAt = aRequest.mReceivedAt;
+  pending->mStartedAt = std::max(aRequest.mReceivedAt, aRequest.mStartedAt);
   pending->mRequest.id_high = aRequest.mId.mHigh;
   pending->mRequest.id_low = aRequest.mId.mLow;
   pending->mCallerRequest = std::move(aRequest);
@@ -221,7 +222,7 @@
   fillRequest(aRequest, *match, request);
   aPending.mDeadline =
     aPending.mReceivedAt + model.mServices.at(route.mService).mDeadline;
-  aPending.mTokenWaitEnd = aPending.mReceivedAt + kMaxTokenWait;
+  aPending.mTokenWaitEnd = aPending.mStartedAt + kMaxTokenWait;
   aPending.mObjectiveAt = aPending.mDeadline;
   aPending.mResendUntil = aPending.mDeadline;
   return NotRunReason::None;
@@ -586,6 +587,11 @@
   if (mHooks.mParseCallerHeaders && aAnswer.kind != AnswerKind::Answered) {
     addRefusalHeaders(*aPending, aAnswer);
   }
+  if (aAnswer.kind == AnswerKind::Answered) {
+    const std::lock_guard<std::mutex> lock(mUnframedMutex);
+    mUnframedServices.onAnswer(
+      aPending->mRequest.service, aAnswer.ends_with_connection, mHooks.mNow());
+  }
   logOutcome(*aPending, aAnswer);
   mMetrics.count(std::string("radishroad_requests_total{outcome=\"") +
                  wire::EnumNameAnswerKind(aAnswer.kind) + "\",reason=\"" +
--- a/src/daemon/ingress_pending_request.h
+++ b/src/daemon/ingress_pending_request.h
@@ -19,6 +19,8 @@
   ForwardRequest mRequest;
   AnswerFn mAnswer;
   Millis mReceivedAt;
+  /// When it began to run, later than mReceivedAt if it is pipelined.
+  Millis mStartedAt;
   Millis mDeadline;
   /// Time until which the request waits for a token of its workspace.
   Millis mTokenWaitEnd;
--- a/src/daemon/ingress_platform.cpp
+++ b/src/daemon/ingress_platform.cpp
@@ -131,7 +131,7 @@
                             ? from + std::min(route->mLatencyObjective, timeout)
                             : aPending.mDeadline;
   const Millis part = (aPending.mObjectiveAt - from) / kWaitDivisor;
-  aPending.mResendUntil = from + std::max(kMinWait, part);
+  aPending.mResendUntil = aPending.mStartedAt + std::max(kMinWait, part);
   aPending.mTokenWaitEnd = aPending.mResendUntil;
   return NotRunReason::None;
 }
@@ -150,6 +150,25 @@
   return route != nullptr && route->mIdempotent;
 }
 
+bool
+Ingress::mayEndConnection(const CallerRequest& aRequest) const
+{
+  const std::shared_ptr<const FleetView> view = mViews.get();
+  if (!mHooks.mParseCallerHeaders || view->mModel == nullptr) {
+    return false;
+  }
+  const CallerHeaders headers = mHooks.mParseCallerHeaders(aRequest);
+  const config::Route* route =
+    config::matchPrefix(*view->mModel, headers.mHost, aRequest.mTarget);
+  if (route == nullptr) {
+    return false;
+  }
+  const std::string service =
+    config::pickService(*route, hash64(headers.mRequestId));
+  const std::lock_guard<std::mutex> lock(mUnframedMutex);
+  return mUnframedServices.mayEndConnection(service, mHooks.mNow());
+}
+
 NotRunReason
 Ingress::authenticate(const CallerHeaders& aHeaders,
                       const FleetView& aView,
