Encode a change of state once for all peers, and send it once to each VM

Change: frames may share one buffer; addresses are told apart, not incarnations. No figure of its own was measured.

--- a/include/radishroad/peer/outgoing_frame.h
+++ b/include/radishroad/peer/outgoing_frame.h
@@ -17,7 +17,14 @@
   /// If aBudget is given, the buffer's size must already be reserved from it.
   explicit OutgoingFrame(FrameBuffer aBuffer,
                          std::shared_ptr<ByteBudget> aBudget = nullptr)
-    : mSize(aBuffer.size())
+    : OutgoingFrame(std::make_shared<const FrameBuffer>(std::move(aBuffer)),
+                    std::move(aBudget))
+  {
+  }
+  /// As above, with a buffer that frames for other peers share.
+  explicit OutgoingFrame(std::shared_ptr<const FrameBuffer> aBuffer,
+                         std::shared_ptr<ByteBudget> aBudget = nullptr)
+    : mSize(aBuffer->size())
     , mBuffer(std::move(aBuffer))
     , mBudget(std::move(aBudget))
   {
@@ -28,7 +35,9 @@
 
   std::span<const std::uint8_t> bytes() const
   {
-    return { mBuffer.data(), mBuffer.size() };
+    return mBuffer
+             ? std::span<const std::uint8_t>(mBuffer->data(), mBuffer->size())
+             : std::span<const std::uint8_t>();
   }
 
   /// Size on the wire, also after release().
@@ -46,6 +55,8 @@
     mBodyShare.resize(0);
   }
 
+  /// Counts the frame if it has a body.
+  BodyShare mBodyShare;
   /// Whether any part of the frame may have been written to a socket.
   bool mWriteStarted = false;
   /// Incarnation of the peer that should receive the frame; 0 for any.
@@ -53,10 +64,8 @@
 
 private:
   std::size_t mSize;
-  FrameBuffer mBuffer;
+  std::shared_ptr<const FrameBuffer> mBuffer;
   std::shared_ptr<ByteBudget> mBudget;
-  /// Counts the frame if it has a body.
-  BodyShare mBodyShare;
 };
 
 using OutgoingFramePtr = std::shared_ptr<OutgoingFrame>;
--- a/include/radishroad/peer/peer_transport.h
+++ b/include/radishroad/peer/peer_transport.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 
 namespace radishroad {
@@ -33,9 +34,9 @@
     /// are refused.
     std::size_t mMaxQueuedBytes = 64U << 20;
     std::size_t mMaxFrameBytes = 24U << 20;
-    Millis mConnectTimeout{ 300 };
     /// Frames of requests and answers are counted there; may be null.
     std::shared_ptr<BodyMemory> mBodyMemory = {};
+    Millis mConnectTimeout{ 300 };
     /// "ip:port" on which peers reach this daemon; the bound address if empty.
     std::string mAdvertisedAddress = {};
   };
@@ -77,6 +78,11 @@
                    std::uint64_t aIncarnation,
                    wire::FrameBodyUnion aBody);
 
+  /// Sends a control frame, which is encoded once, to whichever process now has
+  /// each of these addresses.
+  void sendControlToAll(std::span<const std::string> aAddresses,
+                        const wire::FrameBodyUnion& aBody);
+
   struct Traffic
   {
     std::uint64_t mControlBytesSent = 0;
--- a/src/daemon/daemon_impl_state.cpp
+++ b/src/daemon/daemon_impl_state.cpp
@@ -75,11 +75,10 @@
   }
   for (const auto& [service, cell] : mFleet.cells()) {
     for (const auto& [incarnation, member] : cell->mMembers) {
-      if (incarnation != mSelf && member.mStatus == MemberStatus::Active) {
-        // Sent to incarnation 0, that is, to whichever process now has the
-        // address: after many daemons have restarted, a daemon may know only
-        // the earlier incarnations of another cell's members.
-        mPeerTransport->sendControl(member.mPeerAddress, 0, makeBody(relay));
+      const bool isOther =
+        incarnation != mSelf && member.mPeerAddress != mSettings.mPeerAddress;
+      if (isOther && member.mStatus == MemberStatus::Active) {
+        addresses.insert(member.mPeerAddress);
       }
     }
   }
@@ -93,6 +92,10 @@
     return;
   }
   const std::uint64_t known = mFleet.versionOf(aChange.stream);
+  // Sent to addresses and not to incarnations: after many daemons have
+  // restarted, a daemon may know only the earlier incarnations of another
+  // cell's members.
+  std::set<std::string> addresses;
   if (known != aChange.base_version) {
     const auto it = mPollLoops.find(aChange.stream);
     if (known < aChange.base_version && it != mPollLoops.end()) {
@@ -103,6 +106,8 @@
   std::vector<Bytes> records;
   for (const std::unique_ptr<wire::RelayedRecordT>& record : aChange.records) {
     records.push_back(record->data);
+  const std::vector<std::string> targets(addresses.begin(), addresses.end());
+  mPeerTransport->sendControlToAll(targets, makeBody(std::move(relay)));
   }
   StateChange change = applyRecords(*base, records);
   change.mState.mStoreGeneration = aChange.generation;
--- a/src/peer/peer_transport.cpp
+++ b/src/peer/peer_transport.cpp
@@ -334,6 +334,30 @@
   });
 }
 
+void
+PeerTransport::sendControlToAll(std::span<const std::string> aAddresses,
+                                const wire::FrameBodyUnion& aBody)
+{
+  const auto buffer = std::make_shared<const FrameBuffer>(encodeFrame(aBody));
+  if (buffer->size() > mImpl->mOptions.mMaxFrameBytes) {
+    return;
+  }
+  using Target = std::pair<std::string, OutgoingFramePtr>;
+  std::vector<Target> targets;
+  for (const std::string& address : aAddresses) {
+    const Impl::Budgets budgets = mImpl->budgetsFor(address);
+    if (budgets.mControl->tryReserve(buffer->size())) {
+      targets.emplace_back(
+        address, std::make_shared<OutgoingFrame>(buffer, budgets.mControl));
+    }
+  }
+  mImpl->post([impl = mImpl.get(), targets = std::move(targets)] {
+    for (const Target& target : targets) {
+      impl->getOrCreatePeer(target.first).mControl->send(target.second);
+    }
+  });
+}
+
 PeerTransport::Traffic
 PeerTransport::traffic() const
 {
