Pass records on to the next member when the coordinator is too slow

Cause, by reading: a record that the coordinator had not committed within 400 ms was written by its own daemon, and so were all its records for two seconds. The writes of 119 daemons conflict; each conflict costs a read and a write. Resent records were queued again at the coordinator each 100 ms.

A daemon whose own store fails passes its records on as well. Waiting proposals are taken once. Calls to the store are counted by who makes them and logged each 10 s (store_calls).

The earlier case that the coordinator's peers write directly is replaced by the order in which they are asked.

--- a/include/radishroad/state/cell_state.h
+++ b/include/radishroad/state/cell_state.h
@@ -138,6 +138,10 @@
 Incarnation
 coordinatorOf(const CellState& aState);
 
+/// The members that can act as coordinator, the present one first.
+std::vector<Incarnation>
+coordinatorSuccession(const CellState& aState);
+
 }
 
 #endif
--- a/src/daemon/daemon_impl.h
+++ b/src/daemon/daemon_impl.h
@@ -41,12 +41,17 @@
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
+#include <mutex>
 #include <string>
 
+#include <set>
 namespace radishroad {
 
 /// The daemon's threads and the state that they share. Members are constructed
 /// in their order here, so those that others use come first.
+/// Name of the StateWriter among the clients of the store.
+constexpr const char* kWriterName = "writer";
+
 struct Daemon::Impl
 {
   Impl(const DaemonSettings& aSettings,
@@ -152,6 +157,13 @@
   std::map<std::string, std::unique_ptr<PollLoop>> mPollLoops;
   TakeoverGuard mTakeoverGuard;
   bool mTakeoverGuardStarted = false;
+  std::mutex mStoreCallsMutex;
+  /// Calls to the store since the last log line, by client and call. Guarded by
+  /// mStoreCallsMutex.
+  std::map<std::string, std::uint64_t> mStoreCalls;
+  Millis mNextStoreCallsLog;
+  /// Hashes of peers' proposals that the writer has not finished yet.
+  std::set<std::uint64_t> mWaitingProposals;
   Millis mNextLoadReport;
   Millis mNextIdleReport;
   Millis mNextTrafficUpdate;
@@ -173,6 +185,11 @@
                   const CellState& aState);
   // daemon_impl_state.cpp: exchange of cell states with the store and the
   // peers.
+  /// Clients of the store whose calls are counted under the client's name.
+  StateStore openStore(const std::string& aClient);
+  OperatorFeed openFeed(const std::string& aClient);
+  void countStoreCall(const std::string& aClient, const char* aCall);
+  void logStoreCalls(Millis aNow);
   /// Sends the records just written to all peers.
   void broadcastStateChange(const std::string& aStream,
   /// Refusals for want of memory that are already counted.
@@ -258,6 +275,9 @@
   bool configFresh() const;
 };
 
+  /// Members that may write records of the own cell, in their order; mSelf
+  /// stands for this process.
+  std::vector<Incarnation> writers() const;
 }
 
 #endif
--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -37,6 +37,8 @@
 constexpr Millis kFailedConfigCheckInterval{ 1000 };
 /// Checks are made on request.
 constexpr Millis kUnrequestedCheckInterval{ 3600000 };
+/// Time between two log lines that tell the calls to the store since the last.
+constexpr Millis kStoreCallsLogInterval{ 10000 };
 /// Age of what is known of the configuration, as a percentage of
 /// --config-time-ms, at which the coordinator of a cell asks the store. Leaves
 /// its members time to learn of the answer before it is too old to refuse by.
@@ -128,6 +130,67 @@
   StateWriter::Hooks hooks;
   hooks.mOnState = [this](const std::string& aStream,
                           std::uint64_t aVersion,
+void
+Daemon::Impl::countStoreCall(const std::string& aClient, const char* aCall)
+{
+  mMetrics.count("radishroad_store_calls_total{client=\"" + aClient +
+                 "\",call=\"" + aCall + "\"}");
+  const std::lock_guard<std::mutex> lock(mStoreCallsMutex);
+  ++mStoreCalls[aClient + " " + aCall];
+}
+
+void
+Daemon::Impl::logStoreCalls(Millis aNow)
+{
+  if (aNow < mNextStoreCallsLog) {
+    return;
+  }
+  mNextStoreCallsLog = aNow + kStoreCallsLogInterval;
+  std::map<std::string, std::uint64_t> calls;
+  {
+    const std::lock_guard<std::mutex> lock(mStoreCallsMutex);
+    calls.swap(mStoreCalls);
+  }
+  if (!calls.empty()) {
+    logEvent(LogLevel::Info, "store_calls", nlohmann::json(calls));
+  }
+}
+
+StateStore
+Daemon::Impl::openStore(const std::string& aClient)
+{
+  StateStore store = mProtocol.mOpenStore();
+  store.mRead =
+    [this, aClient, read = std::move(store.mRead)](const std::string& aName,
+                                                   std::uint64_t aKnownVersion,
+                                                   Millis aWait,
+                                                   Millis aTimeout) {
+      countStoreCall(aClient, "read");
+      return read(aName, aKnownVersion, aWait, aTimeout);
+    };
+  store.mReplace = [this, aClient, replace = std::move(store.mReplace)](
+                     const std::string& aName,
+                     std::uint64_t aExpectedVersion,
+                     std::span<const std::uint8_t> aData,
+                     Millis aTimeout) {
+    countStoreCall(aClient, "replace");
+    return replace(aName, aExpectedVersion, aData, aTimeout);
+  };
+  return store;
+}
+
+OperatorFeed
+Daemon::Impl::openFeed(const std::string& aClient)
+{
+  OperatorFeed feed = mProtocol.mOpenFeed();
+  feed.mRead = [this, aClient, read = std::move(feed.mRead)](
+                 std::uint64_t aFrom, Millis aWait, Millis aTimeout) {
+    countStoreCall(aClient, aWait > Millis{} ? "wait" : "read");
+    return read(aFrom, aWait, aTimeout);
+  };
+  return feed;
+}
+
                           const CellState& aState) {
     mLoop.post([this, aStream, aVersion, aState] {
       applyState(aStream, aVersion, aState);
@@ -142,12 +205,13 @@
     });
   };
   hooks.mOnStoreResult = [this](bool aAnswers, const std::string& aError) {
-    recordStoreStatus("writer", aAnswers, aError);
+    recordStoreStatus(kWriterName, aAnswers, aError);
   };
-  mWriter = std::make_unique<StateWriter>(mProtocol.mOpenStore,
-                                          kWriterQueueCapacity,
-                                          std::move(hooks),
-                                          systemRandom());
+  mWriter =
+    std::make_unique<StateWriter>([this] { return openStore(kWriterName); },
+                                  kWriterQueueCapacity,
+                                  std::move(hooks),
+                                  systemRandom());
   CallerServer::Options options;
   options.mThreads = 1;
   options.mListenAddress = mSettings.mReadyAddress;
@@ -314,7 +378,7 @@
 Daemon::Impl::followStates(const std::string& aStream)
 {
   const std::shared_ptr<StateStore> store =
-    std::make_shared<StateStore>(mProtocol.mOpenStore());
+    std::make_shared<StateStore>(openStore(aStream));
   const std::shared_ptr<std::atomic<std::uint64_t>> version =
     std::make_shared<std::atomic<std::uint64_t>>(0);
   mKnownVersions[aStream] = version;
@@ -362,7 +426,7 @@
 {
   const std::string stream(kConfigStream);
   const std::shared_ptr<OperatorFeed> feed =
-    std::make_shared<OperatorFeed>(mProtocol.mOpenFeed());
+    std::make_shared<OperatorFeed>(openFeed(kConfigCheckName));
   const std::shared_ptr<FeedPosition> position =
     std::make_shared<FeedPosition>();
   PollLoop::Hooks hooks;
@@ -410,7 +474,7 @@
 Daemon::Impl::startConfigCheck()
 {
   const std::shared_ptr<OperatorFeed> feed =
-    std::make_shared<OperatorFeed>(mProtocol.mOpenFeed());
+    std::make_shared<OperatorFeed>(openFeed(stream));
   PollLoop::Hooks hooks;
   hooks.mPoll = [this, feed]() -> Result<void> {
     const std::uint64_t from = mConfigCheckFrom;
--- a/src/daemon/daemon_impl_state.cpp
+++ b/src/daemon/daemon_impl_state.cpp
@@ -1,5 +1,6 @@
 #include "daemon_impl.h"
 
+#include "radishroad/base/hash.h"
 #include "radishroad/base/json_log.h"
 #include "radishroad/state/snapshot_codec.h"
 #include "radishroad/state/state_change.h"
@@ -151,24 +152,23 @@
   const RandomId id{ aRecord.id_high, aRecord.id_low };
   const Bytes data = encodeRecord(aRecord);
   const Millis now = monotonicNow();
-  const Incarnation coordinator = coordinatorOf(mFleet.ownCell());
-  const Member* member = mFleet.findMember(coordinator);
-  const std::vector<Incarnation> suspects = mLease.suspects();
-  // The process at the coordinator's address writes, even if it is a newer
-  // incarnation than the state names; it may be this process itself.
-  const bool reachable =
-    member != nullptr && coordinator != mSelf &&
-    member->mPeerAddress != mSettings.mPeerAddress &&
-    aStream == mContext.ownStream() &&
-    std::ranges::find(suspects, coordinator) == suspects.end();
-  if (!mProposalForwarder.usesCoordinator(reachable, now)) {
-    const Millis timeout =
-      coordinator == 0 ? kFirstWriteTimeout : kWriteTimeout;
+  const std::optional<Incarnation> writer =
+    aStream == mContext.ownStream()
+      ? mProposalForwarder.writerFor(writers(), now)
+      : std::nullopt;
+  if (!writer || *writer == mSelf) {
+    const bool isFirst = coordinatorOf(mFleet.ownCell()) == 0;
+    const Millis timeout = isFirst ? kFirstWriteTimeout : kWriteTimeout;
     return writeState(aStream, data, id, timeout, std::move(aResult));
   }
   mProposalForwarder.send(
     id,
-    [this, aStream, data, address = member->mPeerAddress] {
+    *writer,
+    [this, aStream, data](Incarnation aWriter) {
+      const Member* member = mFleet.findMember(aWriter);
+      if (member == nullptr) {
+        return;
+      }
       wire::ProposalT proposal;
       proposal.stream = aStream;
       proposal.record = data;
@@ -205,16 +205,56 @@
                            });
                          });
 }
+std::vector<Incarnation>
+Daemon::Impl::writers() const
+{
+  const std::vector<Incarnation> suspects = mLease.suspects();
+  const auto writer = mUnavailableStores.find(kWriterName);
+  const bool canWrite = writer == mUnavailableStores.end() || !writer->second;
+  std::vector<Incarnation> found;
+  for (const Incarnation incarnation :
+       coordinatorSuccession(mFleet.ownCell())) {
+    const Member* member = mFleet.findMember(incarnation);
+    if (member == nullptr) {
+      continue;
+    }
+    // The process at a member's address writes, even if it is a newer
+    // incarnation than the state names; it may be this process itself.
+    const bool isSelf =
+      incarnation == mSelf || member->mPeerAddress == mSettings.mPeerAddress;
+    const bool isReachable =
+      isSelf ? canWrite
+             : std::ranges::find(suspects, incarnation) == suspects.end();
+    if (isReachable) {
+      found.push_back(isSelf ? mSelf : incarnation);
+    }
+  }
+  return found;
+}
+
 
 void
 Daemon::Impl::onProposal(Incarnation aFrom, const wire::ProposalT& aProposal)
 {
   // The proposer itself writes what is not committed here in time.
-  const bool accepted = mWriter && aProposal.stream == mContext.ownStream() &&
-                        mWriter->submit(aProposal.stream,
-                                        aProposal.record,
-                                        kWriteTimeout,
-                                        [](const Result<FoldVerdict>&) {});
+  // Proposers repeat their records until they are committed.
+  const std::string record(aProposal.record.begin(), aProposal.record.end());
+  const std::uint64_t hash = hash64(record);
+  if (!mWaitingProposals.insert(hash).second) {
+    return;
+  }
+  const bool accepted =
+    mWriter && aProposal.stream == mContext.ownStream() &&
+    mWriter->submit(aProposal.stream,
+                    aProposal.record,
+                    kWriteTimeout,
+                    [this, hash](const Result<FoldVerdict>&) {
+                      mLoop.post(
+                        [this, hash] { mWaitingProposals.erase(hash); });
+                    });
+  if (!accepted) {
+    mWaitingProposals.erase(hash);
+  }
   if (!accepted) {
     logEvent(
       LogLevel::Warn,
@@ -228,7 +268,9 @@
 {
   mProposalForwarder.resend(monotonicNow());
   const std::vector<ProposalForwarder::WriteFn> overdue =
-    mProposalForwarder.takeOverdue(monotonicNow());
+    mProposalForwarder.takeOverdue(writers(), monotonicNow());
+  mMetrics.count("radishroad_writers_passed_over_total",
+                 mProposalForwarder.passedOver() - passedOver);
   if (overdue.empty()) {
     return;
   }
@@ -242,3 +284,7 @@
 }
 
 }
+  if (mProposalForwarder.idle()) {
+    return;
+  }
+  const std::uint64_t passedOver = mProposalForwarder.passedOver();
--- a/src/state/cell_state.cpp
+++ b/src/state/cell_state.cpp
@@ -1,5 +1,7 @@
 #include "radishroad/state/cell_state.h"
 
+#include <algorithm>
+
 namespace radishroad {
 
 std::string_view
@@ -47,4 +49,22 @@
   return first == nullptr ? 0 : first->mIncarnation;
 }
 
+std::vector<Incarnation>
+coordinatorSuccession(const CellState& aState)
+{
+  std::vector<const Member*> members;
+  for (const auto& [incarnation, member] : aState.mMembers) {
+    if (member.mStatus == MemberStatus::Active && !member.mSuperseded) {
+      members.push_back(&member);
+    }
+  }
+  std::ranges::sort(members, {}, &Member::mJoinOffset);
+  std::vector<Incarnation> succession;
+  succession.reserve(members.size());
+  for (const Member* member : members) {
+    succession.push_back(member->mIncarnation);
+  }
+  return succession;
+}
+
 }
