Keep changes that arrive early; read a missed state once

Cause, by reading: a daemon that had missed one change of a state asked the store for the whole state with each later one, up to ten times a second, and asked peers for it each 100 ms; while it read, further changes came that it could not apply. A store that turned a daemon away was asked by three clients of it, each at least every 0.8 s.

Change: changes that build on a version not known yet are kept (ChangeBuffer, 64 changes, 1 MB) and applied once it is. A requested read waits 250 ms and is left out if peers have sent the state by then (WantedVersion). While the store fails, states are asked for every 5 s at most and at once when operators' entries can be read again.

--- a/include/radishroad/log/poll_loop.h
+++ b/include/radishroad/log/poll_loop.h
@@ -29,6 +29,8 @@
     /// Delay before a requested poll, so that requests that follow each other
     /// closely share one.
     Millis mCoalesceTime{ 100 };
+    /// Longest delay between failed polls.
+    Millis mMaxBackoff{ 800 };
     /// Ends a poll in progress. Called from any thread.
     std::function<void()> mAbort;
   };
--- a/src/daemon/daemon_impl.h
+++ b/src/daemon/daemon_impl.h
@@ -31,27 +31,29 @@
 #include "radishroad/log/log_follower.h"
 #include "radishroad/log/poll_loop.h"
 #include "radishroad/log/state_writer.h"
+#include "radishroad/log/wanted_version.h"
 #include "radishroad/operator/admin_server.h"
 #include "radishroad/ownership/takeover_guard.h"
 #include "radishroad/peer/peer_transport.h"
+#include "radishroad/state/change_buffer.h"
 #include "radishroad/upstream/gate.h"
 
 #include <atomic>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
-#include <mutex>
+#include <set>
 #include <string>
 
-#include <set>
 namespace radishroad {
 
-/// The daemon's threads and the state that they share. Members are constructed
-/// in their order here, so those that others use come first.
 /// Name of the StateWriter among the clients of the store.
 constexpr const char* kWriterName = "writer";
 
+/// The daemon's threads and the state that they share. Members are constructed
+/// in their order here, so those that others use come first.
 struct Daemon::Impl
 {
   Impl(const DaemonSettings& aSettings,
@@ -73,13 +75,13 @@
   const DaemonSettings mSettings;
   const DaemonHooks mHooks;
   const DaemonProtocol mProtocol;
+  const std::shared_ptr<BodyMemory> mBodyMemory;
   const Incarnation mSelf;
   Metrics mMetrics;
   Timer mTimer;
   FleetViewStore mViews;
   ServeAuthority mAuthority;
   RetryPolicy& mRetryPolicy;
-  const std::shared_ptr<BodyMemory> mBodyMemory;
   std::atomic<std::int64_t> mLastConfigRead{ 0 };
   /// As Freshness::asOf(), for the request path; 0 for none.
   std::atomic<std::int64_t> mConfigAsOf{ 0 };
@@ -104,6 +106,8 @@
   /// By stream: newest known version, which reads of the store start from.
   std::map<std::string, std::shared_ptr<std::atomic<std::uint64_t>>>
     mKnownVersions;
+  std::map<std::string, std::shared_ptr<WantedVersion>> mWantedVersions;
+  std::map<std::string, ChangeBuffer> mChangeBuffers;
   FleetState mFleet;
   Proposer mProposer;
   std::unique_ptr<Gate> mGate;
@@ -153,10 +157,6 @@
   std::atomic<bool> mCellLoaded{ false };
   /// By client of the store: whether its last call failed.
   std::map<std::string, bool> mUnavailableStores;
-  std::map<std::string, std::unique_ptr<LogFollower>> mFollowers;
-  std::map<std::string, std::unique_ptr<PollLoop>> mPollLoops;
-  TakeoverGuard mTakeoverGuard;
-  bool mTakeoverGuardStarted = false;
   std::mutex mStoreCallsMutex;
   /// Calls to the store since the last log line, by client and call. Guarded by
   /// mStoreCallsMutex.
@@ -164,11 +164,17 @@
   Millis mNextStoreCallsLog;
   /// Hashes of peers' proposals that the writer has not finished yet.
   std::set<std::uint64_t> mWaitingProposals;
+  std::map<std::string, std::unique_ptr<LogFollower>> mFollowers;
+  std::map<std::string, std::unique_ptr<PollLoop>> mPollLoops;
+  TakeoverGuard mTakeoverGuard;
+  bool mTakeoverGuardStarted = false;
   Millis mNextLoadReport;
   Millis mNextIdleReport;
   Millis mNextTrafficUpdate;
   /// Traffic that is already counted in the metrics.
   PeerTransport::Traffic mCountedTraffic;
+  /// Refusals for want of memory that are already counted.
+  std::uint64_t mCountedRefusals = 0;
 
 private:
   FleetState::Hooks fleetHooks();
@@ -179,24 +185,24 @@
   void followLog(const std::string& aStream);
   // daemon_impl_platform.cpp: what only the platform's protocol needs.
   void makePlatformServers();
+  /// Clients of the store whose calls are counted under the client's name.
+  StateStore openStore(const std::string& aClient);
+  OperatorFeed openFeed(const std::string& aClient);
+  void countStoreCall(const std::string& aClient, const char* aCall);
+  void logStoreCalls(Millis aNow);
   void followStates(const std::string& aStream);
   void applyState(const std::string& aStream,
                   std::uint64_t aVersion,
                   const CellState& aState);
   // daemon_impl_state.cpp: exchange of cell states with the store and the
   // peers.
-  /// Clients of the store whose calls are counted under the client's name.
-  StateStore openStore(const std::string& aClient);
-  OperatorFeed openFeed(const std::string& aClient);
-  void countStoreCall(const std::string& aClient, const char* aCall);
-  void logStoreCalls(Millis aNow);
   /// Sends the records just written to all peers.
   void broadcastStateChange(const std::string& aStream,
-  /// Refusals for want of memory that are already counted.
-  std::uint64_t mCountedRefusals = 0;
                             std::uint64_t aBase,
                             std::uint64_t aVersion,
                             const std::vector<Bytes>& aRecords);
+  /// Applies the changes that build on the present state of a stream.
+  void applyBufferedChange(const std::string& aStream);
   void onStateChange(const wire::RelayRecordsT& aChange);
   void onProposal(Incarnation aFrom, const wire::ProposalT& aProposal);
   bool writeState(const std::string& aStream,
@@ -206,6 +212,8 @@
                   std::function<void(Result<std::uint64_t>)> aResult);
   /// Writes the proposals that the coordinator has not committed in time.
   void writeOverdueProposals();
+  /// Reads the states again whose last read failed.
+  void readFailedStates();
   void followOperators();
   /// Applies what a read of the store has returned.
   void onOperatorRead(const OperatorEntries& aEntries, Millis aSentAt);
@@ -262,9 +270,14 @@
   void onControlFrame(Incarnation aFrom, const wire::FrameBodyUnion& aBody);
   void reportLoad(Millis aNow);
   void countTraffic(Millis aNow);
+  /// Publishes the use of the memory for bodies, and logs refusals.
+  void recordBodyMemory();
   void onMoveOrder(const wire::MoveOrderT& aOrder);
   void broadcastCrashReport(const wire::CrashReportT& aReport);
   void sendControl(Incarnation aTo, wire::FrameBodyUnion aBody);
+  /// Members that may write records of the own cell, in their order; mSelf
+  /// stands for this process.
+  std::vector<Incarnation> writers() const;
   bool submitAppend(const std::string& aStream,
                     const wire::RecordT& aRecord,
                     std::function<void(Result<std::uint64_t>)> aResult);
@@ -275,11 +288,6 @@
   bool configFresh() const;
 };
 
-  /// Members that may write records of the own cell, in their order; mSelf
-  /// stands for this process.
-  std::vector<Incarnation> writers() const;
 }
 
 #endif
-  /// Publishes the use of the memory for bodies, and logs refusals.
-  void recordBodyMemory();
--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -25,20 +25,26 @@
 /// since each call has a cost, no more often than for operators' entries.
 constexpr Millis kStateReadInterval{ 15000 };
 constexpr Millis kStateReadTimeout{ 1000 };
+/// Delay before a state that has been missed is read: peers mostly send it with
+/// one of the next lease renewals.
+constexpr Millis kRequestedReadDelay{ 250 };
+/// While the store does not answer, only operators' entries are asked for
+/// often; the states are read once it answers again.
+constexpr Millis kStateReadMaxBackoff{ 5000 };
 /// The first reads of daemons that start together are spread over this time.
 /// Most of them then find a coordinator, which writes their records together
 /// with its own.
 constexpr Millis kFirstReadJitter{ 250 };
 /// Time that the upstream may take to end a run after its limit has passed.
 constexpr Millis kRunLimitMargin{ 100 };
+/// Time between two log lines that tell the calls to the store since the last.
+constexpr Millis kStoreCallsLogInterval{ 10000 };
 constexpr std::string_view kJson = "application/json";
 constexpr Millis kConfigCheckTimeout{ 1000 };
 constexpr Millis kMinConfigCheckInterval{ 200 };
 constexpr Millis kFailedConfigCheckInterval{ 1000 };
 /// Checks are made on request.
 constexpr Millis kUnrequestedCheckInterval{ 3600000 };
-/// Time between two log lines that tell the calls to the store since the last.
-constexpr Millis kStoreCallsLogInterval{ 10000 };
 /// Age of what is known of the configuration, as a percentage of
 /// --config-time-ms, at which the coordinator of a cell asks the store. Leaves
 /// its members time to learn of the answer before it is too old to refuse by.
@@ -124,12 +130,6 @@
 
 }
 
-void
-Daemon::Impl::makePlatformServers()
-{
-  StateWriter::Hooks hooks;
-  hooks.mOnState = [this](const std::string& aStream,
-                          std::uint64_t aVersion,
 void
 Daemon::Impl::countStoreCall(const std::string& aClient, const char* aCall)
 {
@@ -191,6 +191,12 @@
   return feed;
 }
 
+void
+Daemon::Impl::makePlatformServers()
+{
+  StateWriter::Hooks hooks;
+  hooks.mOnState = [this](const std::string& aStream,
+                          std::uint64_t aVersion,
                           const CellState& aState) {
     mLoop.post([this, aStream, aVersion, aState] {
       applyState(aStream, aVersion, aState);
@@ -214,6 +220,7 @@
                                   systemRandom());
   CallerServer::Options options;
   options.mThreads = 1;
+  options.mBodyMemory = mBodyMemory;
   options.mListenAddress = mSettings.mReadyAddress;
   mReadinessServer = std::make_unique<CallerServer>(
     options,
@@ -284,7 +291,6 @@
   }
 }
 
-  options.mBodyMemory = mBodyMemory;
 void
 Daemon::Impl::setPlatformGateHooks(Gate::Hooks& aHooks)
 {
@@ -368,12 +374,25 @@
       return;
     }
     unavailable = !aAnswers;
+    if (aAnswers && aClient == kConfigStream) {
+      readFailedStates();
+    }
     logEvent(unavailable ? LogLevel::Warn : LogLevel::Info,
              unavailable ? "store_lost" : "store_regained",
              { { "by", aClient }, { "error", aError } });
   });
 }
 
+void
+Daemon::Impl::readFailedStates()
+{
+  for (const auto& [stream, wanted] : mWantedVersions) {
+    if (mUnavailableStores[stream]) {
+      mPollLoops.at(stream)->requestPoll();
+    }
+  }
+}
+
 void
 Daemon::Impl::followStates(const std::string& aStream)
 {
@@ -382,15 +401,22 @@
   const std::shared_ptr<std::atomic<std::uint64_t>> version =
     std::make_shared<std::atomic<std::uint64_t>>(0);
   mKnownVersions[aStream] = version;
+  const std::shared_ptr<WantedVersion> wanted =
+    std::make_shared<WantedVersion>();
+  mWantedVersions[aStream] = wanted;
   PollLoop::Hooks hooks;
-  hooks.mPoll = [this, aStream, store, version]() -> Result<void> {
+  hooks.mPoll = [this, aStream, store, version, wanted]() -> Result<void> {
     const Millis sentAt = monotonicNow();
     const std::uint64_t known = *version;
+    if (!wanted->shouldRead(known)) {
+      return {};
+    }
     const Result<StoredState> read =
       store->mRead(aStream, known, Millis{ 0 }, kStateReadTimeout);
     if (!read) {
       return tl::unexpected<Error>(read.error());
     }
+    wanted->onRead();
     recordStoreStatus(aStream, true, {});
     if (read->mVersion != known) {
       CellState state;
@@ -414,6 +440,8 @@
   };
   hooks.mAbort = [store] { store->mAbort(); };
   hooks.mInterval = kStateReadInterval;
+  hooks.mCoalesceTime = kRequestedReadDelay;
+  hooks.mMaxBackoff = kStateReadMaxBackoff;
   hooks.mInitialDelay = Millis{ static_cast<std::int64_t>(
     mSelf % static_cast<std::uint64_t>(kFirstReadJitter.mCount)) };
   mPollLoops[aStream] =
@@ -426,7 +454,7 @@
 {
   const std::string stream(kConfigStream);
   const std::shared_ptr<OperatorFeed> feed =
-    std::make_shared<OperatorFeed>(openFeed(kConfigCheckName));
+    std::make_shared<OperatorFeed>(openFeed(stream));
   const std::shared_ptr<FeedPosition> position =
     std::make_shared<FeedPosition>();
   PollLoop::Hooks hooks;
@@ -474,7 +502,7 @@
 Daemon::Impl::startConfigCheck()
 {
   const std::shared_ptr<OperatorFeed> feed =
-    std::make_shared<OperatorFeed>(openFeed(stream));
+    std::make_shared<OperatorFeed>(openFeed(kConfigCheckName));
   PollLoop::Hooks hooks;
   hooks.mPoll = [this, feed]() -> Result<void> {
     const std::uint64_t from = mConfigCheckFrom;
--- a/src/daemon/daemon_impl_state.cpp
+++ b/src/daemon/daemon_impl_state.cpp
@@ -53,6 +53,25 @@
   if (it != mKnownVersions.end()) {
     *it->second = mFleet.versionOf(aStream);
   }
+  applyBufferedChange(aStream);
+}
+
+void
+Daemon::Impl::applyBufferedChange(const std::string& aStream)
+{
+  const CellState* base = mFleet.stateOf(aStream);
+  std::optional<ChangeBuffer::Change> next =
+    base == nullptr ? std::nullopt
+                    : mChangeBuffers[aStream].take(mFleet.versionOf(aStream));
+  if (!next) {
+    return;
+  }
+  StateChange change = applyRecords(*base, next->mRecords);
+  change.mState.mStoreGeneration = next->mGeneration;
+  if (change.mChanged) {
+    mStoreAnsweredAt = monotonicNow();
+    applyState(aStream, next->mVersion, change.mState);
+  }
 }
 
 void
@@ -74,6 +93,10 @@
     relay.records.back()->offset = aVersion;
     relay.records.back()->data = data;
   }
+  // Sent to addresses and not to incarnations: after many daemons have
+  // restarted, a daemon may know only the earlier incarnations of another
+  // cell's members.
+  std::set<std::string> addresses;
   for (const auto& [service, cell] : mFleet.cells()) {
     for (const auto& [incarnation, member] : cell->mMembers) {
       const bool isOther =
@@ -83,38 +106,35 @@
       }
     }
   }
+  const std::vector<std::string> targets(addresses.begin(), addresses.end());
+  mPeerTransport->sendControlToAll(targets, makeBody(std::move(relay)));
 }
 
 void
 Daemon::Impl::onStateChange(const wire::RelayRecordsT& aChange)
 {
-  const CellState* base = mFleet.stateOf(aChange.stream);
-  if (base == nullptr || aChange.records.empty()) {
+  if (mFleet.stateOf(aChange.stream) == nullptr || aChange.records.empty()) {
     return;
   }
   const std::uint64_t known = mFleet.versionOf(aChange.stream);
-  // Sent to addresses and not to incarnations: after many daemons have
-  // restarted, a daemon may know only the earlier incarnations of another
-  // cell's members.
-  std::set<std::string> addresses;
-  if (known != aChange.base_version) {
-    const auto it = mPollLoops.find(aChange.stream);
-    if (known < aChange.base_version && it != mPollLoops.end()) {
-      it->second->requestPoll();
-    }
+  if (known > aChange.base_version) {
     return;
   }
-  std::vector<Bytes> records;
+  ChangeBuffer::Change change;
+  change.mVersion = aChange.records.back()->offset;
+  change.mGeneration = aChange.generation;
   for (const std::unique_ptr<wire::RelayedRecordT>& record : aChange.records) {
-    records.push_back(record->data);
-  const std::vector<std::string> targets(addresses.begin(), addresses.end());
-  mPeerTransport->sendControlToAll(targets, makeBody(std::move(relay)));
+    change.mRecords.push_back(record->data);
   }
-  StateChange change = applyRecords(*base, records);
-  change.mState.mStoreGeneration = aChange.generation;
-  if (change.mChanged) {
-    mStoreAnsweredAt = monotonicNow();
-    applyState(aChange.stream, aChange.records.back()->offset, change.mState);
+  mChangeBuffers[aChange.stream].add(aChange.base_version, std::move(change));
+  if (known == aChange.base_version) {
+    applyBufferedChange(aChange.stream);
+    return;
+  }
+  const auto wanted = mWantedVersions.find(aChange.stream);
+  if (wanted != mWantedVersions.end()) {
+    wanted->second->want(aChange.base_version);
+    mPollLoops.at(aChange.stream)->requestPoll();
   }
 }
 
@@ -172,7 +192,8 @@
       wire::ProposalT proposal;
       proposal.stream = aStream;
       proposal.record = data;
-      mPeerTransport->sendControl(address, 0, makeBody(std::move(proposal)));
+      mPeerTransport->sendControl(
+        member->mPeerAddress, 0, makeBody(std::move(proposal)));
     },
     [this, aStream, data, id, result = std::move(aResult)] {
       if (!writeState(aStream, data, id, kWriteTimeout, result)) {
@@ -184,27 +205,6 @@
   return true;
 }
 
-bool
-Daemon::Impl::writeState(const std::string& aStream,
-                         Bytes aData,
-                         RandomId aId,
-                         Millis aTimeout,
-                         std::function<void(Result<std::uint64_t>)> aResult)
-{
-  return mWriter->submit(aStream,
-                         std::move(aData),
-                         aTimeout,
-                         [this, aId, result = std::move(aResult)](
-                           const Result<FoldVerdict>& aVerdict) {
-                           mLoop.post([this, aId, result, aVerdict] {
-                             if (aVerdict) {
-                               mProposer.onRecord(aId, *aVerdict);
-                             } else {
-                               result(tl::unexpected<Error>(aVerdict.error()));
-                             }
-                           });
-                         });
-}
 std::vector<Incarnation>
 Daemon::Impl::writers() const
 {
@@ -232,6 +232,27 @@
   return found;
 }
 
+bool
+Daemon::Impl::writeState(const std::string& aStream,
+                         Bytes aData,
+                         RandomId aId,
+                         Millis aTimeout,
+                         std::function<void(Result<std::uint64_t>)> aResult)
+{
+  return mWriter->submit(aStream,
+                         std::move(aData),
+                         aTimeout,
+                         [this, aId, result = std::move(aResult)](
+                           const Result<FoldVerdict>& aVerdict) {
+                           mLoop.post([this, aId, result, aVerdict] {
+                             if (aVerdict) {
+                               mProposer.onRecord(aId, *aVerdict);
+                             } else {
+                               result(tl::unexpected<Error>(aVerdict.error()));
+                             }
+                           });
+                         });
+}
 
 void
 Daemon::Impl::onProposal(Incarnation aFrom, const wire::ProposalT& aProposal)
@@ -266,7 +287,11 @@
 void
 Daemon::Impl::writeOverdueProposals()
 {
+  if (mProposalForwarder.idle()) {
+    return;
+  }
   mProposalForwarder.resend(monotonicNow());
+  const std::uint64_t passedOver = mProposalForwarder.passedOver();
   const std::vector<ProposalForwarder::WriteFn> overdue =
     mProposalForwarder.takeOverdue(writers(), monotonicNow());
   mMetrics.count("radishroad_writers_passed_over_total",
@@ -284,7 +309,3 @@
 }
 
 }
-  if (mProposalForwarder.idle()) {
-    return;
-  }
-  const std::uint64_t passedOver = mProposalForwarder.passedOver();
--- a/src/log/poll_loop.cpp
+++ b/src/log/poll_loop.cpp
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr Millis kInitialBackoff{ 100 };
-/// Short enough to notice within a second that the store is available again.
-constexpr Millis kMaxBackoff{ 800 };
 
 }
 
@@ -20,7 +18,7 @@
 {
   Impl(Hooks aHooks, Backoff::RandomFn aRandom)
     : mHooks(std::move(aHooks))
-    , mBackoff(kInitialBackoff, kMaxBackoff, std::move(aRandom))
+    , mBackoff(kInitialBackoff, mHooks.mMaxBackoff, std::move(aRandom))
   {
   }
 
