Have members ask the coordinator how new their configuration is

Seen: on the large fleet each VM asked the store 0.35 times a second whether its configuration is the newest one (store_calls of 22 VMs: 3 to 4 calls config-check in 10 s), about a third of all its calls.

Cause: what the coordinator learns spreads with lease renewals, from a witness to the three or so members that it promises.

Change: a member asks the coordinator after 55%, with a renewal that asks for stream positions only and whose answer names the time of the question, as promises do; the store after 80% as before.

--- a/include/radishroad/daemon/lease_manager.h
+++ b/include/radishroad/daemon/lease_manager.h
@@ -40,6 +40,8 @@
   void onOwnCellChanged();
   void onRenew(Incarnation aFrom, const wire::RenewT& aRenew);
   void onPromise(const wire::PromiseT& aPromise);
+  /// Asks a member for its stream positions, without a promise.
+  void askPositions(Incarnation aMember);
   void onConsentAsk(const wire::ConsentAskT& aAsk);
   void onConsent(const wire::ConsentT& aConsent);
   void tick();
--- a/src/daemon/daemon_impl.h
+++ b/src/daemon/daemon_impl.h
@@ -4,6 +4,7 @@
 #include "radishroad/base/metrics.h"
 #include "radishroad/base/timer.h"
 #include "radishroad/caller/server.h"
+#include "radishroad/config/check_plan.h"
 #include "radishroad/config/freshness.h"
 #include "radishroad/config/operator_state.h"
 #include "radishroad/daemon/cell_coordinator.h"
@@ -143,9 +144,8 @@
   std::atomic<bool> mConfigCheckFails{ false };
   /// False if mUnreadableEntry is set: then only a newer entry helps.
   std::atomic<bool> mIsConfigReadable{ true };
-  /// Time before which checkConfigInTime() does not ask again. Control thread
-  /// only.
-  Millis mNextTimedCheck;
+  /// Control thread only.
+  config::CheckPlan mConfigCheckPlan;
   /// Position up to which operators' entries have been applied.
   std::uint64_t mNextOperatorPosition = 0;
   /// Operators' entries in force, by key, to be relayed to peers.
@@ -222,9 +222,8 @@
   /// was asked just before. Returns whether an answer can be expected soon.
   /// Thread-safe.
   bool checkConfig();
-  /// Has the store asked before what is known of the configuration is too old.
-  /// The coordinator of a cell asks for all its members, which learn of it with
-  /// their lease renewals; a member that does not learn of it asks by itself.
+  /// Has the store or the coordinator asked before what is known of the
+  /// configuration is too old.
   void checkConfigInTime();
   void publishConfigAsOf();
   /// For the request path; thread-safe.
--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -45,12 +45,6 @@
 constexpr Millis kFailedConfigCheckInterval{ 1000 };
 /// Checks are made on request.
 constexpr Millis kUnrequestedCheckInterval{ 3600000 };
-/// Age of what is known of the configuration, as a percentage of
-/// --config-time-ms, at which the coordinator of a cell asks the store. Leaves
-/// its members time to learn of the answer before it is too old to refuse by.
-constexpr std::int64_t kCoordinatorCheckPercent = 33;
-/// The same for a member, which has not learned of an answer by then.
-constexpr std::int64_t kMemberCheckPercent = 80;
 constexpr const char* kConfigCheckName = "config-check";
 
 Bytes
@@ -553,18 +547,20 @@
 void
 Daemon::Impl::checkConfigInTime()
 {
-  const Millis now = monotonicNow();
-  const bool isCoordinator = coordinatorOf(mFleet.ownCell()) == mSelf;
-  const Millis interval =
-    mSettings.configTime() *
-    (isCoordinator ? kCoordinatorCheckPercent : kMemberCheckPercent) / 100;
-  const std::optional<Millis> asOf = mConfigFreshness.asOf();
-  const bool isFresh = asOf && now - *asOf < interval;
-  if (isFresh || now < mNextTimedCheck) {
-    return;
+  const Incarnation coordinator = coordinatorOf(mFleet.ownCell());
+  switch (mConfigCheckPlan.next(coordinator == mSelf,
+                                mConfigFreshness.asOf(),
+                                mSettings.configTime(),
+                                monotonicNow())) {
+    case config::CheckPlan::Action::AskStore:
+      checkConfig();
+      break;
+    case config::CheckPlan::Action::AskCoordinator:
+      mLease.askPositions(coordinator);
+      break;
+    case config::CheckPlan::Action::None:
+      break;
   }
-  mNextTimedCheck = now + interval;
-  checkConfig();
 }
 
 void
--- a/src/daemon/lease_manager.cpp
+++ b/src/daemon/lease_manager.cpp
@@ -7,10 +7,20 @@
 #include "radishroad/daemon/proposer.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace radishroad {
 
+namespace {
+
+/// Version of a renewal that asks for stream positions only; leases have lower
+/// ones.
+constexpr std::uint32_t kPositionQuery =
+  std::numeric_limits<std::uint32_t>::max();
+
+}
+
 LeaseManager::LeaseManager(ControlContext& aContext,
                            LeaseFn aOnLease,
                            PositionsFn aOnPositions)
@@ -43,6 +53,17 @@
                                  Millis{ aRenew.sent_ms },
                                  Millis{ aRenew.heard_sent_ms } };
   const Millis now = mContext.mNow();
+  if (aRenew.version == kPositionQuery) {
+    wire::PromiseT answer;
+    answer.witness = mContext.mSelf;
+    answer.incarnation = aRenew.incarnation;
+    answer.version = kPositionQuery;
+    answer.sent_ms = aRenew.sent_ms;
+    answer.withheld = true;
+    answer.positions = positions();
+    mContext.mSend(aFrom, makeBody(std::move(answer)));
+    return;
+  }
   const RenewalAnswer answer = mExpulsionController.onRenew(renewal, now);
   if (answer == RenewalAnswer::None) {
     return;
@@ -66,7 +87,7 @@
   mOnPositions(aPromise.witness,
                aPromise.positions,
                isOwn ? std::optional<Millis>(sentAt) : std::nullopt);
-  if (!isOwn) {
+  if (!isOwn || aPromise.version == kPositionQuery) {
     return;
   }
   const Millis now = mContext.mNow();
@@ -78,6 +99,19 @@
   reportLease(now);
 }
 
+void
+LeaseManager::askPositions(Incarnation aMember)
+{
+  if (aMember == 0 || aMember == mContext.mSelf) {
+    return;
+  }
+  wire::RenewT query;
+  query.incarnation = mContext.mSelf;
+  query.version = kPositionQuery;
+  query.sent_ms = mContext.mNow().mCount;
+  mContext.mSend(aMember, makeBody(query));
+}
+
 void
 LeaseManager::onConsentAsk(const wire::ConsentAskT& aAsk)
 {
