--- a/src/state/change_buffer.cpp
+++ b/src/state/change_buffer.cpp
@@ -29,9 +29,11 @@
 ChangeBuffer::add(std::uint64_t aBaseVersion, Change aChange)
 {
   const std::size_t n = sizeOf(aChange);
-  if (!mChanges.try_emplace(aBaseVersion, std::move(aChange)).second) {
+  const auto [it, isAdded] = mChanges.try_emplace(aBaseVersion);
+  if (!isAdded) {
     return;
   }
+  it->second = std::move(aChange);
   mBytes += n;
   while (mChanges.size() > kMaxChanges || mBytes > kMaxBytes) {
     drop(mChanges.begin());
