--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -27,7 +27,7 @@
 constexpr Millis kStateReadTimeout{ 1000 };
 /// Delay before a state that has been missed is read: peers mostly send it with
 /// one of the next lease renewals.
-constexpr Millis kRequestedReadDelay{ 250 };
+constexpr Millis kRequestedReadDelay{ 100 };
 /// While the store does not answer, only operators' entries are asked for
 /// often; the states are read once it answers again.
 constexpr Millis kStateReadMaxBackoff{ 5000 };
--- a/src/daemon/record_relay.cpp
+++ b/src/daemon/record_relay.cpp
@@ -12,9 +12,6 @@
 /// Records are fetched from a peer that is ahead only if this daemon has not
 /// caught up from the log within this time. An ordinary poll is quicker.
 constexpr Millis kFetchDelay{ 100 };
-/// Time after which records are fetched again. With the platform's protocol
-/// each fetch sends a whole state.
-constexpr Millis kRefetchDelay{ 500 };
 
 }
 
@@ -41,7 +38,7 @@
     if (first || now < it->second) {
       continue;
     }
-    it->second = now + kRefetchDelay;
+    it->second = now + kFetchDelay;
     wire::FetchRecordsT fetch;
     fetch.stream = stream;
     fetch.from_offset = next;
