Log why a run was abandoned, and what the end of a link takes with it

The line `run` of a request that the gate gave up said "unknown" and no reason: a lapsed lease, the end of the process and a cancel looked the same. `peer_answers_lost` and `peer_requests_cancelled` tell that a connection between daemons ended with requests on it, and `removed` that an incarnation begins to end.

No decision is changed.

--- a/include/radishroad/peer/channel.h
+++ b/include/radishroad/peer/channel.h
@@ -52,6 +52,8 @@
   /// Returns false, without taking the frame, if the last attempt to connect
   /// failed and the next one is not due yet.
   bool send(OutgoingFramePtr aFrame);
+  /// The peer's "ip:port".
+  const std::string& address() const { return mOptions.mAddress; }
   /// Returns the time until the next attempt to connect is allowed.
   Millis retryAfter(Millis aNow) const;
   void checkLiveness(Millis aNow);
--- a/include/radishroad/peer/forwarder.h
+++ b/include/radishroad/peer/forwarder.h
@@ -61,7 +61,7 @@
   void onSkipped(const ForwardedFrame& aFrame);
   void onAnswer(Answer aAnswer);
   void onDeadline(RandomId aId);
-  void onDisconnected();
+  void onDisconnected(const Error& aReason);
   void abandon(RandomId aId, NotRunReason aReason);
   void sendCancel(RandomId aId);
   /// Removes the request, so that nothing else can answer it.
--- a/include/radishroad/upstream/queued_request.h
+++ b/include/radishroad/upstream/queued_request.h
@@ -39,6 +39,8 @@
   bool mRequeued = false;
   /// How the upstream's last response to it was received.
   ResponseTrace mResponse;
+  /// Why its last run was abandoned; None if it was not.
+  NotRunReason mAbandonReason = NotRunReason::None;
   /// The upstream has responded to an earlier attempt with the same id.
   bool mRepeatsId = false;
 };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -49,6 +49,7 @@
   }
   const Millis stopTime = mImpl->mSettings.stopTime();
   if (!stopRequested) {
+    logEvent(LogLevel::Warn, "removed", nlohmann::json::object());
     const StopSchedule schedule =
       StopSchedule::make(monotonicNow(), stopTime * kRejoinPercent / 100);
     mImpl->beginStop(schedule);
--- a/src/peer/forwarder.cpp
+++ b/src/peer/forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "radishroad/base/json_log.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -25,7 +26,7 @@
               },
                [this](const ForwardedFrame& aFrame) { onSkipped(aFrame); },
                [](const OutgoingFrame&) {},
-               [this](const Error&) { onDisconnected(); },
+               [this](const Error& aReason) { onDisconnected(aReason); },
                [this] { return !mPending.empty(); } })
 {
 }
@@ -140,11 +141,21 @@
 }
 
 void
-Forwarder::onDisconnected()
+Forwarder::onDisconnected(const Error& aReason)
 {
   mAbandoned.clear();
   PendingMap pending;
   pending.swap(mPending);
+  const auto sent = std::ranges::count_if(pending, [](const auto& aEntry) {
+    return aEntry.second->mFrame->mWriteStarted;
+  });
+  if (sent > 0) {
+    logEvent(LogLevel::Warn,
+             "peer_answers_lost",
+             { { "peer", mChannel.address() },
+               { "requests", sent },
+               { "cause", aReason.mMessage } });
+  }
   const Millis retryDelay = mChannel.retryAfter(monotonicNow());
   for (auto& [id, request] : pending) {
     request->mTimer.cancel();
--- a/src/peer/peer_server.cpp
+++ b/src/peer/peer_server.cpp
@@ -236,6 +236,13 @@
   }
   const std::shared_ptr<Session> session = std::move(it->second);
   mSessions.erase(it);
+  if (!session->mRunningRequests.empty()) {
+    logEvent(LogLevel::Warn,
+             "peer_requests_cancelled",
+             { { "peer", session->mPeerAddress },
+               { "requests", session->mRunningRequests.size() },
+               { "cause", aReason.mMessage } });
+  }
   for (const auto& [id, count] : session->mRunningRequests) {
     mHooks.mOnCancel(id);
   }
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -387,6 +387,7 @@
     return;
   }
   const Millis now = mHooks.mNow();
+  run.mQueued.mAbandonReason = aReason;
   if (aReason == NotRunReason::DeadlinePassed) {
     mWindow.onTimeout(now - run.mSentAt, now);
     mLongestRunTimes.add(run.mQueued.mRequest.kind, now - run.mSentAt, now);
