Test that requests at work are not given up (LOST, fails)

Daemons beside upstreams of one service take requests, upstreams of another work on them, and end work that outlasts their hold, as the platform's do.

--- a/tests/process/support/platform_site.cpp
+++ b/tests/process/support/platform_site.cpp
@@ -106,6 +106,7 @@
       options.mRefuses = aRefuses;
       options.mSlots = service.mSlots;
       options.mRunTime = service.mRunTime;
+      options.mEndsWorkWithHold = service.mEndsWorkWithHold;
       vm.mUpstream = std::make_unique<PlatformUpstream>(std::move(options));
       mVms.push_back(std::move(vm));
     }
--- a/tests/process/support/platform_site.h
+++ b/tests/process/support/platform_site.h
@@ -34,6 +34,8 @@
     Millis mTimeout{ 2000 };
     int mSlots = 9;
     PlatformUpstream::RunTimeFn mRunTime = {};
+    /// See PlatformUpstream::Options.
+    bool mEndsWorkWithHold = false;
   };
 
   struct Workspace
--- a/tests/process/support/platform_upstream.cpp
+++ b/tests/process/support/platform_upstream.cpp
@@ -137,7 +137,7 @@
   const Millis until = now + Millis{ order.at("HoldMs").get<std::int64_t>() };
   for (std::size_t n = order.at("From"); n <= last; ++n) {
     Key& key = mKeys[n];
-    key = { epoch, epoch, until, key.mRunning };
+    key = { epoch, epoch, until, key.mRunning, until };
   }
   return plainReply(bare("200 OK"));
 }
@@ -197,10 +197,8 @@
   if (key != nullptr) {
     ++key->mRunning;
   }
-  lock.unlock();
-  std::this_thread::sleep_for(
-    std::chrono::milliseconds(std::min(runTime, deadline).mCount));
-  lock.lock();
+  const bool isHeld =
+    work(lock, key, monotonicNow() + std::min(runTime, deadline));
   if (key != nullptr) {
     --key->mRunning;
   }
@@ -210,13 +208,38 @@
   answer.mHeaders.push_back("X-Upstream-Signature: s-" + id);
   answer.mHeaders.push_back("X-Upstream-Load: 1,0," +
                             std::to_string(mOptions.mSlots));
-  if (runTime > deadline) {
+  if (!isHeld) {
+    answer.mStatus = "500 Internal Server Error";
+  } else if (runTime > deadline) {
     answer.mStatus = "504 Gateway Timeout";
   }
   answer.mBody = bodyOf(id);
   return mOptions.mSend ? mOptions.mSend(answer) : plainReply(answer);
 }
 
+bool
+PlatformUpstream::work(std::unique_lock<std::mutex>& aLock,
+                       const Key* aKey,
+                       Millis aEnd)
+{
+  const bool endsWithHold = mOptions.mEndsWorkWithHold && aKey != nullptr;
+  while (true) {
+    const Millis now = monotonicNow();
+    if (now >= aEnd) {
+      return true;
+    }
+    if (endsWithHold && now >= aKey->mWorkUntil) {
+      return false;
+    }
+    // A hold may be renewed meanwhile.
+    const Millis until = endsWithHold ? std::min(aEnd, aKey->mWorkUntil) : aEnd;
+    aLock.unlock();
+    std::this_thread::sleep_for(
+      std::chrono::milliseconds((until - now).mCount));
+    aLock.lock();
+  }
+}
+
 void
 PlatformUpstream::reportUntilStopped()
 {
@@ -333,7 +356,7 @@
     for (std::size_t n = row[0]; n <= last; ++n) {
       Key& key = mKeys.at(n);
       if (key.mHighestEpoch <= epoch) {
-        key = { epoch, epoch, until, key.mRunning };
+        key = { epoch, epoch, until, key.mRunning, until };
         kept[n] = true;
       }
     }
--- a/tests/process/support/platform_upstream.h
+++ b/tests/process/support/platform_upstream.h
@@ -80,6 +80,8 @@
     /// Handover tokens begin with this.
     std::string mTokenPrefix = "t";
     RefusesFn mRefuses;
+    /// Work that outlasts the hold on its key ends with an error.
+    bool mEndsWorkWithHold = false;
   };
 
   explicit PlatformUpstream(Options aOptions);
@@ -102,12 +104,16 @@
     std::uint64_t mHighestEpoch = 0;
     Millis mHeldUntil;
     int mRunning = 0;
+    /// End of the last hold, which a release does not bring forward.
+    Millis mWorkUntil;
   };
 
   Reply handle(const Request& aRequest);
   Reply grant(const Request& aRequest);
   Reply release(const Request& aRequest);
   Reply run(const Request& aRequest);
+  /// Sleeps until the work is done; false if the hold on its key ended before.
+  bool work(std::unique_lock<std::mutex>& aLock, const Key* aKey, Millis aEnd);
   void reportUntilStopped();
   /// Returns false if the report was not acknowledged.
   bool report();
