--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -47,6 +47,7 @@
     QueuedRequest mQueued;
     ExchangeRunner::ExchangeId mExchange = 0;
     Epoch mEpoch = 0;
+    /// The lease is checked again at this time.
     Millis mServeUntil;
     /// The run is cancelled at this time: the request's deadline or the end of
     /// the service's run limit.
@@ -165,6 +166,10 @@
   void tryStartRun(QueuedRequest aQueued, Millis aNow);
   void startRun(QueuedRequest aQueued, const ServeDecision& aDecision);
   bool maySend(RunId aId);
+  /// Whether only this daemon's lease keeps a run from outlasting the ownership
+  /// of its key. An upstream that is granted keys ends such work by itself, and
+  /// its answer is due to the caller until then.
+  bool needsLeaseWhileRunning() const;
   /// Counts a response that is not complete, and logs it unless the line of its
   /// run tells about it.
   void recordIncomplete(std::string_view aPurpose, const ResponseTrace& aTrace);
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -189,6 +189,12 @@
     });
 }
 
+bool
+Gate::Impl::needsLeaseWhileRunning() const
+{
+  return !mOptions.mProtocol.mGrant;
+}
+
 bool
 Gate::Impl::maySend(RunId aId)
 {
@@ -201,8 +207,10 @@
   const bool inTime = now < std::min(run.mEndTime, workUntil(run.mQueued));
   run.mSendDenied = !served || !inTime || isShardPaused(request.shard) ||
                     !holdsKey(request, run.mEpoch) || isDrainOver(now);
-  run.mServeUntil = decision.mServeUntil;
   run.mSent = !run.mSendDenied;
+  run.mServeUntil = run.mSent && !needsLeaseWhileRunning()
+                      ? Millis::max()
+                      : decision.mServeUntil;
   mSentSinceLimitUse += run.mSent ? 1 : 0;
   run.mSentAt = now;
   run.mInFlight = occupiedSlots();
--- a/tests/unit/platform_gate_test.cpp
+++ b/tests/unit/platform_gate_test.cpp
@@ -52,10 +52,11 @@
   Gate::Hooks hooks()
   {
     Gate::Hooks hooks;
-    hooks.mMayServe = [](const ForwardRequest&) {
+    hooks.mMayServe = [this](const ForwardRequest&) {
       ServeDecision decision;
+      decision.mRefusal = mRefusal;
       decision.mEpoch = kEpoch;
-      decision.mServeUntil = monotonicNow() + 60_s;
+      decision.mServeUntil = monotonicNow() + Millis{ mLeaseMs };
       return decision;
     };
     hooks.mOnHealth = [this](bool aUp) { mUp = aUp; };
@@ -200,6 +201,8 @@
   bool mIsReset = false;
   std::uint32_t mSlots = 4;
   std::atomic<int> mRunMs{ 0 };
+  std::atomic<NotRunReason> mRefusal{ NotRunReason::None };
+  std::atomic<std::int64_t> mLeaseMs{ 60000 };
   std::atomic<std::uint32_t> mRunKeys{ kDefaultRunKeys };
   std::atomic<int> mLayoutReads{ 0 };
   std::atomic<bool> mHoldsReleases{ false };
@@ -260,6 +263,25 @@
   BOOST_TEST(gate.held() == KeyLayout().runsPerShard());
 }
 
+// LOST: a lapsed lease ended work that the upstream holds keys for.
+BOOST_AUTO_TEST_CASE(a_lapsed_lease_leaves_a_run_to_the_upstream)
+{
+  for (const NotRunReason refusal :
+       { NotRunReason::LeaseLapsed, NotRunReason::NotOwner }) {
+    PlatformGate gate;
+    gate.report(UpstreamReport::Kind::Ready, 1);
+    gate.mLeaseMs = 50;
+    gate.mRunMs = 300;
+    std::future<Answer> answer = gate.submit("running");
+    BOOST_TEST(gate.mUpstream.waitFor("GET", 1));
+    gate.mRefusal = refusal;
+    BOOST_TEST((answer.get().kind == AnswerKind::Answered));
+    // What has not been sent is not sent without a lease.
+    BOOST_TEST((gate.run("late").kind == AnswerKind::NotRun));
+    BOOST_TEST(gate.mUpstream.requests("GET").size() == 1U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_shard_is_released_at_its_epoch_before_the_handoff)
 {
   PlatformGate gate;
