Answer what was taken before rejoining (LOST)

Callers of a daemon that was removed from its cell got 502, or its peers' callers did, for requests at which an upstream was at work.

Cause: an incarnation that is removed ended like a planned stop, within 40% of the time to stop (2.1 s of 6 s), although nothing kills it. What was taken before and ends later was cancelled. A removal is vouched for by the state of the cell, but it says nothing of what was taken; giving that up keeps no promise.

Evidence: a request with 2.9 s of work is answered "unknown" after 2273 ms, in the millisecond in which the incarnation ends (2.17 s after `removed`).

Change: the incarnation waits until its gate is idle, with its port open, and then until its callers have their answers, at most 30 s each. A stop that is requested meanwhile is a planned stop from then on; one that comes in the last 2.1 s ends the process, where the next incarnation began before.

The cost: its port is closed for as long as the longest request that it has taken from a caller still lasts, and it rejoins later by that.

--- a/include/radishroad/caller/server.h
+++ b/include/radishroad/caller/server.h
@@ -61,9 +61,13 @@
   /// Returns when the requests that are in progress at the call are answered,
   /// or after the timeout. Others are served meanwhile.
   void waitCurrentServed(Millis aTimeout);
-  /// Refuses new connections, answers requests with "Connection: close", and
-  /// closes idle connections after the grace period. Returns when no request is
-  /// in progress and idle connections had time to close, or after the timeout.
+  /// Refuses new connections and answers requests with "Connection: close".
+  void beginDrain();
+  /// Whether no request is in progress.
+  bool isIdle();
+  /// Begins to drain and closes idle connections after the grace period.
+  /// Returns when no request is in progress and idle connections had time to
+  /// close, or after the timeout.
   void drain(Millis aTimeout);
   /// Waits for the answers to requests in progress. Cancels the requests that
   /// still run after the timeout, and waits until they are answered. The
--- a/include/radishroad/daemon/daemon.h
+++ b/include/radishroad/daemon/daemon.h
@@ -48,6 +48,9 @@
 private:
   struct Impl;
 
+  /// Waits until all requests are answered that this incarnation, which was
+  /// removed from its cell, has taken. True if it is asked to stop meanwhile.
+  bool waitUntilAnswered(const StopFn& aWaitForStop);
   /// Lets requests that run end, and stops all threads.
   void finish(const StopSchedule& aSchedule);
 
--- a/include/radishroad/upstream/gate.h
+++ b/include/radishroad/upstream/gate.h
@@ -112,6 +112,8 @@
   /// Thread-safe. A full queue refuses the request immediately.
   void submit(ForwardRequest aRequest, AnswerFn aAnswer);
   void cancel(RandomId aId);
+  /// Whether no request is queued or running. Thread-safe.
+  bool isIdle() const;
   /// Stops dispatching requests of these shards and calls aDone on the gate's
   /// thread once none of their requests is running. Queued requests wait until
   /// resumeShards and are then subject to mMayServe.
--- a/src/caller/server.cpp
+++ b/src/caller/server.cpp
@@ -96,18 +96,34 @@
 }
 
 void
-CallerServer::drain(Millis aTimeout)
+CallerServer::beginDrain()
 {
   ServerContext& context = *mImpl->mContext;
-  const Millis end = monotonicNow() + aTimeout;
-  const Millis grace =
-    std::min(context.mOptions.mDrainGracePeriod, aTimeout / 2);
+  if (context.phase() != ServerContext::Phase::Serving) {
+    return;
+  }
   context.setPhase(ServerContext::Phase::Draining);
   const Pistache::Address address(context.mOptions.mListenAddress);
   in_addr ip{};
   if (inet_pton(AF_INET, address.host().c_str(), &ip) == 1) {
     stopListening(ip.s_addr, htons(port()));
   }
+}
+
+bool
+CallerServer::isIdle()
+{
+  return mImpl->mContext->waitIdle(Millis{});
+}
+
+void
+CallerServer::drain(Millis aTimeout)
+{
+  ServerContext& context = *mImpl->mContext;
+  const Millis end = monotonicNow() + aTimeout;
+  const Millis grace =
+    std::min(context.mOptions.mDrainGracePeriod, aTimeout / 2);
+  beginDrain();
   context.waitClosed(grace);
   context.setPhase(ServerContext::Phase::Closing);
   context.waitIdle(std::max(end - monotonicNow(), Millis{ 0 }));
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -16,9 +16,15 @@
 /// How often run() checks whether this incarnation has to end.
 constexpr Millis kStopPollInterval{ 100 };
 constexpr std::chrono::milliseconds kDrainPollInterval{ 20 };
+/// How often it is checked whether all requests are answered.
+constexpr Millis kAnswerPollInterval{ 20 };
 /// Percentage of the planned stop time for the end of an incarnation that was
-/// removed: callers get no new connections meanwhile.
+/// removed and has answered what it had taken: callers get no new connections
+/// meanwhile.
 constexpr std::int64_t kRejoinPercent = 40;
+/// Bounds each wait for requests with far deadlines: their daemon owns nothing
+/// until it rejoins.
+constexpr Millis kMaxAnswerWait{ 30000 };
 
 }
 
@@ -50,10 +56,17 @@
   const Millis stopTime = mImpl->mSettings.stopTime();
   if (!stopRequested) {
     logEvent(LogLevel::Warn, "removed", nlohmann::json::object());
+    stopRequested = waitUntilAnswered(aWaitForStop);
+  }
+  if (!stopRequested) {
     const StopSchedule schedule =
       StopSchedule::make(monotonicNow(), stopTime * kRejoinPercent / 100);
     mImpl->beginStop(schedule);
     finish(schedule);
+    if (aWaitForStop(Millis{})) {
+      logEvent(LogLevel::Info, "stop", nlohmann::json::object());
+      return ExitReason::Stopped;
+    }
     logEvent(LogLevel::Info, "rejoin", nlohmann::json::object());
     return ExitReason::Rejoin;
   }
@@ -79,6 +92,26 @@
   return ExitReason::Stopped;
 }
 
+bool
+Daemon::waitUntilAnswered(const StopFn& aWaitForStop)
+{
+  const auto waitFor = [&aWaitForStop](const std::function<bool()>& aIsOver) {
+    const Millis until = monotonicNow() + kMaxAnswerWait;
+    bool stopRequested = false;
+    while (!stopRequested && !aIsOver() && monotonicNow() < until) {
+      stopRequested = aWaitForStop(kAnswerPollInterval);
+    }
+    return stopRequested;
+  };
+  // Callers can connect as long as only other daemons wait for answers.
+  if (waitFor([this] { return mImpl->mGate->isIdle(); })) {
+    return true;
+  }
+  mImpl->mCallerServer.beginDrain();
+  return waitFor(
+    [this] { return mImpl->mCallerServer.isIdle() && mImpl->mGate->isIdle(); });
+}
+
 void
 Daemon::finish(const StopSchedule& aSchedule)
 {
--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -117,6 +117,12 @@
   mImpl->post([impl = mImpl.get(), aId] { impl->cancelRequest(aId); });
 }
 
+bool
+Gate::isIdle() const
+{
+  return mImpl->mQueuedCount == 0;
+}
+
 void
 Gate::pauseShards(std::span<const Shard> aShards, std::function<void()> aDone)
 {
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -167,8 +167,8 @@
   void startRun(QueuedRequest aQueued, const ServeDecision& aDecision);
   bool maySend(RunId aId);
   /// Whether only this daemon's lease keeps a run from outlasting the ownership
-  /// of its key. An upstream that is granted keys ends such work by itself, and
-  /// its answer is due to the caller until then.
+  /// of its key. Upstreams whose protocol grants keys end such work by
+  /// themselves, and those of unkeyed services have no owner to wait for.
   bool needsLeaseWhileRunning() const;
   /// Counts a response that is not complete, and logs it unless the line of its
   /// run tells about it.
--- a/tests/process/abandoned_run_test.cpp
+++ b/tests/process/abandoned_run_test.cpp
@@ -31,7 +31,6 @@
 
 constexpr Millis kServeTimeout = 20_s;
 constexpr Millis kDeadline = 2500_ms;
-constexpr int kCallersPerVm = 6;
 constexpr int kKeys = 65536;
 constexpr int kKeyStep = 1021;
 /// Of the upstreams, by turns.
@@ -130,9 +129,11 @@
   {
   }
 
-  std::vector<Sent> stop()
+  void stop() { mIsStopped = true; }
+
+  /// To be called after stop(): waits for the last answer.
+  std::vector<Sent> join()
   {
-    mIsStopped = true;
     mThread.join();
     return std::move(mSent);
   }
@@ -168,6 +169,7 @@
   bool mGrantsByReport = false;
   int mWorkers = 3;
   int mTakers = 1;
+  int mCallersPerTaker = 6;
 };
 
 /// Upstreams of one service work on requests that daemons beside upstreams of
@@ -177,6 +179,7 @@
 public:
   Site(const std::string& aName, const Layout& aLayout)
     : mSite(aName, services(aLayout))
+    , mCallersPerTaker(aLayout.mCallersPerTaker)
   {
     BOOST_REQUIRE(mSite.start());
     BOOST_REQUIRE(waitFor([this] { return servesAll(); }, kServeTimeout));
@@ -219,7 +222,7 @@
   {
     std::vector<std::unique_ptr<Caller>> callers;
     for (const Vm* vm : vmsOf(kCafes)) {
-      for (int n = 0; n < kCallersPerVm; ++n) {
+      for (int n = 0; n < mCallersPerTaker; ++n) {
         callers.push_back(std::make_unique<Caller>(*vm, n, aWork, aKeys));
       }
     }
@@ -228,9 +231,10 @@
       sleepFor(10_ms);
     }
     for (const std::unique_ptr<Caller>& caller : callers) {
-      for (const Sent& sent : caller->stop()) {
-        mSent.push_back(sent);
-      }
+      caller->stop();
+    }
+    for (const std::unique_ptr<Caller>& caller : callers) {
+      std::ranges::move(caller->join(), std::back_inserter(mSent));
     }
   }
 
@@ -312,6 +316,7 @@
   }
 
   PlatformSite mSite;
+  const int mCallersPerTaker;
   Millis mStart;
   std::vector<Sent> mSent;
 };
@@ -409,6 +414,7 @@
   layout.mIsKeyed = false;
   // Members that expel the frozen one.
   layout.mTakers = 4;
+  layout.mCallersPerTaker = 20;
   Site site(aName, layout);
   Vm& vm = *site.vmsOf(kCafes).front();
   vm.mDaemon->signal(SIGSTOP);
