Log on whose word keys get a new holder

The record of OWNER can be a hand-off whose release was not carried out, one that was called failed and carried out later, or an expulsion without its wait; the logs told none from the others.

- handoff names shards, epochs, next owners and the outcome.
- shards_released tells how many runs the upstream confirmed, whether it was taken for ended, and whether a configuration was known.
- shards_gained, shards_lost and first_state tell what changed, whether the change counts as planned, and how long this daemon waits.
- record_not_written tells at proposer and writer whether a record is in doubt.
- holds_forgotten tells why grants are no longer counted with.

--- a/include/radishroad/daemon/proposer.h
+++ b/include/radishroad/daemon/proposer.h
@@ -22,6 +22,10 @@
   Failed,
 };
 
+/// For logs.
+const char*
+proposalOutcomeName(ProposalOutcome aOutcome);
+
 /// Proposes changes by appending records, and determines by reading the log
 /// back whether they took effect. A successful answer to an append is never
 /// taken as the outcome. A record whose append is in doubt is sent again with
--- a/src/daemon/daemon_impl_hooks.cpp
+++ b/src/daemon/daemon_impl_hooks.cpp
@@ -6,7 +6,10 @@
 #include "radishroad/ownership/ownership_change.h"
 #include "radishroad/policy/hot_key_report.h"
 
+#include <algorithm>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <tuple>
 
 namespace radishroad {
 
@@ -44,6 +47,59 @@
   return report;
 }
 
+/// Logs what this daemon owns by the first state that it knows.
+void
+logOwnedShards(const TakeoverGuard& aGuard,
+               const CellState& aState,
+               Incarnation aSelf,
+               Millis aNow)
+{
+  std::size_t owned = 0;
+  Millis longest;
+  for (Shard shard = 0; shard < aState.mShards.size(); ++shard) {
+    if (aState.mShards[shard].mOwner == aSelf) {
+      ++owned;
+      longest = std::max(longest, aGuard.serveFrom(shard) - aNow);
+    }
+  }
+  logEvent(LogLevel::Info,
+           "first_state",
+           { { "state_version", aState.mNextOffset },
+             { "owned_shards", owned },
+             { "wait_ms", longest.mCount } });
+}
+
+/// Logs the shards that this daemon gained from or lost to each other member,
+/// and whether it waits before it serves them.
+void
+logOwnershipChanges(std::span<const OwnershipChange> aChanges,
+                    const TakeoverGuard& aGuard,
+                    Incarnation aSelf,
+                    Millis aNow)
+{
+  std::map<std::tuple<Incarnation, Incarnation, bool>, nlohmann::json> moves;
+  Millis longest;
+  for (const OwnershipChange& change : aChanges) {
+    const bool isOwn = change.mTo == aSelf || change.mFrom == aSelf;
+    if (!isOwn || change.mKeyHash) {
+      continue;
+    }
+    moves[{ change.mFrom, change.mTo, change.mPlanned }].push_back(
+      { change.mShard, change.mEpoch });
+    longest = std::max(longest, aGuard.serveFrom(change.mShard) - aNow);
+  }
+  for (auto& [move, shards] : moves) {
+    const auto& [from, to, isPlanned] = move;
+    logEvent(LogLevel::Info,
+             to == aSelf ? "shards_gained" : "shards_lost",
+             { { "from_member", std::to_string(from) },
+               { "to_member", std::to_string(to) },
+               { "planned", isPlanned },
+               { "longest_wait_ms", longest.mCount },
+               { "shard_epoch", std::move(shards) } });
+  }
+}
+
 }
 
 FleetState::Hooks
@@ -253,13 +309,17 @@
     const bool hasFullStates = mProtocol.isPlatform();
     mTakeoverGuard.initialize(hasFullStates ? aAfter : aBefore, now, wait);
     if (hasFullStates) {
+      logOwnedShards(mTakeoverGuard, aAfter, mSelf, now);
       mAuthority.setTakeoverGuard(mTakeoverGuard);
       return;
     }
   }
-  for (const OwnershipChange& change : ownershipChanges(aBefore, aAfter)) {
+  const std::vector<OwnershipChange> changes =
+    ownershipChanges(aBefore, aAfter);
+  for (const OwnershipChange& change : changes) {
     mTakeoverGuard.onOwnershipChange(change, now, wait);
   }
+  logOwnershipChanges(changes, mTakeoverGuard, mSelf, now);
   mAuthority.setTakeoverGuard(mTakeoverGuard);
 }
 
--- a/src/daemon/daemon_impl_state.cpp
+++ b/src/daemon/daemon_impl_state.cpp
@@ -39,6 +39,20 @@
   return entries;
 }
 
+/// aError tells whether the record may still take effect.
+void
+logUnwrittenRecord(const std::string& aId,
+                   Incarnation aProposer,
+                   const Error& aError)
+{
+  logEvent(LogLevel::Warn,
+           "record_not_written",
+           { { "id", aId },
+             { "proposer", std::to_string(aProposer) },
+             { "in_doubt", aError.mCode == ErrorCode::Unknown },
+             { "error", aError.mMessage } });
+}
+
 }
 
 void
@@ -248,6 +262,8 @@
                              if (aVerdict) {
                                mProposer.onRecord(aId, *aVerdict);
                              } else {
+                               logUnwrittenRecord(
+                                 aId.toString(), mSelf, aVerdict.error());
                                result(tl::unexpected<Error>(aVerdict.error()));
                              }
                            });
@@ -269,7 +285,10 @@
     mWriter->submit(aProposal.stream,
                     aProposal.record,
                     kWriteTimeout,
-                    [this, hash](const Result<FoldVerdict>&) {
+                    [this, hash, aFrom](const Result<FoldVerdict>& aVerdict) {
+                      if (!aVerdict) {
+                        logUnwrittenRecord("", aFrom, aVerdict.error());
+                      }
                       mLoop.post(
                         [this, hash] { mWaitingProposals.erase(hash); });
                     });
--- a/src/daemon/handoff_manager.cpp
+++ b/src/daemon/handoff_manager.cpp
@@ -53,6 +53,22 @@
          (aMove.to == 0 || isEligibleOwner(aCell, aMove.to));
 }
 
+void
+logHandoff(std::span<const wire::ShardGrant> aGrants, ProposalOutcome aOutcome)
+{
+  nlohmann::json moves = nlohmann::json::array();
+  for (const wire::ShardGrant& grant : aGrants) {
+    moves.push_back(
+      { grant.shard(), grant.base_epoch(), std::to_string(grant.to()) });
+  }
+  logEvent(LogLevel::Info,
+           "handoff",
+           { { "shards", aGrants.size() },
+             { "applied", aOutcome == ProposalOutcome::Applied },
+             { "outcome", proposalOutcomeName(aOutcome) },
+             { "shard_epoch_to", std::move(moves) } });
+}
+
 }
 
 std::vector<Shard>
@@ -207,10 +223,7 @@
   change.grants = mCurrent.mGrants;
   mContext.mProposer.propose(
     mContext.ownStream(), std::move(change), [this](ProposalOutcome aOutcome) {
-      logEvent(LogLevel::Info,
-               "handoff",
-               { { "shards", mCurrent.mGrants.size() },
-                 { "applied", aOutcome == ProposalOutcome::Applied } });
+      logHandoff(mCurrent.mGrants, aOutcome);
       finish();
     });
 }
--- a/src/daemon/proposer.cpp
+++ b/src/daemon/proposer.cpp
@@ -11,6 +11,20 @@
 
 }
 
+const char*
+proposalOutcomeName(ProposalOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case ProposalOutcome::Applied:
+      return "applied";
+    case ProposalOutcome::Refused:
+      return "refused";
+    case ProposalOutcome::Failed:
+      return "failed";
+  }
+  return "unknown";
+}
+
 Proposer::Proposer(SubmitFn aSubmit)
   : mSubmit(std::move(aSubmit))
 {
--- a/src/upstream/gate_grant.cpp
+++ b/src/upstream/gate_grant.cpp
@@ -330,6 +330,50 @@
   }
 }
 
+void
+Gate::Impl::logReleased(const PendingPause& aPause) const
+{
+  std::uint32_t runs = 0;
+  std::uint32_t confirmed = 0;
+  nlohmann::json shards = nlohmann::json::array();
+  for (const Shard shard : aPause.mShards) {
+    shards.push_back(shard);
+    const auto it = mReleases.find(shard);
+    runs += it == mReleases.end() ? 0 : mGrants.layout().runsPerShard();
+    confirmed += it == mReleases.end() ? 0 : it->second.mConfirmed;
+  }
+  logEvent(LogLevel::Info,
+           "shards_released",
+           { { "shards", std::move(shards) },
+             { "runs", runs },
+             { "runs_confirmed", confirmed },
+             { "by_report", grantsByReport() },
+             { "grants_keys", grantsKeys() },
+             { "upstream_ended", mHealth.lost() } });
+}
+
+void
+Gate::Impl::clearHolds(const char* aCause)
+{
+  const Millis now = mHooks.mNow();
+  Millis longest;
+  std::size_t held = 0;
+  for (Shard shard = 0; grantsKeys() && shard < kShardCount; ++shard) {
+    const Millis left = mGrants.freeFrom(shard, now) - now;
+    held += left > Millis{} ? 1 : 0;
+    longest = std::max(longest, left);
+  }
+  if (held > 0) {
+    logEvent(LogLevel::Info,
+             "holds_forgotten",
+             { { "cause", aCause },
+               { "instance", mAppliedReport.mInstance },
+               { "shards", held },
+               { "longest_ms", longest.mCount } });
+  }
+  mGrants.clearHolds();
+}
+
 bool
 Gate::Impl::isShardPaused(Shard aShard) const
 {
@@ -373,6 +417,7 @@
     onProcessEnded(LostCause::ConnectionRefused);
   } else if (isReleased) {
     mGrants.onReleased(run);
+    ++it->second.mConfirmed;
     it->second.mTokens.at(KeyLayout::indexInShard(run)) = token;
   } else {
     mMetrics.count("radishroad_gate_release_failures_total");
--- a/src/upstream/gate_health.cpp
+++ b/src/upstream/gate_health.cpp
@@ -116,13 +116,13 @@
     case HealthChange::Lost:
       mMetrics.count("radishroad_gate_upstream_down_total");
       reportCrash();
-      mGrants.clearHolds();
+      clearHolds("process-ended");
       mHooks.mOnHealth(false);
       return;
     case HealthChange::Restarted:
       mMetrics.count("radishroad_gate_upstream_restarts_total");
       reportCrash();
-      mGrants.clearHolds();
+      clearHolds("restarted");
       clearAbandoned();
       if (!mOptions.mProtocol.mPushesReports) {
         onNewUpstreamProcess();
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -114,6 +114,8 @@
     /// A report has been answered without the shard, so that the upstream
     /// releases it.
     bool mRequested = false;
+    /// Number of key runs whose release the upstream has confirmed.
+    std::uint32_t mConfirmed = 0;
   };
 
   Impl(Options aOptions, Hooks aHooks, Metrics& aMetrics);
@@ -278,6 +280,10 @@
   void sendRelease(std::uint32_t aRun,
                    Epoch aEpoch,
                    bool aNeedsFreshConnection);
+  /// Logs on whose word the shards of a pause count as released.
+  void logReleased(const PendingPause& aPause) const;
+  /// Call when the upstream's process has ended.
+  void clearHolds(const char* aCause);
   /// Whether a response with this handover token can be the one to a release.
   bool isNewHandover(const std::string& aToken) const;
   void onReleaseEnd(std::uint64_t aOperationId,
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -380,6 +380,9 @@
   }
   mPendingPauses = std::move(waiting);
   for (const PendingPause& pause : done) {
+    if (mHooks.mGrantableShards) {
+      logReleased(pause);
+    }
     pause.mDone();
   }
 }
