--- a/tests/process/support/platform_site.cpp
+++ b/tests/process/support/platform_site.cpp
@@ -86,6 +86,7 @@
   fs::remove_all(mFolder);
   publish(aServices, 1);
   for (const Service& service : aServices) {
+    mHolds[service.mName] = std::make_shared<HoldJournal>();
     for (int n = 1; n <= service.mVms; ++n) {
       Vm vm;
       vm.mName = service.mName + "-" + std::to_string(n);
@@ -107,6 +108,7 @@
       options.mSlots = service.mSlots;
       options.mRunTime = service.mRunTime;
       options.mEndsWorkWithHold = service.mEndsWorkWithHold;
+      options.mHolds = mHolds[service.mName];
       vm.mUpstream = std::make_unique<PlatformUpstream>(std::move(options));
       mVms.push_back(std::move(vm));
     }
--- a/tests/process/support/platform_site.h
+++ b/tests/process/support/platform_site.h
@@ -4,9 +4,11 @@
 #include "support/address_block.h"
 #include "support/child_process.h"
 #include "support/fake_store.h"
+#include "support/hold_journal.h"
 #include "support/platform_upstream.h"
 
 #include <filesystem>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -81,6 +83,11 @@
   void startDaemon(Vm& aVm);
   std::vector<Vm>& vms() { return mVms; }
   FakeStore& store() { return mStore; }
+  /// What the upstreams of a keyed service hold that is told by calls.
+  const HoldJournal& holds(const std::string& aService) const
+  {
+    return *mHolds.at(aService);
+  }
   void setZoneOutOfService(const std::string& aZone, bool aIsOut);
   /// Puts the services' routes into force as version r<aVersion>. Without
   /// workspaces, callers need no key.
@@ -95,6 +102,7 @@
   std::filesystem::path mFolder;
   AddressBlock mAddresses;
   FakeStore mStore{ FakeStore::LongPolls::Held };
+  std::map<std::string, std::shared_ptr<HoldJournal>> mHolds;
   std::vector<Vm> mVms;
 };
 
--- a/tests/process/support/platform_upstream.cpp
+++ b/tests/process/support/platform_upstream.cpp
@@ -91,6 +91,23 @@
   }
   mChanged.notify_all();
   mReporter.join();
+  for (std::thread& order : mLateOrders) {
+    order.join();
+  }
+}
+
+void
+PlatformUpstream::setOrderFate(OrderFateFn aFate)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mOrderFate = std::move(aFate);
+}
+
+void
+PlatformUpstream::setDraining(bool aIsDraining)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mIsDraining = aIsDraining;
 }
 
 std::vector<PlatformRun>
@@ -112,42 +129,83 @@
     }
     return plainReply(health);
   }
-  if (aRequest.mTarget == "/api/grant") {
-    return grant(aRequest);
-  }
-  if (aRequest.mTarget == "/api/release") {
-    return release(aRequest);
-  }
-  return run(aRequest);
+  const bool isOrder =
+    aRequest.mTarget == "/api/grant" || aRequest.mTarget == "/api/release";
+  return isOrder ? takeOrder(aRequest) : run(aRequest);
 }
 
 PlatformUpstream::Reply
-PlatformUpstream::grant(const Request& aRequest)
+PlatformUpstream::takeOrder(const Request& aRequest)
 {
   const Millis now = monotonicNow();
+  OrderFateFn fateOf;
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    fateOf = mOrderFate;
+  }
+  const OrderFate fate = fateOf ? fateOf(aRequest.mTarget) : OrderFate{};
+  if (fate.mCarriedOutAfter > Millis{}) {
+    carryOutLate(aRequest, now, fate.mCarriedOutAfter);
+    return {};
+  }
   const nlohmann::json order = nlohmann::json::parse(aRequest.mBody);
-  const std::uint64_t epoch = order.at("fence");
+  const Reply reply =
+    aRequest.mTarget == "/api/grant" ? grant(order, now) : release(order);
+  return fate.mIsAnswered ? reply : Reply{};
+}
+
+void
+PlatformUpstream::carryOutLate(const Request& aRequest,
+                               Millis aArrivedAt,
+                               Millis aAfter)
+{
   const std::lock_guard<std::mutex> lock(mMutex);
-  const std::size_t last = order.at("To");
-  for (std::size_t n = order.at("From"); n <= last; ++n) {
+  mLateOrders.emplace_back([this, aRequest, aArrivedAt, aAfter] {
+    {
+      std::unique_lock<std::mutex> stopLock(mMutex);
+      const bool isStopped =
+        mChanged.wait_for(stopLock,
+                          std::chrono::milliseconds(aAfter.mCount),
+                          [this] { return mStopped; });
+      if (isStopped) {
+        return;
+      }
+    }
+    const nlohmann::json order = nlohmann::json::parse(aRequest.mBody);
+    aRequest.mTarget == "/api/grant" ? grant(order, aArrivedAt)
+                                     : release(order);
+  });
+}
+
+PlatformUpstream::Reply
+PlatformUpstream::grant(const nlohmann::json& aOrder, Millis aArrivedAt)
+{
+  const std::uint64_t epoch = aOrder.at("fence");
+  const std::lock_guard<std::mutex> lock(mMutex);
+  const std::size_t last = aOrder.at("To");
+  for (std::size_t n = aOrder.at("From"); n <= last; ++n) {
     if (mKeys.at(n).mHighestEpoch > epoch) {
       return plainReply(bare("409 Conflict"));
     }
   }
-  const Millis until = now + Millis{ order.at("HoldMs").get<std::int64_t>() };
-  for (std::size_t n = order.at("From"); n <= last; ++n) {
+  const Millis until =
+    aArrivedAt + Millis{ aOrder.at("HoldMs").get<std::int64_t>() };
+  for (std::size_t n = aOrder.at("From"); n <= last; ++n) {
     Key& key = mKeys[n];
     key = { epoch, epoch, until, key.mRunning, until };
   }
+  if (mOptions.mHolds && until > monotonicNow()) {
+    mOptions.mHolds->onGranted(
+      mOptions.mVm, aOrder.at("From"), aOrder.at("To"), epoch, until);
+  }
   return plainReply(bare("200 OK"));
 }
 
 PlatformUpstream::Reply
-PlatformUpstream::release(const Request& aRequest)
+PlatformUpstream::release(const nlohmann::json& aOrder)
 {
-  const nlohmann::json order = nlohmann::json::parse(aRequest.mBody);
-  const std::size_t first = order.at("From");
-  const std::size_t last = order.at("To");
+  const std::size_t first = aOrder.at("From");
+  const std::size_t last = aOrder.at("To");
   std::unique_lock<std::mutex> lock(mMutex);
   const auto range = [&] {
     return std::span(mKeys).subspan(first, last - first + 1);
@@ -159,6 +217,10 @@
     return std::ranges::all_of(
       range(), [](const Key& aKey) { return aKey.mRunning == 0; });
   });
+  if (mOptions.mHolds) {
+    mOptions.mHolds->onReleased(
+      mOptions.mVm, aOrder.at("From"), aOrder.at("To"));
+  }
   UpstreamAnswer answer;
   answer.mHeaders = { "X-Handover: " + mOptions.mTokenPrefix +
                       std::to_string(first) };
@@ -283,17 +345,17 @@
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   collectReleased();
-  nlohmann::json body = {
-    { "Address", address() },
-    { "born", mBornMs },
-    { "Info",
-      { { "Service", mOptions.mService },
-        { "Version", "v1" },
-        { "Zone", mOptions.mZone },
-        { "Slots", mOptions.mSlots } } },
-    { "Status",
-      { { "State", "ready" }, { "Seq", ++mSequence }, { "WarmupLeftMs", 0 } } }
-  };
+  nlohmann::json body = { { "Address", address() },
+                          { "born", mBornMs },
+                          { "Info",
+                            { { "Service", mOptions.mService },
+                              { "Version", "v1" },
+                              { "Zone", mOptions.mZone },
+                              { "Slots", mOptions.mSlots } } },
+                          { "Status",
+                            { { "State", mIsDraining ? "draining" : "ready" },
+                              { "Seq", ++mSequence },
+                              { "WarmupLeftMs", 0 } } } };
   if (mOptions.mGrantsByReport) {
     body["Holds"] = heldRows(monotonicNow());
     body["Released"] = mReleased;
--- a/tests/process/support/platform_upstream.h
+++ b/tests/process/support/platform_upstream.h
@@ -3,10 +3,12 @@
 
 #include "radishroad/base/millis.h"
 #include "support/fake_upstream.h"
+#include "support/hold_journal.h"
 
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -49,6 +51,15 @@
   Millis mDeadline;
 };
 
+/// What becomes of an order to hold or to release keys.
+struct OrderFate
+{
+  bool mIsAnswered = true;
+  /// The order is carried out so much later; a hold still counts from its
+  /// arrival.
+  Millis mCarriedOutAfter{};
+};
+
 /// An upstream that speaks the platform's protocol: it reports to the daemon
 /// beside it and runs requests whose keys it holds.
 class PlatformUpstream
@@ -63,6 +74,9 @@
 
   using RunTimeFn = std::function<Millis(const std::string& aTarget)>;
 
+  /// By the call's path. Called on several threads.
+  using OrderFateFn = std::function<OrderFate(const std::string& aPath)>;
+
   struct Options
   {
     std::string mVm;
@@ -82,6 +96,8 @@
     RefusesFn mRefuses;
     /// Work that outlasts the hold on its key ends with an error.
     bool mEndsWorkWithHold = false;
+    /// May be null.
+    std::shared_ptr<HoldJournal> mHolds;
   };
 
   explicit PlatformUpstream(Options aOptions);
@@ -94,6 +110,9 @@
   std::vector<PlatformRun> runs() const;
   /// The whole body of the answer to a request.
   static std::string bodyOf(const std::string& aRequestId);
+  void setOrderFate(OrderFateFn aFate);
+  /// Reports from now on that it drains, or that it is ready.
+  void setDraining(bool aIsDraining);
 
 private:
   using Request = FakeUpstream::Request;
@@ -109,8 +128,10 @@
   };
 
   Reply handle(const Request& aRequest);
-  Reply grant(const Request& aRequest);
-  Reply release(const Request& aRequest);
+  Reply takeOrder(const Request& aRequest);
+  Reply grant(const nlohmann::json& aOrder, Millis aArrivedAt);
+  Reply release(const nlohmann::json& aOrder);
+  void carryOutLate(const Request& aRequest, Millis aArrivedAt, Millis aAfter);
   Reply run(const Request& aRequest);
   /// Sleeps until the work is done; false if the hold on its key ended before.
   bool work(std::unique_lock<std::mutex>& aLock, const Key* aKey, Millis aEnd);
@@ -133,6 +154,9 @@
   std::vector<PlatformRun> mRuns;
   std::uint64_t mSequence = 0;
   bool mStopped = false;
+  bool mIsDraining = false;
+  OrderFateFn mOrderFate;
+  std::vector<std::thread> mLateOrders;
   const std::int64_t mBornMs;
   FakeUpstream mServer;
   std::thread mReporter;
--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 #include <optional>
+#include <utility>
 
 namespace radishroad::test {
 
@@ -168,6 +169,15 @@
     mSilentPolls.push_back({ aRequest, aAnswer, {} });
     return;
   }
+  const AppendFate fate = appendFate(aRequest);
+  if (fate == AppendFate::Kept) {
+    mKeptAppends.push_back({ aRequest, aAnswer, {}, true });
+    return;
+  }
+  if (fate == AppendFate::Rejected) {
+    aAnswer(complete(makeTextAnswer(503, kJson, "{}")));
+    return;
+  }
   if (mFault == Fault::Slow) {
     mHeldPolls.push_back(
       { aRequest, aAnswer, monotonicNow() + kSlowAnswer, true });
@@ -183,6 +193,39 @@
   aAnswer(complete(answerCall(aRequest)));
 }
 
+void
+FakeStore::setAppendFilter(AppendFilterFn aFilter)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mAppendFilter = std::move(aFilter);
+}
+
+FakeStore::AppendFate
+FakeStore::appendFate(const CallerRequest& aRequest) const
+{
+  if (!mAppendFilter || !aRequest.mTarget.starts_with("/api/log-append")) {
+    return AppendFate::Taken;
+  }
+  const std::string& body = aRequest.mBody;
+  const std::size_t n = static_cast<unsigned char>(body.at(4));
+  return mAppendFilter(body.substr(5, n), body.substr(5 + n));
+}
+
+int
+FakeStore::carryOutKept()
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  int carriedOut = 0;
+  for (HeldPoll& kept : mKeptAppends) {
+    if (std::exchange(kept.mIsDelayed, false)) {
+      Topic& topic =
+        mTopics[queryParameter(kept.mRequest.mTarget, "Topic").value_or("")];
+      carriedOut += append(topic, kept.mRequest).status == 200 ? 1 : 0;
+    }
+  }
+  return carriedOut;
+}
+
 bool
 FakeStore::isLongPoll(const CallerRequest& aRequest)
 {
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <deque>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -43,11 +44,29 @@
     Held,
   };
 
+  /// What becomes of an append.
+  enum class AppendFate
+  {
+    Taken,
+    /// Rejected without effect.
+    Rejected,
+    /// Gets no answer and waits for carryOutKept().
+    Kept,
+  };
+  /// aValue: the value of the record, without its key.
+  using AppendFilterFn = std::function<AppendFate(const std::string& aKey,
+                                                  const std::string& aValue)>;
+
   explicit FakeStore(LongPolls aLongPolls = LongPolls::AnsweredAtOnce);
   ~FakeStore();
 
   std::string address() const;
   void setFault(Fault aFault) { mFault = aFault; }
+  /// Decides on each append that nothing else rejects; nullptr takes all.
+  void setAppendFilter(AppendFilterFn aFilter);
+  /// Carries out the appends that were kept, as far as the log still ends where
+  /// they expect it. Returns how many took effect.
+  int carryOutKept();
   /// While set, long polls are never answered; nor are those that are held when
   /// it is set. Other calls are.
   void setLongPollsSilent(bool aSilent);
@@ -109,6 +128,7 @@
   /// Answers the held polls whose topic has grown or whose time has passed.
   void answerHeldPolls();
   Answer answerCall(const CallerRequest& aRequest);
+  AppendFate appendFate(const CallerRequest& aRequest) const;
   Answer append(Topic& aTopic, const CallerRequest& aRequest);
   Answer read(const Topic& aTopic, const CallerRequest& aRequest) const;
   Answer newest(const Topic& aTopic) const;
@@ -130,6 +150,9 @@
   bool mAreLongPollsSilent = false;
   /// Never answered.
   std::vector<HeldPoll> mSilentPolls;
+  AppendFilterFn mAppendFilter;
+  /// Never answered; mIsDelayed until they were carried out.
+  std::vector<HeldPoll> mKeptAppends;
   std::atomic<bool> mStopped{ false };
   std::thread mPollThread;
   Metrics mMetrics;
