--- a/include/radishroad/daemon/proposer.h
+++ b/include/radishroad/daemon/proposer.h
@@ -18,7 +18,9 @@
 {
   Applied,
   Refused,
-  /// Definitely not appended, and not sent again.
+  /// Not appended by this daemon, and not sent again. A copy that another
+  /// process has received may still take effect, except for
+  /// proposeForCertain().
   Failed,
 };
 
@@ -48,9 +50,24 @@
   {
     wire::RecordT record;
     record.change.Set(std::move(aChange));
-    start(aStream, std::move(record), std::move(aDone));
+    start(aStream, std::move(record), std::move(aDone), false);
   }
 
+  /// Ends as Failed only if no copy can take effect any more. A record of which
+  /// another process has a copy is sent again until it has been read back.
+  template<typename Change>
+  void proposeForCertain(const std::string& aStream,
+                         Change aChange,
+                         DoneFn aDone)
+  {
+    wire::RecordT record;
+    record.change.Set(std::move(aChange));
+    start(aStream, std::move(record), std::move(aDone), true);
+  }
+
+  /// To be called when a copy of the record is sent to another process.
+  void onCopySent(RandomId aId);
+
   /// To be called with the verdict on each record of the streams, also on those
   /// of other daemons.
   void onRecord(RandomId aId, FoldVerdict aVerdict);
@@ -65,11 +82,15 @@
     wire::RecordT mRecord;
     DoneFn mDone;
     bool mInDoubt = false;
+    bool mNeedsCertainty = false;
     bool mWaitingForResult = false;
     Millis mSentAt;
   };
 
-  void start(const std::string& aStream, wire::RecordT aRecord, DoneFn aDone);
+  void start(const std::string& aStream,
+             wire::RecordT aRecord,
+             DoneFn aDone,
+             bool aNeedsCertainty);
   void send(RandomId aId);
   void onResult(RandomId aId, const Result<std::uint64_t>& aResult);
   void end(RandomId aId, ProposalOutcome aOutcome);
--- a/src/daemon/daemon_impl_state.cpp
+++ b/src/daemon/daemon_impl_state.cpp
@@ -198,11 +198,12 @@
   mProposalForwarder.send(
     id,
     *writer,
-    [this, aStream, data](Incarnation aWriter) {
+    [this, aStream, data, id](Incarnation aWriter) {
       const Member* member = mFleet.findMember(aWriter);
       if (member == nullptr) {
         return;
       }
+      mProposer.onCopySent(id);
       wire::ProposalT proposal;
       proposal.stream = aStream;
       proposal.record = data;
--- a/src/daemon/handoff_manager.cpp
+++ b/src/daemon/handoff_manager.cpp
@@ -221,7 +221,9 @@
   wire::ReleaseT change;
   change.incarnation = mContext.mSelf;
   change.grants = mCurrent.mGrants;
-  mContext.mProposer.propose(
+  // The shards are resumed when this ends, so that no copy may take effect
+  // then.
+  mContext.mProposer.proposeForCertain(
     mContext.ownStream(), std::move(change), [this](ProposalOutcome aOutcome) {
       logHandoff(mCurrent.mGrants, aOutcome);
       finish();
@@ -235,7 +237,7 @@
   // Iterates over a copy, since the last outcome clears the batch.
   const std::vector<wire::SplitKeyT> keys = mCurrent.mKeys;
   for (const wire::SplitKeyT& key : keys) {
-    mContext.mProposer.propose(
+    mContext.mProposer.proposeForCertain(
       mContext.ownStream(), key, [this, key](ProposalOutcome aOutcome) {
         logEvent(LogLevel::Info,
                  "key_handoff",
--- a/src/daemon/lease_manager.cpp
+++ b/src/daemon/lease_manager.cpp
@@ -220,7 +220,7 @@
   // so the gate is notified before the change is proposed.
   reportLease(aNow);
   mRewitnessPending = true;
-  mContext.mProposer.propose(
+  mContext.mProposer.proposeForCertain(
     mContext.ownStream(), std::move(*change), [this](ProposalOutcome aOutcome) {
       mRewitnessPending = false;
       // A refused or failed record never takes effect.
--- a/src/daemon/proposer.cpp
+++ b/src/daemon/proposer.cpp
@@ -31,7 +31,10 @@
 }
 
 void
-Proposer::start(const std::string& aStream, wire::RecordT aRecord, DoneFn aDone)
+Proposer::start(const std::string& aStream,
+                wire::RecordT aRecord,
+                DoneFn aDone,
+                bool aNeedsCertainty)
 {
   const RandomId id = makeRandomId();
   aRecord.id_high = id.mHigh;
@@ -41,6 +44,7 @@
   pending.mStream = aStream;
   pending.mRecord = std::move(aRecord);
   pending.mDone = std::move(aDone);
+  pending.mNeedsCertainty = aNeedsCertainty;
   send(id);
 }
 
@@ -89,6 +93,15 @@
   }
 }
 
+void
+Proposer::onCopySent(RandomId aId)
+{
+  const auto it = mPending.find(aId);
+  if (it != mPending.end() && it->second.mNeedsCertainty) {
+    it->second.mInDoubt = true;
+  }
+}
+
 void
 Proposer::tick(Millis aNow)
 {
