Free no shard before the configuration is known (OWNER)

Cause: without a configuration a gate does not know that its upstream is granted keys, and said at once that it holds none. A daemon that has just restarted owns the shards of the process before it by the state, and can hand them off, or drain, before it has read the configuration; the upstream still holds them by the grants of that process.

Change: until the first configuration no shard counts as released. With it, all keys are taken for held for one hold time, as before, and are released.

Cost: hand-offs of a daemon without a configuration wait for it; nothing else.

--- a/src/upstream/gate_grant.cpp
+++ b/src/upstream/gate_grant.cpp
@@ -29,6 +29,12 @@
          mService.mHoldTime > Millis{};
 }
 
+bool
+Gate::Impl::mayHoldUnknownKeys() const
+{
+  return mHooks.mGrantableShards && mOptions.mProtocol.mGrant && !mIsConfigured;
+}
+
 bool
 Gate::Impl::holdsKey(const ForwardRequest& aRequest, Epoch aEpoch) const
 {
@@ -243,6 +249,10 @@
 bool
 Gate::Impl::releaseShard(Shard aShard, Millis aNow)
 {
+  if (mayHoldUnknownKeys()) {
+    // An earlier process of this daemon may have granted the shard.
+    return false;
+  }
   if (!grantsKeys() || aShard >= kShardCount) {
     return true;
   }
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -244,6 +244,9 @@
 
   // gate_grant.cpp: keys that the upstream holds.
   bool grantsKeys() const;
+  /// Whether keys may be held by the upstream although this daemon does not
+  /// know how they are granted, as it has no configuration yet.
+  bool mayHoldUnknownKeys() const;
   bool grantsByReport() const;
   /// Shards that the upstream should hold now; nullopt if this daemon does not
   /// know.
@@ -347,6 +350,7 @@
   SentIds mSentIds;
   GrantManager mGrants;
   bool mGrantsStarted = false;
+  bool mIsConfigured = false;
   std::map<std::uint64_t, KeyOperation> mKeyOperations;
   std::map<Shard, Release> mReleases;
   /// Hashes of the handover tokens that the upstream has given out.
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -125,6 +125,7 @@
     const std::lock_guard<std::mutex> lock(mTaskMutex);
     mService = mNewService;
   }
+  mIsConfigured = true;
   if (!mOptions.mProtocol.mPushesReports) {
     mHealth.setProbeCost(mService.mProbeCost);
   }
--- a/tests/unit/platform_gate_test.cpp
+++ b/tests/unit/platform_gate_test.cpp
@@ -23,10 +23,18 @@
 /// grants and rejects requests while it holds no keys.
 struct PlatformGate
 {
-  explicit PlatformGate(Millis aDrainPeriod = 100_ms)
+  explicit PlatformGate(Millis aDrainPeriod = 100_ms, bool aIsConfigured = true)
     : mDrainPeriod(aDrainPeriod)
     , mUpstream([this](const Request& aRequest) { return answer(aRequest); })
     , mGate(options(), hooks(), mMetrics)
+  {
+    if (aIsConfigured) {
+      configure();
+    }
+    mGate.start();
+  }
+
+  void configure()
   {
     config::Service service;
     service.mDeadline = Millis{ 5000 };
@@ -34,7 +42,6 @@
     service.mHoldTime = Millis{ 1000 };
     service.mHealthPath = "/healthz";
     mGate.configure(service);
-    mGate.start();
   }
 
   Gate::Options options() const
@@ -297,6 +304,21 @@
               std::vector<std::string>(KeyLayout().runsPerShard(), "t")));
 }
 
+// OWNER: the process before this one may have granted the shard a moment ago.
+BOOST_AUTO_TEST_CASE(no_shard_is_free_before_the_first_configuration)
+{
+  PlatformGate gate(100_ms, false);
+  std::promise<void> done;
+  const Shard shard = kOwnShard;
+  gate.mGate.pauseShards({ &shard, 1 }, [&done] { done.set_value(); });
+  std::future<void> released = done.get_future();
+  BOOST_TEST((released.wait_for(std::chrono::milliseconds(500)) ==
+              std::future_status::timeout));
+  gate.configure();
+  BOOST_TEST(
+    (released.wait_for(std::chrono::seconds(10)) == std::future_status::ready));
+}
+
 // LOST: the process ended (std::out_of_range) for a response to a release that
 // was sent before the cell's state came back with another layout of keys.
 BOOST_AUTO_TEST_CASE(a_release_of_an_earlier_layout_is_ignored)
