Raise the epoch of shards whose hand-off was refused (OWNER)

Cause: a refusal is decided on the newest state, and a record is also refused if its next owner can own nothing at the moment. The owner then granted the shards again at their epoch. Other daemons may still have a copy, and once the next owner may own again, the state takes it: its epoch is still the current one. Stored states keep no ids of refused records, so that the copy is not known as one.

Change: before such shards are resumed, their owner releases them to itself, which raises their epochs, so that no copy fits any more. Nothing is written if the epochs have risen meanwhile, nor with the daemon's own log, where the first copy decides.

Cost: one write for a refused hand-off, and its keys are granted anew.

--- a/include/radishroad/daemon/handoff_manager.h
+++ b/include/radishroad/daemon/handoff_manager.h
@@ -6,6 +6,7 @@
 #include "radishroad/state/cell_state.h"
 
 #include <functional>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -71,6 +72,9 @@
   void onProbeResult(bool aLogReachable);
   void release();
   void releaseShards();
+  /// Raises the epochs of those shards of the batch that a copy of the refused
+  /// record could still hand off.
+  void reclaimShards();
   void releaseKeys();
   void finish();
 
@@ -82,6 +86,9 @@
   /// Key records of the current batch that have not been read back yet.
   std::size_t mPendingKeyRecords = 0;
   Millis mNextBatchAt;
+  /// When to reclaim the shards of the batch again, after the log did not
+  /// answer.
+  std::optional<Millis> mReclaimAt;
 };
 
 }
--- a/src/daemon/handoff_manager.cpp
+++ b/src/daemon/handoff_manager.cpp
@@ -4,6 +4,7 @@
 #include "radishroad/daemon/control_context.h"
 #include "radishroad/daemon/fleet_state.h"
 #include "radishroad/daemon/proposer.h"
+#include "radishroad/daemon/settings.h"
 #include "radishroad/ownership/handoff.h"
 #include "radishroad/state/placement.h"
 
@@ -116,6 +117,11 @@
 HandoffManager::tick(bool aDraining)
 {
   const Millis now = mContext.mNow();
+  if (mReclaimAt && now >= *mReclaimAt) {
+    mReclaimAt.reset();
+    reclaimShards();
+    return;
+  }
   if (busy() || now < mNextBatchAt || mContext.self() == nullptr) {
     return;
   }
@@ -226,6 +232,44 @@
   mContext.mProposer.proposeForCertain(
     mContext.ownStream(), std::move(change), [this](ProposalOutcome aOutcome) {
       logHandoff(mCurrent.mGrants, aOutcome);
+      // In a log of records the first copy decides, even if it is refused.
+      if (aOutcome == ProposalOutcome::Refused &&
+          mContext.mSettings.isPlatform()) {
+        reclaimShards();
+        return;
+      }
+      finish();
+    });
+}
+
+void
+HandoffManager::reclaimShards()
+{
+  // A record is also refused if a next owner is not eligible at present. A copy
+  // of it that another daemon writes later may be applied.
+  const CellState& cell = mContext.mFleet.ownCell();
+  wire::ReleaseT change;
+  change.incarnation = mContext.mSelf;
+  for (const wire::ShardGrant& grant : mCurrent.mGrants) {
+    const Ownership& shard = cell.mShards.at(grant.shard());
+    const Ownership base{ mContext.mSelf, grant.base_epoch() };
+    if (shard == base) {
+      change.grants.emplace_back(
+        grant.shard(), grant.base_epoch(), mContext.mSelf);
+    }
+  }
+  if (change.grants.empty()) {
+    finish();
+    return;
+  }
+  mCurrent.mGrants = change.grants;
+  mContext.mProposer.proposeForCertain(
+    mContext.ownStream(), std::move(change), [this](ProposalOutcome aOutcome) {
+      logHandoff(mCurrent.mGrants, aOutcome);
+      if (aOutcome == ProposalOutcome::Failed) {
+        mReclaimAt = mContext.mNow() + kLogRetryInterval;
+        return;
+      }
       finish();
     });
 }
--- a/src/state/fold_ownership.cpp
+++ b/src/state/fold_ownership.cpp
@@ -14,8 +14,9 @@
 namespace {
 
 /// True if the grants name each shard at most once, all of these shards belong
-/// to aOwner at the base epochs of the grants, and each new owner is eligible
-/// and other than aOwner.
+/// to aOwner at the base epochs of the grants, and each new owner is eligible.
+/// An owner may give shards to itself, whether it is eligible or not, which
+/// raises their epochs.
 bool
 areGrantsValid(const CellState& aState,
                std::span<const wire::ShardGrant> aGrants,
@@ -30,8 +31,8 @@
     const Ownership& shard = aState.mShards[grant.shard()];
     const bool current =
       shard.mOwner == aOwner && shard.mEpoch == grant.base_epoch();
-    if (!current || grant.to() == aOwner ||
-        !isEligibleOwner(aState, grant.to())) {
+    const bool isKept = aOwner != 0 && grant.to() == aOwner;
+    if (!current || (!isKept && !isEligibleOwner(aState, grant.to()))) {
       return false;
     }
   }
