Keep a shard of an ended upstream from grants while it moves (OWNER)

Callers: as two upstreams of one key.

Cause: the upstream's process is taken for ended, so that its shards count as released at once. That was answered before the release was noted, and only noted shards are left out of grants. If the upstream answers again while the record of the hand-off is under way, the gate grants the shards anew, at the epoch that the record ends; the next owner grants them without a wait.

Change: the release is noted first, whatever ends it.

It costs nothing: the shard is resumed with the end of its hand-off as before.

--- a/src/upstream/gate_grant.cpp
+++ b/src/upstream/gate_grant.cpp
@@ -256,16 +256,17 @@
   if (!grantsKeys() || aShard >= kShardCount) {
     return true;
   }
-  if (mHealth.lost()) {
-    // The process has ended, so it holds no keys.
-    return true;
-  }
+  // Also keeps the shard from being granted until it is resumed.
   if (!mReleases.contains(aShard)) {
     Release& started = mReleases[aShard];
     started.mToSend = mGrants.layout().runsOfShard(aShard);
     started.mTokens.resize(mGrants.layout().runsPerShard());
     started.mEpoch = mHooks.mEpochOf(aShard);
   }
+  if (mHealth.lost()) {
+    // The process has ended, so it holds no keys.
+    return true;
+  }
   if (grantsByReport()) {
     return releaseByReport(aShard, aNow);
   }
--- a/tests/unit/platform_gate_test.cpp
+++ b/tests/unit/platform_gate_test.cpp
@@ -107,8 +107,8 @@
                false };
     }
     if (aRequest.mTarget == "/healthz") {
-      return { "HTTP/1.1 200 OK\r\nX-Instance-Id: i-1\r\n"
-               "Content-Length: 0\r\n\r\n",
+      return { "HTTP/1.1 200 OK\r\nX-Instance-Id: " + mInstance +
+                 "\r\nContent-Length: 0\r\n\r\n",
                false };
     }
     ++mArrivals;
@@ -185,6 +185,14 @@
     mHead = aHead;
   }
 
+  /// The process that answers from now on, which holds no keys.
+  void setInstance(const std::string& aInstance)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mInstance = aInstance;
+    mHeld.clear();
+  }
+
   std::size_t held()
   {
     const std::lock_guard<std::mutex> lock(mMutex);
@@ -201,6 +209,8 @@
   Epoch mReleasedEpoch = 0;
   std::string mHead = "HTTP/1.1 200 OK\r\nX-Upstream-Signature: s\r\n";
   std::string mEcho;
+  /// Named by responses to probes.
+  std::string mInstance = "i-1";
   std::string mEndless;
   bool mEndlessBody = false;
   bool mSendTwice = false;
@@ -304,6 +314,36 @@
               std::vector<std::string>(KeyLayout().runsPerShard(), "t")));
 }
 
+// OWNER: a shard that is being handed off was granted again, as the upstream
+// had been taken for ended and answered once more.
+BOOST_AUTO_TEST_CASE(shard_of_an_ended_upstream_is_not_granted_while_it_moves)
+{
+  PlatformGate gate;
+  gate.report(UpstreamReport::Kind::Ready, 1);
+  const std::size_t runs = KeyLayout().runsPerShard();
+  const auto waitUntil = [](const std::function<bool()>& aIsSo) {
+    const Millis end = monotonicNow() + 10_s;
+    while (!aIsSo() && monotonicNow() < end) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return aIsSo();
+  };
+  BOOST_REQUIRE(waitUntil([&] { return gate.held() == runs; }));
+  gate.setInstance("i-2");
+  BOOST_REQUIRE(waitUntil([&] { return !gate.mUp; }));
+  std::promise<void> done;
+  const Shard shard = kOwnShard;
+  gate.mGate.pauseShards({ &shard, 1 }, [&done] { done.set_value(); });
+  BOOST_REQUIRE((done.get_future().wait_for(std::chrono::seconds(10)) ==
+                 std::future_status::ready));
+  gate.setInstance("i-1");
+  gate.report(UpstreamReport::Kind::Ready, 2);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  BOOST_TEST(gate.held() == 0U);
+  gate.mGate.resumeShards({ &shard, 1 });
+  BOOST_TEST(waitUntil([&] { return gate.held() == runs; }));
+}
+
 // OWNER: the process before this one may have granted the shard a moment ago.
 BOOST_AUTO_TEST_CASE(no_shard_is_free_before_the_first_configuration)
 {
