Free no keys on one refused connection (OWNER)

Cause: one refused connection passed for the end of the upstream's process. Its grants were forgotten and its shards free at once. Within a second the daemon records the upstream as down, drains, and the next owner grants without a wait; an upstream that lives holds the keys for up to 3 s more, and its daemon gets keys back as soon as it answers again.

Change: a refusal still ends what is sent to the upstream. That it holds no keys counts only when a new connection, opened 200 ms later, is refused too, or another process answers there. Until then its shards are released as usual.

--- a/src/upstream/gate_grant.cpp
+++ b/src/upstream/gate_grant.cpp
@@ -263,8 +263,7 @@
     started.mTokens.resize(mGrants.layout().runsPerShard());
     started.mEpoch = mHooks.mEpochOf(aShard);
   }
-  if (mHealth.lost()) {
-    // The process has ended, so it holds no keys.
+  if (isEndConfirmed()) {
     return true;
   }
   if (grantsByReport()) {
@@ -360,7 +359,7 @@
              { "runs_confirmed", confirmed },
              { "by_report", grantsByReport() },
              { "grants_keys", grantsKeys() },
-             { "upstream_ended", mHealth.lost() } });
+             { "upstream_ended", isEndConfirmed() } });
 }
 
 void
--- a/src/upstream/gate_health.cpp
+++ b/src/upstream/gate_health.cpp
@@ -15,6 +15,8 @@
 /// Every n-th probe asks for the load instead of the health.
 constexpr std::uint64_t kLoadProbeEvery = 4;
 constexpr const char* kLoadPath = "/load";
+/// A process that takes no connections for so long has ended.
+constexpr Millis kEndConfirmTime{ 200 };
 
 }
 
@@ -91,6 +93,9 @@
   }
   if (aOutcome == ExchangeOutcome::ConnectionRefused) {
     onProcessEnded(LostCause::ConnectionRefused);
+    if (mProbeStartedAt >= mLostAt + kEndConfirmTime) {
+      confirmEnd();
+    }
     return;
   }
   onHealthChange(mHealth.onProbeTimeout());
@@ -116,7 +121,6 @@
     case HealthChange::Lost:
       mMetrics.count("radishroad_gate_upstream_down_total");
       reportCrash();
-      clearHolds("process-ended");
       mHooks.mOnHealth(false);
       return;
     case HealthChange::Restarted:
@@ -140,6 +144,9 @@
 {
   const HealthChange change = mHealth.onRefused();
   if (change == HealthChange::Lost) {
+    mLostAt = mHooks.mNow();
+    mNextEndProbe = mLostAt + kEndConfirmTime;
+    mIsEndConfirmed = false;
     logEvent(LogLevel::Warn,
              "upstream_process_ended",
              { { "instance", mAppliedReport.mInstance },
@@ -149,6 +156,28 @@
                { "response_instance", aInstance } });
   }
   onHealthChange(change);
+  if (aCause == LostCause::OtherInstance) {
+    confirmEnd();
+  }
+}
+
+void
+Gate::Impl::requestEndProbe(Millis aNow)
+{
+  if (mHealth.lost() && !mIsEndConfirmed && aNow >= mNextEndProbe) {
+    mNextEndProbe = aNow + kEndConfirmTime;
+    mNextProbeNeedsFreshConnection = true;
+    mHealth.requestProbe(aNow);
+  }
+}
+
+void
+Gate::Impl::confirmEnd()
+{
+  if (!mIsEndConfirmed) {
+    mIsEndConfirmed = true;
+    clearHolds("process-ended");
+  }
 }
 
 void
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -316,8 +316,15 @@
     ConnectionRefused,
     OtherInstance,
   };
-  /// The upstream's process has ended. aInstance: instance that responds now.
+  /// The upstream's process seems to have ended. aInstance: instance that
+  /// responds now.
   void onProcessEnded(LostCause aCause, std::string_view aInstance = {});
+  /// Asks for the probe that tells a process that has ended from one that only
+  /// takes no connections for a moment.
+  void requestEndProbe(Millis aNow);
+  /// The process has ended for certain, so that it holds no keys.
+  void confirmEnd();
+  bool isEndConfirmed() const { return mHealth.lost() && mIsEndConfirmed; }
   void suspectCrash(const Run& aRun);
   bool isCrashSuspect(std::uint64_t aFingerprint) const;
   void reportCrash();
@@ -335,6 +342,10 @@
   std::map<Shard, Millis> mPaused;
   std::vector<PendingPause> mPendingPauses;
   HealthTracker mHealth;
+  /// When a connection to the upstream was refused first.
+  Millis mLostAt;
+  Millis mNextEndProbe;
+  bool mIsEndConfirmed = false;
   bool mProbeInFlight = false;
   Millis mProbeStartedAt;
   bool mNextProbeNeedsFreshConnection = false;
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -75,6 +75,7 @@
     expireQueued(now);
     sendCancels(now);
     checkReportAge(now);
+    requestEndProbe(now);
     probe(now);
     sendGrants(now);
     dispatch(now);
@@ -425,6 +426,9 @@
   if (!mProbeInFlight) {
     next = std::min(next, mHealth.nextProbe());
   }
+  if (mHealth.lost() && !mIsEndConfirmed) {
+    next = std::min(next, mNextEndProbe);
+  }
   if (mStopping) {
     next = std::min(next, mStopUntil.load());
   }
--- a/tests/support/fake_upstream.cpp
+++ b/tests/support/fake_upstream.cpp
@@ -61,10 +61,19 @@
 
 FakeUpstream::FakeUpstream(Handler aHandler)
   : mHandler(std::move(aHandler))
+{
+  listen(0);
+}
+
+void
+FakeUpstream::listen(std::uint16_t aPort)
 {
   mListener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  ::setsockopt(mListener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   sockaddr_in address{};
   address.sin_family = AF_INET;
+  address.sin_port = htons(aPort);
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof(address);
   ::bind(mListener, reinterpret_cast<sockaddr*>(&address), size);
@@ -98,6 +107,20 @@
   mInstance = std::move(aInstance);
 }
 
+void
+FakeUpstream::refuseConnections()
+{
+  ::shutdown(mListener, SHUT_RDWR);
+  mAcceptor.join();
+  ::close(mListener);
+}
+
+void
+FakeUpstream::acceptConnections()
+{
+  listen(mPort);
+}
+
 void
 FakeUpstream::close()
 {
--- a/tests/support/fake_upstream.h
+++ b/tests/support/fake_upstream.h
@@ -56,6 +56,10 @@
   void setInstance(std::string aInstance);
   /// Closes the listening socket and all connections.
   void close();
+  /// Refuses new connections, as a process does that has ended; those that are
+  /// open go on.
+  void refuseConnections();
+  void acceptConnections();
   /// Requests with this method read so far, without health and load probes.
   std::vector<Request> requests(const std::string& aMethod) const;
   /// Waits until aCount requests with this method were read; false on timeout.
@@ -68,6 +72,7 @@
   static Reply status(const std::string& aStatus, const std::string& aHeaders);
 
 private:
+  void listen(std::uint16_t aPort);
   void acceptLoop();
   void serve(int aSocket);
   /// Waits for input; returns false if the connection has ended.
--- a/tests/unit/platform_gate_test.cpp
+++ b/tests/unit/platform_gate_test.cpp
@@ -314,6 +314,39 @@
               std::vector<std::string>(KeyLayout().runsPerShard(), "t")));
 }
 
+// OWNER: one refused connection passed for the end of an upstream that went on
+// to hold its keys.
+BOOST_AUTO_TEST_CASE(refused_connection_does_not_free_held_keys)
+{
+  PlatformGate gate;
+  gate.mSlots = 16;
+  gate.report(UpstreamReport::Kind::Ready, 1);
+  const std::size_t runs = KeyLayout().runsPerShard();
+  const auto waitUntil = [](const std::function<bool()>& aIsSo) {
+    const Millis end = monotonicNow() + 10_s;
+    while (!aIsSo() && monotonicNow() < end) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return aIsSo();
+  };
+  BOOST_REQUIRE(waitUntil([&] { return gate.held() == runs; }));
+  gate.mUpstream.refuseConnections();
+  // More requests than there are pooled connections.
+  gate.mRunMs = 100;
+  std::vector<std::future<Answer>> answers;
+  for (int n = 0; n < 20; ++n) {
+    answers.push_back(gate.submit("r" + std::to_string(n)));
+  }
+  BOOST_REQUIRE(waitUntil([&] { return !gate.mUp; }));
+  gate.mUpstream.acceptConnections();
+  std::promise<void> done;
+  const Shard shard = kOwnShard;
+  gate.mGate.pauseShards({ &shard, 1 }, [&done] { done.set_value(); });
+  BOOST_REQUIRE((done.get_future().wait_for(std::chrono::seconds(10)) ==
+                 std::future_status::ready));
+  BOOST_TEST(gate.held() == 0U);
+}
+
 // OWNER: a shard that is being handed off was granted again, as the upstream
 // had been taken for ended and answered once more.
 BOOST_AUTO_TEST_CASE(shard_of_an_ended_upstream_is_not_granted_while_it_moves)
