Count grants that a new process may hold after a restart (OWNER)

What callers saw: two upstreams held the same keys.

Cause: the report of a new process made the gate forget all holds, with the grants in flight. A grant that was under way, or that was written to the new process before its report was applied, may be carried out by it. The gate sent its release while the grant was under way, took the answer to the release as the end, and the next owner granted at once. The end of the process forgot grants in flight too, and a grant without an answer did not prolong the time for which its keys may be held.

Evidence: with the earlier code these tests fail: grant_manager/a_grant_in_flight_stays_counted_after_a_restart, keys_may_be_held_after_a_restart_until_released, a_grant_in_flight_stays_counted_when_the_process_ends, and platform_gate/a_restart_frees_no_shard_whose_grant_is_under_way, in which the shard counted as released within 600 ms of a restart while grants of the gate were without an answer.

Change: a restart ends only the certainty that keys are held. What may be held stays counted until a release of it is answered or the time is over, and grants in flight stay in flight, also when the process ends; releaseShard waits for them then. An unanswered grant counts from its end.

Cost: none if releases are answered and no grant was left without an answer. A shard with such a grant waits for the longest hold, and one of an upstream that restarts just after its daemon did waits as without the restart.

--- a/include/radishroad/ownership/grant_manager.h
+++ b/include/radishroad/ownership/grant_manager.h
@@ -134,8 +134,12 @@
   /// if they were left out.
   using FitsFn = std::function<bool(const KeyGrant&)>;
   std::vector<KeyGrant> answerReport(const FitsFn& aFits, Millis aNow);
-  /// The upstream has restarted or stopped, so it holds no keys.
+  /// The upstream's process has ended, so it holds no keys, apart from those
+  /// whose grant is in flight.
   void clearHolds();
+  /// Another process of the upstream has reported. It may hold what was granted
+  /// before its report, but nothing is certainly held.
+  void onRestarted();
 
   /// Whether the upstream certainly holds the key. With grants sent as calls it
   /// must hold it at aEpoch.
--- a/src/ownership/grant_manager.cpp
+++ b/src/ownership/grant_manager.cpp
@@ -196,6 +196,8 @@
   forEachRun(aGrant.mKeys, [&](Run& aRun) {
     aRun.mInFlight = false;
     aRun.mUnconfirmedUntil = aNow + longestHold(aGrant.mHoldTime);
+    aRun.mMayBeHeldUntil =
+      std::max(aRun.mMayBeHeldUntil, aRun.mUnconfirmedUntil);
     aRun.mNextGrantAt = aNow + kRetryDelay;
   });
 }
@@ -299,11 +301,25 @@
 
 void
 GrantManager::clearHolds()
+{
+  onRestarted();
+  for (Run& run : mRuns) {
+    // A grant in flight may reach the next process.
+    if (!run.mInFlight) {
+      run.mMayBeHeldUntil = {};
+      run.mUnconfirmedUntil = {};
+    }
+  }
+}
+
+void
+GrantManager::onRestarted()
 {
   for (Run& run : mRuns) {
-    const Epoch desired = run.mDesiredEpoch;
-    run = Run{};
-    run.mDesiredEpoch = desired;
+    run.mGrantedEpoch = 0;
+    run.mHeldUntil = {};
+    run.mHeldFrom = {};
+    run.mNextGrantAt = {};
   }
 }
 
--- a/src/upstream/gate_grant.cpp
+++ b/src/upstream/gate_grant.cpp
@@ -257,8 +257,10 @@
     return true;
   }
   if (mHealth.lost()) {
-    // The process has ended, so it holds no keys.
-    return true;
+    // The process has ended, so it holds no keys, but a grant that was under
+    // way may reach the next one.
+    return !mGrants.isGrantInFlight(aShard) &&
+           aNow >= mGrants.freeFrom(aShard, aNow);
   }
   if (!mReleases.contains(aShard)) {
     Release& started = mReleases[aShard];
--- a/src/upstream/gate_health.cpp
+++ b/src/upstream/gate_health.cpp
@@ -122,7 +122,7 @@
     case HealthChange::Restarted:
       mMetrics.count("radishroad_gate_upstream_restarts_total");
       reportCrash();
-      clearHolds("restarted");
+      mGrants.onRestarted();
       clearAbandoned();
       if (!mOptions.mProtocol.mPushesReports) {
         onNewUpstreamProcess();
--- a/tests/unit/grant_manager_test.cpp
+++ b/tests/unit/grant_manager_test.cpp
@@ -145,6 +145,47 @@
   BOOST_TEST((manager.freeFrom(7, 60_ms) == 60_ms));
 }
 
+// OWNER: a grant that was under way at a restart may reach the new process.
+BOOST_AUTO_TEST_CASE(a_grant_in_flight_stays_counted_after_a_restart)
+{
+  GrantManager manager = managerOf(7, 4);
+  const std::vector<KeyGrant> grants = manager.dueGrants(kUnlimited, 0_ms);
+  manager.onRestarted();
+  BOOST_TEST(manager.isGrantInFlight(7));
+  BOOST_TEST(manager.dueGrants(kUnlimited, 1_ms).empty());
+  for (const KeyGrant& grant : grants) {
+    manager.onUnanswered(grant, 300_ms);
+  }
+  manager.setGrantableShards({});
+  BOOST_TEST((manager.freeFrom(7, 301_ms) >= 300_ms + kHoldTime));
+}
+
+// OWNER: the new process may have been granted keys before its first report.
+BOOST_AUTO_TEST_CASE(keys_may_be_held_after_a_restart_until_released)
+{
+  GrantManager manager = managerOf(7, 4);
+  grantAll(manager, 0_ms);
+  manager.onRestarted();
+  const std::uint64_t key = KeyLayout().hashOfKeyNumber(7 * kDefaultRunKeys);
+  BOOST_TEST(!manager.holds(key, 4, 3_ms));
+  BOOST_TEST((manager.freeFrom(7, 3_ms) >= kHoldTime));
+  BOOST_TEST((*manager.nextDue(3_ms) == 3_ms));
+  for (const std::uint32_t run : KeyLayout().runsOfShard(7)) {
+    manager.onReleased(run);
+  }
+  BOOST_TEST((manager.freeFrom(7, 4_ms) == 4_ms));
+}
+
+// OWNER: a grant that was under way when its process ended may reach the next.
+BOOST_AUTO_TEST_CASE(a_grant_in_flight_stays_counted_when_the_process_ends)
+{
+  GrantManager manager = managerOf(7, 4);
+  const std::vector<KeyGrant> grants = manager.dueGrants(kUnlimited, 0_ms);
+  manager.clearHolds();
+  BOOST_TEST(manager.isGrantInFlight(7));
+  BOOST_TEST((manager.freeFrom(7, 1_ms) >= kHoldTime));
+}
+
 BOOST_AUTO_TEST_CASE(longest_hold_allows_for_a_slow_clock)
 {
   BOOST_TEST((GrantManager::longestHold(kHoldTime) >= kHoldTime * 102 / 100));
--- a/tests/unit/platform_gate_test.cpp
+++ b/tests/unit/platform_gate_test.cpp
@@ -67,9 +67,12 @@
       return decision;
     };
     hooks.mOnHealth = [this](bool aUp) { mUp = aUp; };
-    hooks.mGrantableShards = [this] {
+    hooks.mGrantableShards = [this]() -> std::optional<GrantableShards> {
       const KeyLayout layout(mRunKeys);
       ++mLayoutReads;
+      if (!mMayGrant) {
+        return std::nullopt;
+      }
       return GrantableShards{ layout, { { kOwnShard, kEpoch } } };
     };
     hooks.mEpochOf = [](Shard) { return kEpoch; };
@@ -93,6 +96,12 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
       }
     }
+    if (aRequest.mTarget == "/api/grant") {
+      ++mGrantsRead;
+      while (mHoldsGrants) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      }
+    }
     const std::lock_guard<std::mutex> lock(mMutex);
     if (aRequest.mTarget == "/api/grant") {
       const nlohmann::json body = nlohmann::json::parse(aRequest.mBody);
@@ -214,6 +223,9 @@
   std::atomic<int> mLayoutReads{ 0 };
   std::atomic<bool> mHoldsReleases{ false };
   std::atomic<int> mReleasesRead{ 0 };
+  std::atomic<bool> mMayGrant{ true };
+  std::atomic<bool> mHoldsGrants{ false };
+  std::atomic<int> mGrantsRead{ 0 };
   const Millis mDrainPeriod;
   std::atomic<int> mArrivals{ 0 };
   std::atomic<bool> mUp{ false };
@@ -319,6 +331,35 @@
     (released.wait_for(std::chrono::seconds(10)) == std::future_status::ready));
 }
 
+// OWNER: after the report of a restart, a shard counted as released while a
+// grant of it was under way, which the new process may carry out later.
+BOOST_AUTO_TEST_CASE(a_restart_frees_no_shard_whose_grant_is_under_way)
+{
+  PlatformGate gate;
+  gate.mRunKeys = kDefaultRunKeys * 8;
+  gate.mHoldsGrants = true;
+  gate.report(UpstreamReport::Kind::Ready, 1);
+  const Millis end = monotonicNow() + 5_s;
+  while (gate.mGrantsRead == 0 && monotonicNow() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  BOOST_TEST(gate.mGrantsRead > 0);
+  // The time for which keys may be held since the gate's start passes.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  // The epochs that are known belong to the earlier process.
+  gate.mMayGrant = false;
+  gate.report(UpstreamReport::Kind::Ready, 1, 2000_ms);
+  std::promise<void> done;
+  const Shard shard = kOwnShard;
+  gate.mGate.pauseShards({ &shard, 1 }, [&done] { done.set_value(); });
+  std::future<void> released = done.get_future();
+  BOOST_TEST((released.wait_for(std::chrono::milliseconds(600)) ==
+              std::future_status::timeout));
+  gate.mHoldsGrants = false;
+  BOOST_TEST(
+    (released.wait_for(std::chrono::seconds(10)) == std::future_status::ready));
+}
+
 // LOST: the process ended (std::out_of_range) for a response to a release that
 // was sent before the cell's state came back with another layout of keys.
 BOOST_AUTO_TEST_CASE(a_release_of_an_earlier_layout_is_ignored)
