--- a/include/radishroad/upstream/health_tracker.h
+++ b/include/radishroad/upstream/health_tracker.h
@@ -3,6 +3,7 @@
 
 #include "radishroad/base/millis.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -34,6 +35,12 @@
   HealthChange onProbeTimeout();
   /// No connection could be opened.
   HealthChange onRefused();
+  /// As onRefused(), for an exchange that was started at aStartedAt. One that
+  /// was started before the present process became known says nothing about
+  /// it, so that it only requests a probe.
+  HealthChange onRefused(Millis aStartedAt, Millis aNow);
+  /// The upstream's present process has become known.
+  void onNewProcess(Millis aNow) { mProcessSince = aNow; }
   /// The upstream responded to a request; aInstance may be empty.
   HealthChange onAnswer(std::string_view aInstance);
 
@@ -56,6 +63,7 @@
   Millis mNextProbe;
   Millis mLastProbe;
   std::string mInstance;
+  std::optional<Millis> mProcessSince;
   bool mHealthy = false;
   bool mLost = false;
   int mConsecutiveTimeouts = 0;
--- a/src/upstream/gate_grant.cpp
+++ b/src/upstream/gate_grant.cpp
@@ -220,7 +220,7 @@
   switch (aOutcome) {
     case ExchangeOutcome::ConnectionRefused:
       mGrants.onRefused(operation.mGrant, now);
-      onProcessEnded(LostCause::ConnectionRefused);
+      onProcessEnded(LostCause::ConnectionRefused, operation.mSentAt);
       return;
     case ExchangeOutcome::NotSent:
       mGrants.onRefused(operation.mGrant, now);
@@ -426,7 +426,7 @@
   }
   ++it->second.mCompleted;
   if (aOutcome == ExchangeOutcome::ConnectionRefused) {
-    onProcessEnded(LostCause::ConnectionRefused);
+    onProcessEnded(LostCause::ConnectionRefused, node.mapped().mSentAt);
   } else if (isReleased) {
     mGrants.onReleased(run);
     ++it->second.mConfirmed;
--- a/src/upstream/gate_health.cpp
+++ b/src/upstream/gate_health.cpp
@@ -90,7 +90,7 @@
     return;
   }
   if (aOutcome == ExchangeOutcome::ConnectionRefused) {
-    onProcessEnded(LostCause::ConnectionRefused);
+    onProcessEnded(LostCause::ConnectionRefused, mProbeStartedAt);
     return;
   }
   onHealthChange(mHealth.onProbeTimeout());
@@ -136,9 +136,11 @@
 }
 
 void
-Gate::Impl::onProcessEnded(LostCause aCause, std::string_view aInstance)
+Gate::Impl::onProcessEnded(LostCause aCause,
+                           Millis aStartedAt,
+                           std::string_view aInstance)
 {
-  const HealthChange change = mHealth.onRefused();
+  const HealthChange change = mHealth.onRefused(aStartedAt, mHooks.mNow());
   if (change == HealthChange::Lost) {
     logEvent(LogLevel::Warn,
              "upstream_process_ended",
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -46,6 +46,7 @@
   {
     QueuedRequest mQueued;
     ExchangeRunner::ExchangeId mExchange = 0;
+    Millis mStartedAt;
     Epoch mEpoch = 0;
     /// The lease is checked again at this time.
     Millis mServeUntil;
@@ -316,8 +317,11 @@
     ConnectionRefused,
     OtherInstance,
   };
-  /// The upstream's process has ended. aInstance: instance that responds now.
-  void onProcessEnded(LostCause aCause, std::string_view aInstance = {});
+  /// An exchange that was started at aStartedAt has shown that the upstream's
+  /// process has ended. aInstance: instance that responds now.
+  void onProcessEnded(LostCause aCause,
+                      Millis aStartedAt,
+                      std::string_view aInstance = {});
   void suspectCrash(const Run& aRun);
   bool isCrashSuspect(std::uint64_t aFingerprint) const;
   void reportCrash();
--- a/src/upstream/gate_notice.cpp
+++ b/src/upstream/gate_notice.cpp
@@ -23,6 +23,7 @@
   mNotice.mLeaving = false;
   mHasOwnNotice = false;
   mUpstreamSince = mHooks.mNow();
+  mHealth.onNewProcess(mUpstreamSince);
 }
 
 std::uint64_t
--- a/src/upstream/gate_report.cpp
+++ b/src/upstream/gate_report.cpp
@@ -91,7 +91,7 @@
   }
   if (instance != mAppliedReport.mInstance) {
     // Another upstream process uses the address now; it will send reports.
-    onProcessEnded(LostCause::OtherInstance, instance);
+    onProcessEnded(LostCause::OtherInstance, mProbeStartedAt, instance);
     return;
   }
   if (protocol.mColdTimeLeft) {
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -156,6 +156,7 @@
   Run& run = mRuns[id];
   run.mQueued = std::move(aQueued);
   run.mQueued.mResponse = {};
+  run.mStartedAt = now;
   run.mEpoch = aDecision.mEpoch;
   run.mServeUntil = aDecision.mServeUntil;
 
@@ -300,6 +301,7 @@
     reason == NotRunReason::NotOwner && protocol.mPushesReports;
   if (notHeld && isFromOtherInstance(aResponse)) {
     onProcessEnded(LostCause::OtherInstance,
+                   aRun.mSentAt,
                    aResponse.header(protocol.mInstanceHeader));
     refuse(queued, NotRunReason::UpstreamDown);
     return;
@@ -352,7 +354,7 @@
   if (!aRun.mSendDenied) {
     mMetrics.count("radishroad_gate_connect_failures_total");
     if (aOutcome == ExchangeOutcome::ConnectionRefused) {
-      onProcessEnded(LostCause::ConnectionRefused);
+      onProcessEnded(LostCause::ConnectionRefused, aRun.mStartedAt);
     }
     mHealth.requestProbe(now);
     queued.mNotBefore = now + kReconnectPause;
--- a/src/upstream/health_tracker.cpp
+++ b/src/upstream/health_tracker.cpp
@@ -82,6 +82,16 @@
   return wasLost ? HealthChange::None : HealthChange::Lost;
 }
 
+HealthChange
+HealthTracker::onRefused(Millis aStartedAt, Millis aNow)
+{
+  if (mProcessSince && aStartedAt <= *mProcessSince) {
+    requestProbe(aNow);
+    return HealthChange::None;
+  }
+  return onRefused();
+}
+
 HealthChange
 HealthTracker::onAnswer(std::string_view aInstance)
 {
--- a/tests/unit/health_tracker_test.cpp
+++ b/tests/unit/health_tracker_test.cpp
@@ -23,6 +23,24 @@
   BOOST_TEST(health.healthy());
 }
 
+// OWNER: a refusal from before a restart was taken for the end of the process
+// that had reported since, and what that was granted counted as free.
+BOOST_AUTO_TEST_CASE(a_refusal_from_before_the_process_does_not_end_it)
+{
+  HealthTracker health;
+  health.disablePeriodicProbes();
+  health.onNewProcess(1000_ms);
+  health.onProbeAnswer(200, "b");
+  for (const Millis startedAt : { 900_ms, 1000_ms }) {
+    BOOST_TEST((health.onRefused(startedAt, 1100_ms) == HealthChange::None));
+    BOOST_TEST(health.healthy());
+    BOOST_TEST(!health.lost());
+    BOOST_TEST(health.probeDue(1100_ms));
+  }
+  BOOST_TEST((health.onRefused(1001_ms, 1100_ms) == HealthChange::Lost));
+  BOOST_TEST(health.lost());
+}
+
 BOOST_AUTO_TEST_CASE(two_probe_timeouts_do_not_mark_the_upstream_down)
 {
   HealthTracker health;
