Check the lease right before a grant is written (OWNER)

What callers saw: two upstreams held the same keys. Whether this fault was the cause in the incident is not shown.

Cause: the lease was checked when the gate's loop picked the grants. A thread that was suspended, or that waited for a connection, wrote them after the lease had lapsed, when an expulsion may already count the hold time.

Change: GrantableShards carries until when it is valid, which is the end of the lease, and the time is checked when the bytes are about to be written. A grant that was not sent is not counted as possibly held.

Cost: a comparison for each grant. Answers to reports, which grant too, have only the earlier check.

--- a/include/radishroad/ownership/grant_manager.h
+++ b/include/radishroad/ownership/grant_manager.h
@@ -35,6 +35,8 @@
 {
   KeyLayout mLayout;
   std::vector<GrantableShard> mShards;
+  /// No grant of them may be sent from then on.
+  Millis mValidUntil = Millis::max();
 };
 
 /// A key range that an upstream reports as held, or for which it is still
@@ -119,6 +121,8 @@
   void onGranted(const KeyGrant& aGrant, Millis aSentAt, Millis aNow);
   /// The upstream refused the grant because it has seen a higher epoch.
   void onRefused(const KeyGrant& aGrant, Millis aNow);
+  /// No byte of the grant was sent.
+  void onNotSent(const KeyGrant& aGrant, Millis aNow);
   void onUnanswered(const KeyGrant& aGrant, Millis aNow);
   /// The upstream has confirmed the release of a run.
   void onReleased(std::uint32_t aRun);
@@ -164,6 +168,8 @@
     /// the answer.
     Millis mHeldFrom;
     Millis mMayBeHeldUntil;
+    /// mMayBeHeldUntil without the grant in flight.
+    Millis mMayBeHeldBefore;
     Millis mNextGrantAt;
     /// An unanswered grant may cause the run to be held until then.
     Millis mUnconfirmedUntil;
--- a/src/daemon/serve_authority.cpp
+++ b/src/daemon/serve_authority.cpp
@@ -67,7 +67,8 @@
 {
   const std::shared_ptr<const FleetView> view = mViews.get();
   const CellState* cell = view->cell(mService);
-  if (cell == nullptr || leaseUntil() <= aNow) {
+  const Millis until = leaseUntil();
+  if (cell == nullptr || until <= aNow) {
     return std::nullopt;
   }
   const auto self = cell->mMembers.find(mSelf);
@@ -78,6 +79,7 @@
   }
   GrantableShards grantableShards;
   grantableShards.mLayout = layoutOf(*cell);
+  grantableShards.mValidUntil = until;
   const std::lock_guard<std::mutex> lock(mMutex);
   for (Shard shard = 0; shard < kShardCount; ++shard) {
     const Ownership& ownership = cell->mShards[shard];
--- a/src/ownership/grant_manager.cpp
+++ b/src/ownership/grant_manager.cpp
@@ -157,6 +157,7 @@
       grants.push_back(std::move(grant));
     }
     run.mInFlight = true;
+    run.mMayBeHeldBefore = run.mMayBeHeldUntil;
     run.mMayBeHeldUntil =
       std::max(run.mMayBeHeldUntil, aNow + longestHold(mHoldTime));
   }
@@ -190,6 +191,17 @@
   });
 }
 
+void
+GrantManager::onNotSent(const KeyGrant& aGrant, Millis aNow)
+{
+  forEachRun(aGrant.mKeys, [](Run& aRun) {
+    if (aRun.mInFlight) {
+      aRun.mMayBeHeldUntil = aRun.mMayBeHeldBefore;
+    }
+  });
+  onRefused(aGrant, aNow);
+}
+
 void
 GrantManager::onUnanswered(const KeyGrant& aGrant, Millis aNow)
 {
@@ -304,6 +316,7 @@
 {
   onRestarted();
   for (Run& run : mRuns) {
+    run.mMayBeHeldBefore = {};
     // A grant in flight may reach the next process.
     if (!run.mInFlight) {
       run.mMayBeHeldUntil = {};
--- a/src/upstream/gate_grant.cpp
+++ b/src/upstream/gate_grant.cpp
@@ -149,16 +149,21 @@
   if (!grantsKeys() || grantsByReport()) {
     return;
   }
-  setGrantableShards(currentGrantableShards(aNow).value_or(
-    GrantableShards{ mGrants.layout(), {} }));
+  const GrantableShards grantable = currentGrantableShards(aNow).value_or(
+    GrantableShards{ mGrants.layout(), {} });
+  setGrantableShards(grantable);
   if (mKeyOperations.size() >= kMaxKeyOperations) {
     return;
   }
   for (const KeyGrant& grant :
        mGrants.dueGrants(kMaxKeyOperations - mKeyOperations.size(), aNow)) {
+    KeyOperation operation;
+    operation.mGrant = grant;
+    operation.mSentAt = aNow;
+    operation.mValidUntil = grantable.mValidUntil;
     startKeyOperation(
       mOptions.mProtocol.mGrant(grant),
-      { grant, 0, aNow, false, {} },
+      std::move(operation),
       kGrantTimeout,
       [this](const UpstreamResponse& aResponse) {
         return mOptions.mProtocol.mHandover(aResponse).empty();
@@ -201,7 +206,10 @@
   request.mAcceptsUnframedBody = true;
   mExchanges.start(
     request,
-    [] { return true; },
+    // The thread may have been suspended, or waited for the connection.
+    [this, validUntil = entry.mValidUntil] {
+      return mHooks.mNow() < validUntil;
+    },
     [id, onCompletion = std::move(aOnCompletion)](
       ExchangeOutcome aOutcome, CURLcode, const UpstreamResponse& aResponse) {
       onCompletion(id, aOutcome, aResponse);
@@ -219,11 +227,11 @@
   mMetrics.count("radishroad_gate_grants_total");
   switch (aOutcome) {
     case ExchangeOutcome::ConnectionRefused:
-      mGrants.onRefused(operation.mGrant, now);
+      onGrantNotSent(operation, now);
       onProcessEnded(LostCause::ConnectionRefused, operation.mSentAt);
       return;
     case ExchangeOutcome::NotSent:
-      mGrants.onRefused(operation.mGrant, now);
+      onGrantNotSent(operation, now);
       mHealth.requestProbe(now);
       return;
     case ExchangeOutcome::Incomplete:
@@ -246,6 +254,16 @@
   mGrants.onRefused(operation.mGrant, now);
 }
 
+void
+Gate::Impl::onGrantNotSent(const KeyOperation& aOperation, Millis aNow)
+{
+  if (aOperation.mLayout == mGrants.layout()) {
+    mGrants.onNotSent(aOperation.mGrant, aNow);
+    return;
+  }
+  mGrants.onRefused(aOperation.mGrant, aNow);
+}
+
 bool
 Gate::Impl::releaseShard(Shard aShard, Millis aNow)
 {
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -100,6 +100,8 @@
     std::string mBody;
     /// In which mKeyRun is counted.
     KeyLayout mLayout{};
+    /// It is not sent from then on.
+    Millis mValidUntil = Millis::max();
   };
   /// The release of a shard by the upstream.
   struct Release
@@ -276,6 +278,7 @@
   void onGrantEnd(std::uint64_t aOperationId,
                   ExchangeOutcome aOutcome,
                   int aStatus);
+  void onGrantNotSent(const KeyOperation& aOperation, Millis aNow);
   /// The upstream holds the request's key, or keys are not granted to it.
   bool holdsKey(const ForwardRequest& aRequest, Epoch aEpoch) const;
   /// Starts or continues the release of a shard; true once none of its keys is
--- a/tests/unit/grant_manager_test.cpp
+++ b/tests/unit/grant_manager_test.cpp
@@ -186,6 +186,19 @@
   BOOST_TEST((manager.freeFrom(7, 1_ms) >= kHoldTime));
 }
 
+// A grant that never left delayed the next owner by a hold time.
+BOOST_AUTO_TEST_CASE(a_grant_that_was_not_sent_is_not_counted)
+{
+  GrantManager manager = managerOf(7, 4);
+  grantAll(manager, 0_ms);
+  const Millis before = manager.freeFrom(7, 10_ms);
+  for (const KeyGrant& grant : manager.dueGrants(kUnlimited, 1000_ms)) {
+    manager.onNotSent(grant, 1010_ms);
+  }
+  BOOST_TEST(!manager.isGrantInFlight(7));
+  BOOST_TEST((manager.freeFrom(7, 1020_ms) == before));
+}
+
 BOOST_AUTO_TEST_CASE(longest_hold_allows_for_a_slow_clock)
 {
   BOOST_TEST((GrantManager::longestHold(kHoldTime) >= kHoldTime * 102 / 100));
--- a/tests/unit/platform_gate_test.cpp
+++ b/tests/unit/platform_gate_test.cpp
@@ -73,7 +73,9 @@
       if (!mMayGrant) {
         return std::nullopt;
       }
-      return GrantableShards{ layout, { { kOwnShard, kEpoch } } };
+      return GrantableShards{ layout,
+                              { { kOwnShard, kEpoch } },
+                              monotonicNow() + Millis{ mGrantableMs } };
     };
     hooks.mEpochOf = [](Shard) { return kEpoch; };
     hooks.mOnReleased = [this](Shard, const std::vector<std::string>& aTokens) {
@@ -224,6 +226,7 @@
   std::atomic<bool> mHoldsReleases{ false };
   std::atomic<int> mReleasesRead{ 0 };
   std::atomic<bool> mMayGrant{ true };
+  std::atomic<std::int64_t> mGrantableMs{ 60000 };
   std::atomic<bool> mHoldsGrants{ false };
   std::atomic<int> mGrantsRead{ 0 };
   const Millis mDrainPeriod;
@@ -360,6 +363,19 @@
     (released.wait_for(std::chrono::seconds(10)) == std::future_status::ready));
 }
 
+// OWNER: a renewal left after the lease had lapsed, since the gate's thread had
+// been suspended between the check of the lease and the send.
+BOOST_AUTO_TEST_CASE(no_grant_is_sent_after_the_lease)
+{
+  PlatformGate gate;
+  gate.mGrantableMs = 0;
+  gate.report(UpstreamReport::Kind::Ready, 1);
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  BOOST_TEST(gate.mGrantsRead == 0);
+  gate.mGrantableMs = 60000;
+  BOOST_TEST((gate.run("first").kind == AnswerKind::Answered));
+}
+
 // LOST: the process ended (std::out_of_range) for a response to a release that
 // was sent before the cell's state came back with another layout of keys.
 BOOST_AUTO_TEST_CASE(a_release_of_an_earlier_layout_is_ignored)
