--- a/src/ownership/grant_manager.cpp
+++ b/src/ownership/grant_manager.cpp
@@ -157,6 +157,7 @@
       grants.push_back(std::move(grant));
     }
     run.mInFlight = true;
+    run.mMayBeHeldBefore = run.mMayBeHeldUntil;
     run.mMayBeHeldUntil =
       std::max(run.mMayBeHeldUntil, aNow + longestHold(mHoldTime));
   }
@@ -190,12 +191,25 @@
   });
 }
 
+void
+GrantManager::onNotSent(const KeyGrant& aGrant, Millis aNow)
+{
+  forEachRun(aGrant.mKeys, [](Run& aRun) {
+    if (aRun.mInFlight) {
+      aRun.mMayBeHeldUntil = aRun.mMayBeHeldBefore;
+    }
+  });
+  onRefused(aGrant, aNow);
+}
+
 void
 GrantManager::onUnanswered(const KeyGrant& aGrant, Millis aNow)
 {
   forEachRun(aGrant.mKeys, [&](Run& aRun) {
     aRun.mInFlight = false;
     aRun.mUnconfirmedUntil = aNow + longestHold(aGrant.mHoldTime);
+    aRun.mMayBeHeldUntil =
+      std::max(aRun.mMayBeHeldUntil, aRun.mUnconfirmedUntil);
     aRun.mNextGrantAt = aNow + kRetryDelay;
   });
 }
@@ -299,11 +313,26 @@
 
 void
 GrantManager::clearHolds()
+{
+  onRestarted();
+  for (Run& run : mRuns) {
+    run.mMayBeHeldBefore = {};
+    // A grant in flight may reach the next process.
+    if (!run.mInFlight) {
+      run.mMayBeHeldUntil = {};
+      run.mUnconfirmedUntil = {};
+    }
+  }
+}
+
+void
+GrantManager::onRestarted()
 {
   for (Run& run : mRuns) {
-    const Epoch desired = run.mDesiredEpoch;
-    run = Run{};
-    run.mDesiredEpoch = desired;
+    run.mGrantedEpoch = 0;
+    run.mHeldUntil = {};
+    run.mHeldFrom = {};
+    run.mNextGrantAt = {};
   }
 }
 
--- a/src/upstream/gate_health.cpp
+++ b/src/upstream/gate_health.cpp
@@ -92,8 +92,8 @@
     return;
   }
   if (aOutcome == ExchangeOutcome::ConnectionRefused) {
-    onProcessEnded(LostCause::ConnectionRefused);
-    if (mProbeStartedAt >= mLostAt + kEndConfirmTime) {
+    onProcessEnded(LostCause::ConnectionRefused, mProbeStartedAt);
+    if (mHealth.lost() && mProbeStartedAt >= mLostAt + kEndConfirmTime) {
       confirmEnd();
     }
     return;
@@ -126,7 +126,7 @@
     case HealthChange::Restarted:
       mMetrics.count("radishroad_gate_upstream_restarts_total");
       reportCrash();
-      clearHolds("restarted");
+      mGrants.onRestarted();
       clearAbandoned();
       if (!mOptions.mProtocol.mPushesReports) {
         onNewUpstreamProcess();
@@ -140,9 +140,11 @@
 }
 
 void
-Gate::Impl::onProcessEnded(LostCause aCause, std::string_view aInstance)
+Gate::Impl::onProcessEnded(LostCause aCause,
+                           Millis aStartedAt,
+                           std::string_view aInstance)
 {
-  const HealthChange change = mHealth.onRefused();
+  const HealthChange change = mHealth.onRefused(aStartedAt, mHooks.mNow());
   if (change == HealthChange::Lost) {
     mLostAt = mHooks.mNow();
     mNextEndProbe = mLostAt + kEndConfirmTime;
@@ -156,9 +158,6 @@
                { "response_instance", aInstance } });
   }
   onHealthChange(change);
-  if (aCause == LostCause::OtherInstance) {
-    confirmEnd();
-  }
 }
 
 void
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -46,6 +46,7 @@
   {
     QueuedRequest mQueued;
     ExchangeRunner::ExchangeId mExchange = 0;
+    Millis mStartedAt;
     Epoch mEpoch = 0;
     /// The lease is checked again at this time.
     Millis mServeUntil;
@@ -99,6 +100,8 @@
     std::string mBody;
     /// In which mKeyRun is counted.
     KeyLayout mLayout{};
+    /// It is not sent from then on.
+    Millis mValidUntil = Millis::max();
   };
   /// The release of a shard by the upstream.
   struct Release
@@ -275,6 +278,7 @@
   void onGrantEnd(std::uint64_t aOperationId,
                   ExchangeOutcome aOutcome,
                   int aStatus);
+  void onGrantNotSent(const KeyOperation& aOperation, Millis aNow);
   /// The upstream holds the request's key, or keys are not granted to it.
   bool holdsKey(const ForwardRequest& aRequest, Epoch aEpoch) const;
   /// Starts or continues the release of a shard; true once none of its keys is
@@ -316,9 +320,11 @@
     ConnectionRefused,
     OtherInstance,
   };
-  /// The upstream's process seems to have ended. aInstance: instance that
-  /// responds now.
-  void onProcessEnded(LostCause aCause, std::string_view aInstance = {});
+  /// An exchange that was started at aStartedAt indicates that the upstream's
+  /// process has ended. aInstance: instance that responds now.
+  void onProcessEnded(LostCause aCause,
+                      Millis aStartedAt,
+                      std::string_view aInstance = {});
   /// Asks for the probe that tells a process that has ended from one that only
   /// takes no connections for a moment.
   void requestEndProbe(Millis aNow);
--- a/tests/unit/platform_gate_test.cpp
+++ b/tests/unit/platform_gate_test.cpp
@@ -67,10 +67,15 @@
       return decision;
     };
     hooks.mOnHealth = [this](bool aUp) { mUp = aUp; };
-    hooks.mGrantableShards = [this] {
+    hooks.mGrantableShards = [this]() -> std::optional<GrantableShards> {
       const KeyLayout layout(mRunKeys);
       ++mLayoutReads;
-      return GrantableShards{ layout, { { kOwnShard, kEpoch } } };
+      if (!mMayGrant) {
+        return std::nullopt;
+      }
+      return GrantableShards{ layout,
+                              { { kOwnShard, kEpoch } },
+                              monotonicNow() + Millis{ mGrantableMs } };
     };
     hooks.mEpochOf = [](Shard) { return kEpoch; };
     hooks.mOnReleased = [this](Shard, const std::vector<std::string>& aTokens) {
@@ -93,6 +98,12 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
       }
     }
+    if (aRequest.mTarget == "/api/grant") {
+      ++mGrantsRead;
+      while (mHoldsGrants) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      }
+    }
     const std::lock_guard<std::mutex> lock(mMutex);
     if (aRequest.mTarget == "/api/grant") {
       const nlohmann::json body = nlohmann::json::parse(aRequest.mBody);
@@ -224,6 +235,10 @@
   std::atomic<int> mLayoutReads{ 0 };
   std::atomic<bool> mHoldsReleases{ false };
   std::atomic<int> mReleasesRead{ 0 };
+  std::atomic<bool> mMayGrant{ true };
+  std::atomic<std::int64_t> mGrantableMs{ 60000 };
+  std::atomic<bool> mHoldsGrants{ false };
+  std::atomic<int> mGrantsRead{ 0 };
   const Millis mDrainPeriod;
   std::atomic<int> mArrivals{ 0 };
   std::atomic<bool> mUp{ false };
@@ -392,6 +407,48 @@
     (released.wait_for(std::chrono::seconds(10)) == std::future_status::ready));
 }
 
+// OWNER: after the report of a restart, a shard counted as released while a
+// grant of it was under way, which the new process may carry out later.
+BOOST_AUTO_TEST_CASE(a_restart_frees_no_shard_whose_grant_is_under_way)
+{
+  PlatformGate gate;
+  gate.mRunKeys = kDefaultRunKeys * 8;
+  gate.mHoldsGrants = true;
+  gate.report(UpstreamReport::Kind::Ready, 1);
+  const Millis end = monotonicNow() + 5_s;
+  while (gate.mGrantsRead == 0 && monotonicNow() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  BOOST_TEST(gate.mGrantsRead > 0);
+  // The time for which keys may be held since the gate's start passes.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  // The epochs that are known belong to the earlier process.
+  gate.mMayGrant = false;
+  gate.report(UpstreamReport::Kind::Ready, 1, 2000_ms);
+  std::promise<void> done;
+  const Shard shard = kOwnShard;
+  gate.mGate.pauseShards({ &shard, 1 }, [&done] { done.set_value(); });
+  std::future<void> released = done.get_future();
+  BOOST_TEST((released.wait_for(std::chrono::milliseconds(600)) ==
+              std::future_status::timeout));
+  gate.mHoldsGrants = false;
+  BOOST_TEST(
+    (released.wait_for(std::chrono::seconds(10)) == std::future_status::ready));
+}
+
+// OWNER: a renewal left after the lease had lapsed, since the gate's thread had
+// been suspended between the check of the lease and the send.
+BOOST_AUTO_TEST_CASE(no_grant_is_sent_after_the_lease)
+{
+  PlatformGate gate;
+  gate.mGrantableMs = 0;
+  gate.report(UpstreamReport::Kind::Ready, 1);
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  BOOST_TEST(gate.mGrantsRead == 0);
+  gate.mGrantableMs = 60000;
+  BOOST_TEST((gate.run("first").kind == AnswerKind::Answered));
+}
+
 // LOST: the process ended (std::out_of_range) for a response to a release that
 // was sent before the cell's state came back with another layout of keys.
 BOOST_AUTO_TEST_CASE(a_release_of_an_earlier_layout_is_ignored)
