--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -178,7 +178,10 @@
     aAnswer(complete(makeTextAnswer(503, kJson, "{}")));
     return;
   }
-  if (mFault == Fault::Slow) {
+  const bool isSlow = mFault == Fault::Slow ||
+                      (!mSlowTopic.empty() &&
+                       queryParameter(aRequest.mTarget, "Topic") == mSlowTopic);
+  if (isSlow) {
     mHeldPolls.push_back(
       { aRequest, aAnswer, monotonicNow() + kSlowAnswer, true });
     return;
@@ -193,6 +196,13 @@
   aAnswer(complete(answerCall(aRequest)));
 }
 
+void
+FakeStore::setSlowTopic(const std::string& aTopic)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mSlowTopic = aTopic;
+}
+
 void
 FakeStore::setAppendFilter(AppendFilterFn aFilter)
 {
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -62,6 +62,8 @@
 
   std::string address() const;
   void setFault(Fault aFault) { mFault = aFault; }
+  /// Answers each call for a topic after kSlowAnswer; none if empty.
+  void setSlowTopic(const std::string& aTopic);
   /// Decides on each append that nothing else rejects; nullptr takes all.
   void setAppendFilter(AppendFilterFn aFilter);
   /// Carries out the appends that were kept, as far as the log still ends where
@@ -150,6 +152,7 @@
   bool mAreLongPollsSilent = false;
   /// Never answered.
   std::vector<HeldPoll> mSilentPolls;
+  std::string mSlowTopic;
   AppendFilterFn mAppendFilter;
   /// Never answered; mIsDelayed until they were carried out.
   std::vector<HeldPoll> mKeptAppends;
