--- a/tests/process/support/hold_journal.cpp
+++ b/tests/process/support/hold_journal.cpp
@@ -96,9 +96,9 @@
   });
 }
 
-template<typename Visit>
 std::vector<HoldJournal::Pair>
-HoldJournal::findPairs(Visit aIsPair) const
+HoldJournal::findPairs(
+  const std::function<bool(const Hold&, const Hold&)>& aIsPair) const
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   std::vector<Pair> found;
--- a/tests/process/support/hold_journal.h
+++ b/tests/process/support/hold_journal.h
@@ -4,6 +4,7 @@
 #include "radishroad/base/millis.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -58,9 +59,10 @@
   void check(Millis aStart) const;
 
 private:
-  /// Calls aVisit with all holds of a run, by the time of their begin.
-  template<typename Visit>
-  std::vector<Pair> findPairs(Visit aIsPair) const;
+  /// Pairs of holds of a run by different upstreams, the earlier one first, for
+  /// which aIsPair returns true.
+  std::vector<Pair> findPairs(
+    const std::function<bool(const Hold&, const Hold&)>& aIsPair) const;
 
   mutable std::mutex mMutex;
   /// By run.
--- a/tests/unit/platform_gate_test.cpp
+++ b/tests/unit/platform_gate_test.cpp
@@ -250,6 +250,16 @@
   Gate mGate;
 };
 
+bool
+waitUntil(const std::function<bool()>& aIsSo)
+{
+  const Millis end = monotonicNow() + 10_s;
+  while (!aIsSo() && monotonicNow() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  return aIsSo();
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(platform_gate)
@@ -337,13 +347,6 @@
   gate.mSlots = 16;
   gate.report(UpstreamReport::Kind::Ready, 1);
   const std::size_t runs = KeyLayout().runsPerShard();
-  const auto waitUntil = [](const std::function<bool()>& aIsSo) {
-    const Millis end = monotonicNow() + 10_s;
-    while (!aIsSo() && monotonicNow() < end) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(1));
-    }
-    return aIsSo();
-  };
   BOOST_REQUIRE(waitUntil([&] { return gate.held() == runs; }));
   gate.mUpstream.refuseConnections();
   // More requests than there are pooled connections.
@@ -369,13 +372,6 @@
   PlatformGate gate;
   gate.report(UpstreamReport::Kind::Ready, 1);
   const std::size_t runs = KeyLayout().runsPerShard();
-  const auto waitUntil = [](const std::function<bool()>& aIsSo) {
-    const Millis end = monotonicNow() + 10_s;
-    while (!aIsSo() && monotonicNow() < end) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(1));
-    }
-    return aIsSo();
-  };
   BOOST_REQUIRE(waitUntil([&] { return gate.held() == runs; }));
   gate.setInstance("i-2");
   BOOST_REQUIRE(waitUntil([&] { return !gate.mUp; }));
