Substitute unknown values of routes and services; interfaces of the new parts

Cause: one route of the kind download made the whole configuration unreadable, and every request of the deployment was answered 503. Change: an unknown value of a route or a service is replaced by a safe substitute (an unknown kind is not repeated), logged, counted in radishroad_config_substitutions and shown in the daemon's state. A request that matches no route is refused with 503, not 404, while a route cannot be read. What makes the whole unsafe (version, tenants, rows) still refuses it. Settings, frames and model fields of the following parts are added, unused.

--- a/include/radishroad/config/model.h
+++ b/include/radishroad/config/model.h
@@ -58,6 +58,12 @@
   /// Grants are sent in the answers to upstreams' reports, not by separate
   /// calls.
   bool mGrantsByReport = false;
+  /// The gate limits concurrency to what the upstream is found to run well
+  /// (policy/adaptive_concurrency.h).
+  bool mAdaptiveConcurrency = false;
+  /// The gate shares scarce slots among kinds of requests
+  /// (policy/room_allocator.h).
+  bool mSharesRoom = false;
 };
 
 enum class KeySource
@@ -92,6 +98,8 @@
   /// Name of the query parameter or header that contains the key.
   std::string mKeyName;
   bool mIdempotent = false;
+  /// Its responses are usually large, so that links limit how many can be sent.
+  bool mLargeResponse = false;
   /// Callers need no caller key.
   bool mIsPublic = false;
   /// Services that share the requests by weight; if empty, mService receives
@@ -125,6 +133,12 @@
   std::vector<Route> mRoutes;
   /// Workspace name by key hash.
   std::map<std::string, std::string> mWorkspaceOfKey;
+  /// Values that this version does not know, with their location and the
+  /// substitute in use.
+  std::vector<std::string> mSubstitutions;
+  /// Some routes could not be read, so a request that matches no route may be
+  /// meant for one of them.
+  bool mHasUnreadableRoutes = false;
 };
 
 }
--- a/include/radishroad/daemon/settings.h
+++ b/include/radishroad/daemon/settings.h
@@ -6,6 +6,7 @@
 #include "radishroad/base/json_log.h"
 #include "radishroad/base/millis.h"
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -43,6 +44,13 @@
   std::string mConfigTimeMs = "2000";
   std::string mMemoryMb = "160";
   std::string mBodyMemoryPercent = "35";
+  /// Bandwidth of the VM's link in Mbit/s; empty or 0 if unknown.
+  std::string mLinkMbps;
+  /// Limits of version roll-outs; see docs/operators.md. Roll-outs are off if
+  /// mRolloutShare is empty.
+  std::string mRolloutShare;
+  std::string mRolloutSlack;
+  std::string mRollbackTimeMs;
 
   LogLevel logLevel() const;
   unsigned callerThreads() const;
@@ -62,6 +70,17 @@
   Millis configTime() const;
   /// Limit of the bodies of all requests and responses held at a time.
   std::size_t bodyMemoryBytes() const;
+  /// Bandwidth of the VM's link; 0 if unknown.
+  double linkBytesPerSecond() const;
+  bool hasRollouts() const { return !mRolloutShare.empty(); }
+  /// Share of a service's requests that a version under roll-out may get, from
+  /// 0 to 1.
+  double rolloutShare() const;
+  /// Requests that it may get beyond its share.
+  std::uint32_t rolloutSlack() const;
+  /// Time from a version's 50th bad response until it must get no more
+  /// requests.
+  Millis rollbackTime() const;
 };
 
 /// Parsed command line.
--- a/src/daemon/daemon_impl.h
+++ b/src/daemon/daemon_impl.h
@@ -72,6 +72,7 @@
   bool drained();
   bool ready() const;
   nlohmann::json describe();
+  nlohmann::json unknownConfigValues() const;
 
   const DaemonSettings mSettings;
   const DaemonHooks mHooks;
@@ -239,6 +240,7 @@
     Peer,
   };
   void onOperatorEntries(const OperatorEntries& aEntries, EntrySource aSource);
+  void logSubstitutions(const config::VersionedModel& aModel);
   void setZoneState(const OperatorChange::ZoneState& aZone,
                     std::uint64_t aPosition,
                     EntrySource aSource,
--- a/src/daemon/daemon_impl_describe.cpp
+++ b/src/daemon/daemon_impl_describe.cpp
@@ -43,6 +43,14 @@
 
 }
 
+nlohmann::json
+Daemon::Impl::unknownConfigValues() const
+{
+  const config::Model* model = mFleet.model();
+  return model == nullptr ? nlohmann::json::array()
+                          : nlohmann::json(model->mSubstitutions);
+}
+
 nlohmann::json
 Daemon::Impl::describe()
 {
@@ -62,6 +70,7 @@
         { "service", mSettings.mService },
         { "incarnation", std::to_string(mSelf) },
         { "config_version", mViews.get()->mConfigVersion },
+        { "config_unknown_values", unknownConfigValues() },
         { "config_stream_next", mFleet.config().mNextOffset },
         { "cells", cells },
         { "joined", mMembership.joined() },
--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -612,6 +612,7 @@
     if (config::VersionedModel* model =
           std::get_if<config::VersionedModel>(&change->mChange)) {
       const std::uint64_t version = model->mVersion;
+      logSubstitutions(*model);
       if (mOperatorState.apply(std::move(*model)) ==
           config::OperatorState::ApplyResult::Outdated) {
         logEvent(LogLevel::Info,
@@ -667,6 +668,19 @@
   publishConfigAsOf();
 }
 
+void
+Daemon::Impl::logSubstitutions(const config::VersionedModel& aModel)
+{
+  const std::vector<std::string>& substitutions = aModel.mModel.mSubstitutions;
+  mMetrics.gauge("radishroad_config_substitutions",
+                 static_cast<double>(substitutions.size()));
+  for (const std::string& each : substitutions) {
+    logEvent(LogLevel::Warn,
+             "config_value_unknown",
+             { { "version", aModel.mVersion }, { "problem", each } });
+  }
+}
+
 void
 Daemon::Impl::setZoneState(const OperatorChange::ZoneState& aZone,
                            std::uint64_t aPosition,
--- a/src/daemon/ingress_platform.cpp
+++ b/src/daemon/ingress_platform.cpp
@@ -78,7 +78,9 @@
   const config::Route* route =
     config::matchPrefix(model, callerHeaders.mHost, aRequest.mTarget);
   if (route == nullptr) {
-    return NotRunReason::NoRoute;
+    // It may be meant for a route that this version cannot read.
+    return model.mHasUnreadableRoutes ? NotRunReason::NoOwner
+                                      : NotRunReason::NoRoute;
   }
   const NotRunReason reason =
     authenticate(callerHeaders, aView, route->mIsPublic, aPending);
@@ -89,7 +91,7 @@
     config::pickService(*route, hash64(callerHeaders.mRequestId));
   const auto service = model.mServices.find(request.service);
   if (service == model.mServices.end()) {
-    return NotRunReason::NoRoute;
+    return NotRunReason::NoOwner;
   }
   aPending.mUnkeyed = !service->second.mKeyed;
   request.shard = kShardCount;
@@ -108,6 +110,7 @@
   // Only workspaces with a rate limit need tokens.
   aPending.mRateExempt = !isKnown || workspace->second.mRatePerSecond <= 0;
   request.idempotent = route->mIdempotent;
+  request.large_response = route->mLargeResponse;
   request.kind = static_cast<std::uint32_t>(hash64(route->mName));
   request.attempts_left = route->mMaxAttempts;
   request.caller_service = mHooks.mOwnService;
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -24,6 +24,9 @@
   Duration,
   Memory,
   Percent,
+  OptionalNumber,
+  OptionalFraction,
+  OptionalDuration,
 };
 
 /// A setting with its flag, environment variable, target member and syntax.
@@ -36,7 +39,7 @@
   const char* mHelp;
 };
 
-constexpr std::array<Setting, 21> kSettings{ {
+constexpr std::array<Setting, 25> kSettings{ {
   { "vm", "RADISHROAD_VM", &DaemonSettings::mVm, Kind::Name, "name of the VM" },
   { "zone",
     "RADISHROAD_ZONE",
@@ -138,6 +141,26 @@
     &DaemonSettings::mBodyMemoryPercent,
     Kind::Percent,
     "part of it for the bodies of requests and responses (35)" },
+  { "link-mbps",
+    "RADISHROAD_LINK_MBPS",
+    &DaemonSettings::mLinkMbps,
+    Kind::OptionalNumber,
+    "bandwidth of the VM's link in Mbit/s; limits large responses (unknown)" },
+  { "rollout-share",
+    "RADISHROAD_ROLLOUT_SHARE",
+    &DaemonSettings::mRolloutShare,
+    Kind::OptionalFraction,
+    "share of requests for a version in roll-out, 0 to 1 (no roll-outs)" },
+  { "rollout-slack",
+    "RADISHROAD_ROLLOUT_SLACK",
+    &DaemonSettings::mRolloutSlack,
+    Kind::OptionalNumber,
+    "requests that it may get beyond its share (0)" },
+  { "rollback-ms",
+    "RADISHROAD_ROLLBACK_MS",
+    &DaemonSettings::mRollbackTimeMs,
+    Kind::OptionalDuration,
+    "time after which a version rolled back gets no more requests (5000)" },
 } };
 
 constexpr std::size_t kMaxNameLength = 64;
@@ -146,6 +169,10 @@
 constexpr unsigned kMinMemoryMb = 64;
 constexpr unsigned kMaxMemoryMb = 1U << 20;
 constexpr unsigned kMaxBodyPercent = 50;
+constexpr double kMaxNumber = 1000000;
+constexpr double kBitsPerByte = 8;
+constexpr double kBitsPerMegabit = 1e6;
+constexpr Millis kDefaultRollbackTime{ 5000 };
 
 bool
 isName(const std::string& aText)
@@ -187,6 +214,19 @@
   return n >= 1 && n <= kMaxDurationMs;
 }
 
+/// A decimal number from 0 to aMax; nullopt otherwise.
+std::optional<double>
+toDecimal(const std::string& aText, double aMax)
+{
+  double value = 0;
+  const char* end = aText.data() + aText.size();
+  const std::from_chars_result result =
+    std::from_chars(aText.data(), end, value);
+  const bool ok = result.ec == std::errc() && result.ptr == end && value >= 0 &&
+                  value <= aMax;
+  return ok ? std::optional<double>(value) : std::nullopt;
+}
+
 bool
 isWithin(const std::string& aText, unsigned aMin, unsigned aMax)
 {
@@ -218,6 +258,16 @@
       return isWithin(aText, kMinMemoryMb, kMaxMemoryMb)
                ? ""
                : "megabytes from 64 to 1048576";
+    case Kind::OptionalNumber:
+      return aText.empty() || toDecimal(aText, kMaxNumber)
+               ? ""
+               : "a number from 0 to 1000000";
+    case Kind::OptionalFraction:
+      return aText.empty() || toDecimal(aText, 1) ? "" : "a number from 0 to 1";
+    case Kind::OptionalDuration:
+      return aText.empty() || isDuration(aText)
+               ? ""
+               : "milliseconds from 1 to 600000";
     case Kind::Percent:
       return isWithin(aText, 1, kMaxBodyPercent) ? ""
                                                  : "a percentage from 1 to 50";
@@ -370,6 +420,33 @@
          100;
 }
 
+double
+DaemonSettings::linkBytesPerSecond() const
+{
+  return toDecimal(mLinkMbps, kMaxNumber).value_or(0) * kBitsPerMegabit /
+         kBitsPerByte;
+}
+
+double
+DaemonSettings::rolloutShare() const
+{
+  return toDecimal(mRolloutShare, 1).value_or(0);
+}
+
+std::uint32_t
+DaemonSettings::rolloutSlack() const
+{
+  return static_cast<std::uint32_t>(
+    toDecimal(mRolloutSlack, kMaxNumber).value_or(0));
+}
+
+Millis
+DaemonSettings::rollbackTime() const
+{
+  return mRollbackTimeMs.empty() ? kDefaultRollbackTime
+                                 : Millis{ toUnsigned(mRollbackTimeMs) };
+}
+
 bool
 isSocketAddress(const std::string& aText)
 {
