End a stopped process without the logging library's teardown

Cause: the destructor of log4cplus' initializer waits for the threads of its thread pool. Where that wait does not return, a daemon that had written its last line stayed until it was killed at the end of the grace time. The join of the log's writer, which was suspected, does return: marks before and after it were both seen, those after the destructor were not, and shutting the pool down at the start of a process blocks there too. Change: the queued lines are written and flushed, then the process ends by quick_exit. The test runs the daemon in a process whose static object is never destroyed.

--- a/include/radishroad/base/json_log.h
+++ b/include/radishroad/base/json_log.h
@@ -32,6 +32,13 @@
 void
 stopLog();
 
+/// Calls stopLog() and ends the process with the status, without running the
+/// destructors of static objects. That of log4cplus waits for the threads of
+/// its thread pool, which may never return; stopped daemons were killed at the
+/// end of their grace time.
+[[noreturn]] void
+endProcess(int aStatus);
+
 /// Logs one event. aFields is a JSON object; it must never contain a caller's
 /// key.
 void
--- a/src/base/json_log.cpp
+++ b/src/base/json_log.cpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <boost/circular_buffer.hpp>
+#include <cstdlib>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -79,7 +80,7 @@
 };
 
 /// A raw pointer, not destroyed at exit: if the last lines cannot be written,
-/// the writer thread keeps using the object after main() returns.
+/// the writer thread keeps using the object until the process ends.
 std::atomic<LogOutput*>&
 output()
 {
@@ -220,14 +221,22 @@
   }
   out->mClosed = true;
   out->mQueue.close();
+  // The lines that were queued have been written once mDone is released, and
+  // each is flushed. The output is not destroyed: see endProcess().
   if (out->mDone.try_acquire_for(kFlushTimeout)) {
     out->mWriter.join();
-    delete out;
   } else {
     out->mWriter.detach();
   }
 }
 
+void
+endProcess(int aStatus)
+{
+  stopLog();
+  std::quick_exit(aStatus);
+}
+
 void
 logEvent(LogLevel aLevel,
          std::string_view aEvent,
--- a/src/daemon/program.cpp
+++ b/src/daemon/program.cpp
@@ -152,9 +152,7 @@
   mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes);
   curl_global_init(CURL_GLOBAL_ALL);
   installSignalHandlers();
-  const int status = runDaemon(settings, aHooks);
-  stopLog();
-  return status;
+  endProcess(runDaemon(settings, aHooks));
 }
 
 }
--- a/tests/process/drain_test.cpp
+++ b/tests/process/drain_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <fstream>
 #include <functional>
 #include <iterator>
 #include <map>
@@ -253,6 +254,22 @@
   stopWholeFleet("sigterm_all", false);
 }
 
+// A library whose static objects were never destroyed kept stopped processes
+// until they were killed. Their last lines must be written all the same.
+BOOST_AUTO_TEST_CASE(sigterm_ends_a_process_whose_library_is_not_torn_down)
+{
+  Scenario::Options options("sigterm_teardown", 55);
+  options.mDaemonProgram = "naive_teardown";
+  Scenario scenario(options);
+  Fleet& fleet = scenario.fleet();
+  const std::vector<std::string> vms = fleet.vmsOf("library");
+  fleet.signal(vms.front(), Role::Daemon, SIGTERM);
+  expectExit(fleet, { vms.front() });
+  std::ifstream file(fleet.folder() / (vms.front() + ".daemon.1.out"));
+  const std::string output(std::istreambuf_iterator<char>(file), {});
+  BOOST_TEST(output.find("\"event\":\"stop\"") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(sigterm_to_the_whole_fleet_without_a_log_exits_in_time)
 {
   stopWholeFleet("sigterm_all_no_log", true);
