--- a/tests/process/spoilt_answer_test.cpp
+++ b/tests/process/spoilt_answer_test.cpp
@@ -98,6 +98,19 @@
            } };
 }
 
+/// Sends the answer with another status line. aHasFinal: the answer itself
+/// follows.
+Fault
+oddStatus(const std::string& aLine, bool aHasFinal = false)
+{
+  return { aLine, [=](const UpstreamAnswer& aAnswer, std::mt19937_64&) {
+            const std::string bytes = frame(aAnswer, Framing::Length);
+            const std::size_t end = bytes.find("\r\n");
+            return aHasFinal ? Reply{ aLine + "\r\n\r\n" + bytes }
+                             : Reply{ aLine + bytes.substr(end) };
+          } };
+}
+
 Fault
 none(Framing aFraming)
 {
@@ -131,6 +144,18 @@
     return n;
   }
 
+  int countOf(const std::string& aFault, const std::string& aResult) const
+  {
+    int n = 0;
+    const auto results = mCounts.find(aFault);
+    if (results != mCounts.end()) {
+      for (const auto& [result, count] : results->second) {
+        n += result.ends_with(": " + aResult) ? count : 0;
+      }
+    }
+    return n;
+  }
+
   std::string text() const
   {
     std::ostringstream text;
@@ -155,6 +180,8 @@
 constexpr const char* kShortByEnd = "short, by the end";
 constexpr const char* kForeign = "another's";
 constexpr const char* kFailure = "failure";
+/// A status that no final answer has, or a status line of another form.
+constexpr const char* kOddStatus = "odd status";
 constexpr const char* kNoAnswer = "none";
 
 const char*
@@ -163,6 +190,13 @@
   if (!aAnswer) {
     return kNoAnswer;
   }
+  constexpr std::string_view kVersion = "HTTP/1.1 ";
+  const std::string status =
+    std::to_string(aAnswer->mStatus).insert(0, kVersion) + " ";
+  if (aAnswer->mStatus < 200 || aAnswer->mStatus > 599 ||
+      !aAnswer->mHead.starts_with(status)) {
+    return kOddStatus;
+  }
   if (aAnswer->mStatus != 200) {
     return kFailure;
   }
@@ -332,6 +366,42 @@
   BOOST_TEST(counts.count(kForeign) == 0);
 }
 
+// Callers of another system got an answer with status 000.
+BOOST_AUTO_TEST_CASE(answer_with_an_odd_status_reaches_nobody)
+{
+  std::vector<Fault> faults;
+  for (const char* status : { "000",
+                              "099",
+                              "1000",
+                              "",
+                              "+200",
+                              "-200",
+                              "20",
+                              "2 0",
+                              "600",
+                              "999",
+                              "101",
+                              "199" }) {
+    faults.push_back(oddStatus("HTTP/1.1 " + std::string(status) + " OK"));
+  }
+  faults.push_back(oddStatus("HTTP/1.1 200000 OK"));
+  faults.push_back(oddStatus("HTTP/1.1"));
+  faults.push_back(oddStatus("HTTP/1.1 101 Switching Protocols", true));
+  const std::size_t odd = faults.size();
+  faults.push_back(oddStatus("HTTP/1.1 199 Odd", true));
+  const int whole = addWholeAnswers(faults);
+  Counts counts;
+  runFaults("odd-status", faults, counts);
+  BOOST_TEST(counts.count(kWhole) > whole / 2);
+  BOOST_TEST(counts.count(kOddStatus) == 0);
+  BOOST_TEST(counts.count(kWrongByLength) == 0);
+  BOOST_TEST(counts.count(kShortByEnd) == 0);
+  BOOST_TEST(counts.count(kForeign) == 0);
+  for (std::size_t n = 0; n < odd; ++n) {
+    BOOST_TEST(counts.countOf(faults[n].mName, kWhole) == 0, faults[n].mName);
+  }
+}
+
 // The kernel ends the connections of a killed process in order.
 BOOST_AUTO_TEST_CASE(body_without_a_length_from_a_killed_daemon_is_not_whole)
 {
--- a/tests/unit/caller_server_test.cpp
+++ b/tests/unit/caller_server_test.cpp
@@ -543,6 +543,21 @@
   BOOST_TEST(response->field("Content-Length").empty());
 }
 
+// A peer may pass on any number; a caller of another system got a status 000.
+BOOST_AUTO_TEST_CASE(a_status_that_no_final_answer_has_is_not_passed_on)
+{
+  Fixture fixture;
+  for (const std::uint16_t status : { 0, 99, 100, 101, 199, 600, 999, 1000 }) {
+    RawClient client(fixture.port());
+    client.send(get("/a"));
+    fixture.take().mAnswer(answerWith("body", status));
+    const std::optional<RawResponse> response = client.receive();
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response->mHead.starts_with("HTTP/1.1 502 "), response->mHead);
+    BOOST_TEST(response->field("X-Radishroad-Outcome") == "unknown");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(refusals_say_whether_the_request_ran)
 {
   Fixture fixture;
