Limit large responses to what the VM's link carries

Cause: the gate starts requests of download routes as fast as the upstream has slots, so that their responses fill a narrow link. GateLoad.large_wait_ms tells peers when one more would be through, and UpstreamSelector counts it for large requests.

--- a/include/radishroad/policy/queue_plan.h
+++ b/include/radishroad/policy/queue_plan.h
@@ -41,6 +41,9 @@
   double mColdPerSecond = 0;
   /// Requests a second that it names as its limit; 0 for no limit.
   double mLimitPerSecond = 0;
+  /// Time until one more large response would be through the VM's link; 0 if
+  /// that is not known.
+  Millis mLargeWait;
 };
 
 /// Returns the requests a second that an upstream accepts although it has free
--- a/include/radishroad/policy/upstream_selector.h
+++ b/include/radishroad/policy/upstream_selector.h
@@ -48,11 +48,13 @@
   /// avoided for a short time.
   void onEnded(Incarnation aMember, bool aFailed, Millis aNow);
   /// Returns the sampled candidate with the earliest expected completion, or
-  /// nothing if there are no candidates. aRandom drives the sampling and breaks
+  /// nothing if there are no candidates. aLargeResponse: counts what the
+  /// member's link has to carry first. aRandom drives the sampling and breaks
   /// ties, so that daemons do not all select the same upstream.
   std::optional<Incarnation> choose(std::span<const Candidate> aCandidates,
                                     std::uint64_t aRandom,
-                                    Millis aNow) const;
+                                    Millis aNow,
+                                    bool aLargeResponse = false) const;
   /// Drops the state of all members that are not among aCandidates.
   void keepOnly(std::span<const Candidate> aCandidates);
 
@@ -67,7 +69,15 @@
     std::uint32_t mSentAtReport = 0;
     Millis mBackoffUntil;
   };
-  double expectedMs(const MemberState& aMember, Millis aNow) const;
+  double expectedMs(const MemberState& aMember,
+                    Millis aNow,
+                    bool aLargeResponse) const;
+  /// Time until a large response would be through the member's link; 0 if the
+  /// member has not reported one.
+  static double linkTime(const MemberState& aMember,
+                         double aFreshness,
+                         double aSentSinceReport,
+                         double aRunMs);
   /// Requests a millisecond that the member can run; a default if it has sent
   /// no statistics.
   static double capacityOf(const MemberState& aMember);
--- a/include/radishroad/upstream/gate.h
+++ b/include/radishroad/upstream/gate.h
@@ -64,10 +64,21 @@
     /// Time from an upstream's draining notice until it is sent no more
     /// requests, whichever keys it still owns.
     Millis mDrainPeriod{ 1500 };
+    /// Rate of the VM's link, which limits large responses; 0 if unknown. Used
+    /// with upstreams that push reports.
+    double mLinkBytesPerSecond = 0;
     /// Baseline for benchmarks: no concurrency window and no pacing.
     bool mLimitsDisabled = false;
   };
 
+  /// Bytes of answers to peers since the start.
+  struct LinkTotals
+  {
+    /// Without those that were dropped.
+    std::uint64_t mQueued = 0;
+    std::uint64_t mWritten = 0;
+  };
+
   struct Hooks
   {
     /// Whether this daemon may serve the request's key now. Called on the
@@ -98,6 +109,9 @@
     std::function<
       void(const QueuedRequest&, const Answer&, const UpstreamStats&)>
       mOnAnswer;
+    /// Totals of the local queues to the network. May be empty. Called on the
+    /// gate's thread.
+    std::function<LinkTotals()> mLinkTotals;
     ClockFn mNow;
   };
 
@@ -112,6 +126,9 @@
   /// Thread-safe. A full queue refuses the request immediately.
   void submit(ForwardRequest aRequest, AnswerFn aAnswer);
   void cancel(RandomId aId);
+  /// Counts a response that leaves through the VM's link without having passed
+  /// this gate. Thread-safe.
+  void addLinkBytes(std::size_t aBytes);
   /// Whether no request is queued or running. Thread-safe.
   bool isIdle() const;
   /// Stops dispatching requests of these shards and calls aDone on the gate's
--- a/include/radishroad/upstream/queued_request.h
+++ b/include/radishroad/upstream/queued_request.h
@@ -43,6 +43,9 @@
   NotRunReason mAbandonReason = NotRunReason::None;
   /// The upstream has responded to an earlier attempt with the same id.
   bool mRepeatsId = false;
+  /// Time until its large response would have been through when it was refused
+  /// because of the link; otherwise 0.
+  Millis mLinkThrough;
 };
 
 }
--- a/src/daemon/daemon_impl.cpp
+++ b/src/daemon/daemon_impl.cpp
@@ -59,14 +59,17 @@
       Gate::Options{ .mUpstream = mSettings.mUpstreamAddress,
                      .mBodyMemory = mBodyMemory,
                      .mProtocol = mProtocol.mUpstream,
-                     .mDrainPeriod = drainPeriod(mSettings) },
+                     .mDrainPeriod = drainPeriod(mSettings),
+                     .mLinkBytesPerSecond = mSettings.linkBytesPerSecond() },
       gateHooks(),
       mMetrics))
   , mPeerTransport(std::make_unique<PeerTransport>(
       PeerTransport::Options{ .mListenAddress = mSettings.mPeerAddress,
                               .mIncarnation = mSelf,
                               .mVm = mSettings.mVm,
-                              .mBodyMemory = mBodyMemory },
+                              .mBodyMemory = mBodyMemory,
+                              .mSmallFirst =
+                                mSettings.linkBytesPerSecond() > 0 },
       peerTransportHooks()))
   , mContext{ mSelf,
               mSettings,
--- a/src/daemon/daemon_impl_hooks.cpp
+++ b/src/daemon/daemon_impl_hooks.cpp
@@ -244,6 +244,13 @@
   hooks.mSendToPeer = [this](const std::string& aAddress,
                              ForwardRequest aRequest,
                              AnswerFn aAnswer) {
+    if (aRequest.large_response && mSettings.linkBytesPerSecond() > 0) {
+      // The caller gets the response through this VM's link.
+      aAnswer = [this, answer = std::move(aAnswer)](Answer aPeerAnswer) {
+        mGate->addLinkBytes(aPeerAnswer.body.size());
+        answer(std::move(aPeerAnswer));
+      };
+    }
     mPeerTransport->forward(aAddress, std::move(aRequest), std::move(aAnswer));
   };
   hooks.mCancelAtOwnUpstream = [this](RandomId aId) { mGate->cancel(aId); };
--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -117,6 +117,10 @@
                           { "framing", framingName(response.mFraming) },
                           { "body_bytes", response.mBodyBytes },
                           { "connection_reused", response.mConnectionReused } };
+  if (request.large_response) {
+    line["large_wait_ms"] = aStats.mLargeWait.mCount;
+    line["link_through_ms"] = aQueued.mLinkThrough.mCount;
+  }
   if (aOutage != nullptr) {
     line["zone_known_out_ms"] = (monotonicNow() - aOutage->mLearnedAt).mCount;
   }
@@ -309,6 +313,11 @@
       mMembership.onUpstreamIncarnation(aUpstreamIncarnation);
     });
   };
+  aHooks.mLinkTotals = [this] {
+    const PeerTransport::Traffic traffic = mPeerTransport->traffic();
+    return Gate::LinkTotals{ traffic.mAnswerBytesQueued,
+                             traffic.mAnswerBytesWritten };
+  };
   aHooks.mOnDraining = [this] {
     mLoop.post([this] {
       mMembership.onUpstreamDraining();
@@ -351,6 +360,8 @@
       static_cast<float>(gateStatus.mStats.mSlowness);
     aGateAnswer.load->limit_per_second =
       static_cast<float>(gateStatus.mStats.mLimitPerSecond);
+    aGateAnswer.load->large_wait_ms =
+      static_cast<std::uint32_t>(gateStatus.mStats.mLargeWait.mCount);
     answer(std::move(aGateAnswer));
   };
 }
--- a/src/daemon/ingress_platform.cpp
+++ b/src/daemon/ingress_platform.cpp
@@ -220,8 +220,10 @@
     const std::lock_guard<std::mutex> lock(mSelectorMutex);
     UpstreamSelector& selector = mSelectors[aPending->mRequest.service];
     selector.keepOnly(all);
-    chosen =
-      selector.choose(candidates, aPending->mRequest.id_low, mHooks.mNow());
+    chosen = selector.choose(candidates,
+                             aPending->mRequest.id_low,
+                             mHooks.mNow(),
+                             aPending->mRequest.large_response);
     if (chosen) {
       selector.onSent(*chosen);
     }
@@ -299,6 +301,7 @@
     stats.mRunMs = aAnswer.load->run_ms;
     stats.mSlowness = aAnswer.load->slowness;
     stats.mLimitPerSecond = aAnswer.load->limit_per_second;
+    stats.mLargeWait = Millis{ aAnswer.load->large_wait_ms };
     selector.onStats(aPending.mSentTo, stats, aAnswer.load->queued, now);
   }
 }
--- a/src/policy/upstream_selector.cpp
+++ b/src/policy/upstream_selector.cpp
@@ -28,6 +28,9 @@
 /// Upstreams sampled for each request; a larger sample would herd requests to
 /// the upstream that looks best.
 constexpr std::size_t kSampleSize = 2;
+/// Bounds what one large response sent since the report adds to the time of the
+/// link: 90 KB take 72 ms on 10 Mbit/s.
+constexpr double kMaxTransferMs = 80;
 constexpr double kMillisPerSecond = 1000;
 /// Factor on the sampling weight of upstreams in the daemon's own availability
 /// zone.
@@ -68,7 +71,9 @@
 }
 
 double
-UpstreamSelector::expectedMs(const MemberState& aMember, Millis aNow) const
+UpstreamSelector::expectedMs(const MemberState& aMember,
+                             Millis aNow,
+                             bool aLargeResponse) const
 {
   const bool hasReport = aMember.mStatsAt > Millis{};
   const double typicalRun = hasReport && aMember.mStats.mRunMs > 0
@@ -95,8 +100,30 @@
   const double limitWait =
     limit > 0 ? std::max(0.0, unsent) * kMillisPerSecond / limit : 0;
   const double wait = std::max(slotWait, limitWait);
+  const double linkMs =
+    aLargeResponse
+      ? linkTime(aMember, freshness, std::max(0.0, sentSinceReport), run)
+      : 0;
   // An upstream tends to slow down as its slots fill, even while some are free.
-  return run * (1 + 0.25 * std::min(1.0, ahead / slots)) + wait;
+  const double slotMs = run * (1 + 0.25 * std::min(1.0, ahead / slots)) + wait;
+  return std::max(slotMs, linkMs);
+}
+
+double
+UpstreamSelector::linkTime(const MemberState& aMember,
+                           double aFreshness,
+                           double aSentSinceReport,
+                           double aRunMs)
+{
+  const auto reported =
+    static_cast<double>(aMember.mStats.mLargeWait.mCount) * aFreshness;
+  if (reported <= 0) {
+    return 0;
+  }
+  // Without others before it, a response takes its run and its transfer, so
+  // that what exceeds the run bounds one transfer.
+  const double transfer = std::clamp(reported - aRunMs, 0.0, kMaxTransferMs);
+  return reported + aSentSinceReport * transfer;
 }
 
 double
@@ -116,7 +143,8 @@
 std::optional<Incarnation>
 UpstreamSelector::choose(std::span<const Candidate> aCandidates,
                          std::uint64_t aRandom,
-                         Millis aNow) const
+                         Millis aNow,
+                         bool aLargeResponse) const
 {
   struct Scored
   {
@@ -136,7 +164,7 @@
     Scored scored;
     scored.mMember = candidate.mMember;
     scored.mInBackoff = aNow < member.mBackoffUntil;
-    scored.mExpectedMs = expectedMs(member, aNow) +
+    scored.mExpectedMs = expectedMs(member, aNow, aLargeResponse) +
                          (candidate.mSameZone ? 0 : kCrossZonePenaltyMs);
     scored.mRandom = hashPair(aRandom, candidate.mMember);
     const double weight =
--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -117,6 +117,12 @@
   mImpl->post([impl = mImpl.get(), aId] { impl->cancelRequest(aId); });
 }
 
+void
+Gate::addLinkBytes(std::size_t aBytes)
+{
+  mImpl->mOtherLinkBytes += aBytes;
+}
+
 bool
 Gate::isIdle() const
 {
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -8,6 +8,7 @@
 #include "radishroad/policy/concurrency_window.h"
 #include "radishroad/policy/connection_pacer.h"
 #include "radishroad/policy/deduplication_cache.h"
+#include "radishroad/policy/link_budget.h"
 #include "radishroad/policy/longest_run_times.h"
 #include "radishroad/policy/named_limit.h"
 #include "radishroad/policy/retry_budget.h"
@@ -309,6 +310,18 @@
                    const UpstreamResponse& aAnswer);
   void clearAbandoned();
 
+  // gate_link.cpp: large responses and the VM's link.
+  /// Learns from the bytes that left since the last call.
+  void observeLink(Millis aNow);
+  /// Refuses queued requests whose large response the link cannot carry by its
+  /// objective, and sets mHeldForLink.
+  void planLargeResponses(Millis aNow);
+  LinkBudget::Entry makeLinkEntry(const QueuedRequest& aQueued) const;
+  void recordLinkUse(RunId aId,
+                     ExchangeOutcome aOutcome,
+                     const UpstreamResponse& aResponse);
+  void publishLink(Millis aNow);
+
   // gate_health.cpp: probes, restarts and crashes.
   void probe(Millis aNow);
   void onProbeEnd(ExchangeOutcome aOutcome,
@@ -397,6 +410,9 @@
   double mSlowness = 1;
   Millis mSlownessAt;
   std::uint64_t mNextQueueId = 1;
+  LinkBudget mLink;
+  /// Queue ids of the large requests that wait until the link has room.
+  std::set<std::uint64_t> mHeldForLink;
   /// Opened connections that have been reported to the pacer.
   std::uint64_t mPacedConnections = 0;
   /// Rejected pooled connections that the metric has counted.
@@ -411,6 +427,8 @@
   /// While stopping: time after which no running request is waited for.
   std::atomic<Millis> mStopUntil{ Millis::max() };
   LoadCounter mLoad;
+  /// See addLinkBytes().
+  std::atomic<std::uint64_t> mOtherLinkBytes{ 0 };
   std::atomic<std::uint32_t> mInFlight{ 0 };
   std::atomic<bool> mPublishedHealthy{ false };
   std::atomic<double> mPublishedWindow{ 0 };
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -47,6 +47,7 @@
   , mRetryBudget(kRetryRatio)
   , mDeduplicationCache(maxCacheBytes(mOptions.mBodyMemory.get()))
   , mCacheShare(mOptions.mBodyMemory)
+  , mLink(mOptions.mProtocol.mPushesReports ? mOptions.mLinkBytesPerSecond : 0)
   , mSubmitted(mOptions.mMaxQueued * kSubmittedCapacityFactor)
 {
   if (mOptions.mProtocol.mPushesReports) {
@@ -71,6 +72,7 @@
     // Before any I/O, since the thread may have been suspended for long.
     checkRuns(now);
     checkPendingAges(now);
+    observeLink(now);
     refuseUnfinishable(now);
     expireQueued(now);
     sendCancels(now);
@@ -164,6 +166,7 @@
       return false;
     case Verdict::Replay:
       mMetrics.count("radishroad_gate_copies_replayed_total");
+      mLink.onSent(admission.mAnswer.body.size(), mHooks.mNow());
       answer(aQueued, std::move(admission.mAnswer));
       return false;
     case Verdict::Mismatch:
@@ -466,6 +469,7 @@
   mMetrics.gauge("radishroad_gate_in_flight", n);
   mMetrics.gauge("radishroad_gate_queued", mQueuedCount.load());
   mMetrics.gauge("radishroad_gate_window", mPublishedWindow);
+  publishLink(now);
   mMetrics.gauge("radishroad_gate_connections",
                  mExchanges.connections().open());
 }
--- a/src/upstream/gate_objective_dispatch.cpp
+++ b/src/upstream/gate_objective_dispatch.cpp
@@ -33,6 +33,7 @@
   stats.mColdPerSecond =
     mColdStartLimiter.isCold(aNow) ? mService.mColdPerSecond : 0;
   stats.mLimitPerSecond = mNamedLimit.perSecond();
+  stats.mLargeWait = mLink.largeWait(aNow);
   return stats;
 }
 
@@ -57,9 +58,13 @@
   if (mQueue.empty() || !mHealth.healthy()) {
     return;
   }
+  planLargeResponses(aNow);
   std::vector<QueueEntry> waiting;
   std::vector<std::uint64_t> queueIds;
   for (const QueuedRequest* queued : mQueue.list()) {
+    if (mHeldForLink.contains(queued->mQueueId)) {
+      continue;
+    }
     waiting.push_back(makeQueueEntry(*queued));
     queueIds.push_back(queued->mQueueId);
   }
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -161,6 +161,9 @@
   run.mServeUntil = aDecision.mServeUntil;
 
   const ForwardRequest& request = run.mQueued.mRequest;
+  if (request.large_response) {
+    mLink.onStart(id, makeLinkEntry(run.mQueued), now);
+  }
   run.mEndTime = std::min(run.mQueued.mDeadline, now + mService.mRunLimit);
   const Millis left = run.mEndTime - now;
   const Millis workLeft = std::min(left, workUntil(run.mQueued) - now);
@@ -251,6 +254,7 @@
   auto node = mRuns.extract(aId);
   Run& run = node.mapped();
   run.mQueued.mResponse = aResponse.mTrace;
+  recordLinkUse(aId, aOutcome, aResponse);
   switch (aOutcome) {
     case ExchangeOutcome::Complete:
       onComplete(std::move(run), std::move(aResponse));
@@ -387,6 +391,7 @@
     return;
   }
   Run& run = node.mapped();
+  mLink.onLost(aId, mHooks.mNow());
   if (!mExchanges.abort(run.mExchange)) {
     if (aReason == NotRunReason::LeaseLapsed) {
       // It was not run, so it returns to the queue for a new decision.
@@ -437,6 +442,7 @@
       aQueued.mDeduplicationKey, aAnswer, mHooks.mNow());
   mCacheShare.resize(mDeduplicationCache.bytes());
   for (const DeduplicationCache::Waiter& waiter : waiters) {
+    mLink.onSent(aAnswer.body.size(), mHooks.mNow());
     waiter.mAnswer(withId(aAnswer, waiter.mId));
   }
   aQueued.mAnswer(std::move(aAnswer));
--- a/src/upstream/gate_window.cpp
+++ b/src/upstream/gate_window.cpp
@@ -89,6 +89,7 @@
   for (const RunId id : newest) {
     auto node = mRuns.extract(id);
     Run& run = node.mapped();
+    mLink.onLost(id, aNow);
     if (mExchanges.abort(run.mExchange)) {
       trackAbandoned(run, aNow);
     }
--- a/tests/unit/upstream_selector_test.cpp
+++ b/tests/unit/upstream_selector_test.cpp
@@ -237,4 +237,23 @@
   BOOST_TEST(!UpstreamSelector().choose({}, 1, 1_ms).has_value());
 }
 
+/// Guards against large requests to an upstream whose link is full.
+BOOST_AUTO_TEST_CASE(only_large_requests_avoid_a_member_with_a_full_link)
+{
+  UpstreamSelector selector;
+  const std::vector<UpstreamSelector::Candidate> candidates{ { 1, true },
+                                                             { 2, true } };
+  UpstreamStats stats;
+  stats.mSlots = kSlots;
+  stats.mRunMs = 150;
+  selector.onStats(2, stats, 0, 1000_ms);
+  stats.mLargeWait = 600_ms;
+  stats.mRunMs = 100;
+  selector.onStats(1, stats, 0, 1000_ms);
+  BOOST_TEST(*selector.choose(candidates, 5, 1010_ms, true) == 2U);
+  BOOST_TEST(*selector.choose(candidates, 5, 1010_ms, false) == 1U);
+  // An old report no longer counts.
+  BOOST_TEST(*selector.choose(candidates, 5, 1500_ms, true) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
