Share scarce room of an upstream among kinds of requests

Under load of several times the capacity, the order by time left served orders (rank 1) less often than less urgent kinds, and requests waited before they were refused.

RoomAllocator admits or refuses a request once, when it arrives, by urgency, expected wait and the shares of the last 4 s. ReturnSchedule spreads the return times of refused callers and recognizes earlier returns. planQueue() takes the verdicts; the gate passes them if the service sets mSharesRoom. Requests, refusals and served ones are counted by rank in radishroad_room_*, and refusals are logged as room_refused.

--- a/include/radishroad/policy/queue_plan.h
+++ b/include/radishroad/policy/queue_plan.h
@@ -74,10 +74,31 @@
 /// Lead of each rank over the next in the sort order.
 constexpr Millis kRankLeadTime{ 80 };
 
+/// Decision of RoomAllocator on a queued request.
+struct RoomVerdict
+{
+  bool mRefused = false;
+  /// For refused requests: when the caller may retry.
+  Millis mRetryAfter;
+  /// Place in the order of those that are not refused; 0 is next.
+  std::size_t mPosition = 0;
+};
+
+/// aVerdicts: one for each request of aWaiting, which replace the order and the
+/// refusals by time; empty if the upstream has no RoomAllocator.
 QueuePlan
 planQueue(std::span<const QueueEntry> aWaiting,
           const UpstreamStats& aStats,
-          Millis aNow);
+          Millis aNow,
+          std::span<const RoomVerdict> aVerdicts = {});
+
+/// Returns the expected run time of the request.
+Millis
+runTime(const QueueEntry& aEntry, const UpstreamStats& aStats);
+
+/// Returns the requests that the upstream can start per millisecond.
+double
+startsPerMs(const UpstreamStats& aStats);
 
 /// Returns until when a request may wait for its key to be served: aHoldUntil,
 /// which was set when the request was queued, or, if its shard was paused for a
--- a/src/policy/queue_plan.cpp
+++ b/src/policy/queue_plan.cpp
@@ -34,24 +34,6 @@
   Millis mSortTime;
 };
 
-/// Requests that the upstream can start per millisecond.
-double
-startsPerMs(const UpstreamStats& aStats)
-{
-  const double run = std::max(1.0, aStats.mRunMs);
-  const double rate = std::max(1U, aStats.mSlots) / run;
-  const double most = maxPerSecond(aStats);
-  return most > 0 ? std::min(rate, most / kMillisPerSecond) : rate;
-}
-
-/// Expected run time of the request.
-Millis
-runTime(const QueueEntry& aEntry, const UpstreamStats& aStats)
-{
-  const double ms = aEntry.mRunMs > 0 ? aEntry.mRunMs : aStats.mRunMs;
-  return { static_cast<std::int64_t>(ms) };
-}
-
 Candidate
 makeCandidate(const QueueEntry& aEntry,
               std::size_t aIndex,
@@ -80,6 +62,23 @@
   return std::min(useful, aEntry.mDeadline - runTime(aEntry, aStats));
 }
 
+QueuePlan
+planByVerdicts(std::span<const RoomVerdict> aVerdicts)
+{
+  QueuePlan plan;
+  for (std::size_t n = 0; n < aVerdicts.size(); ++n) {
+    if (aVerdicts[n].mRefused) {
+      plan.mRefused.push_back({ n, aVerdicts[n].mRetryAfter });
+    } else {
+      plan.mOrder.push_back(n);
+    }
+  }
+  std::ranges::sort(plan.mOrder, {}, [aVerdicts](std::size_t aIndex) {
+    return aVerdicts[aIndex].mPosition;
+  });
+  return plan;
+}
+
 }
 
 double
@@ -91,6 +90,22 @@
   return std::max(aStats.mColdPerSecond, aStats.mLimitPerSecond);
 }
 
+double
+startsPerMs(const UpstreamStats& aStats)
+{
+  const double run = std::max(1.0, aStats.mRunMs);
+  const double rate = std::max(1U, aStats.mSlots) / run;
+  const double most = maxPerSecond(aStats);
+  return most > 0 ? std::min(rate, most / kMillisPerSecond) : rate;
+}
+
+Millis
+runTime(const QueueEntry& aEntry, const UpstreamStats& aStats)
+{
+  const double ms = aEntry.mRunMs > 0 ? aEntry.mRunMs : aStats.mRunMs;
+  return { static_cast<std::int64_t>(ms) };
+}
+
 Millis
 expectedWait(const UpstreamStats& aStats, std::size_t aQueuedAhead)
 {
@@ -130,8 +145,12 @@
 QueuePlan
 planQueue(std::span<const QueueEntry> aWaiting,
           const UpstreamStats& aStats,
-          Millis aNow)
+          Millis aNow,
+          std::span<const RoomVerdict> aVerdicts)
 {
+  if (!aVerdicts.empty()) {
+    return planByVerdicts(aVerdicts);
+  }
   std::vector<Candidate> candidates;
   candidates.reserve(aWaiting.size());
   for (std::size_t n = 0; n < aWaiting.size(); ++n) {
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -11,6 +11,7 @@
 #include "radishroad/policy/longest_run_times.h"
 #include "radishroad/policy/named_limit.h"
 #include "radishroad/policy/retry_budget.h"
+#include "radishroad/policy/room_allocator.h"
 #include "radishroad/policy/run_time_estimator.h"
 #include "radishroad/policy/stop_schedule.h"
 #include "radishroad/upstream/exchange_runner.h"
@@ -210,6 +211,18 @@
   void dispatchByObjective(Millis aNow);
   UpstreamStats currentStats(Millis aNow);
   QueueEntry makeQueueEntry(const QueuedRequest& aQueued) const;
+
+  // gate_room.cpp: sharing scarce slots among kinds.
+  RoomRequest makeRoomRequest(const QueuedRequest& aQueued) const;
+  /// Verdicts of mRoom on the whole queue; empty if the service does not share
+  /// its room.
+  std::vector<RoomVerdict> decideRoom(Millis aNow);
+  /// Logs the refusal of a request by mRoom.
+  void logRoomRefusal(const QueuedRequest& aQueued,
+                      Millis aRetryAfter,
+                      Millis aNow) const;
+  void publishRoom();
+
   /// Refuses queued requests that cannot be served in time.
   void refuseUnservable(Millis aNow);
 
@@ -391,6 +404,9 @@
   std::uint32_t mSentSinceLimitUse = 0;
   Millis mLimitUseFrom;
   std::uint32_t mSlots = kDefaultSlots;
+  RoomAllocator mRoom;
+  /// Values that the metrics have counted.
+  std::map<std::uint8_t, RoomAllocator::Totals> mRoomCounted;
   RunTimeEstimator mRunTimes;
   LongestRunTimes mLongestRunTimes;
   std::optional<StopSchedule> mStop;
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -468,6 +468,7 @@
   mMetrics.gauge("radishroad_gate_window", mPublishedWindow);
   mMetrics.gauge("radishroad_gate_connections",
                  mExchanges.connections().open());
+  publishRoom();
 }
 
 }
--- a/src/upstream/gate_objective_dispatch.cpp
+++ b/src/upstream/gate_objective_dispatch.cpp
@@ -63,9 +63,13 @@
     waiting.push_back(makeQueueEntry(*queued));
     queueIds.push_back(queued->mQueueId);
   }
-  const QueuePlan plan = planQueue(waiting, currentStats(aNow), aNow);
+  const std::vector<RoomVerdict> verdicts = decideRoom(aNow);
+  const QueuePlan plan = planQueue(waiting, currentStats(aNow), aNow, verdicts);
   for (const QueuePlan::Refusal& refusal : plan.mRefused) {
     std::optional<QueuedRequest> queued = mQueue.take(queueIds[refusal.mIndex]);
+    if (!verdicts.empty()) {
+      logRoomRefusal(*queued, refusal.mRetryAfter, aNow);
+    }
     refuse(*queued, NotRunReason::QueueFull, 0, refusal.mRetryAfter);
   }
   for (const std::size_t index : plan.mOrder) {
@@ -77,7 +81,12 @@
                             !isShardPaused(queued->mRequest.shard) &&
                             !isAbandoned(idOf(queued->mRequest));
     if (isEligible) {
+      const RoomRequest room = makeRoomRequest(*queued);
+      const std::size_t running = mRuns.size();
       tryStartRun(std::move(*queued), aNow);
+      if (!verdicts.empty() && mRuns.size() > running) {
+        mRoom.onStarted(room, aNow);
+      }
     } else {
       mQueue.pushFront(std::move(*queued));
     }
