--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -472,6 +472,7 @@
   publishLink(now);
   mMetrics.gauge("radishroad_gate_connections",
                  mExchanges.connections().open());
+  publishRoom();
 }
 
 }
