Test large responses beyond the link with real daemons

Cause: no process test showed that the setting for the link takes effect. Change: PlatformSite has download routes and the link's rate. A request counts as accepted once a plan has not refused it, also if it then waits for a slot, and no request counts as held when the queue is empty.

--- a/include/radishroad/policy/link_budget.h
+++ b/include/radishroad/policy/link_budget.h
@@ -34,8 +34,8 @@
     Millis mObjectiveAt;
     /// Expected run time.
     Millis mRunTime;
-    /// An earlier plan() has held it.
-    bool mIsHeld = false;
+    /// An earlier plan() has not refused it.
+    bool mIsAccepted = false;
   };
 
   struct Verdict
--- a/src/policy/link_budget.cpp
+++ b/src/policy/link_budget.cpp
@@ -22,8 +22,8 @@
 /// A large response should be through this long before its objective, since it
 /// also passes the link of the caller's VM.
 constexpr Millis kObjectiveMargin{ 100 };
-/// Added for a request that is not held yet: small responses and slower runs
-/// delay it while it is held, and it should not be refused then.
+/// Added for a request that was not accepted before: small responses and slower
+/// runs delay it while it is held, and it should not be refused then.
 constexpr Millis kNewMargin{ 150 };
 constexpr Millis kMinRetryAfter{ 100 };
 /// The latest room that is promised to a refused caller. Callers beyond it
@@ -111,7 +111,7 @@
     const double bytes = usualBytes(entry.mKind);
     const Forecast expected = forecast(bytes, ahead, entry.mRunTime);
     const Millis margin =
-      kObjectiveMargin + (entry.mIsHeld ? Millis{} : kNewMargin);
+      kObjectiveMargin + (entry.mIsAccepted ? Millis{} : kNewMargin);
     const Millis shortfall =
       aNow + expected.mThrough + margin - entry.mObjectiveAt;
     Verdict verdict;
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -413,6 +413,8 @@
   LinkBudget mLink;
   /// Queue ids of the large requests that wait until the link has room.
   std::set<std::uint64_t> mHeldForLink;
+  /// Queue id up to which planLargeResponses() has considered all requests.
+  std::uint64_t mLastPlannedForLink = 0;
   /// Opened connections that have been reported to the pacer.
   std::uint64_t mPacedConnections = 0;
   /// Rejected pooled connections that the metric has counted.
--- a/src/upstream/gate_link.cpp
+++ b/src/upstream/gate_link.cpp
@@ -34,7 +34,7 @@
   entry.mKind = aQueued.mRequest.kind;
   entry.mObjectiveAt = queueEntry.mObjectiveAt;
   entry.mRunTime = Millis{ static_cast<std::int64_t>(runMs) };
-  entry.mIsHeld = mHeldForLink.contains(aQueued.mQueueId);
+  entry.mIsAccepted = aQueued.mQueueId <= mLastPlannedForLink;
   return entry;
 }
 
@@ -56,6 +56,7 @@
       waiting.push_back({ makeLinkEntry(*queued), queued->mQueueId });
     }
   }
+  mLastPlannedForLink = mNextQueueId - 1;
   std::ranges::stable_sort(
     waiting, [](const Large& aLeft, const Large& aRight) {
       return aLeft.mEntry.mObjectiveAt < aRight.mEntry.mObjectiveAt;
--- a/src/upstream/gate_objective_dispatch.cpp
+++ b/src/upstream/gate_objective_dispatch.cpp
@@ -55,10 +55,14 @@
 void
 Gate::Impl::dispatchByObjective(Millis aNow)
 {
-  if (mQueue.empty() || !mHealth.healthy()) {
+  if (!mHealth.healthy()) {
     return;
   }
+  // Also without queued requests, so that none count as held any more.
   planLargeResponses(aNow);
+  if (mQueue.empty()) {
+    return;
+  }
   std::vector<QueueEntry> waiting;
   std::vector<std::uint64_t> queueIds;
   for (const QueuedRequest* queued : mQueue.list()) {
--- a/tests/process/support/platform_site.cpp
+++ b/tests/process/support/platform_site.cpp
@@ -92,6 +92,7 @@
       vm.mName = service.mName + "-" + std::to_string(n);
       vm.mZone = "z" + std::to_string(1 + (n - 1) % kZones);
       vm.mService = service.mName;
+      vm.mLinkMbps = service.mLinkMbps;
       vm.mIpText = mAddresses.ip(kFirstHost + static_cast<int>(mVms.size()));
       vm.mIp = ntohl(::inet_addr(vm.mIpText.c_str()));
       PlatformUpstream::Options options;
@@ -144,6 +145,9 @@
                root + path,
                path.ends_with("/once/") ? "non_idempotent" : "idempotent");
     }
+    for (const std::string& path : service.mDownloads) {
+      addRoute(service, root + path, "download");
+    }
     for (const std::string& prefix : service.mPrefixes) {
       addRoute(service, prefix, "idempotent");
     }
@@ -187,7 +191,7 @@
 PlatformSite::startDaemon(Vm& aVm)
 {
   const auto at = [&aVm](int aPort) { return withPort(aVm.mIpText, aPort); };
-  const std::vector<std::string> command = daemonCommand({
+  std::vector<std::string> command = daemonCommand({
     { "Node", aVm.mName },
     { "Zone", aVm.mZone },
     { "Service", aVm.mService },
@@ -206,6 +210,11 @@
     { "Bounds.EvacuateMs", std::to_string(kZoneOutTime.mCount) },
     { "Limits.MemoryMb", std::to_string(kMemoryMb) },
   });
+  if (aVm.mLinkMbps > 0) {
+    command.insert(command.begin(),
+                   { "/usr/bin/env",
+                     "RADISHROAD_LINK_MBPS=" + std::to_string(aVm.mLinkMbps) });
+  }
   aVm.mDaemon =
     std::make_unique<ChildProcess>(command, mFolder / (aVm.mName + ".log"));
 }
--- a/tests/process/support/platform_site.h
+++ b/tests/process/support/platform_site.h
@@ -33,6 +33,10 @@
     std::vector<std::string> mRoutes = {};
     /// Whole prefixes of further idempotent routes.
     std::vector<std::string> mPrefixes = {};
+    /// Paths of routes with large responses.
+    std::vector<std::string> mDownloads = {};
+    /// Rate of each VM's link; 0 if it is not set.
+    int mLinkMbps = 0;
     Millis mTimeout{ 2000 };
     int mSlots = 9;
     PlatformUpstream::RunTimeFn mRunTime = {};
@@ -54,6 +58,7 @@
     std::string mService;
     std::uint32_t mIp = 0;
     std::string mIpText;
+    int mLinkMbps = 0;
     std::unique_ptr<PlatformUpstream> mUpstream;
     std::unique_ptr<ChildProcess> mDaemon;
   };
