Limit the gate to the sustained concurrency

Cause: the gate filled all slots that an upstream reports, also of one that slows down or resets connections before.

Change: for a service with mAdaptiveConcurrency the gate runs at most AdaptiveConcurrency::limit() requests and plans its queue with that and with the expected time of each kind. Metrics radishroad_adaptive_*, log line sustained_concurrency. Other services are served as before.

--- a/include/radishroad/policy/queue_plan.h
+++ b/include/radishroad/policy/queue_plan.h
@@ -30,6 +30,10 @@
 {
   /// Requests that it can run concurrently.
   std::uint32_t mSlots = 1;
+  /// Slots that the upstream reports.
+  std::uint32_t mReportedSlots = 1;
+  /// Requests that it is found to run well at a time; 0 if not estimated.
+  std::uint32_t mSustainedSlots = 0;
   std::uint32_t mRunning = 0;
   /// Mean run time; 0 before the first run.
   double mRunMs = 0;
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -3,6 +3,7 @@
 
 #include "radishroad/base/bounded_queue.h"
 #include "radishroad/ownership/grant_manager.h"
+#include "radishroad/policy/adaptive_concurrency.h"
 #include "radishroad/policy/answered_set.h"
 #include "radishroad/policy/cold_start_limiter.h"
 #include "radishroad/policy/concurrency_window.h"
@@ -229,6 +230,23 @@
   /// The drain period has passed: nothing more may be sent to the upstream.
   bool isDrainOver(Millis aNow) const;
 
+  // gate_adaptive.cpp: concurrency that the upstream sustains.
+  bool isAdaptive() const;
+  /// Requests that may run at once.
+  std::uint32_t slotLimit() const;
+  /// Expected run time in ms of a request of this kind.
+  double expectedRunMs(std::uint32_t aKind) const;
+  AdaptiveConcurrency::Run makeAdaptiveRun(const Run& aRun) const;
+  void recordAdaptiveStart(const Run& aRun);
+  void recordAdaptiveAnswer(const Run& aRun,
+                            NotRunReason aReason,
+                            const UpstreamResponse& aResponse);
+  void setKindRunTime(const QueuedRequest& aQueued, Answer& aAnswer) const;
+  void recordAdaptiveEnd(const Run& aRun,
+                         AdaptiveConcurrency::Outcome aOutcome);
+  void updateAdaptive(Millis aNow);
+  void recordSustained();
+
   // gate_notice.cpp: what the upstream says about itself in its responses.
   /// aSentAt: when the request was sent that the response belongs to.
   void recordNotice(const UpstreamResponse& aResponse, Millis aSentAt);
@@ -391,6 +409,10 @@
   std::uint32_t mSentSinceLimitUse = 0;
   Millis mLimitUseFrom;
   std::uint32_t mSlots = kDefaultSlots;
+  AdaptiveConcurrency mAdaptive;
+  Millis mNextAdaptiveUpdate;
+  /// Sustained concurrency at the last log line.
+  std::uint32_t mLoggedSustained = 0;
   RunTimeEstimator mRunTimes;
   LongestRunTimes mLongestRunTimes;
   std::optional<StopSchedule> mStop;
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -138,6 +138,7 @@
     // An earlier daemon process on this VM may have granted keys until now.
     mGrants.assumeHeld(mHooks.mNow());
   }
+  mAdaptive.setSlots(mSlots);
   mWindow.setMax(mService.mMaxInFlight);
   mPacer.setCost(mService.mConnectionCost);
 }
@@ -448,6 +449,7 @@
 Gate::Impl::publishLoad()
 {
   const std::uint32_t n = occupiedSlots();
+  updateAdaptive(mHooks.mNow());
   mInFlight = n;
   mPublishedHealthy = mHealth.healthy();
   // For upstreams that push reports, the capacity limits what is moved to them
--- a/src/upstream/gate_objective_dispatch.cpp
+++ b/src/upstream/gate_objective_dispatch.cpp
@@ -25,7 +25,9 @@
 Gate::Impl::currentStats(Millis aNow)
 {
   UpstreamStats stats;
-  stats.mSlots = mSlots;
+  stats.mSlots = slotLimit();
+  stats.mReportedSlots = mSlots;
+  stats.mSustainedSlots = isAdaptive() ? mAdaptive.sustained() : 0;
   stats.mRunning = occupiedSlots();
   stats.mRunMs = mRunTimes.meanMs();
   stats.mTypicalMs = mRunTimes.typicalMs();
@@ -47,7 +49,7 @@
                          : aQueued.mDeadline;
   entry.mQueuedAt = aQueued.mQueuedAt;
   entry.mPriorityRank = request.rank;
-  entry.mRunMs = mRunTimes.typicalMs(request.kind) * slowness(mHooks.mNow());
+  entry.mRunMs = expectedRunMs(request.kind) * slowness(mHooks.mNow());
   return entry;
 }
 
--- a/src/upstream/gate_report.cpp
+++ b/src/upstream/gate_report.cpp
@@ -35,6 +35,7 @@
   mSlots = aReport.mSlots > 0 ? aReport.mSlots : mSlots;
   mColdStartLimiter.onCold(aReport.mColdTimeLeft, now);
   if (isNewIncarnation) {
+    mAdaptive.reset();
     onNewUpstreamProcess();
     logEvent(LogLevel::Info,
              "upstream_life",
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -67,7 +67,7 @@
     return false;
   }
   if (mOptions.mProtocol.mPushesReports) {
-    return occupiedSlots() < mSlots;
+    return occupiedSlots() < slotLimit();
   }
   return mOptions.mLimitsDisabled ||
          (occupiedSlots() < mWindow.limit() && hasConnection(aNow));
@@ -215,6 +215,7 @@
   mSentSinceLimitUse += run.mSent ? 1 : 0;
   run.mSentAt = now;
   run.mInFlight = occupiedSlots();
+  recordAdaptiveStart(run);
   return run.mSent;
 }
 
@@ -315,6 +316,7 @@
     mQueue.pushFront(std::move(queued));
     return;
   }
+  recordAdaptiveAnswer(aRun, reason, aResponse);
   if (reason != NotRunReason::None) {
     refuse(queued, reason);
     return;
@@ -372,6 +374,7 @@
   const bool connectionLost = end == End::BeforeHead || end == End::InHead ||
                               end == End::InBody || end == End::Failed;
   if (connectionLost) {
+    recordAdaptiveEnd(aRun, AdaptiveConcurrency::Outcome::Reset);
     suspectCrash(aRun);
   }
   // Possibly only the connection was lost and the request still runs.
@@ -427,6 +430,7 @@
 {
   mQueuedCount.fetch_sub(1);
   aAnswer.notice = noticeForAnswers();
+  setKindRunTime(aQueued, aAnswer);
   mMetrics.count(std::string("radishroad_gate_answers_total{kind=\"") +
                  wire::EnumNameAnswerKind(aAnswer.kind) + "\"}");
   if (mHooks.mOnAnswer) {
--- a/tests/unit/platform_gate_test.cpp
+++ b/tests/unit/platform_gate_test.cpp
@@ -365,6 +365,46 @@
   BOOST_TEST(gate.held() == 0U);
 }
 
+// Without the feature all reported slots are used; with it the gate begins with
+// half of them, and the answers tell the sustained concurrency.
+BOOST_AUTO_TEST_CASE(adaptive_service_starts_below_its_slots)
+{
+  for (const bool adaptive : { false, true }) {
+    PlatformGate gate(100_ms, false);
+    gate.mSlots = 8;
+    gate.mRunMs = 400;
+    config::Service service;
+    service.mDeadline = 5000_ms;
+    service.mRunLimit = 5000_ms;
+    service.mHoldTime = 1000_ms;
+    service.mHealthPath = "/healthz";
+    service.mAdaptiveConcurrency = adaptive;
+    gate.mGate.configure(service);
+    gate.report(UpstreamReport::Kind::Ready, 1);
+    const std::size_t runs = KeyLayout().runsPerShard();
+    BOOST_REQUIRE(waitUntil([&] { return gate.held() == runs; }));
+    std::vector<std::future<Answer>> answers;
+    for (int n = 0; n < 8; ++n) {
+      answers.push_back(gate.submit("a" + std::to_string(n)));
+    }
+    const std::uint32_t expected = adaptive ? 4 : 8;
+    std::uint32_t most = 0;
+    waitUntil([&] {
+      most = std::max(most, gate.mGate.gateStatus().mStats.mRunning);
+      return gate.mGate.isIdle();
+    });
+    BOOST_TEST(most == expected);
+    const UpstreamStats stats = gate.mGate.gateStatus().mStats;
+    BOOST_TEST(stats.mReportedSlots == 8U);
+    BOOST_TEST(stats.mSustainedSlots == (adaptive ? 4U : 0U));
+    for (std::future<Answer>& answer : answers) {
+      const Answer each = answer.get();
+      BOOST_TEST((each.kind == AnswerKind::Answered));
+      BOOST_TEST((each.load != nullptr) == adaptive);
+    }
+  }
+}
+
 // OWNER: a shard that is being handed off was granted again, as the upstream
 // had been taken for ended and answered once more.
 BOOST_AUTO_TEST_CASE(shard_of_an_ended_upstream_is_not_granted_while_it_moves)
