Select upstreams by sustained slots, kind times and failures

Cause: callers' daemons computed with reported slots and one run time for all kinds, and sent as many requests to an upstream that fails part of them.

Change: answers carry sustained_slots and kind_run_ms. UpstreamSelector uses them with their age, lowers the share of a member by its failures of the kind, and lets them fade; one request in 32 ignores them. The capacity that the gate reports to the balancer follows the sustained concurrency. Members that report no sustained concurrency are rated as before.

--- a/include/radishroad/policy/upstream_selector.h
+++ b/include/radishroad/policy/upstream_selector.h
@@ -47,16 +47,40 @@
   /// aFailed: the request got no answer or was refused. The member is then
   /// avoided for a short time.
   void onEnded(Incarnation aMember, bool aFailed, Millis aNow);
+  /// Expected run time of a kind at the member, received with an answer;
+  /// ignored if 0.
+  void onKindTime(Incarnation aMember,
+                  std::uint32_t aKind,
+                  double aRunMs,
+                  Millis aNow);
+  /// A request has run, or may have. aFailed: it ended with a server error or
+  /// with no answer. Members that report a sustained concurrency get a lower
+  /// share of a kind while its requests fail there. The failures fade with
+  /// time, so that a few requests are sent again.
+  void onRun(Incarnation aMember,
+             std::uint32_t aKind,
+             bool aFailed,
+             Millis aNow);
   /// Returns the sampled candidate with the earliest expected completion, or
   /// nothing if there are no candidates. aRandom drives the sampling and breaks
   /// ties, so that daemons do not all select the same upstream.
   std::optional<Incarnation> choose(std::span<const Candidate> aCandidates,
                                     std::uint64_t aRandom,
-                                    Millis aNow) const;
+                                    Millis aNow,
+                                    std::uint32_t aKind = 0) const;
   /// Drops the state of all members that are not among aCandidates.
   void keepOnly(std::span<const Candidate> aCandidates);
 
 private:
+  struct KindState
+  {
+    double mRunMs = 0;
+    Millis mRunMsAt;
+    /// Fading counts of runs and of failures among them.
+    double mRuns = 0;
+    double mFailures = 0;
+    Millis mCountedAt;
+  };
   struct MemberState
   {
     UpstreamStats mStats;
@@ -66,11 +90,20 @@
     std::uint32_t mSent = 0;
     std::uint32_t mSentAtReport = 0;
     Millis mBackoffUntil;
+    std::map<std::uint32_t, KindState> mKinds;
   };
-  double expectedMs(const MemberState& aMember, Millis aNow) const;
+  double expectedMs(const MemberState& aMember,
+                    Millis aNow,
+                    std::uint32_t aKind) const;
+  /// Slots by the sustained concurrency and its age.
+  static double slotsOf(const MemberState& aMember, Millis aNow);
+  /// Expected share of failures among the requests of a kind.
+  static double failureShare(const MemberState& aMember,
+                             std::uint32_t aKind,
+                             Millis aNow);
   /// Requests a millisecond that the member can run; a default if it has sent
   /// no statistics.
-  static double capacityOf(const MemberState& aMember);
+  static double capacityOf(const MemberState& aMember, Millis aNow);
 
   std::map<Incarnation, MemberState> mMembers;
 };
--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -342,10 +342,14 @@
   }
   return [this, answer = std::move(aAnswer)](Answer aGateAnswer) {
     const Gate::Status gateStatus = mGate->gateStatus();
-    aGateAnswer.load = std::make_unique<wire::GateLoadT>();
+    // The gate has filled in the run time of the request's kind.
+    if (aGateAnswer.load == nullptr) {
+      aGateAnswer.load = std::make_unique<wire::GateLoadT>();
+    }
+    aGateAnswer.load->sustained_slots = gateStatus.mStats.mSustainedSlots;
     aGateAnswer.load->running = gateStatus.mStats.mRunning;
     aGateAnswer.load->queued = gateStatus.mQueued;
-    aGateAnswer.load->slots = gateStatus.mStats.mSlots;
+    aGateAnswer.load->slots = gateStatus.mStats.mReportedSlots;
     aGateAnswer.load->run_ms = static_cast<float>(gateStatus.mStats.mTypicalMs);
     aGateAnswer.load->slowness =
       static_cast<float>(gateStatus.mStats.mSlowness);
--- a/src/daemon/ingress_platform.cpp
+++ b/src/daemon/ingress_platform.cpp
@@ -21,6 +21,7 @@
 
 namespace {
 
+constexpr std::uint32_t kMinServerError = 500;
 /// A request may wait for its key to be served, or for a token of its
 /// workspace, for the time to its objective divided by this number.
 constexpr std::int64_t kWaitDivisor = 6;
@@ -220,8 +221,10 @@
     const std::lock_guard<std::mutex> lock(mSelectorMutex);
     UpstreamSelector& selector = mSelectors[aPending->mRequest.service];
     selector.keepOnly(all);
-    chosen =
-      selector.choose(candidates, aPending->mRequest.id_low, mHooks.mNow());
+    chosen = selector.choose(candidates,
+                             aPending->mRequest.id_low,
+                             mHooks.mNow(),
+                             aPending->mRequest.kind);
     if (chosen) {
       selector.onSent(*chosen);
     }
@@ -292,14 +295,25 @@
   const std::lock_guard<std::mutex> lock(mSelectorMutex);
   UpstreamSelector& selector = mSelectors[aPending.mRequest.service];
   selector.onEnded(aPending.mSentTo, failed, now);
+  const bool hasRun = aAnswer.kind != AnswerKind::NotRun;
+  if (hasRun) {
+    selector.onRun(aPending.mSentTo,
+                   aPending.mRequest.kind,
+                   aAnswer.kind == AnswerKind::Unknown ||
+                     aAnswer.status >= kMinServerError,
+                   now);
+  }
   if (aAnswer.load != nullptr) {
     UpstreamStats stats;
     stats.mSlots = aAnswer.load->slots;
+    stats.mSustainedSlots = aAnswer.load->sustained_slots;
     stats.mRunning = aAnswer.load->running;
     stats.mRunMs = aAnswer.load->run_ms;
     stats.mSlowness = aAnswer.load->slowness;
     stats.mLimitPerSecond = aAnswer.load->limit_per_second;
     selector.onStats(aPending.mSentTo, stats, aAnswer.load->queued, now);
+    selector.onKindTime(
+      aPending.mSentTo, aPending.mRequest.kind, aAnswer.load->kind_run_ms, now);
   }
 }
 
--- a/src/policy/upstream_selector.cpp
+++ b/src/policy/upstream_selector.cpp
@@ -36,6 +36,32 @@
 /// kRandomRange is 2^53.
 constexpr unsigned kRandomShift = 11;
 constexpr double kRandomRange = 9007199254740992.0;
+/// The reported slots replace a sustained concurrency linearly over this time,
+/// which is as long as a gate needs to raise its limit to them.
+constexpr double kSustainedLifetimeMs = 5000;
+/// A kind's reported time is used for this time.
+constexpr Millis kKindTimeLifetime{ 10000 };
+/// Counts of failures fall to a third in this time.
+constexpr double kFailureFadeMs = 3000;
+/// Successful runs that are assumed besides the counted ones, so that a single
+/// failure says little.
+constexpr double kAssumedRuns = 5;
+/// A failure costs a caller about as much as a retry after this time.
+constexpr double kFailureCostMs = 400;
+/// Least factor on the sampling weight of a failing member.
+constexpr double kMinFailureWeight = 0.05;
+/// Smaller shares of failures are ignored.
+constexpr double kMinFailureShare = 0.03;
+/// One request in so many is sent without regard to failures.
+constexpr std::uint64_t kProbeInterval = 32;
+constexpr std::size_t kMaxKinds = 64;
+
+double
+faded(double aCount, Millis aSince, Millis aNow)
+{
+  const double passed = static_cast<double>((aNow - aSince).mCount);
+  return aCount * std::exp(-passed / kFailureFadeMs);
+}
 
 }
 
@@ -67,15 +93,79 @@
   member.mBackoffUntil = aFailed ? aNow + kFailureBackoff : Millis{};
 }
 
+void
+UpstreamSelector::onKindTime(Incarnation aMember,
+                             std::uint32_t aKind,
+                             double aRunMs,
+                             Millis aNow)
+{
+  auto& kinds = mMembers[aMember].mKinds;
+  if (aRunMs > 0 && (kinds.size() < kMaxKinds || kinds.contains(aKind))) {
+    kinds[aKind].mRunMs = aRunMs;
+    kinds[aKind].mRunMsAt = aNow;
+  }
+}
+
+void
+UpstreamSelector::onRun(Incarnation aMember,
+                        std::uint32_t aKind,
+                        bool aFailed,
+                        Millis aNow)
+{
+  auto& kinds = mMembers[aMember].mKinds;
+  if (kinds.size() >= kMaxKinds && !kinds.contains(aKind)) {
+    return;
+  }
+  KindState& kind = kinds[aKind];
+  kind.mRuns = faded(kind.mRuns, kind.mCountedAt, aNow) + 1;
+  kind.mFailures =
+    faded(kind.mFailures, kind.mCountedAt, aNow) + (aFailed ? 1 : 0);
+  kind.mCountedAt = aNow;
+}
+
+double
+UpstreamSelector::failureShare(const MemberState& aMember,
+                               std::uint32_t aKind,
+                               Millis aNow)
+{
+  const auto it = aMember.mKinds.find(aKind);
+  if (aMember.mStats.mSustainedSlots == 0 || it == aMember.mKinds.end()) {
+    return 0;
+  }
+  const KindState& kind = it->second;
+  const double share =
+    faded(kind.mFailures, kind.mCountedAt, aNow) /
+    (faded(kind.mRuns, kind.mCountedAt, aNow) + kAssumedRuns);
+  return share < kMinFailureShare ? 0 : share;
+}
+
+double
+UpstreamSelector::slotsOf(const MemberState& aMember, Millis aNow)
+{
+  const double slots = std::max(1U, aMember.mStats.mSlots);
+  const double sustained = aMember.mStats.mSustainedSlots;
+  if (sustained == 0) {
+    return slots;
+  }
+  const double age = static_cast<double>((aNow - aMember.mStatsAt).mCount);
+  const double freshness = std::max(0.0, 1 - age / kSustainedLifetimeMs);
+  return std::min(slots, slots + (sustained - slots) * freshness);
+}
+
 double
-UpstreamSelector::expectedMs(const MemberState& aMember, Millis aNow) const
+UpstreamSelector::expectedMs(const MemberState& aMember,
+                             Millis aNow,
+                             std::uint32_t aKind) const
 {
   const bool hasReport = aMember.mStatsAt > Millis{};
   const double typicalRun = hasReport && aMember.mStats.mRunMs > 0
                               ? aMember.mStats.mRunMs
                               : kDefaultRunMs;
-  const double slots =
-    hasReport ? std::max(1U, aMember.mStats.mSlots) : kDefaultSlots;
+  const double slots = hasReport ? slotsOf(aMember, aNow) : kDefaultSlots;
+  const auto kind = aMember.mKinds.find(aKind);
+  const bool hasKindTime = kind != aMember.mKinds.end() &&
+                           kind->second.mRunMs > 0 &&
+                           aNow - kind->second.mRunMsAt < kKindTimeLifetime;
   const double age = static_cast<double>((aNow - aMember.mStatsAt).mCount);
   const double freshness =
     hasReport ? std::max(0.0, 1 - age / kReportLifetimeMs) : 0;
@@ -96,19 +186,19 @@
     limit > 0 ? std::max(0.0, unsent) * kMillisPerSecond / limit : 0;
   const double wait = std::max(slotWait, limitWait);
   // An upstream tends to slow down as its slots fill, even while some are free.
-  return run * (1 + 0.25 * std::min(1.0, ahead / slots)) + wait;
+  const double own = hasKindTime ? kind->second.mRunMs * slowness : run;
+  return own * (1 + 0.25 * std::min(1.0, ahead / slots)) + wait;
 }
 
 double
-UpstreamSelector::capacityOf(const MemberState& aMember)
+UpstreamSelector::capacityOf(const MemberState& aMember, Millis aNow)
 {
   const bool hasReport =
     aMember.mStatsAt > Millis{} && aMember.mStats.mRunMs > 0;
   if (!hasReport) {
     return kDefaultSlots / kDefaultRunMs;
   }
-  const double perMs =
-    std::max(1U, aMember.mStats.mSlots) / aMember.mStats.mRunMs;
+  const double perMs = slotsOf(aMember, aNow) / aMember.mStats.mRunMs;
   const double limit = aMember.mStats.mLimitPerSecond;
   return limit > 0 ? std::min(perMs, limit / kMillisPerSecond) : perMs;
 }
@@ -116,7 +206,8 @@
 std::optional<Incarnation>
 UpstreamSelector::choose(std::span<const Candidate> aCandidates,
                          std::uint64_t aRandom,
-                         Millis aNow) const
+                         Millis aNow,
+                         std::uint32_t aKind) const
 {
   struct Scored
   {
@@ -127,20 +218,24 @@
     /// The candidates with the lowest keys form the sample.
     double mSampleKey = 0;
   };
+  const bool isProbe = hashPair(aRandom, aKind) % kProbeInterval == 0;
   std::vector<Scored> scores;
   scores.reserve(aCandidates.size());
   for (const Candidate& candidate : aCandidates) {
     const auto it = mMembers.find(candidate.mMember);
     const MemberState member =
       it == mMembers.end() ? MemberState{} : it->second;
+    const double failures = isProbe ? 0 : failureShare(member, aKind, aNow);
     Scored scored;
     scored.mMember = candidate.mMember;
     scored.mInBackoff = aNow < member.mBackoffUntil;
-    scored.mExpectedMs = expectedMs(member, aNow) +
+    scored.mExpectedMs = expectedMs(member, aNow, aKind) +
+                         kFailureCostMs * failures +
                          (candidate.mSameZone ? 0 : kCrossZonePenaltyMs);
     scored.mRandom = hashPair(aRandom, candidate.mMember);
-    const double weight =
-      capacityOf(member) * (candidate.mSameZone ? kSameZoneWeight : 1);
+    const double weight = capacityOf(member, aNow) *
+                          std::max(kMinFailureWeight, 1 - failures) *
+                          (candidate.mSameZone ? kSameZoneWeight : 1);
     const double uniform =
       (static_cast<double>(scored.mRandom >> kRandomShift) + 1) / kRandomRange;
     scored.mSampleKey = -std::log(uniform) / weight;
--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -29,8 +29,10 @@
 capacityOf(const UpstreamStats& aStats)
 {
   constexpr double kMillisPerSecond = 1000;
+  const std::uint32_t slots =
+    aStats.mSustainedSlots > 0 ? aStats.mSustainedSlots : aStats.mSlots;
   const double warm =
-    aStats.mRunMs > 0 ? aStats.mSlots * kMillisPerSecond / aStats.mRunMs : 0;
+    aStats.mRunMs > 0 ? slots * kMillisPerSecond / aStats.mRunMs : 0;
   const double most = maxPerSecond(aStats);
   return most > 0 ? std::min(warm, most) : warm;
 }
--- a/tests/unit/upstream_selector_test.cpp
+++ b/tests/unit/upstream_selector_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <map>
 #include <random>
 
@@ -237,4 +238,72 @@
   BOOST_TEST(!UpstreamSelector().choose({}, 1, 1_ms).has_value());
 }
 
+/// Requests of kind 1 that each of two members gets out of 1000, one a
+/// millisecond, after aPrepare.
+std::map<Incarnation, int>
+sharesAfter(const std::function<void(UpstreamSelector&)>& aPrepare,
+            Millis aAt,
+            std::uint32_t aKind = 1)
+{
+  UpstreamSelector selector;
+  for (const Incarnation member : { 1, 2 }) {
+    UpstreamStats stats;
+    stats.mSlots = kSlots;
+    stats.mSustainedSlots = kSlots;
+    stats.mRunMs = 190;
+    selector.onStats(member, stats, 0, 1_ms);
+  }
+  aPrepare(selector);
+  const std::vector<UpstreamSelector::Candidate> both{ { 1, true },
+                                                       { 2, true } };
+  std::mt19937_64 random(3);
+  std::map<Incarnation, int> shares;
+  for (int n = 0; n < 1000; ++n) {
+    ++shares[*selector.choose(both, random(), aAt, aKind)];
+  }
+  return shares;
+}
+
+BOOST_AUTO_TEST_CASE(sustained_slots_replace_reported_ones_while_fresh)
+{
+  // Six requests run at an upstream that sustains five of nine.
+  const auto prepare = [](UpstreamSelector& aSelector) {
+    UpstreamStats stats;
+    stats.mSlots = kSlots;
+    stats.mSustainedSlots = 5;
+    stats.mRunMs = 190;
+    stats.mRunning = 6;
+    aSelector.onStats(1, stats, 0, 1000_ms);
+    stats.mSustainedSlots = kSlots;
+    aSelector.onStats(2, stats, 0, 1000_ms);
+  };
+  BOOST_TEST(sharesAfter(prepare, 1010_ms)[1] < 50);
+  BOOST_TEST(sharesAfter(prepare, 8000_ms)[1] > 300);
+}
+
+BOOST_AUTO_TEST_CASE(time_of_the_kind_decides)
+{
+  const auto prepare = [](UpstreamSelector& aSelector) {
+    aSelector.onKindTime(1, 1, 400, 1000_ms);
+    aSelector.onKindTime(2, 1, 200, 1000_ms);
+  };
+  BOOST_TEST(sharesAfter(prepare, 1010_ms)[1] < 50);
+  BOOST_TEST(sharesAfter(prepare, 1010_ms, 2)[1] > 300);
+  BOOST_TEST(sharesAfter(prepare, 20000_ms)[1] > 300);
+}
+
+BOOST_AUTO_TEST_CASE(
+  partly_failing_member_is_avoided_by_kind_until_failures_fade)
+{
+  const auto prepare = [](UpstreamSelector& aSelector) {
+    for (int n = 0; n < 30; ++n) {
+      aSelector.onRun(1, 1, n % 3 == 0, 1000_ms);
+      aSelector.onRun(2, 1, false, 1000_ms);
+    }
+  };
+  BOOST_TEST(sharesAfter(prepare, 1010_ms)[1] < 100);
+  BOOST_TEST(sharesAfter(prepare, 1010_ms, 2)[1] > 300);
+  BOOST_TEST(sharesAfter(prepare, 15000_ms)[1] > 300);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
