Refuse at once where all upstreams of a service lack room

A request refused for load was tried at up to three more upstreams, also if these had just refused its kind.

If the service shares room, a refused request is sent on only to an upstream without such a report. Otherwise its caller gets the earliest of the times that the request was told. A request that may have run is still never reported as not run.

--- a/include/radishroad/daemon/ingress.h
+++ b/include/radishroad/daemon/ingress.h
@@ -5,6 +5,7 @@
 #include "radishroad/base/millis.h"
 #include "radishroad/policy/longest_run_times.h"
 #include "radishroad/policy/notice_cache.h"
+#include "radishroad/policy/room_reports.h"
 #include "radishroad/policy/stop_schedule.h"
 #include "radishroad/policy/token_cache.h"
 #include "radishroad/policy/unframed_services.h"
@@ -131,9 +132,15 @@
                    const CellState* aCell);
   /// Whether a request that any upstream may run is sent to another one after
   /// this answer; records the refusal if so.
-  static bool tryAnotherUpstream(PendingRequest& aPending,
-                                 const Answer& aAnswer,
-                                 Millis aNow);
+  bool tryAnotherUpstream(PendingRequest& aPending,
+                          Answer& aAnswer,
+                          Millis aNow);
+  /// Handles a refusal for lack of room, if the service shares room: sets the
+  /// earliest time that the request was told. False if no upstream is left that
+  /// has not refused its kind.
+  bool hasRoomElsewhere(PendingRequest& aPending, Answer& aAnswer, Millis aNow);
+  /// Whether the upstream has refused the request's kind for lack of room.
+  bool isReportedFull(const ForwardRequest& aRequest, Incarnation aMember);
   /// Takes one of the attempts that the route allows and, for an unkeyed
   /// request, excludes the last upstream from the next attempt. False if no
   /// attempt is left.
@@ -184,6 +191,7 @@
   std::mutex mSelectorMutex;
   /// Keyed by service name.
   std::map<std::string, UpstreamSelector> mSelectors;
+  std::map<std::string, RoomReports> mRoomReports;
 };
 
 }
--- a/src/daemon/ingress_pending_request.h
+++ b/src/daemon/ingress_pending_request.h
@@ -43,6 +43,9 @@
   bool mUnkeyed = false;
   /// Daemons that refused the request; only for unkeyed requests.
   std::vector<Incarnation> mRefusedBy;
+  /// Earliest time at which one of them has room again; set if the service
+  /// shares room.
+  std::optional<Millis> mRoomAt;
   /// The caller has disconnected.
   std::atomic<bool> mCancelled{ false };
   /// Held while an attempt is dispatched, so that its cancellation cannot
--- a/src/daemon/ingress_platform.cpp
+++ b/src/daemon/ingress_platform.cpp
@@ -54,6 +54,16 @@
           aAnswer.reason == NotRunReason::ConfigUnconfirmed);
 }
 
+bool
+sharesRoom(const FleetView& aView, const std::string& aService)
+{
+  if (aView.mModel == nullptr) {
+    return false;
+  }
+  const auto it = aView.mModel->mServices.find(aService);
+  return it != aView.mModel->mServices.end() && it->second.mSharesRoom;
+}
+
 bool
 isRefusedBy(std::span<const Incarnation> aRefusedBy, Incarnation aMember)
 {
@@ -193,6 +203,14 @@
                                    : NotRunReason::None;
 }
 
+bool
+Ingress::isReportedFull(const ForwardRequest& aRequest, Incarnation aMember)
+{
+  const std::lock_guard<std::mutex> lock(mSelectorMutex);
+  return mRoomReports[aRequest.service].isFull(
+    aMember, aRequest.kind, mHooks.mNow());
+}
+
 void
 Ingress::sendUnkeyed(const PendingRequestPtr& aPending,
                      const FleetView& aView,
@@ -210,7 +228,10 @@
       }
       const bool sameZone = member.mZone == mHooks.mOwnZone;
       all.push_back({ incarnation, sameZone });
-      if (!isRefusedBy(aPending->mRefusedBy, incarnation)) {
+      const bool isExcluded =
+        isRefusedBy(aPending->mRefusedBy, incarnation) ||
+        (aPending->mRoomAt && isReportedFull(aPending->mRequest, incarnation));
+      if (!isExcluded) {
         candidates.push_back({ incarnation, sameZone });
       }
     }
@@ -230,9 +251,12 @@
     const NotRunReason reason = aPending->mLastReason == NotRunReason::None
                                   ? NotRunReason::NoOwner
                                   : aPending->mLastReason;
-    finish(
-      aPending,
-      makeNotRunAnswer(idOf(aPending->mRequest), reason, kDefaultRetryAfter));
+    const Millis retryAfter =
+      aPending->mRoomAt
+        ? std::max(Millis{ 1 }, *aPending->mRoomAt - mHooks.mNow())
+        : kDefaultRetryAfter;
+    finish(aPending,
+           makeNotRunAnswer(idOf(aPending->mRequest), reason, retryAfter));
     return;
   }
   dispatch(aPending,
@@ -243,15 +267,16 @@
 
 bool
 Ingress::tryAnotherUpstream(PendingRequest& aPending,
-                            const Answer& aAnswer,
+                            Answer& aAnswer,
                             Millis aNow)
 {
+  const bool hasRoom = hasRoomElsewhere(aPending, aAnswer, aNow);
   const bool refused = aAnswer.kind == AnswerKind::NotRun &&
                        aAnswer.reason != NotRunReason::Malformed &&
                        aAnswer.reason != NotRunReason::Quarantined &&
                        aAnswer.reason != NotRunReason::DeadlinePassed &&
                        aAnswer.reason != NotRunReason::Unauthorized;
-  if (!refused || aPending.mRefusedBy.size() >= kMaxRefusals ||
+  if (!refused || !hasRoom || aPending.mRefusedBy.size() >= kMaxRefusals ||
       aNow >= aPending.mObjectiveAt) {
     return false;
   }
@@ -259,6 +284,35 @@
   return true;
 }
 
+bool
+Ingress::hasRoomElsewhere(PendingRequest& aPending,
+                          Answer& aAnswer,
+                          Millis aNow)
+{
+  const std::shared_ptr<const FleetView> view = mViews.get();
+  const ForwardRequest& request = aPending.mRequest;
+  const CellState* cell = view->cell(request.service);
+  if (aAnswer.kind != AnswerKind::NotRun ||
+      aAnswer.reason != NotRunReason::QueueFull || cell == nullptr ||
+      !sharesRoom(*view, request.service)) {
+    return true;
+  }
+  if (aAnswer.retry_after_ms > 0) {
+    const Millis at = aNow + Millis{ aAnswer.retry_after_ms };
+    aPending.mRoomAt = std::min(aPending.mRoomAt.value_or(at), at);
+    aAnswer.retry_after_ms =
+      std::max(Millis{ 1 }, *aPending.mRoomAt - aNow).mCount;
+  }
+  const std::lock_guard<std::mutex> lock(mSelectorMutex);
+  RoomReports& reports = mRoomReports[request.service];
+  reports.onRefused(aPending.mSentTo, request.kind, aNow);
+  return std::ranges::any_of(cell->mMembers, [&](const auto& aEntry) {
+    return isEligibleOwner(*cell, aEntry.first) &&
+           !isRefusedBy(aPending.mRefusedBy, aEntry.first) &&
+           !reports.isFull(aEntry.first, request.kind, aNow);
+  });
+}
+
 bool
 Ingress::consumeAttempt(PendingRequest& aPending) const
 {
--- a/tests/unit/ingress_platform_test.cpp
+++ b/tests/unit/ingress_platform_test.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 using namespace radishroad;
 using namespace radishroad::literals;
@@ -333,6 +334,38 @@
   BOOST_TEST(second.mRequest.shard == kShardCount);
 }
 
+// Tries at full upstreams multiply the load and delay the refusal.
+BOOST_AUTO_TEST_CASE(a_request_is_refused_at_once_if_all_upstreams_are_full)
+{
+  PlatformIngress ingress;
+  std::shared_ptr<config::Model> model =
+    std::make_shared<config::Model>(*ingress.mView.mModel);
+  model->mServices["unkeyed"].mSharesRoom = true;
+  ingress.mView.mModel = model;
+  ingress.mViews.set(std::make_shared<FleetView>(ingress.mView));
+  const auto refuseNext = [&ingress](Millis aRetryAfter) {
+    const Sent sent = ingress.sent();
+    sent.mAnswer(
+      makeNotRunAnswer({ 0, 7 }, NotRunReason::QueueFull, aRetryAfter));
+    return sent.mAddress;
+  };
+  ingress.handle("/unkeyed/1");
+  const std::set<std::string> tried{ refuseNext(900_ms),
+                                     refuseNext(700_ms),
+                                     refuseNext(800_ms) };
+  BOOST_TEST(tried.size() == 3U);
+  const Answer first = ingress.answer();
+  BOOST_TEST((first.reason == NotRunReason::QueueFull));
+  // The earliest time that one of the upstreams told.
+  BOOST_TEST(first.retry_after_ms <= 700);
+  BOOST_TEST(first.retry_after_ms > 400);
+  // The next one is tried once, since the gate counts what is offered.
+  ingress.handle("/unkeyed/1");
+  refuseNext(600_ms);
+  BOOST_TEST((ingress.answer().kind == AnswerKind::NotRun));
+  BOOST_TEST(ingress.mSent.size() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(no_more_upstreams_are_tried_than_the_route_allows)
 {
   PlatformIngress ingress;
