--- a/src/upstream/gate_link.cpp
+++ b/src/upstream/gate_link.cpp
@@ -62,6 +62,7 @@
       return aLeft.mEntry.mObjectiveAt < aRight.mEntry.mObjectiveAt;
     });
   std::vector<LinkBudget::Entry> entries;
+  entries.reserve(waiting.size());
   for (const Large& large : waiting) {
     entries.push_back(large.mEntry);
   }
