--- a/src/upstream/gate_room.cpp
+++ b/src/upstream/gate_room.cpp
@@ -3,6 +3,7 @@
 #include "radishroad/base/hash.h"
 #include "radishroad/base/json_log.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace radishroad {
@@ -44,6 +45,8 @@
 {
   const RoomRequest room = makeRoomRequest(aQueued);
   const RoomAllocator::Recent recent = mRoom.recent(room, aNow);
+  // The time of this pass may be older than the arrival.
+  const Millis waited = std::max(Millis{}, aNow - aQueued.mQueuedAt);
   logRequest("room_refused",
              aQueued.mRequest.request_id,
              { { "kind", room.mKind },
@@ -51,7 +54,7 @@
                { "call_of_run", mRoom.isCallOfRun(room) },
                { "caller_service", aQueued.mRequest.caller_service },
                { "workspace", aQueued.mRequest.workspace },
-               { "waited_ms", (aNow - aQueued.mQueuedAt).mCount },
+               { "waited_ms", waited.mCount },
                { "retry_after_ms", aRetryAfter.mCount },
                { "queued", mQueue.size() },
                { "running", occupiedSlots() },
--- a/tests/process/support/platform_site.cpp
+++ b/tests/process/support/platform_site.cpp
@@ -124,14 +124,16 @@
   nlohmann::json services = nlohmann::json::array();
   const auto addRoute = [&](const Service& aService,
                             const std::string& aPrefix,
-                            const char* aKind) {
+                            const std::string& aKind,
+                            int aPriority = 1,
+                            Millis aObjective = Millis{ 400 }) {
     routes.push_back({ aPrefix.substr(1),
                        "shop.example",
                        aPrefix,
                        aKind,
                        aService.mTimeout.mCount,
-                       400,
-                       1,
+                       aObjective.mCount,
+                       aPriority,
                        aService.mName,
                        2 });
   };
@@ -147,6 +149,10 @@
     for (const std::string& prefix : service.mPrefixes) {
       addRoute(service, prefix, "idempotent");
     }
+    for (const Route& route : service.mFurtherRoutes) {
+      addRoute(
+        service, route.mPrefix, route.mKind, route.mPriority, route.mObjective);
+    }
     const char* grants = service.mGrantsByReport ? "heartbeat" : "call";
     services.push_back(
       { service.mName, "/healthz", 130, 3.0, 1000.0, service.mKeyed, grants });
--- a/tests/process/support/platform_site.h
+++ b/tests/process/support/platform_site.h
@@ -21,6 +21,14 @@
 class PlatformSite
 {
 public:
+  struct Route
+  {
+    std::string mPrefix;
+    std::string mKind;
+    int mPriority = 1;
+    Millis mObjective{ 400 };
+  };
+
   struct Service
   {
     std::string mName;
@@ -33,6 +41,8 @@
     std::vector<std::string> mRoutes = {};
     /// Whole prefixes of further idempotent routes.
     std::vector<std::string> mPrefixes = {};
+    /// Routes with attributes of their own.
+    std::vector<Route> mFurtherRoutes = {};
     Millis mTimeout{ 2000 };
     int mSlots = 9;
     PlatformUpstream::RunTimeFn mRunTime = {};
