--- a/tests/process/support/platform_site.h
+++ b/tests/process/support/platform_site.h
@@ -21,6 +21,14 @@
 class PlatformSite
 {
 public:
+  struct Route
+  {
+    std::string mPrefix;
+    std::string mKind;
+    int mPriority = 1;
+    Millis mObjective{ 400 };
+  };
+
   struct Service
   {
     std::string mName;
@@ -37,6 +45,8 @@
     std::vector<std::string> mDownloads = {};
     /// Rate of each VM's link; 0 if it is not set.
     int mLinkMbps = 0;
+    /// Routes with attributes of their own.
+    std::vector<Route> mFurtherRoutes = {};
     Millis mTimeout{ 2000 };
     int mSlots = 9;
     PlatformUpstream::RunTimeFn mRunTime = {};
