--- a/tests/process/support/platform_site.cpp
+++ b/tests/process/support/platform_site.cpp
@@ -108,6 +108,7 @@
       options.mSlots = service.mSlots;
       options.mRunTime = service.mRunTime;
       options.mEndsWorkWithHold = service.mEndsWorkWithHold;
+      options.mSlowsBeyond = n == 1 ? service.mFirstSlowsBeyond : 0;
       options.mHolds = mHolds[service.mName];
       vm.mUpstream = std::make_unique<PlatformUpstream>(std::move(options));
       mVms.push_back(std::move(vm));
@@ -147,6 +148,9 @@
     for (const std::string& prefix : service.mPrefixes) {
       addRoute(service, prefix, "idempotent");
     }
+    for (const std::string& prefix : service.mDownloads) {
+      addRoute(service, prefix, "download");
+    }
     const char* grants = service.mGrantsByReport ? "heartbeat" : "call";
     services.push_back(
       { service.mName, "/healthz", 130, 3.0, 1000.0, service.mKeyed, grants });
--- a/tests/process/support/platform_site.h
+++ b/tests/process/support/platform_site.h
@@ -38,6 +38,11 @@
     PlatformUpstream::RunTimeFn mRunTime = {};
     /// See PlatformUpstream::Options.
     bool mEndsWorkWithHold = false;
+    /// Whole prefixes of routes of the kind `download`.
+    std::vector<std::string> mDownloads = {};
+    /// The first VM's upstream slows down beyond so many runs at a time; 0 for
+    /// never.
+    int mFirstSlowsBeyond = 0;
   };
 
   struct Workspace
--- a/tests/process/support/platform_upstream.cpp
+++ b/tests/process/support/platform_upstream.cpp
@@ -250,8 +250,12 @@
     return mOptions.mSend ? mOptions.mSend(answer) : plainReply(answer);
   }
   const bool isTimed = mOptions.mRunTime != nullptr;
-  const Millis runTime =
+  ++mActiveRuns;
+  const int beyond =
+    mOptions.mSlowsBeyond > 0 ? mActiveRuns - mOptions.mSlowsBeyond : 0;
+  const Millis usualTime =
     isTimed ? mOptions.mRunTime(aRequest.mTarget) : kDefaultRunTime;
+  const Millis runTime = usualTime * (1 + std::max(0, beyond));
   const Millis deadline =
     isTimed ? Millis{ std::stoll("0" + headerOf(aRequest, "x-deadline-ms")) }
             : Millis::max();
@@ -261,6 +265,7 @@
   }
   const bool isHeld =
     work(lock, key, monotonicNow() + std::min(runTime, deadline));
+  --mActiveRuns;
   if (key != nullptr) {
     --key->mRunning;
   }
--- a/tests/process/support/platform_upstream.h
+++ b/tests/process/support/platform_upstream.h
@@ -96,6 +96,9 @@
     RefusesFn mRefuses;
     /// Work that outlasts the hold on its key ends with an error.
     bool mEndsWorkWithHold = false;
+    /// A run takes as long again for each run beyond so many at its start; 0
+    /// for never.
+    int mSlowsBeyond = 0;
     /// May be null.
     std::shared_ptr<HoldJournal> mHolds;
   };
@@ -152,6 +155,7 @@
   std::vector<nlohmann::json> mReleasing;
   std::vector<nlohmann::json> mReleased;
   std::vector<PlatformRun> mRuns;
+  int mActiveRuns = 0;
   std::uint64_t mSequence = 0;
   bool mStopped = false;
   bool mIsDraining = false;
