--- a/tests/process/support/platform_site.cpp
+++ b/tests/process/support/platform_site.cpp
@@ -109,6 +109,7 @@
       options.mSlots = service.mSlots;
       options.mRunTime = service.mRunTime;
       options.mEndsWorkWithHold = service.mEndsWorkWithHold;
+      options.mSlowsBeyond = n == 1 ? service.mFirstSlowsBeyond : 0;
       options.mHolds = mHolds[service.mName];
       vm.mUpstream = std::make_unique<PlatformUpstream>(std::move(options));
       mVms.push_back(std::move(vm));
--- a/tests/process/support/platform_site.h
+++ b/tests/process/support/platform_site.h
@@ -52,6 +52,9 @@
     PlatformUpstream::RunTimeFn mRunTime = {};
     /// See PlatformUpstream::Options.
     bool mEndsWorkWithHold = false;
+    /// The first VM's upstream slows down beyond so many runs at a time; 0 for
+    /// never.
+    int mFirstSlowsBeyond = 0;
   };
 
   struct Workspace
