Keep a rollout and the upstreams' versions in the cell's state

Cause: the successor of a lost coordinator has to continue a rollout.

Without a rollout no new field is written. Nothing proposes steps yet.

--- a/include/radishroad/state/cell_state.h
+++ b/include/radishroad/state/cell_state.h
@@ -1,6 +1,7 @@
 #ifndef RADISHROAD_STATE_CELL_STATE_H
 #define RADISHROAD_STATE_CELL_STATE_H
 
+#include "radishroad/policy/rollout_progress.h"
 #include "radishroad/state/recent_ids.h"
 
 #include <bit>
@@ -76,6 +77,8 @@
   bool mUpstreamDown = false;
   /// Incarnation of its upstream process; 0 if unknown.
   std::uint64_t mUpstreamIncarnation = 0;
+  /// Software version of its upstream; empty if unknown.
+  std::string mVersion;
 
   bool operator==(const Member&) const = default;
 };
@@ -97,6 +100,18 @@
   bool operator==(const SplitOwnership&) const = default;
 };
 
+/// The service's last rollout.
+struct Rollout
+{
+  /// Number of the last step; 0 before the first.
+  std::uint64_t mStep = 0;
+  /// Version that the traffic moves to.
+  std::string mTo;
+  RolloutProgress mProgress;
+
+  bool operator==(const Rollout&) const = default;
+};
+
 /// State of one cell, computed only from the records of its stream.
 struct CellState
 {
@@ -118,6 +133,7 @@
   /// Generation of the store (StoredState) in which the state was last written.
   /// A stored state of an earlier generation comes from a copy.
   std::uint64_t mStoreGeneration = 0;
+  Rollout mRollout;
 
   bool operator==(const CellState&) const = default;
 };
--- a/include/radishroad/state/fold_rules.h
+++ b/include/radishroad/state/fold_rules.h
@@ -42,6 +42,10 @@
 
 bool
 apply(CellState& aState, const wire::UpstreamChangeT& aChange);
+
+bool
+apply(CellState& aState, const wire::RolloutStepT& aChange);
+
 bool
 apply(CellState& aState, const wire::AssignT& aChange);
 
--- a/src/state/fold_cell.cpp
+++ b/src/state/fold_cell.cpp
@@ -35,6 +35,8 @@
       return rules::apply(aState, *aChange.AsZonesOut());
     case wire::Change::UpstreamChange:
       return rules::apply(aState, *aChange.AsUpstreamChange());
+    case wire::Change::RolloutStep:
+      return rules::apply(aState, *aChange.AsRolloutStep());
     case wire::Change::NONE:
     case wire::Change::SnapshotChunk:
     case wire::Change::Publish:
--- a/src/state/fold_membership.cpp
+++ b/src/state/fold_membership.cpp
@@ -166,6 +166,7 @@
     member.mUpstreamDown = aState.mMembers.at(predecessor).mUpstreamDown;
     member.mUpstreamIncarnation =
       aState.mMembers.at(predecessor).mUpstreamIncarnation;
+    member.mVersion = aState.mMembers.at(predecessor).mVersion;
   }
   supersede(aState, aChange.vm);
   aState.mMembers.emplace(aChange.incarnation, std::move(member));
@@ -182,15 +183,17 @@
 apply(CellState& aState, const wire::UpstreamChangeT& aChange)
 {
   Member* member = findActive(aState, aChange.incarnation);
-  if (member == nullptr) {
+  if (member == nullptr || aChange.version.size() > kMaxNameBytes) {
     return false;
   }
   const bool upstreamRestarted = aChange.life != member->mUpstreamIncarnation;
-  if (member->mUpstreamDown == !aChange.up && !upstreamRestarted) {
+  if (member->mUpstreamDown == !aChange.up && !upstreamRestarted &&
+      aChange.version == member->mVersion) {
     return false;
   }
   member->mUpstreamDown = !aChange.up;
   member->mUpstreamIncarnation = aChange.life;
+  member->mVersion = aChange.version;
   if (upstreamRestarted) {
     transferOwnership(aState, aChange.incarnation, aChange.incarnation);
   }
--- a/src/state/snapshot_codec.cpp
+++ b/src/state/snapshot_codec.cpp
@@ -80,6 +80,7 @@
   entry->superseded = aMember.mSuperseded;
   entry->upstream_down = aMember.mUpstreamDown;
   entry->upstream_life = aMember.mUpstreamIncarnation;
+  entry->upstream_version = aMember.mVersion;
   return entry;
 }
 
@@ -102,6 +103,7 @@
   member.mSuperseded = aEntry.superseded;
   member.mUpstreamDown = aEntry.upstream_down;
   member.mUpstreamIncarnation = aEntry.upstream_life;
+  member.mVersion = std::move(aEntry.upstream_version);
   return member;
 }
 
@@ -137,6 +139,51 @@
   return true;
 }
 
+std::unique_ptr<wire::RolloutEntryT>
+packRollout(const Rollout& aRollout)
+{
+  if (aRollout.mStep == 0) {
+    return nullptr;
+  }
+  const RolloutProgress& progress = aRollout.mProgress;
+  std::unique_ptr<wire::RolloutEntryT> entry =
+    std::make_unique<wire::RolloutEntryT>();
+  entry->step = aRollout.mStep;
+  entry->to = aRollout.mTo;
+  entry->order_id = progress.mOrderId;
+  entry->state = static_cast<std::uint8_t>(progress.mState);
+  entry->share_permille = progress.mSharePermille;
+  entry->started_ms = progress.mStartedAt.mCount;
+  entry->requests = progress.mRequests;
+  entry->exposed = progress.mExposed;
+  entry->bad = progress.mBad;
+  return entry;
+}
+
+/// Returns false if the entry is invalid. Snapshots of earlier versions have
+/// none.
+bool
+unpackRollout(const wire::RolloutEntryT* aEntry, Rollout& aRollout)
+{
+  if (aEntry == nullptr) {
+    return true;
+  }
+  if (aEntry->state > static_cast<std::uint8_t>(RolloutState::RolledBack) ||
+      aEntry->share_permille > kFullSharePermille) {
+    return false;
+  }
+  aRollout.mStep = aEntry->step;
+  aRollout.mTo = aEntry->to;
+  aRollout.mProgress = { aEntry->order_id,
+                         static_cast<RolloutState>(aEntry->state),
+                         aEntry->share_permille,
+                         Millis{ aEntry->started_ms },
+                         aEntry->requests,
+                         aEntry->exposed,
+                         aEntry->bad };
+  return true;
+}
+
 wire::CellSnapshotT
 packCell(const CellState& aState)
 {
@@ -158,6 +205,7 @@
   packed.zones_version = aState.mZonesVersion;
   packed.run_keys = aState.mRunKeys;
   packed.store_generation = aState.mStoreGeneration;
+  packed.rollout = packRollout(aState.mRollout);
   return packed;
 }
 
@@ -202,6 +250,7 @@
   CellState state;
   if (packed == nullptr || !unpackMembers(*packed, state) ||
       !unpackOwnership(*packed, state) ||
+      !unpackRollout(packed->rollout.get(), state.mRollout) ||
       !unpackIds((*snapshot)->seen_ids, state.mSeenIds)) {
     return fail(ErrorCode::Corrupt, "not a valid cell snapshot");
   }
--- a/tests/unit/snapshot_test.cpp
+++ b/tests/unit/snapshot_test.cpp
@@ -55,6 +55,21 @@
   BOOST_CHECK((makeSnapshot(CellState{}, 100).empty()));
 }
 
+BOOST_AUTO_TEST_CASE(rollout_is_restored)
+{
+  CellState state = makeMixedLog().mState;
+  // A state without a rollout is encoded as before.
+  CellState read;
+  BOOST_REQUIRE(decodeState(encodeState(state), read).has_value());
+  BOOST_CHECK((read == state));
+  state.mMembers.at(1).mVersion = "v2";
+  state.mRollout = {
+    4, "v2", { 7, RolloutState::Completed, 1000, 123456_ms, 900, 80, 1 }
+  };
+  BOOST_REQUIRE(decodeState(encodeState(state), read).has_value());
+  BOOST_CHECK((read == state));
+}
+
 BOOST_AUTO_TEST_CASE(configuration_is_restored)
 {
   ConfigState state;
--- a/tests/unit/state_change_test.cpp
+++ b/tests/unit/state_change_test.cpp
@@ -132,4 +132,58 @@
   BOOST_TEST(log.mState.mShards[5].mEpoch > before);
 }
 
+BOOST_AUTO_TEST_CASE(version_is_recorded_and_passed_to_a_restarted_daemon)
+{
+  CellLog log;
+  log.append(joinAt(1, "10.0.0.1:7"));
+  log.append(upstreamChange(1, true, 77));
+  log.assign(5, 0, 1);
+  const Epoch before = log.mState.mShards[5].mEpoch;
+  wire::UpstreamChangeT change = upstreamChange(1, true, 77);
+  change.version = "v2";
+  BOOST_TEST((log.append(change) == FoldVerdict::Applied));
+  BOOST_TEST((log.append(change) == FoldVerdict::Refused));
+  // The upstream process is the same, so that its keys need no new epoch.
+  BOOST_TEST(log.mState.mShards[5].mEpoch == before);
+  wire::JoinT next = joinAt(2, "10.0.0.1:7");
+  next.succeeds = 1;
+  log.append(std::move(next));
+  BOOST_TEST(log.mState.mMembers.at(2).mVersion == "v2");
+}
+
+BOOST_AUTO_TEST_CASE(rollout_steps_follow_each_other)
+{
+  CellLog log;
+  log.append(joinAt(1, "10.0.0.1:7"));
+  wire::RolloutStepT step;
+  step.proposer = 1;
+  step.order_id = 8;
+  step.to = "v2";
+  step.state = static_cast<std::uint8_t>(RolloutState::Running);
+  step.share_permille = 30;
+  BOOST_TEST((log.append(step) == FoldVerdict::Applied));
+  // A coordinator that was replaced knows an earlier step only.
+  BOOST_TEST((log.append(step) == FoldVerdict::Refused));
+  step.base_step = 1;
+  step.state = static_cast<std::uint8_t>(RolloutState::RolledBack);
+  wire::RolloutStepT invalid = step;
+  invalid.share_permille = 1001;
+  BOOST_TEST((log.append(invalid) == FoldVerdict::Refused));
+  invalid = step;
+  invalid.state = 9;
+  BOOST_TEST((log.append(invalid) == FoldVerdict::Refused));
+  invalid = step;
+  invalid.proposer = 2;
+  BOOST_TEST((log.append(invalid) == FoldVerdict::Refused));
+  BOOST_TEST((log.append(step) == FoldVerdict::Applied));
+  // A version that was rolled back must not receive requests again.
+  step.base_step = 2;
+  step.state = static_cast<std::uint8_t>(RolloutState::Running);
+  BOOST_TEST((log.append(step) == FoldVerdict::Refused));
+  step.order_id = 9;
+  BOOST_TEST((log.append(step) == FoldVerdict::Applied));
+  BOOST_TEST(log.mState.mRollout.mStep == 3U);
+  BOOST_TEST(log.mState.mRollout.mProgress.mOrderId == 9U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
