Read rollout requests and upstreams' versions, write rollout states

Change: operator entries rollout/SERVICE are read; one that cannot be read carries its reason and does not make the configuration count as unreadable. An upstream's report carries its version, which its daemon records in the cell's state if rollouts are enabled. DaemonProtocol::mOpenRolloutStatus opens the client that writes status/rollout/SERVICE. The daemon does not act on rollout requests yet.

--- a/include/radishroad/daemon/membership_manager.h
+++ b/include/radishroad/daemon/membership_manager.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <span>
+#include <string>
 
 namespace radishroad {
 
@@ -25,6 +26,9 @@
   /// Sets the incarnation of the upstream process, for upstreams that send
   /// reports.
   void onUpstreamIncarnation(std::uint64_t aUpstreamIncarnation);
+  /// Sets the software version of the upstream, which is recorded with its
+  /// state. Called only if rollouts are enabled.
+  void onUpstreamVersion(std::string aVersion);
   /// The upstream is draining: its keys move to other members, and it gets no
   /// more requests until it has been restarted.
   void onUpstreamDraining();
@@ -63,6 +67,7 @@
   bool mUpstreamHealthy = false;
   bool mUpstreamDraining = false;
   std::uint64_t mUpstreamIncarnation = 0;
+  std::string mVersion;
   bool mProposing = false;
   bool mWasMember = false;
   bool mLeaving = false;
--- a/include/radishroad/daemon/protocol.h
+++ b/include/radishroad/daemon/protocol.h
@@ -3,6 +3,7 @@
 
 #include "radishroad/base/error.h"
 #include "radishroad/config/operator_state.h"
+#include "radishroad/log/rollout_status_store.h"
 #include "radishroad/log/state_store.h"
 #include "radishroad/request/caller_headers.h"
 #include "radishroad/request/request.h"
@@ -26,8 +27,21 @@
     std::string mZone;
     bool mInService = true;
   };
+  /// A request to move a service's traffic to another version.
+  struct RolloutRequest
+  {
+    std::string mService;
+    /// Empty if the request was removed.
+    std::string mTo;
+    Millis mDuration;
+    /// Why the request cannot be read; empty if it can. One that cannot leaves
+    /// the configuration and earlier requests in force.
+    std::string mProblem;
+  };
   /// std::monostate for an entry that does not concern the daemon.
-  std::variant<std::monostate, config::VersionedModel, ZoneState> mChange;
+  std::
+    variant<std::monostate, config::VersionedModel, ZoneState, RolloutRequest>
+      mChange;
 };
 
 /// How the daemon communicates with callers, its upstream, operators and its
@@ -43,6 +57,7 @@
   UpstreamProtocol mUpstream = defaultUpstreamProtocol();
   OpenStateStoreFn mOpenStore;
   OpenOperatorFeedFn mOpenFeed;
+  OpenRolloutStatusFn mOpenRolloutStatus;
   /// Parses an operator entry; the error says what is wrong with it.
   std::function<Result<OperatorChange>(const OperatorEntry&)>
     mParseOperatorEntry;
--- a/include/radishroad/upstream/upstream_report.h
+++ b/include/radishroad/upstream/upstream_report.h
@@ -34,6 +34,8 @@
   bool mHasPlausibleStart = true;
   /// Service that it belongs to; empty if not reported.
   std::string mService;
+  /// Software version; empty if not reported.
+  std::string mVersion;
   /// Address at which it serves requests; empty if not reported.
   std::string mAddress;
   /// Wall-clock time of its start, which distinguishes incarnations with the
--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -276,6 +276,14 @@
     aAnswer(
       makeTextAnswer(200, kJson, mProtocol.mWriteReportAnswer(aReportAnswer)));
   };
+  if (mSettings.hasRollouts() && !report->mVersion.empty() &&
+      report->mIsAtOwnAddress && report->mHasPlausibleStart) {
+    // Before the gate announces a new upstream process, so that it is recorded
+    // with its version.
+    mLoop.post([this, version = report->mVersion] {
+      mMembership.onUpstreamVersion(version);
+    });
+  }
   if (!mGate->onReport(*report, answer)) {
     logEvent(LogLevel::Info,
              "upstream_report_outdated",
--- a/src/daemon/membership_manager.cpp
+++ b/src/daemon/membership_manager.cpp
@@ -148,6 +148,12 @@
   mUpstreamDraining = false;
 }
 
+void
+MembershipManager::onUpstreamVersion(std::string aVersion)
+{
+  mVersion = std::move(aVersion);
+}
+
 void
 MembershipManager::onUpstreamDraining()
 {
@@ -166,9 +172,10 @@
   const bool toDown =
     !up && !self->mUpstreamDown &&
     (mUpstreamDraining || now - mUnhealthySince > kUpstreamLostTimeout);
-  const bool toUp =
-    up && mUpstreamIncarnation != 0 &&
-    (self->mUpstreamDown || self->mUpstreamIncarnation != mUpstreamIncarnation);
+  const bool toUp = up && mUpstreamIncarnation != 0 &&
+                    (self->mUpstreamDown ||
+                     self->mUpstreamIncarnation != mUpstreamIncarnation ||
+                     (!mVersion.empty() && self->mVersion != mVersion));
   if (mProposing || mLeaving || (!toDown && !toUp)) {
     return;
   }
@@ -176,6 +183,7 @@
   change.incarnation = mContext.mSelf;
   change.up = toUp;
   change.life = toUp ? mUpstreamIncarnation : self->mUpstreamIncarnation;
+  change.version = toUp ? mVersion : self->mVersion;
   mProposing = true;
   mContext.mProposer.propose(
     mContext.ownStream(), change, [this, up = toUp](ProposalOutcome aOutcome) {
--- a/tests/unit/platform_configuration_test.cpp
+++ b/tests/unit/platform_configuration_test.cpp
@@ -186,6 +186,37 @@
   BOOST_TEST(zoneOf("").mInService);
 }
 
+BOOST_AUTO_TEST_CASE(rollout_request_is_read)
+{
+  const auto read = [](const std::string& aValue) {
+    const Result<OperatorChange> change =
+      platform::readOperatorEntry({ "rollout/huvo", toBytes(aValue) });
+    // An error would make the configuration count as unreadable.
+    BOOST_REQUIRE(change.has_value());
+    return std::get<OperatorChange::RolloutRequest>(change->mChange);
+  };
+  const OperatorChange::RolloutRequest request =
+    read(R"({"Service":"huvo","To":"v2","DurationS":12.5})");
+  BOOST_TEST(request.mService == "huvo");
+  BOOST_TEST(request.mTo == "v2");
+  BOOST_TEST(request.mDuration.mCount == 12500);
+  BOOST_TEST(request.mProblem.empty());
+  BOOST_TEST(read("").mTo.empty());
+  BOOST_TEST(read("").mProblem.empty());
+  for (const char* value :
+       { "x",
+         "[]",
+         R"({"Service":"other","To":"v2","DurationS":12})",
+         R"({"Service":"huvo","To":"","DurationS":12})",
+         R"({"Service":"huvo","To":2,"DurationS":12})",
+         R"({"Service":"huvo","To":"v2"})",
+         R"({"Service":"huvo","To":"v2","DurationS":0})",
+         R"({"Service":"huvo","To":"v2","DurationS":1e300})" }) {
+    BOOST_TEST(!read(value).mProblem.empty(), value);
+    BOOST_TEST(read(value).mTo.empty(), value);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(entries_of_unknown_kinds_are_ignored)
 {
   const Result<OperatorChange> change =
