--- a/src/policy/rollout_controller.cpp
+++ b/src/policy/rollout_controller.cpp
@@ -23,7 +23,7 @@
 constexpr Millis kMinRaiseInterval{ 300 };
 /// Outcomes are known only once the run has ended and its member has reported.
 constexpr double kReportLagSeconds = 1;
-/// Longer than the interval of 1 s between two reports of a member.
+/// More than two intervals of the reports, which have to come every 500 ms.
 constexpr Millis kFreshTime{ 1200 };
 constexpr std::uint64_t kMinEvidence = 20;
 constexpr std::uint64_t kMinEvidencePerRaise = 10;
@@ -174,7 +174,10 @@
   // A service with little traffic cannot give more.
   const std::uint64_t wanted =
     std::min(kMinEvidence, (mEvidence.requests() + 19) / 20);
-  return mEvidence.newRequests() >= wanted;
+  // A predecessor saw no reason to roll back in what it counted, but that may
+  // have changed since.
+  return mBase.mExposed + mEvidence.newRequests() >= wanted &&
+         mEvidence.newRequests() >= wanted / 4;
 }
 
 std::uint32_t
--- a/tests/unit/platform_messages_test.cpp
+++ b/tests/unit/platform_messages_test.cpp
@@ -114,6 +114,7 @@
   BOOST_TEST(report->mInstance == "i-7");
   BOOST_TEST(report->mStartTime.mCount == 1700000000123);
   BOOST_TEST(report->mSlots == 9U);
+  BOOST_TEST(report->mVersion == "v1");
   BOOST_TEST(report->mSequence == 4U);
   BOOST_TEST(report->mColdTimeLeft.mCount == 250);
   BOOST_TEST((report->mKind == UpstreamReport::Kind::Ready));
