Pass on large responses while they are received

Cause: a response of a download route was held whole by the daemon beside the upstream and again by that of the caller, and a slow caller held both. Change: a body above 256 KiB of a request with large_response goes through chunk by chunk with credit at each hop: libcurl's transfer is paused without credit, ResponseChunk and ResponseCredit pass between daemons, the caller's connection writes parts as they come. A body that breaks off closes the caller's connection, with a reset if it has no length. A dropped reader's handle cancels the run. A reader that stalls for 5 s is ended. Answer is now a type of its own that may carry the stream; two tests that encode an answer use the type on the wire instead. The gate's records of a run move to gate_record.cpp.

--- a/include/radishroad/caller/answer_queue.h
+++ b/include/radishroad/caller/answer_queue.h
@@ -22,6 +22,9 @@
   Answer mAnswer;
   /// Counts the answer's body; set by push().
   BodyShare mBodyShare;
+  /// No answer, but the streamed body of one that was delivered has more bytes
+  /// or has ended.
+  bool mIsBodyReady = false;
 };
 
 /// Thread-safe queue that passes answers from any thread to the thread of one
--- a/include/radishroad/caller/connection.h
+++ b/include/radishroad/caller/connection.h
@@ -40,6 +40,8 @@
                 Answer aAnswer,
                 BodyShare aBodyShare,
                 Millis aNow);
+  /// The streamed body of this answer has more bytes, or has ended.
+  void onBodyReady(std::uint64_t aSequence, Millis aNow);
   void onWritable(Millis aNow);
   /// The caller has closed the connection: cancels the running requests.
   void onClosed();
@@ -86,6 +88,18 @@
   void write(Response aResponse, bool aIsLast, Millis aNow);
   void flush(Millis aNow);
   void finishOutput(Millis aNow);
+  enum class NextPart
+  {
+    /// The next part of the streamed body was passed to the sender.
+    Started,
+    /// The streamed body has no bytes yet.
+    Awaited,
+    /// The body, streamed or not, was sent completely.
+    None,
+    /// The rest of the streamed body is lost.
+    Lost,
+  };
+  NextPart startNextPart();
   void sendContinue();
   void shutDownOutput(Millis aNow);
   /// Whether closing the socket resets the connection.
@@ -112,6 +126,12 @@
   bool mDiscardInput = false;
 
   OutputState mOutputState = OutputState::None;
+  /// Rest of the body of the response that is pending; null if none is
+  /// streamed.
+  std::shared_ptr<BodyStream> mStream;
+  std::uint64_t mStreamSequence = 0;
+  /// A streamed body was aborted: its connection must not end in order.
+  bool mIsBrokenOff = false;
   bool mIsLastResponse = false;
   bool mResetsOnClose = false;
 
--- a/include/radishroad/caller/response.h
+++ b/include/radishroad/caller/response.h
@@ -5,6 +5,7 @@
 #include "radishroad/request/request.h"
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +20,8 @@
   BodyShare mBodyShare;
   /// The body has no length and ends with the connection.
   bool mEndsWithConnection = false;
+  /// The body; mBody is then empty. May be null.
+  std::shared_ptr<BodyStream> mStream;
 };
 
 /// Options for the serialization of a response.
--- a/include/radishroad/peer/forwarder.h
+++ b/include/radishroad/peer/forwarder.h
@@ -2,6 +2,7 @@
 #define RADISHROAD_PEER_FORWARDER_H
 
 #include "radishroad/peer/channel.h"
+#include "radishroad/peer/stream_receiver.h"
 #include "radishroad/request/request.h"
 
 #include <boost/asio/io_context.hpp>
@@ -12,8 +13,9 @@
 
 namespace radishroad {
 
-/// Sends requests to one peer and completes each with exactly one answer. All
-/// members must be used on the transport's thread.
+/// Sends requests to one peer and completes each with exactly one answer, whose
+/// body may follow as a stream. All members must be used on the transport's
+/// thread.
 class Forwarder
 {
 public:
@@ -28,7 +30,8 @@
     Clock::time_point mDeadline;
   };
 
-  Forwarder(boost::asio::io_context& aContext, Channel::Options aOptions);
+  Forwarder(boost::asio::io_context& aContext,
+            const Channel::Options& aOptions);
   Forwarder(const Forwarder&) = delete;
   Forwarder& operator=(const Forwarder&) = delete;
 
@@ -64,6 +67,7 @@
   void onDisconnected(const Error& aReason);
   void abandon(RandomId aId, NotRunReason aReason);
   void sendCancel(RandomId aId);
+  StreamReceiver::Hooks streamHooks();
   /// Removes the request, so that nothing else can answer it.
   std::unique_ptr<Pending> removePending(RandomId aId);
 
@@ -74,6 +78,7 @@
   /// arrive on this connection.
   std::unordered_set<RandomId> mAbandoned;
   Channel mChannel;
+  StreamReceiver mStreams;
 };
 
 }
--- a/include/radishroad/peer/peer_server.h
+++ b/include/radishroad/peer/peer_server.h
@@ -2,6 +2,7 @@
 #define RADISHROAD_PEER_PEER_SERVER_H
 
 #include "radishroad/peer/connection.h"
+#include "radishroad/peer/stream_sender.h"
 #include "radishroad/request/request.h"
 
 #include <boost/asio/io_context.hpp>
@@ -55,7 +56,13 @@
     /// Address on which the peer listens, from its Hello.
     std::string mPeerAddress;
     std::unordered_map<RandomId, std::uint32_t> mRunningRequests;
+    /// Answers whose bodies are being sent.
+    std::unordered_map<RandomId, std::shared_ptr<StreamSender>> mStreams;
 
+    /// Sends what the stream may send now; forgets it at its end.
+    void pumpStream(RandomId aId);
+    void onCredit(const wire::ResponseCreditT& aCredit);
+    void endStalledStreams(Millis aNow);
     /// Returns false if the request is not running.
     bool finishRequest(RandomId aId);
   };
@@ -68,7 +75,7 @@
   void onSkipped(std::uint64_t aSessionId, const ForwardedFrame& aFrame);
   void onRequest(const std::shared_ptr<Session>& aSession,
                  ForwardRequest aRequest);
-  void onCancel(const Session& aSession, RandomId aId);
+  void onCancel(Session& aSession, RandomId aId);
   void onClosed(std::uint64_t aSessionId, const Error& aReason);
   AnswerFn makeAnswerFn(const std::shared_ptr<Session>& aSession,
                         RandomId aId) const;
--- a/include/radishroad/request/request.h
+++ b/include/radishroad/request/request.h
@@ -7,7 +7,9 @@
 #include "radishroad/generated/peer_generated.h"
 
 #include <functional>
+#include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace radishroad {
@@ -17,7 +19,23 @@
 using wire::AnswerKind;
 using wire::NotRunReason;
 using ForwardRequest = wire::ForwardRequestT;
-using Answer = wire::ForwardAnswerT;
+
+class BodyStream;
+
+/// The answer to one request.
+struct Answer : wire::ForwardAnswerT
+{
+  Answer() = default;
+  /// An answer from the wire, without a stream. Implicit, since decoded frames
+  /// are passed on as answers.
+  Answer(wire::ForwardAnswerT aAnswer)
+    : wire::ForwardAnswerT(std::move(aAnswer))
+  {
+  }
+
+  /// With `streams`: the whole body; `body` is then empty. Null otherwise.
+  std::shared_ptr<BodyStream> mStream;
+};
 
 /// A request as read from a caller's connection, before routing.
 struct CallerRequest
--- a/include/radishroad/upstream/exchange.h
+++ b/include/radishroad/upstream/exchange.h
@@ -5,6 +5,7 @@
 #include "radishroad/base/millis.h"
 #include "radishroad/generated/peer_generated.h"
 #include "radishroad/http/response_head.h"
+#include "radishroad/upstream/response_stream_hooks.h"
 #include "radishroad/upstream/response_trace.h"
 
 #include <cstddef>
@@ -12,6 +13,7 @@
 #include <curl/curl.h>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -58,6 +60,9 @@
   /// connection is closed in order. UpstreamResponse::mEndsWithConnection marks
   /// it.
   bool mAcceptsUnframedBody = false;
+  /// If set, a body above its threshold that has a length or chunked encoding
+  /// is passed on while it is received.
+  std::optional<ResponseStreamHooks> mStream;
 };
 
 struct UpstreamResponse
@@ -120,6 +125,12 @@
   ExchangeOutcome outcome(CURLcode aCode) const;
   ResponseTrace trace(CURLcode aCode) const;
   UpstreamResponse& response();
+  /// The reader has taken aBytes of the streamed body. Returns whether
+  /// resume() must be called, outside of libcurl's callbacks.
+  bool onTaken(std::size_t aBytes, Millis aNow);
+  void resume();
+  /// The reader of the streamed body takes too little; see StreamWindow.
+  bool isStalled(Millis aNow) const;
 
 private:
   void setRequest(const UpstreamRequest& aRequest);
@@ -134,6 +145,10 @@
   /// Called when the final head has ended; returns false to close the
   /// connection.
   bool onHeadEnd();
+  bool mayStream() const;
+  /// Passes on the head and the part of the body that was received so far.
+  void startStream();
+  std::size_t onStreamedBytes(std::span<const std::uint8_t> aBytes);
 
   static int onPreRequest(void* aSelf, char*, char*, int, int aLocalPort);
   static std::size_t onHeader(char*, std::size_t, std::size_t, void* aSelf);
@@ -164,6 +179,11 @@
   bool mTooLarge = false;
   bool mOutOfMemory = false;
   UpstreamResponse mResponse;
+  /// Of the body, passed on or not.
+  std::size_t mBodyBytes = 0;
+  std::optional<ResponseStreamHooks> mStream;
+  std::optional<StreamWindow> mWindow;
+  bool mIsPaused = false;
   std::unique_ptr<curl_slist, ListDeleter> mHeaderList;
   std::unique_ptr<CURL, EasyDeleter> mHandle;
 };
--- a/include/radishroad/upstream/exchange_runner.h
+++ b/include/radishroad/upstream/exchange_runner.h
@@ -37,6 +37,11 @@
   /// Ends an exchange without calling its CompletionFn. True if the request may
   /// have been written. Must not be called from a MaySendFn.
   bool abort(ExchangeId aId);
+  /// The reader has taken aBytes of the body that the exchange streams. Must
+  /// not be called from a hook of an exchange.
+  void onTaken(ExchangeId aId, std::size_t aBytes, Millis aNow);
+  /// Whether the reader of the body that the exchange streams has stalled.
+  bool isStalled(ExchangeId aId, Millis aNow) const;
   /// Makes progress on all exchanges and completes those that have ended.
   void perform();
   /// Waits for socket activity, a wake() or the timeout.
--- a/src/caller/connection.cpp
+++ b/src/caller/connection.cpp
@@ -236,6 +236,10 @@
 void
 CallerConnection::onClosed()
 {
+  if (mStream) {
+    mContext.mMetrics.count("radishroad_caller_hang_ups_total");
+    mStream = nullptr;
+  }
   for (const PipelinedRequest& entry : mQueue) {
     if (entry.mCancel) {
       mContext.mMetrics.count("radishroad_caller_hang_ups_total");
--- a/src/caller/connection_output.cpp
+++ b/src/caller/connection_output.cpp
@@ -1,6 +1,9 @@
 #include "radishroad/caller/connection.h"
 
 #include "radishroad/base/json_log.h"
+#include "radishroad/caller/answer_queue.h"
+#include "radishroad/caller/server_context.h"
+#include "radishroad/request/body_stream.h"
 
 #include <cerrno>
 #include <nlohmann/json.hpp>
@@ -8,6 +11,13 @@
 
 namespace radishroad {
 
+namespace {
+
+/// Of a streamed body, taken at a time.
+constexpr std::size_t kMaxPartBytes = 64U << 10;
+
+}
+
 void
 CallerConnection::write(Response aResponse, bool aIsLast, Millis aNow)
 {
@@ -16,6 +26,7 @@
   if (aResponse.mEndsWithConnection) {
     setResetOnClose(true);
   }
+  mStream = std::move(aResponse.mStream);
   mSender.start(std::move(aResponse));
   mOutputState = OutputState::Pending;
   mIsLastResponse = aIsLast;
@@ -24,18 +35,85 @@
     mDiscardInput = true;
     dropQueue();
   }
+  if (mStream) {
+    // The queue counts and wakes up for bodies from any thread.
+    mStreamSequence = mFrontSequence;
+    mStream->setOnReady([queue = mAnswerQueue,
+                         connection = weak_from_this(),
+                         sequence = mStreamSequence] {
+      queue->push({ connection, sequence, {}, {}, true });
+    });
+  }
+  flush(aNow);
+}
+
+CallerConnection::NextPart
+CallerConnection::startNextPart()
+{
+  if (!mStream) {
+    return NextPart::None;
+  }
+  BodyStream::Part part = mStream->take(kMaxPartBytes);
+  const bool isLast = part.mState != BodyStream::State::Open;
+  if (part.mData.empty() && !isLast) {
+    return NextPart::Awaited;
+  }
+  if (part.mData.empty()) {
+    const bool isWhole = part.mState == BodyStream::State::Whole;
+    mContext.mMetrics.count(
+      std::string("radishroad_stream_caller_total{end=\"") +
+      (isWhole ? "whole" : "broken") + "\"}");
+    if (!isWhole) {
+      return NextPart::Lost;
+    }
+    mStream = nullptr;
+    return NextPart::None;
+  }
+  Response next;
+  next.mBody = std::move(part.mData);
+  next.mBodyShare = std::move(part.mShare);
+  mSender.start(std::move(next));
+  return NextPart::Started;
+}
+
+void
+CallerConnection::onBodyReady(std::uint64_t aSequence, Millis aNow)
+{
+  const bool isCurrent = mStream && mStreamSequence == aSequence &&
+                         mOutputState == OutputState::Pending;
+  if (!isCurrent) {
+    return;
+  }
   flush(aNow);
+  updateBusyCount();
 }
 
 void
 CallerConnection::flush(Millis aNow)
 {
-  const std::size_t before = mSender.sent();
-  const ResponseSender::Progress progress = mSender.flush();
-  if (progress == ResponseSender::Progress::Done) {
-    finishOutput(aNow);
+  if (mIsBrokenOff) {
     return;
   }
+  std::size_t before = mSender.sent();
+  ResponseSender::Progress progress = mSender.flush();
+  while (progress == ResponseSender::Progress::Done) {
+    switch (startNextPart()) {
+      case NextPart::Started:
+        mOutputProgressAt = aNow;
+        before = 0;
+        progress = mSender.flush();
+        break;
+      case NextPart::Awaited:
+        return;
+      case NextPart::None:
+        finishOutput(aNow);
+        return;
+      case NextPart::Lost:
+        logEvent(LogLevel::Warn, "caller_response_broken_off", {});
+        abort();
+        return;
+    }
+  }
   if (mSender.sent() > before) {
     mOutputProgressAt = aNow;
   }
@@ -123,6 +201,8 @@
 {
   // The transport reads the end of the stream and removes the connection.
   mDiscardInput = true;
+  mIsBrokenOff = mIsBrokenOff || mStream != nullptr;
+  mStream = nullptr;
   ::shutdown(mSocket, mResetsOnClose ? SHUT_RD : SHUT_RDWR);
 }
 
--- a/src/caller/response.cpp
+++ b/src/caller/response.cpp
@@ -166,6 +166,10 @@
     }
     return;
   }
+  if (aAnswer.mStream && aAnswer.body_bytes >= 0) {
+    aHead.add("Content-Length", std::to_string(aAnswer.body_bytes));
+    return;
+  }
   // A length would claim that the body is whole.
   if (aStatus != kNoContent && !aAnswer.ends_with_connection) {
     aHead.add("Content-Length", std::to_string(aAnswer.body.size()));
@@ -194,6 +198,7 @@
     head.finish(aId, outcomeName(AnswerKind::Answered), aOptions.mKeepAlive);
   if (!aOptions.mIsHead && !isStatusWithoutBody(aAnswer.status)) {
     response.mBody = std::move(aAnswer.body);
+    response.mStream = std::move(aAnswer.mStream);
   }
   return response;
 }
--- a/src/caller/transport.cpp
+++ b/src/caller/transport.cpp
@@ -155,6 +155,10 @@
   for (QueuedAnswer& posted : mAnswerQueue->popAll()) {
     if (const std::shared_ptr<CallerConnection> connection =
           posted.mConnection.lock()) {
+      if (posted.mIsBodyReady) {
+        connection->onBodyReady(posted.mSequence, aNow);
+        continue;
+      }
       connection->onAnswer(posted.mSequence,
                            std::move(posted.mAnswer),
                            std::move(posted.mBodyShare),
--- a/src/daemon/daemon_impl_platform.cpp
+++ b/src/daemon/daemon_impl_platform.cpp
@@ -75,7 +75,8 @@
 isOrdinary(const QueuedRequest& aQueued, const Answer& aAnswer, bool aIsLate)
 {
   return aAnswer.kind == AnswerKind::Answered && !aIsLate &&
-         aQueued.mResponse.mEnd == ResponseTrace::End::Whole;
+         (aAnswer.streams ||
+          aQueued.mResponse.mEnd == ResponseTrace::End::Whole);
 }
 
 /// Logs how the daemon next to the upstream handled a request. The daemon that
--- a/src/peer/forwarder.cpp
+++ b/src/peer/forwarder.cpp
@@ -3,6 +3,7 @@
 #include "radishroad/base/json_log.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -17,20 +18,36 @@
 
 }
 
-Forwarder::Forwarder(asio::io_context& aContext, Channel::Options aOptions)
+Forwarder::Forwarder(asio::io_context& aContext,
+                     const Channel::Options& aOptions)
   : mContext(aContext)
   , mChannel(aContext,
-             std::move(aOptions),
+             aOptions,
              { [this](wire::FrameBodyUnion aBody, std::size_t) {
                 onFrame(std::move(aBody));
               },
                [this](const ForwardedFrame& aFrame) { onSkipped(aFrame); },
                [](const OutgoingFrame&) {},
                [this](const Error& aReason) { onDisconnected(aReason); },
-               [this] { return !mPending.empty(); } })
+               [this] { return !mPending.empty() || !mStreams.empty(); } })
+  , mStreams(aOptions.mConnectionOptions.mBodyMemory, streamHooks())
 {
 }
 
+StreamReceiver::Hooks
+Forwarder::streamHooks()
+{
+  StreamReceiver::Hooks hooks;
+  hooks.mPost = [this](std::function<void()> aTask) {
+    asio::post(mContext, std::move(aTask));
+  };
+  hooks.mSend = [this](const wire::FrameBodyUnion& aBody) {
+    mChannel.send(std::make_shared<OutgoingFrame>(encodeFrame(aBody)));
+  };
+  hooks.mCancel = [this](RandomId aId) { sendCancel(aId); };
+  return hooks;
+}
+
 void
 Forwarder::forward(OutgoingRequest aRequest)
 {
@@ -110,6 +127,8 @@
 {
   if (wire::ForwardAnswerT* answer = aBody.AsForwardAnswer()) {
     onAnswer(std::move(*answer));
+  } else if (const wire::ResponseChunkT* chunk = aBody.AsResponseChunk()) {
+    mStreams.onChunk(*chunk);
   }
 }
 
@@ -137,6 +156,9 @@
       aAnswer.kind == AnswerKind::NotRun) {
     aAnswer = makeUnknownAnswer(id);
   }
+  if (aAnswer.streams) {
+    mStreams.start(aAnswer);
+  }
   pending->mAnswerFn(std::move(aAnswer));
 }
 
@@ -144,6 +166,7 @@
 Forwarder::onDisconnected(const Error& aReason)
 {
   mAbandoned.clear();
+  mStreams.breakAll();
   PendingMap pending;
   pending.swap(mPending);
   const auto sent = std::ranges::count_if(pending, [](const auto& aEntry) {
--- a/src/peer/frame.cpp
+++ b/src/peer/frame.cpp
@@ -26,6 +26,9 @@
   if (const wire::ForwardAnswerT* answer = aBody.AsForwardAnswer()) {
     return kSmallFrameBytes * 4 + answer->body.size();
   }
+  if (const wire::ResponseChunkT* chunk = aBody.AsResponseChunk()) {
+    return kSmallFrameBytes + chunk->data.size();
+  }
   return kSmallFrameBytes;
 }
 
--- a/src/peer/peer_server.cpp
+++ b/src/peer/peer_server.cpp
@@ -2,6 +2,7 @@
 
 #include "radishroad/base/json_log.h"
 #include "radishroad/peer/address.h"
+#include "radishroad/request/body_stream.h"
 
 #include <boost/asio/post.hpp>
 #include <chrono>
@@ -23,10 +24,10 @@
   aAnswer.id_high = aId.mHigh;
   aAnswer.id_low = aId.mLow;
   wire::FrameBodyUnion body;
-  body.Set(std::move(aAnswer));
+  body.Set(static_cast<wire::ForwardAnswerT&&>(aAnswer));
   FrameBuffer buffer = encodeFrame(body);
   if (buffer.size() > aOptions.mMaxFrameBytes) {
-    body.Set(makeUnknownAnswer(aId));
+    body.Set(static_cast<wire::ForwardAnswerT&&>(makeUnknownAnswer(aId)));
     buffer = encodeFrame(body);
   }
   OutgoingFramePtr frame = std::make_shared<OutgoingFrame>(std::move(buffer));
@@ -50,6 +51,51 @@
   return true;
 }
 
+void
+PeerServer::Session::pumpStream(RandomId aId)
+{
+  const auto it = mStreams.find(aId);
+  if (it == mStreams.end()) {
+    return;
+  }
+  // Sending may close the connection, which clears mStreams.
+  const std::shared_ptr<StreamSender> sender = it->second;
+  if (sender->pump(*mConnection, monotonicNow())) {
+    mStreams.erase(aId);
+  }
+}
+
+void
+PeerServer::Session::onCredit(const wire::ResponseCreditT& aCredit)
+{
+  const RandomId id{ aCredit.id_high, aCredit.id_low };
+  const auto it = mStreams.find(id);
+  if (it != mStreams.end() &&
+      it->second->onCredit(aCredit.bytes, monotonicNow())) {
+    pumpStream(id);
+  }
+}
+
+void
+PeerServer::Session::endStalledStreams(Millis aNow)
+{
+  std::vector<std::shared_ptr<StreamSender>> stalled;
+  std::erase_if(mStreams, [&](const auto& aEntry) {
+    const bool isStalled = aEntry.second->isStalled(aNow);
+    if (isStalled) {
+      stalled.push_back(aEntry.second);
+    }
+    return isStalled;
+  });
+  for (const std::shared_ptr<StreamSender>& sender : stalled) {
+    logEvent(
+      LogLevel::Warn,
+      "peer_stream_stalled",
+      { { "request_id", sender->id().toString() }, { "peer", mPeerAddress } });
+    sender->sendFailure(*mConnection);
+  }
+}
+
 PeerServer::PeerServer(std::shared_ptr<asio::io_context> aContext, Hooks aHooks)
   : mContext(std::move(aContext))
   , mHooks(std::move(aHooks))
@@ -170,6 +216,10 @@
     onCancel(*session, { cancel->id_high, cancel->id_low });
     return;
   }
+  if (const wire::ResponseCreditT* credit = aBody.AsResponseCredit()) {
+    session->onCredit(*credit);
+    return;
+  }
   mHooks.mOnControl(
     session->mConnection->peerIncarnation(), std::move(aBody), aBytes);
 }
@@ -209,19 +259,40 @@
           weakSession = std::weak_ptr<Session>(aSession),
           aId,
           options = mOptions](Answer aAnswer) {
+    std::shared_ptr<BodyStream> stream = std::move(aAnswer.mStream);
     OutgoingFramePtr frame = encodeAnswer(std::move(aAnswer), aId, options);
-    asio::post(*context, [weakSession, aId, frame = std::move(frame)] {
-      const std::shared_ptr<Session> session = weakSession.lock();
-      if (session && session->finishRequest(aId)) {
-        session->mConnection->send(frame);
-      }
-    });
+    asio::post(*context,
+               [context,
+                weakSession,
+                aId,
+                memory = options.mBodyMemory,
+                frame = std::move(frame),
+                stream = std::move(stream)] {
+                 const std::shared_ptr<Session> session = weakSession.lock();
+                 if (!session || !session->finishRequest(aId)) {
+                   return;
+                 }
+                 session->mConnection->send(frame);
+                 if (stream) {
+                   session->mStreams.insert_or_assign(
+                     aId, std::make_shared<StreamSender>(aId, stream, memory));
+                   stream->setOnReady([context, weakSession, aId] {
+                     asio::post(*context, [weakSession, aId] {
+                       if (const std::shared_ptr<Session> waiting =
+                             weakSession.lock()) {
+                         waiting->pumpStream(aId);
+                       }
+                     });
+                   });
+                 }
+               });
   };
 }
 
 void
-PeerServer::onCancel(const Session& aSession, RandomId aId)
+PeerServer::onCancel(Session& aSession, RandomId aId)
 {
+  aSession.mStreams.erase(aId);
   if (aSession.mRunningRequests.contains(aId)) {
     mHooks.mOnCancel(aId);
   }
@@ -236,6 +307,7 @@
   }
   const std::shared_ptr<Session> session = std::move(it->second);
   mSessions.erase(it);
+  session->mStreams.clear();
   if (!session->mRunningRequests.empty()) {
     logEvent(LogLevel::Warn,
              "peer_requests_cancelled",
@@ -256,6 +328,7 @@
 {
   const std::map<std::uint64_t, std::shared_ptr<Session>> sessions = mSessions;
   for (const auto& [sessionId, session] : sessions) {
+    session->endStalledStreams(aNow);
     session->mConnection->checkLiveness(aNow);
   }
 }
--- a/src/upstream/exchange.cpp
+++ b/src/upstream/exchange.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Millis kSecond{ 1000 };
+/// Once paused, a transfer goes on when one write of libcurl fits.
+constexpr std::size_t kMaxWriteBytes = CURL_MAX_WRITE_SIZE;
 
 /// Methods that are sent with a Content-Length even if the body is empty.
 bool
@@ -44,6 +46,7 @@
   , mAcceptsUnframedBody(aRequest.mAcceptsUnframedBody)
   , mIsHead(aRequest.mMethod == "HEAD")
   , mHead(mIsHead)
+  , mStream(aRequest.mStream)
   , mHandle(curl_easy_init())
 {
   mResponse.mBodyShare = BodyShare(aRequest.mBodyMemory);
@@ -199,19 +202,94 @@
 {
   auto* self = static_cast<Exchange*>(aSelf);
   const std::size_t n = aSize * aCount;
-  std::vector<std::uint8_t>& body = self->mResponse.mBody;
-  if (body.size() + n > self->mMaxBodyBytes) {
+  if (self->mBodyBytes + n > self->mMaxBodyBytes) {
     self->mTooLarge = true;
     return 0;
   }
+  if (self->mWindow) {
+    return self->onStreamedBytes(
+      { reinterpret_cast<const std::uint8_t*>(aData), n });
+  }
+  std::vector<std::uint8_t>& body = self->mResponse.mBody;
   if (!self->mResponse.mBodyShare.tryResize(body.size() + n)) {
     self->mOutOfMemory = true;
     return 0;
   }
   body.insert(body.end(), aData, aData + n);
+  self->mBodyBytes += n;
+  if (self->mayStream()) {
+    self->startStream();
+  }
   return n;
 }
 
+bool
+Exchange::mayStream() const
+{
+  if (!mStream) {
+    return false;
+  }
+  const bool hasLength = mHead.framing() == ResponseHead::Framing::Length;
+  const bool isFramed =
+    hasLength || mHead.framing() == ResponseHead::Framing::Chunked;
+  const std::uint64_t known = hasLength ? mHead.length() : mBodyBytes;
+  return isFramed && known > mStream->mThresholdBytes &&
+         (!mStream->mMayStream || mStream->mMayStream(mResponse));
+}
+
+void
+Exchange::startStream()
+{
+  const bool hasLength = mHead.framing() == ResponseHead::Framing::Length;
+  // The head stays here too, for the checks at the end.
+  UpstreamResponse first;
+  first.mStatus = mResponse.mStatus;
+  first.mHeaders = mResponse.mHeaders;
+  first.mBody = std::move(mResponse.mBody);
+  first.mBodyShare = std::move(mResponse.mBodyShare);
+  mResponse.mBody = {};
+  mWindow.emplace(mStream->mWindow);
+  mWindow->onSent(mBodyBytes, mStream->mNow());
+  mStream->mOnStart(std::move(first),
+                    hasLength ? static_cast<std::int64_t>(mHead.length()) : -1);
+}
+
+std::size_t
+Exchange::onStreamedBytes(std::span<const std::uint8_t> aBytes)
+{
+  if (aBytes.size() > mWindow->sendable()) {
+    mIsPaused = true;
+    return CURL_WRITEFUNC_PAUSE;
+  }
+  if (!mStream->mOnPart(aBytes)) {
+    mOutOfMemory = true;
+    return 0;
+  }
+  mBodyBytes += aBytes.size();
+  mWindow->onSent(aBytes.size(), mStream->mNow());
+  return aBytes.size();
+}
+
+bool
+Exchange::onTaken(std::size_t aBytes, Millis aNow)
+{
+  return mWindow && mWindow->onTaken(aBytes, aNow) && mIsPaused &&
+         mWindow->sendable() >= kMaxWriteBytes;
+}
+
+void
+Exchange::resume()
+{
+  mIsPaused = false;
+  curl_easy_pause(mHandle.get(), CURLPAUSE_CONT);
+}
+
+bool
+Exchange::isStalled(Millis aNow) const
+{
+  return mWindow && mWindow->isStalled(aNow);
+}
+
 bool
 Exchange::hasExpectedEcho() const
 {
@@ -267,7 +345,7 @@
   long error = 0;
   switch (aCode) {
     case CURLE_OK:
-      if (mHead.isWhole(mResponse.mBody.size())) {
+      if (mHead.isWhole(mBodyBytes)) {
         return mAcceptsUnframedBody || !endsWithConnection() ? End::Whole
                                                              : End::Unframed;
       }
@@ -298,7 +376,7 @@
   ResponseTrace trace;
   trace.mEnd = endOf(aCode);
   trace.mFraming = mHead.framing();
-  trace.mBodyBytes = mResponse.mBody.size();
+  trace.mBodyBytes = mBodyBytes;
   trace.mError = mHead.error();
   trace.mConnectionReused = mConnectionReused;
   return trace;
--- a/src/upstream/exchange_runner.cpp
+++ b/src/upstream/exchange_runner.cpp
@@ -68,6 +68,22 @@
   return sent;
 }
 
+void
+ExchangeRunner::onTaken(ExchangeId aId, std::size_t aBytes, Millis aNow)
+{
+  const auto it = mEntries.find(aId);
+  if (it != mEntries.end() && it->second.mExchange->onTaken(aBytes, aNow)) {
+    it->second.mExchange->resume();
+  }
+}
+
+bool
+ExchangeRunner::isStalled(ExchangeId aId, Millis aNow) const
+{
+  const auto it = mEntries.find(aId);
+  return it != mEntries.end() && it->second.mExchange->isStalled(aNow);
+}
+
 void
 ExchangeRunner::perform()
 {
--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -120,7 +120,7 @@
 bool
 Gate::isIdle() const
 {
-  return mImpl->mQueuedCount == 0;
+  return mImpl->mQueuedCount == 0 && mImpl->mStreams == 0;
 }
 
 void
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -13,6 +13,7 @@
 #include "radishroad/policy/retry_budget.h"
 #include "radishroad/policy/run_time_estimator.h"
 #include "radishroad/policy/stop_schedule.h"
+#include "radishroad/request/body_stream.h"
 #include "radishroad/upstream/exchange_runner.h"
 #include "radishroad/upstream/gate.h"
 #include "radishroad/upstream/health_tracker.h"
@@ -38,6 +39,9 @@
   /// UpstreamRequest::mPurpose of a caller's request.
   static constexpr std::string_view kRunPurpose = "run";
 
+  /// Longest time for which a body is passed on while it is received.
+  static constexpr Millis kMaxStreamTime{ 300000 };
+
   /// Assumed until the upstream has reported its slots.
   static constexpr std::uint32_t kDefaultSlots = 4;
 
@@ -60,6 +64,8 @@
     /// maySend() refused it when its connection was established; it returns to
     /// the queue.
     bool mSendDenied = false;
+    /// Set once a part of the body was passed on; the request is answered then.
+    std::shared_ptr<BodyStream> mStream;
   };
 
   /// A run that the gate has abandoned and the upstream may still be running.
@@ -156,7 +162,7 @@
   /// Runs the task on the gate's thread. Thread-safe.
   void post(std::function<void()> aTask);
 
-  // gate_run.cpp: running requests at the upstream.
+  // gate_run.cpp, gate_record.cpp: running requests at the upstream.
   void dispatch(Millis aNow);
   /// Running requests and abandoned ones that may still be running.
   std::uint32_t occupiedSlots() const;
@@ -182,8 +188,15 @@
                 ExchangeOutcome aOutcome,
                 UpstreamResponse aResponse);
   void onComplete(Run aRun, UpstreamResponse aResponse);
+  /// Records the load and the notice that a response reports.
+  void recordResponse(const Run& aRun, const UpstreamResponse& aResponse);
+  /// Records a run that took until aNow and was answered authentically.
+  void recordServed(const Run& aRun, Millis aNow);
   void onNotSent(Run aRun, ExchangeOutcome aOutcome);
   void onIncomplete(Run aRun);
+  /// A run without a whole response may have crashed the upstream, and may go
+  /// on there.
+  void trackIncomplete(const Run& aRun, Millis aNow);
   /// Aborts the run and answers its request: with aReason if it was not written
   /// yet, otherwise that the outcome is unknown. A request that was not written
   /// because the lease lapsed returns to the queue.
@@ -194,6 +207,20 @@
               Epoch aEpoch = 0,
               Millis aRetryAfter = {});
 
+  // gate_stream.cpp: responses that are passed on while they are received.
+  /// Whether the response may be streamed, by its request alone.
+  static bool mayStream(const QueuedRequest& aQueued);
+  ResponseStreamHooks streamHooks(RunId aId);
+  void onStreamStart(RunId aId,
+                     UpstreamResponse aResponse,
+                     std::int64_t aLength);
+  /// The exchange of a run with a stream has ended.
+  void onStreamEnd(Run aRun, ExchangeOutcome aOutcome);
+  /// Ends the stream of a run whose exchange has ended or is aborted.
+  void finishStream(const Run& aRun, bool aIsWhole, std::string_view aCause);
+  /// Ends the streams whose readers have stalled.
+  void checkStreams(Millis aNow);
+
   // gate_window.cpp: the concurrency window.
   /// Passes the ages of running requests to the window.
   void checkPendingAges(Millis aNow);
@@ -407,6 +434,8 @@
   // Members below are used by several threads.
   BoundedQueue<QueuedRequest> mSubmitted;
   std::atomic<std::uint32_t> mQueuedCount{ 0 };
+  /// Number of runs with a stream.
+  std::atomic<std::size_t> mStreams{ 0 };
   std::atomic<bool> mStopping{ false };
   /// While stopping: time after which no running request is waited for.
   std::atomic<Millis> mStopUntil{ Millis::max() };
--- a/src/upstream/gate_loop.cpp
+++ b/src/upstream/gate_loop.cpp
@@ -17,6 +17,8 @@
 /// How often the ages of running requests are checked.
 constexpr Millis kPendingAgeCheckInterval{ 10 };
 constexpr Millis kGaugeInterval{ 100 };
+/// How often the readers of streamed bodies are checked.
+constexpr Millis kStreamCheckInterval{ 100 };
 constexpr double kMillisPerSecond = 1000;
 /// How often the shards that the upstream should hold are looked up.
 constexpr Millis kGrantableShardsCheckInterval{ 50 };
@@ -70,6 +72,7 @@
     }
     // Before any I/O, since the thread may have been suspended for long.
     checkRuns(now);
+    checkStreams(now);
     checkPendingAges(now);
     refuseUnfinishable(now);
     expireQueued(now);
@@ -413,6 +416,9 @@
   if (!mRuns.empty() && !mOptions.mProtocol.mPushesReports) {
     next = std::min(next, aNow + kPendingAgeCheckInterval);
   }
+  if (mStreams > 0) {
+    next = std::min(next, aNow + kStreamCheckInterval);
+  }
   if (!mPendingPauses.empty()) {
     next = std::min(next, aNow + kPendingAgeCheckInterval);
   }
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -182,6 +182,11 @@
   upstream.mEchoHeader = mOptions.mProtocol.mEchoHeader;
   upstream.mEchoValue = request.request_id;
   upstream.mAcceptsUnframedBody = mOptions.mProtocol.mAcceptsUnframedBody;
+  if (mayStream(run.mQueued)) {
+    upstream.mStream = streamHooks(id);
+    // A streamed body may outlast the deadline, which the gate itself checks.
+    upstream.mTimeout = kMaxStreamTime + kTimeoutMargin;
+  }
   run.mExchange = mExchanges.start(
     upstream,
     [this, id] { return maySend(id); },
@@ -218,31 +223,6 @@
   return run.mSent;
 }
 
-void
-Gate::Impl::recordIncomplete(std::string_view aPurpose,
-                             const ResponseTrace& aTrace)
-{
-  using End = ResponseTrace::End;
-  const std::string_view end = responseEndName(aTrace.mEnd);
-  mMetrics.count("radishroad_gate_refused_responses_total{purpose=\"" +
-                 std::string(aPurpose) + "\",cause=\"" + std::string(end) +
-                 "\"}");
-  const bool hasBytes =
-    aTrace.mEnd != End::None && aTrace.mEnd != End::BeforeHead &&
-    aTrace.mEnd != End::Failed && aTrace.mEnd != End::TimedOut;
-  if (aPurpose == kRunPurpose || !hasBytes) {
-    return;
-  }
-  logEvent(LogLevel::Warn,
-           "upstream_response_refused",
-           { { "purpose", aPurpose },
-             { "response_end", end },
-             { "response_error", aTrace.mError },
-             { "framing", framingName(aTrace.mFraming) },
-             { "body_bytes", aTrace.mBodyBytes },
-             { "connection_reused", aTrace.mConnectionReused } });
-}
-
 void
 Gate::Impl::onRunEnd(RunId aId,
                      ExchangeOutcome aOutcome,
@@ -251,6 +231,10 @@
   auto node = mRuns.extract(aId);
   Run& run = node.mapped();
   run.mQueued.mResponse = aResponse.mTrace;
+  if (run.mStream) {
+    onStreamEnd(std::move(run), aOutcome);
+    return;
+  }
   switch (aOutcome) {
     case ExchangeOutcome::Complete:
       onComplete(std::move(run), std::move(aResponse));
@@ -272,18 +256,9 @@
   const BodyShare bodyShare = std::move(aResponse.mBodyShare);
   const Millis now = mHooks.mNow();
   const UpstreamProtocol& protocol = mOptions.mProtocol;
-  if (protocol.mPushesReports) {
-    recordReportedLoad(aResponse);
-  } else {
-    onHealthChange(
-      mHealth.onAnswer(aResponse.header(protocol.mInstanceHeader)));
-  }
+  recordResponse(aRun, aResponse);
   QueuedRequest& queued = aRun.mQueued;
-  mSentIds.add(attemptId(queued.mRequest), callerDeadline(queued), now);
   const NotRunReason reason = protocol.mReadNotRunReason(aResponse);
-  if (protocol.mIsAuthentic(aResponse)) {
-    recordNotice(aResponse, aRun.mSentAt);
-  }
   if (reason == NotRunReason::Shed) {
     mMetrics.count("radishroad_gate_shed_total");
     mWindow.onShed(now);
@@ -324,26 +299,26 @@
     answer(queued, makeUnknownAnswer(idOf(queued.mRequest)));
     return;
   }
-  const Millis took = now - aRun.mSentAt;
-  mWindow.onAnswer(took, aRun.mInFlight, now);
-  mRunTimes.addRun(queued.mRequest.kind, took, slowness(now));
-  mLongestRunTimes.add(queued.mRequest.kind, took, now);
+  recordServed(aRun, now);
+  answer(queued, makeAnswered(queued.mRequest, std::move(aResponse)));
+}
+
+void
+Gate::Impl::recordResponse(const Run& aRun, const UpstreamResponse& aResponse)
+{
+  const Millis now = mHooks.mNow();
+  const UpstreamProtocol& protocol = mOptions.mProtocol;
   if (protocol.mPushesReports) {
-    // The upstream still runs, so earlier failures were lost connections, not
-    // crashes.
-    std::erase_if(mCrashSuspects, [&aRun](const CrashSuspect& aSuspect) {
-      return aSuspect.mAt < aRun.mSentAt;
-    });
+    recordReportedLoad(aResponse);
+  } else {
+    onHealthChange(
+      mHealth.onAnswer(aResponse.header(protocol.mInstanceHeader)));
   }
-  mAnswered.add(queued.mFingerprint, now);
-  mQueue.charge(queued.mRequest.workspace, took);
-  if (queued.mRequest.shard < kShardCount && protocol.mPushesReports) {
-    mLoad.addBusyTime(queued.mRequest.shard, took);
-  } else if (queued.mRequest.shard < kShardCount) {
-    mLoad.add(queued.mRequest.shard, queued.mRequest.key_hash, took, now);
+  const QueuedRequest& queued = aRun.mQueued;
+  mSentIds.add(attemptId(queued.mRequest), callerDeadline(queued), now);
+  if (protocol.mIsAuthentic(aResponse)) {
+    recordNotice(aResponse, aRun.mSentAt);
   }
-  mMetrics.observe("radishroad_gate_run_seconds", took);
-  answer(queued, makeAnswered(queued.mRequest, std::move(aResponse)));
 }
 
 void
@@ -365,9 +340,15 @@
 
 void
 Gate::Impl::onIncomplete(Run aRun)
+{
+  trackIncomplete(aRun, mHooks.mNow());
+  answer(aRun.mQueued, makeUnknownAnswer(idOf(aRun.mQueued.mRequest)));
+}
+
+void
+Gate::Impl::trackIncomplete(const Run& aRun, Millis aNow)
 {
   using End = ResponseTrace::End;
-  const Millis now = mHooks.mNow();
   const End end = aRun.mQueued.mResponse.mEnd;
   const bool connectionLost = end == End::BeforeHead || end == End::InHead ||
                               end == End::InBody || end == End::Failed;
@@ -375,8 +356,7 @@
     suspectCrash(aRun);
   }
   // Possibly only the connection was lost and the request still runs.
-  trackAbandoned(aRun, now);
-  answer(aRun.mQueued, makeUnknownAnswer(idOf(aRun.mQueued.mRequest)));
+  trackAbandoned(aRun, aNow);
 }
 
 void
@@ -398,6 +378,11 @@
   }
   const Millis now = mHooks.mNow();
   run.mQueued.mAbandonReason = aReason;
+  if (run.mStream) {
+    finishStream(run, false, wire::EnumNameNotRunReason(aReason));
+    trackAbandoned(run, now);
+    return;
+  }
   if (aReason == NotRunReason::DeadlinePassed) {
     mWindow.onTimeout(now - run.mSentAt, now);
     mLongestRunTimes.add(run.mQueued.mRequest.kind, now - run.mSentAt, now);
--- a/src/upstream/gate_window.cpp
+++ b/src/upstream/gate_window.cpp
@@ -80,6 +80,7 @@
   std::for_each(mRuns.rbegin(), mRuns.rend(), [&](const auto& aEntry) {
     const QueuedRequest& queued = aEntry.second.mQueued;
     const bool mayRequeue = queued.mRequest.idempotent && !queued.mRequeued &&
+                            !aEntry.second.mStream &&
                             aNow < latestSendTime(queued);
     if (mayRequeue && left > mWindow.limit()) {
       newest.push_back(aEntry.first);
--- a/tests/process/support/platform_site.cpp
+++ b/tests/process/support/platform_site.cpp
@@ -147,6 +147,9 @@
     for (const std::string& prefix : service.mPrefixes) {
       addRoute(service, prefix, "idempotent");
     }
+    for (const std::string& path : service.mDownloads) {
+      addRoute(service, root + path, "download");
+    }
     const char* grants = service.mGrantsByReport ? "heartbeat" : "call";
     services.push_back(
       { service.mName, "/healthz", 130, 3.0, 1000.0, service.mKeyed, grants });
--- a/tests/process/support/platform_site.h
+++ b/tests/process/support/platform_site.h
@@ -33,6 +33,8 @@
     std::vector<std::string> mRoutes = {};
     /// Whole prefixes of further idempotent routes.
     std::vector<std::string> mPrefixes = {};
+    /// Paths of routes of the kind download.
+    std::vector<std::string> mDownloads = {};
     Millis mTimeout{ 2000 };
     int mSlots = 9;
     PlatformUpstream::RunTimeFn mRunTime = {};
--- a/tests/process/support/platform_upstream.h
+++ b/tests/process/support/platform_upstream.h
@@ -107,6 +107,7 @@
 
   const Options& options() const { return mOptions; }
   std::string address() const { return mServer.address(); }
+  const FakeUpstream& server() const { return mServer; }
   std::vector<PlatformRun> runs() const;
   /// The whole body of the answer to a request.
   static std::string bodyOf(const std::string& aRequestId);
--- a/tests/support/fake_upstream.cpp
+++ b/tests/support/fake_upstream.cpp
@@ -203,6 +203,7 @@
       sent = sendBytes(reply.mEndless);
       mEndlessBytes += sent > 0 ? static_cast<std::uint64_t>(sent) : 0;
     }
+    mEndlessEnds += reply.mEndless.empty() ? 0 : 1;
     if (reply.mReset) {
       // The socket itself is closed by the destructor; connecting it to no
       // address resets the connection at once.
--- a/tests/support/fake_upstream.h
+++ b/tests/support/fake_upstream.h
@@ -67,6 +67,8 @@
   std::size_t connections() const;
   /// Bytes sent so far for endless replies.
   std::uint64_t endlessBytes() const { return mEndlessBytes; }
+  /// Endless replies whose connection the peer has closed.
+  std::uint64_t endlessEnds() const { return mEndlessEnds; }
 
   static Reply ok(const std::string& aBody);
   static Reply status(const std::string& aStatus, const std::string& aHeaders);
@@ -83,6 +85,7 @@
   int mListener = -1;
   std::uint16_t mPort = 0;
   std::atomic<std::uint64_t> mEndlessBytes{ 0 };
+  std::atomic<std::uint64_t> mEndlessEnds{ 0 };
   mutable std::mutex mMutex;
   mutable std::condition_variable mChanged;
   std::string mInstance = "one";
--- a/tests/unit/body_memory_test.cpp
+++ b/tests/unit/body_memory_test.cpp
@@ -114,7 +114,7 @@
 // Answers were not told by their first bytes and came in without a bound.
 BOOST_AUTO_TEST_CASE(first_bytes_of_a_frame_tell_its_answer)
 {
-  Answer answer;
+  wire::ForwardAnswerT answer;
   answer.id_high = 7;
   answer.id_low = 9;
   answer.load = std::make_unique<wire::GateLoadT>();
--- a/tests/unit/peer_transport_faults_test.cpp
+++ b/tests/unit/peer_transport_faults_test.cpp
@@ -315,7 +315,7 @@
   const FrameBuffer empty = encodeFrame(none);
   BOOST_TEST(!decodeFrame({ empty.data(), empty.size() }).has_value());
   wire::FrameBodyUnion body;
-  Answer answer;
+  wire::ForwardAnswerT answer;
   answer.kind = static_cast<AnswerKind>(9);
   body.Set(std::move(answer));
   const FrameBuffer unknownKind = encodeFrame(body);
