--- a/include/radishroad/request/body_stream.h
+++ b/include/radishroad/request/body_stream.h
@@ -64,7 +64,7 @@
   /// For the reader. aOnReady is called on the writer's thread, or on this one,
   /// when the stream that had nothing to take has bytes or has ended. It must
   /// not call the stream.
-  void setOnReady(std::function<void()> aOnReady);
+  void setOnReady(const std::function<void()>& aOnReady);
   /// Takes up to aMaxBytes; an empty part if none are there.
   Part take(std::size_t aMaxBytes);
   void cancel();
--- a/src/request/body_stream.cpp
+++ b/src/request/body_stream.cpp
@@ -62,7 +62,7 @@
 }
 
 void
-BodyStream::setOnReady(std::function<void()> aOnReady)
+BodyStream::setOnReady(const std::function<void()>& aOnReady)
 {
   bool isReady = false;
   {
--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -215,7 +215,7 @@
                      UpstreamResponse aResponse,
                      std::int64_t aLength);
   /// The exchange of a run with a stream has ended.
-  void onStreamEnd(Run aRun, ExchangeOutcome aOutcome);
+  void onStreamEnd(const Run& aRun, ExchangeOutcome aOutcome);
   /// Ends the stream of a run whose exchange has ended or is aborted.
   void finishStream(const Run& aRun, bool aIsWhole, std::string_view aCause);
   /// Ends the streams whose readers have stalled.
--- a/src/upstream/gate_run.cpp
+++ b/src/upstream/gate_run.cpp
@@ -232,7 +232,7 @@
   Run& run = node.mapped();
   run.mQueued.mResponse = aResponse.mTrace;
   if (run.mStream) {
-    onStreamEnd(std::move(run), aOutcome);
+    onStreamEnd(run, aOutcome);
     return;
   }
   switch (aOutcome) {
--- a/src/upstream/gate_stream.cpp
+++ b/src/upstream/gate_stream.cpp
@@ -85,7 +85,7 @@
 }
 
 void
-Gate::Impl::onStreamEnd(Run aRun, ExchangeOutcome aOutcome)
+Gate::Impl::onStreamEnd(const Run& aRun, ExchangeOutcome aOutcome)
 {
   const bool isWhole = aOutcome == ExchangeOutcome::Complete;
   finishStream(aRun, isWhole, responseEndName(aRun.mQueued.mResponse.mEnd));
