--- a/src/upstream/gate.cpp
+++ b/src/upstream/gate.cpp
@@ -128,7 +128,7 @@
 bool
 Gate::isIdle() const
 {
-  return mImpl->mQueuedCount == 0;
+  return mImpl->mQueuedCount == 0 && mImpl->mStreams == 0;
 }
 
 void
--- a/src/upstream/gate_link.cpp
+++ b/src/upstream/gate_link.cpp
@@ -94,7 +94,7 @@
   // Errors are short and say nothing about the usual size.
   const bool isUsual = aResponse.mStatus >= kFirstSuccessStatus &&
                        aResponse.mStatus <= kLastSuccessStatus;
-  mLink.onResponse(aId, aResponse.mBody.size(), isUsual, now);
+  mLink.onResponse(aId, aResponse.mTrace.mBodyBytes, isUsual, now);
 }
 
 void
