Keep the learned concurrency when the reported slots change

Cause: reports whose slots alternate would have started the estimate anew each time. Change: the limit is only kept within the new slots once runs have started. Result: the suite adaptive_concurrency passes.

--- a/src/policy/adaptive_concurrency.cpp
+++ b/src/policy/adaptive_concurrency.cpp
@@ -116,7 +116,13 @@
     return;
   }
   mSlots = slots;
-  reset();
+  if (mNextMeasurement == Millis{}) {
+    reset();
+    return;
+  }
+  // Reports may alternate; what has been learned remains valid.
+  mLimit = std::clamp(mLimit, lowest(), static_cast<double>(slots));
+  mCeiling = slots;
 }
 
 void
