Decide on room only for requests that the link does not hold back

Cause: the verdicts were made for the whole queue and read with the indices of the requests that the link does not hold back. Change: both lists are the same one.

--- a/src/upstream/gate_impl.h
+++ b/src/upstream/gate_impl.h
@@ -243,9 +243,11 @@
 
   // gate_room.cpp: sharing scarce slots among kinds.
   RoomRequest makeRoomRequest(const QueuedRequest& aQueued) const;
-  /// Verdicts of mRoom on the whole queue; empty if the service does not share
-  /// its room.
-  std::vector<RoomVerdict> decideRoom(Millis aNow);
+  /// Verdicts of mRoom on each request of aQueue; empty if the service does not
+  /// share its room.
+  std::vector<RoomVerdict> decideRoom(
+    std::span<const QueuedRequest* const> aQueue,
+    Millis aNow);
   /// Logs the refusal of a request by mRoom.
   void logRoomRefusal(const QueuedRequest& aQueued,
                       Millis aRetryAfter,
--- a/src/upstream/gate_objective_dispatch.cpp
+++ b/src/upstream/gate_objective_dispatch.cpp
@@ -65,16 +65,18 @@
   if (mQueue.empty()) {
     return;
   }
+  // Requests that the link holds back get no verdict on slots.
+  std::vector<const QueuedRequest*> queue = mQueue.list();
+  std::erase_if(queue, [this](const QueuedRequest* aQueued) {
+    return mHeldForLink.contains(aQueued->mQueueId);
+  });
   std::vector<QueueEntry> waiting;
   std::vector<std::uint64_t> queueIds;
-  for (const QueuedRequest* queued : mQueue.list()) {
-    if (mHeldForLink.contains(queued->mQueueId)) {
-      continue;
-    }
+  for (const QueuedRequest* queued : queue) {
     waiting.push_back(makeQueueEntry(*queued));
     queueIds.push_back(queued->mQueueId);
   }
-  const std::vector<RoomVerdict> verdicts = decideRoom(aNow);
+  const std::vector<RoomVerdict> verdicts = decideRoom(queue, aNow);
   const QueuePlan plan = planQueue(waiting, currentStats(aNow), aNow, verdicts);
   for (const QueuePlan::Refusal& refusal : plan.mRefused) {
     std::optional<QueuedRequest> queued = mQueue.take(queueIds[refusal.mIndex]);
--- a/src/upstream/gate_room.cpp
+++ b/src/upstream/gate_room.cpp
@@ -26,13 +26,14 @@
 }
 
 std::vector<RoomVerdict>
-Gate::Impl::decideRoom(Millis aNow)
+Gate::Impl::decideRoom(std::span<const QueuedRequest* const> aQueue,
+                       Millis aNow)
 {
   if (!mService.mSharesRoom) {
     return {};
   }
   std::vector<RoomRequest> waiting;
-  for (const QueuedRequest* queued : mQueue.list()) {
+  for (const QueuedRequest* queued : aQueue) {
     waiting.push_back(makeRoomRequest(*queued));
   }
   return mRoom.decide(waiting, currentStats(aNow), aNow);
