--- a/tests/unit/adaptive_concurrency_test.cpp
+++ b/tests/unit/adaptive_concurrency_test.cpp
@@ -178,6 +178,17 @@
   BOOST_TEST(upstream.mPolicy.sustained() == 9U);
 }
 
+// The limit that users state. Runs that are late for another reason delay it.
+BOOST_AUTO_TEST_CASE(change_is_followed_down_within_half_a_second)
+{
+  Upstream upstream(9);
+  upstream.mSlowdown = [](std::size_t aInFlight, Millis aNow) {
+    return aNow >= 20000_ms ? slowBeyondKnee(aInFlight, 9) : 1;
+  };
+  upstream.runUntil(20500_ms);
+  BOOST_TEST(upstream.mPolicy.sustained() <= 7U);
+}
+
 BOOST_AUTO_TEST_CASE(momentary_slowdown_costs_little)
 {
   const auto slow = [](Millis aNow) {
