Select sharing of room and adaptive concurrency per service

Cause: both were in force wherever a route has large responses. Change: the configuration's services have the fields SharesRoom and AdaptiveConcurrency, false if left out; nothing is derived from routes any more.

--- a/tests/process/room_sharing_test.cpp
+++ b/tests/process/room_sharing_test.cpp
@@ -120,6 +120,7 @@
 {
   PlatformSite::Service service{ "catalog" };
   service.mSlots = kSlots;
+  service.mSharesRoom = true;
   service.mRunTime = [](const std::string&) { return kRunTime; };
   service.mFurtherRoutes = {
     { kOrders, "non_idempotent", 1, 400_ms },
--- a/tests/process/support/platform_site.cpp
+++ b/tests/process/support/platform_site.cpp
@@ -159,8 +159,15 @@
         service, route.mPrefix, route.mKind, route.mPriority, route.mObjective);
     }
     const char* grants = service.mGrantsByReport ? "heartbeat" : "call";
-    services.push_back(
-      { service.mName, "/healthz", 130, 3.0, 1000.0, service.mKeyed, grants });
+    services.push_back({ service.mName,
+                         "/healthz",
+                         130,
+                         3.0,
+                         1000.0,
+                         service.mKeyed,
+                         grants,
+                         service.mSharesRoom,
+                         service.mAdaptiveConcurrency });
   }
   nlohmann::json configuration = { { "Version",
                                      "r" + std::to_string(aVersion) },
@@ -182,7 +189,9 @@
                                              "WarmupS",
                                              "WarmupPerS",
                                              "Sharded",
-                                             "Grants" },
+                                             "Grants",
+                                             "SharesRoom",
+                                             "AdaptiveConcurrency" },
                                            services) } };
   nlohmann::json workspaces = nlohmann::json::array();
   for (const Workspace& workspace : aWorkspaces) {
--- a/tests/process/support/platform_site.h
+++ b/tests/process/support/platform_site.h
@@ -47,6 +47,9 @@
     int mLinkMbps = 0;
     /// Routes with attributes of their own.
     std::vector<Route> mFurtherRoutes = {};
+    /// See config::Service.
+    bool mSharesRoom = false;
+    bool mAdaptiveConcurrency = false;
     Millis mTimeout{ 2000 };
     int mSlots = 9;
     PlatformUpstream::RunTimeFn mRunTime = {};
--- a/tests/process/uneven_upstreams_test.cpp
+++ b/tests/process/uneven_upstreams_test.cpp
@@ -39,9 +39,7 @@
   service.mSlots = kSlots;
   service.mRunTime = [](const std::string&) { return kRunTime; };
   service.mFirstSlowsBeyond = kSustained;
-  if (aIsAdaptive) {
-    service.mDownloads = { "/large/" };
-  }
+  service.mAdaptiveConcurrency = aIsAdaptive;
   PlatformSite site(aName, { service });
   BOOST_REQUIRE(site.start());
   std::atomic<int> sent{ 0 };
--- a/tests/unit/platform_configuration_test.cpp
+++ b/tests/unit/platform_configuration_test.cpp
@@ -134,12 +134,28 @@
   BOOST_TEST(model.mRoutes[1].mIdempotent);
   BOOST_TEST(model.mRoutes[1].mLargeResponse);
   BOOST_TEST(!model.mRoutes[0].mLargeResponse);
-  BOOST_TEST(model.mServices.at("a").mAdaptiveConcurrency);
-  // Deployments without such a route are served as before.
+}
+
+// Services that do not ask for them are served as before.
+BOOST_AUTO_TEST_CASE(a_service_selects_its_decisions)
+{
   const config::Model before =
     platform::readConfiguration(toBytes(kDocument))->mModel;
   BOOST_TEST(!before.mServices.at("a").mAdaptiveConcurrency);
   BOOST_TEST(!before.mServices.at("a").mSharesRoom);
+  const config::Model room =
+    readWith("\"Protocol\",\"Tls\"", "\"Protocol\",\"SharesRoom\"")->mModel;
+  BOOST_TEST(!room.mServices.at("a").mSharesRoom);
+  const std::string tls = "\"h1\",false";
+  const auto selected = [&tls](const std::string& aName) {
+    std::string text = boost::replace_first_copy(kDocument, "\"Tls\"", aName);
+    boost::replace_first(text, tls, "\"h1\",true");
+    return platform::readConfiguration(toBytes(text))->mModel;
+  };
+  BOOST_TEST(selected("\"SharesRoom\"").mServices.at("a").mSharesRoom);
+  const config::Model adaptive = selected("\"AdaptiveConcurrency\"");
+  BOOST_TEST(adaptive.mServices.at("a").mAdaptiveConcurrency);
+  BOOST_TEST(!adaptive.mServices.at("b").mAdaptiveConcurrency);
 }
 
 // A wrong version or wrong keys would make the whole unsafe.
