--- a/include/radishroad/daemon/ingress.h
+++ b/include/radishroad/daemon/ingress.h
@@ -136,8 +136,8 @@
                           Answer& aAnswer,
                           Millis aNow);
   /// Handles a refusal for lack of room, if the service shares room: sets the
-  /// earliest time that the request was told. False if no upstream is left that
-  /// has not refused its kind.
+  /// earliest retry time that the request was given. False if no upstream is
+  /// left that has not refused its kind.
   bool hasRoomElsewhere(PendingRequest& aPending, Answer& aAnswer, Millis aNow);
   /// Whether the upstream has refused the request's kind for lack of room.
   bool isReportedFull(const ForwardRequest& aRequest, Incarnation aMember);
--- a/include/radishroad/policy/return_schedule.h
+++ b/include/radishroad/policy/return_schedule.h
@@ -32,13 +32,13 @@
   };
   struct Arrival
   {
-    /// Its caller was told a later time.
+    /// Its caller returned before its Retry-After.
     bool mIsRepeat = false;
     /// More requests of its workspace and kind arrive than usual, while some of
-    /// their callers are told to wait. New requests may do so, too.
+    /// their callers wait for their Retry-After. New requests may do so, too.
     bool mMayBeRepeat = false;
-    /// The time that the caller was told.
-    std::optional<Millis> mToldAt;
+    /// The return time given to the caller.
+    std::optional<Millis> mReturnAt;
   };
   struct Room
   {
@@ -50,12 +50,12 @@
   Arrival onArrival(const Caller& aCaller, Millis aNow);
   /// Returns when the refused caller shall return. One that repeated its
   /// request early keeps its time.
-  Millis tell(const Caller& aCaller,
-              const Arrival& aArrival,
-              unsigned aUrgency,
-              const Room& aRoom,
-              Millis aNow);
-  /// Number of callers of at least this urgency that were told to return from
+  Millis assignReturn(const Caller& aCaller,
+                      const Arrival& aArrival,
+                      unsigned aUrgency,
+                      const Room& aRoom,
+                      Millis aNow);
+  /// Number of callers of at least this urgency whose return time is from
   /// aNow until aUntil.
   std::size_t countUntil(Millis aNow, Millis aUntil, unsigned aUrgency) const;
   /// Forgets callers that have not returned in time.
@@ -68,10 +68,10 @@
     double mUsualPerMs = 0;
     Millis mFrom;
     std::uint32_t mCount = 0;
-    /// The latest return time that one of its callers was told.
-    Millis mToldUntil;
+    /// The latest return time that was given to one of its callers.
+    Millis mReturnUntil;
   };
-  struct Told
+  struct AssignedReturn
   {
     std::uint64_t mRequestHash = 0;
     Millis mAt;
@@ -80,7 +80,7 @@
   Millis nextTime(const Caller& aCaller, const Room& aRoom, Millis aNow);
 
   std::map<std::pair<std::uint64_t, std::uint32_t>, Arrivals> mArrivals;
-  std::vector<Told> mTold;
+  std::vector<AssignedReturn> mAssigned;
   /// The last time that was given.
   Millis mLast;
 };
--- a/include/radishroad/policy/room_allocator.h
+++ b/include/radishroad/policy/room_allocator.h
@@ -44,7 +44,7 @@
 /// new runs. Admitted requests start in the order of their urgency. Refused
 /// callers get return times one after the other, at the rate at which the
 /// upstream starts requests. Callers that repeat earlier are admitted only if
-/// the room suffices for those that return as told, too.
+/// the room suffices for those that return at their time, too.
 ///
 /// State is local and may be lost. Does no I/O and reads no clock.
 class RoomAllocator
--- a/src/policy/return_schedule.cpp
+++ b/src/policy/return_schedule.cpp
@@ -39,8 +39,8 @@
   Arrivals& arrivals = mArrivals[{ aCaller.mWorkspaceHash, aCaller.mKind }];
   const Millis passed = aNow - arrivals.mFrom;
   if (passed >= kArrivalTime) {
-    // What arrives while callers are told to return is not the usual rate.
-    const bool isUsual = arrivals.mToldUntil < arrivals.mFrom;
+    // What arrives while refused callers are due is not the usual rate.
+    const bool isUsual = arrivals.mReturnUntil < arrivals.mFrom;
     const double rate = arrivals.mCount / static_cast<double>(passed.mCount);
     if (isUsual && arrivals.mFrom > Millis{}) {
       const double weight = arrivals.mUsualPerMs > 0 ? kUsualRateSmoothing : 1;
@@ -49,11 +49,11 @@
     arrivals.mFrom = aNow;
     arrivals.mCount = 0;
   }
-  const auto told =
-    std::ranges::find(mTold, aCaller.mRequestHash, &Told::mRequestHash);
-  if (told != mTold.end()) {
-    const Millis at = told->mAt;
-    mTold.erase(told);
+  const auto assigned = std::ranges::find(
+    mAssigned, aCaller.mRequestHash, &AssignedReturn::mRequestHash);
+  if (assigned != mAssigned.end()) {
+    const Millis at = assigned->mAt;
+    mAssigned.erase(assigned);
     return { aNow + kReturnSlack < at, false, at };
   }
   ++arrivals.mCount;
@@ -61,7 +61,7 @@
     std::max<double>(kMinArrivals,
                      arrivals.mUsualPerMs * kBurstFactor *
                        static_cast<double>(kArrivalTime.mCount));
-  const bool isUnusual = aNow < arrivals.mToldUntil &&
+  const bool isUnusual = aNow < arrivals.mReturnUntil &&
                          arrivals.mUsualPerMs > 0 && arrivals.mCount > most;
   return { false, isUnusual, std::nullopt };
 }
@@ -69,8 +69,8 @@
 void
 ReturnSchedule::forgetPassed(Millis aNow)
 {
-  std::erase_if(mTold, [aNow](const Told& aTold) {
-    return aTold.mAt + kArrivalTime < aNow;
+  std::erase_if(mAssigned, [aNow](const AssignedReturn& aReturn) {
+    return aReturn.mAt + kArrivalTime < aNow;
   });
 }
 
@@ -78,9 +78,9 @@
 ReturnSchedule::countUntil(Millis aNow, Millis aUntil, unsigned aUrgency) const
 {
   return static_cast<std::size_t>(
-    std::ranges::count_if(mTold, [=](const Told& aTold) {
-      return aTold.mAt >= aNow && aTold.mAt <= aUntil &&
-             aTold.mUrgency <= aUrgency;
+    std::ranges::count_if(mAssigned, [=](const AssignedReturn& aReturn) {
+      return aReturn.mAt >= aNow && aReturn.mAt <= aUntil &&
+             aReturn.mUrgency <= aUrgency;
     }));
 }
 
@@ -104,21 +104,21 @@
 }
 
 Millis
-ReturnSchedule::tell(const Caller& aCaller,
-                     const Arrival& aArrival,
-                     unsigned aUrgency,
-                     const Room& aRoom,
-                     Millis aNow)
+ReturnSchedule::assignReturn(const Caller& aCaller,
+                             const Arrival& aArrival,
+                             unsigned aUrgency,
+                             const Room& aRoom,
+                             Millis aNow)
 {
-  const Millis at = aArrival.mIsRepeat && aArrival.mToldAt
-                      ? *aArrival.mToldAt
+  const Millis at = aArrival.mIsRepeat && aArrival.mReturnAt
+                      ? *aArrival.mReturnAt
                       : nextTime(aCaller, aRoom, aNow);
-  if (mTold.size() >= kMaxTold) {
-    mTold.erase(mTold.begin());
+  if (mAssigned.size() >= kMaxTold) {
+    mAssigned.erase(mAssigned.begin());
   }
-  mTold.push_back({ aCaller.mRequestHash, at, aUrgency });
+  mAssigned.push_back({ aCaller.mRequestHash, at, aUrgency });
   Arrivals& arrivals = mArrivals[{ aCaller.mWorkspaceHash, aCaller.mKind }];
-  arrivals.mToldUntil = std::max(arrivals.mToldUntil, at);
+  arrivals.mReturnUntil = std::max(arrivals.mReturnUntil, at);
   return at;
 }
 
--- a/src/policy/room_allocator.cpp
+++ b/src/policy/room_allocator.cpp
@@ -349,11 +349,11 @@
   UpstreamStats stats = aStats;
   stats.mRunMs = aStats.mRunMs > 0 ? aStats.mRunMs : kUnknownRunMs;
   const Millis room = aNow + waitBehind(mAdmitted.size(), 0, aStats);
-  const Millis at = mReturns.tell(callerOf(aRequest),
-                                  aArrival,
-                                  urgencyOf(aRequest),
-                                  { room, startsPerMs(stats) },
-                                  aNow);
+  const Millis at = mReturns.assignReturn(callerOf(aRequest),
+                                          aArrival,
+                                          urgencyOf(aRequest),
+                                          { room, startsPerMs(stats) },
+                                          aNow);
   return { true, at - aNow, 0 };
 }
 
