--- a/include/radishroad/policy/adaptive_concurrency.h
+++ b/include/radishroad/policy/adaptive_concurrency.h
@@ -129,7 +129,7 @@
   Millis mNoReductionUntil;
   Millis mUndoHold;
   Millis mResetHold;
-  /// While the usual times are measured at a reduced limit: its start.
+  /// Start of the measurement of usual run times, which lowers the limit.
   Millis mMeasuredFrom;
   bool mIsMeasuring = false;
   Millis mNextMeasurement;
--- a/src/policy/adaptive_concurrency.cpp
+++ b/src/policy/adaptive_concurrency.cpp
@@ -63,11 +63,12 @@
 /// Weight of a run in the smoothed ratio.
 constexpr double kRatioGain = 0.12;
 
-/// At this interval the usual times are measured at a reduced limit, as an
-/// upstream that is always full shows no others.
+/// Interval of the measurements of usual run times. They lower the limit for a
+/// moment, since an upstream that is always full shows slow runs only.
 constexpr Millis kFirstMeasurement{ 3000 };
 constexpr Millis kMeasurementInterval{ 15000 };
-/// After an undo the usual times are those of all present runs, until measured.
+/// After a reduction was undone, the usual times include slow runs until the
+/// next measurement, which therefore comes soon.
 constexpr Millis kMeasurementAfterUndo{ 2000 };
 constexpr Millis kMaxMeasurement{ 3000 };
 constexpr double kMeasurementShare = 0.6;
