--- a/review/common-2/rig.h
+++ b/review/common-2/rig.h
@@ -19,6 +19,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -471,6 +472,40 @@
   }
   bool open() { return mServer.open(); }
 
+  /// Is away from now on: connections are refused, open ones are reset.
+  void goAway()
+  {
+    {
+      const std::lock_guard<std::mutex> lock(mMutex);
+      mStopped = true;
+    }
+    mChanged.notify_all();
+    mServer.close();
+    record().add("the store is away");
+  }
+  bool comeBack()
+  {
+    {
+      const std::lock_guard<std::mutex> lock(mMutex);
+      mStopped = false;
+    }
+    record().add("the store is back, era %d", mEra);
+    return mServer.open();
+  }
+  void keepCopy()
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mCopy = mTopics;
+    record().add("a copy of the store is kept");
+  }
+  /// Takes over the copy; while the store is away.
+  void restoreCopy()
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mTopics = mCopy;
+    ++mEra;
+  }
+
   void put(const std::string& aTopic,
            const std::string& aKey,
            const std::string& aValue)
@@ -511,10 +546,11 @@
     return text;
   }
 
-  static std::string json(const std::string& aStatus, const Json& aBody)
+  std::string json(const std::string& aStatus, const Json& aBody) const
   {
     return rig::answer(aStatus,
-                       { "Store-Era: 1", "Content-Type: application/json" },
+                       { "Store-Era: " + std::to_string(mEra),
+                         "Content-Type: application/json" },
                        aBody.dump());
   }
 
@@ -563,10 +599,10 @@
         }
         body += bigEndian(topic.mRecords[n].size(), 4) + topic.mRecords[n];
       }
-      return rig::answer(
-        "200 OK",
-        { "Store-Era: 1", "Content-Type: application/octet-stream" },
-        body);
+      return rig::answer("200 OK",
+                         { "Store-Era: " + std::to_string(mEra),
+                           "Content-Type: application/octet-stream" },
+                         body);
     }
     if (path == "/api/log-newest") {
       Json items = Json::array();
@@ -586,7 +622,9 @@
   std::mutex mMutex;
   std::condition_variable mChanged;
   bool mStopped = false;
+  int mEra = 1;
   std::map<std::string, Topic> mTopics;
+  std::map<std::string, Topic> mCopy;
   Server mServer;
 };
 
@@ -830,6 +868,7 @@
   struct Run
   {
     std::string mId;
+    std::string mTarget;
     std::int64_t mAt = 0;
   };
   struct Grant
@@ -838,6 +877,14 @@
     std::uint32_t mTo = 0;
     std::uint64_t mEpoch = 0;
     std::int64_t mAt = 0;
+    std::int64_t mHoldMs = 0;
+  };
+  /// A span of time in which it held a key.
+  struct Hold
+  {
+    std::int64_t mFrom = 0;
+    std::int64_t mTo = 0;
+    std::uint64_t mEpoch = 0;
   };
 
   Worker(const Network& aNetwork, const Daemon& aDaemon, std::string aId)
@@ -864,11 +911,19 @@
   /// Ends like a process that is killed.
   void end()
   {
-    mEnded = true;
+    if (!mEnded.exchange(true)) {
+      mEndedAt = now();
+    }
     mServer.close();
   }
   void setRunMs(int aMs) { mRunMs = aMs; }
   void setLeaving() { mLeaving = true; }
+  /// Called when it begins to run a request of this target, which crashes it.
+  void setCrashing(std::string aTarget, std::function<void()> aOnCrash)
+  {
+    mCrashTarget = std::move(aTarget);
+    mOnCrash = std::move(aOnCrash);
+  }
 
   std::string reportBytes(const char* aState = "ready")
   {
@@ -924,6 +979,28 @@
     const std::lock_guard<std::mutex> lock(mMutex);
     return mGrants;
   }
+  /// When it held a key, until it ended.
+  std::vector<Hold> holds(std::uint32_t aKey) const
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    const auto releases = mReleases.find(aKey);
+    std::vector<Hold> spans;
+    for (const Grant& each : mGrants) {
+      if (aKey < each.mFrom || aKey > each.mTo) {
+        continue;
+      }
+      Hold span{ each.mAt,
+                 std::min(each.mAt + each.mHoldMs, mEndedAt.load()),
+                 each.mEpoch };
+      if (releases != mReleases.end()) {
+        for (const std::int64_t at : releases->second) {
+          span.mTo = at >= span.mFrom ? std::min(span.mTo, at) : span.mTo;
+        }
+      }
+      spans.push_back(span);
+    }
+    return spans;
+  }
   /// Keys that it holds now.
   std::size_t heldKeys() const
   {
@@ -977,7 +1054,9 @@
       return rig::answer("421 Misdirected Request", lines, "");
     }
     const std::string key = aCall.header("x-shard-key");
-    if (!key.empty()) {
+    if (!key.empty() &&
+        key.find_first_not_of("0123456789") == std::string::npos &&
+        key.size() < 6 && std::stoul(key) < mKeys.size()) {
       const std::lock_guard<std::mutex> lock(mMutex);
       if (mKeys[std::stoul(key)].mHeldUntil <= now()) {
         std::vector<std::string> lines = headers(aCall);
@@ -987,9 +1066,14 @@
     }
     {
       const std::lock_guard<std::mutex> lock(mMutex);
-      mRuns.push_back({ requestId, aCall.mAt });
+      mRuns.push_back({ requestId, aCall.mTarget, aCall.mAt });
     }
     record().add("worker %s runs %s", mId.c_str(), requestId.c_str());
+    if (!mCrashTarget.empty() && aCall.mTarget == mCrashTarget) {
+      mOnCrash();
+      waitFor([this] { return mEnded.load(); }, 1000);
+      return {};
+    }
     sleepMs(mRunMs);
     std::vector<std::string> lines = headers(aCall);
     lines.push_back("X-Upstream-Signature: s." + mId + "." + requestId);
@@ -1006,6 +1090,7 @@
     if (aCall.mTarget == "/api/release") {
       for (std::uint32_t key = from; key <= to; ++key) {
         mKeys[key].mHeldUntil = 0;
+        mReleases[key].push_back(aCall.mAt);
       }
       return rig::answer(
         "200 OK",
@@ -1021,7 +1106,7 @@
       mKeys[key].mHighest = epoch;
       mKeys[key].mHeldUntil = aCall.mAt + body.at("HoldMs").get<std::int64_t>();
     }
-    mGrants.push_back({ from, to, epoch, aCall.mAt });
+    mGrants.push_back({ from, to, epoch, aCall.mAt, body.at("HoldMs") });
     return rig::answer("200 OK", {}, "");
   }
 
@@ -1033,14 +1118,20 @@
   const std::string mService;
   const std::string mZone;
   std::atomic<bool> mEnded{ false };
+  std::atomic<std::int64_t> mEndedAt{
+    std::numeric_limits<std::int64_t>::max()
+  };
   std::atomic<bool> mLeaving{ false };
   std::atomic<int> mRunMs{ 20 };
+  std::string mCrashTarget;
+  std::function<void()> mOnCrash;
   std::uint64_t mSequence = 0;
   bool mWasAcknowledged = false;
   mutable std::mutex mMutex;
   std::vector<Key> mKeys{ std::vector<Key>(65536) };
   std::vector<Run> mRuns;
   std::vector<Grant> mGrants;
+  std::map<std::uint32_t, std::vector<std::int64_t>> mReleases;
   std::uint64_t mTokens = 0;
   Server mServer;
 };
