--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -19,6 +19,8 @@
 
 /// How late the first report of the next life arrives.
 constexpr std::int64_t kLateMs = 3000;
+/// A worker waits so long for the answer to a report.
+constexpr std::int64_t kAnswerMs = 1000;
 
 void
 send(const Network& aNetwork, const Daemon& aDaemon, int aNumber)
@@ -143,6 +145,7 @@
   std::unique_ptr<Worker> next;
   std::atomic<bool> stopped{ false };
   std::thread requester;
+  std::thread late;
   std::vector<std::thread> calls;
   if (hasTrouble()) {
     reporters[0]->stop();
@@ -153,7 +156,7 @@
     if (!next->open()) {
       return kNotRun;
     }
-    const std::int64_t reportAt = now() + kFirstReportMs + kLateMs;
+    const std::int64_t reportAt = now() + kFirstReportMs;
     // Until its keys have been renewed, as before the crash.
     const auto isRenewedAgain = [&] {
       const std::vector<Worker::Grant> given = next->grants();
@@ -167,14 +170,23 @@
         sleepMs(50);
       }
     });
-    // The first report is sent in time and arrives late.
+    // The first report is sent in time and arrives late. The worker gets no
+    // answer within a second, and sends the next one, which arrives in time.
     sleepUntil(reportAt);
+    late = std::thread([&, bytes = next->reportBytes(), reportAt] {
+      sleepUntil(reportAt + kLateMs);
+      const std::optional<Message> got =
+        call(daemons[0]->ip(), network.ports().mAdmin, bytes, 1000);
+      record().add("the late report was delivered: %d", got ? got->mStatus : 0);
+    });
+    sleepUntil(reportAt + kAnswerMs);
     reporters[0] = std::make_unique<Reporter>(*next);
   }
   sleepMs(5000);
   stopped = true;
   if (requester.joinable()) {
     requester.join();
+    late.join();
   }
   for (std::thread& each : calls) {
     each.join();
