--- a/review/common-3/endless.cpp
+++ b/review/common-3/endless.cpp
@@ -30,9 +30,7 @@
   std::atomic<int> answers{ 0 };
   for (int n = 1; n <= kMachines; ++n) {
     Worker::Options options;
-    options.mBody = [](const Request&) {
-      return std::string(kBodyBytes, 'b');
-    };
+    options.mBody = [](const Request&) { return std::string(kBodyBytes, 'b'); };
     options.mOnEndlessClosed = [&](const Request& aRequest) {
       site.mRecord.line("worker: the connection of " +
                         aRequest.header("x-request-id") + " was closed");
@@ -76,12 +74,13 @@
         const std::string id =
           "d" + std::to_string(client) + "." + std::to_string(n);
         ++sent;
-        const Reply reply = site.request(site.mMachines[(client + n) % kMachines],
-                                         "GET",
-                                         "/recon/" + id,
-                                         id,
-                                         {},
-                                         kDeadline);
+        const Reply reply =
+          site.request(site.mMachines[(client + n) % kMachines],
+                       "GET",
+                       "/recon/" + id,
+                       id,
+                       {},
+                       kDeadline);
         const bool isServed =
           reply.mStatus == 200 && reply.mBody.size() == kBodyBytes;
         served += isServed ? 1 : 0;
@@ -103,8 +102,9 @@
   }
   const std::string summary =
     "downloads sent " + std::to_string(sent) + ", served " +
-    std::to_string(served) + "; longer than TimeoutMs: " +
-    std::to_string(longer) + ", of these without a final answer 0.5 s after it: " +
+    std::to_string(served) +
+    "; longer than TimeoutMs: " + std::to_string(longer) +
+    ", of these without a final answer 0.5 s after it: " +
     std::to_string(unfinished);
   site.mRecord.line(summary);
   std::printf("%s\n", summary.c_str());
--- a/review/common-3/rig.h
+++ b/review/common-3/rig.h
@@ -7,11 +7,11 @@
 #include <arpa/inet.h>
 #include <atomic>
 #include <condition_variable>
-#include <deque>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <deque>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
@@ -259,6 +259,8 @@
         goesOn = n > 0;
         at += goesOn ? static_cast<std::size_t>(n) : 0;
       }
+      // A body without a length ends with the connection.
+      goesOn = goesOn && answer->find("Content-Length: ") != std::string::npos;
     }
     const std::lock_guard<std::mutex> lock(mMutex);
     ::close(aSocket);
@@ -353,8 +355,9 @@
   for (std::size_t i = 0; i < aText.size(); i += 3) {
     std::uint32_t v = 0;
     for (std::size_t k = 0; k < 3; ++k) {
-      v = v << 8U |
-          (i + k < aText.size() ? static_cast<unsigned char>(aText[i + k]) : 0U);
+      v =
+        v << 8U |
+        (i + k < aText.size() ? static_cast<unsigned char>(aText[i + k]) : 0U);
     }
     for (std::size_t k = 0; k < 4; ++k) {
       out += i + k <= aText.size() ? kDigits[v >> (18 - 6 * k) & 63U] : '=';
@@ -449,9 +452,9 @@
       while (kept > 0 && topic.mItems[kept - 1].mAt > aCopyOf) {
         --kept;
       }
-      const std::vector<Item> lost(
-        topic.mItems.begin() + static_cast<std::ptrdiff_t>(kept),
-        topic.mItems.end());
+      const std::vector<Item> lost(topic.mItems.begin() +
+                                     static_cast<std::ptrdiff_t>(kept),
+                                   topic.mItems.end());
       topic.mItems.resize(kept);
       mRecord.line("store topic " + name + " keeps " + std::to_string(kept) +
                    " records, lost " + std::to_string(lost.size()));
@@ -662,6 +665,8 @@
     std::function<bool(const Request&)> mLosesAnswer;
     /// The whole body of an answer; a short text if it is not set.
     std::function<std::string(const Request&)> mBody;
+    /// Whether the answer has no length and ends with its connection.
+    std::function<bool(const Request&)> mIsUnframed;
     /// Whether the body of the answer has no end.
     std::function<bool(const Request&)> mIsEndless;
     /// Called when the caller has closed the connection of such an answer.
@@ -749,12 +754,11 @@
     }
     const std::string path = aRequest.path();
     if (path == "/healthz") {
-      return response("200 OK",
-                      "X-Instance-Id: " + id() +
-                        "\r\nX-Upstream-Load: " + load() +
-                        "\r\nX-Warmup-Ms: " + std::to_string(coldLeft()) +
-                        "\r\n",
-                      "");
+      return response(
+        "200 OK",
+        "X-Instance-Id: " + id() + "\r\nX-Upstream-Load: " + load() +
+          "\r\nX-Warmup-Ms: " + std::to_string(coldLeft()) + "\r\n",
+        "");
     }
     if (path == "/api/grant") {
       return grant(Json::parse(aRequest.mBody));
@@ -838,10 +842,10 @@
                         "");
       }
       if (mRunning >= mOptions.mSlots) {
-        return response("503 Service Unavailable",
-                        echo + "X-Not-Executed: 1\r\nX-Upstream-Load: " +
-                          load() + "\r\n",
-                        "");
+        return response(
+          "503 Service Unavailable",
+          echo + "X-Not-Executed: 1\r\nX-Upstream-Load: " + load() + "\r\n",
+          "");
       }
       ++mRunning;
       mKeys[key].mRunning += mOptions.mKeyed ? 1 : 0;
@@ -867,6 +871,10 @@
         (mOptions.mLosesAnswer && mOptions.mLosesAnswer(aRequest))) {
       return std::nullopt;
     }
+    if (mOptions.mIsUnframed && mOptions.mIsUnframed(aRequest)) {
+      return "HTTP/1.1 200 OK\r\n" + echo + "X-Upstream-Signature: s-" +
+             requestId + "\r\nConnection: close\r\n\r\nbody of " + requestId;
+    }
     return response("200 OK",
                     echo + "X-Upstream-Signature: s-" + requestId +
                       "\r\nX-Upstream-Load: " + load() + "\r\n",
@@ -879,8 +887,7 @@
   {
     const std::string target = aRequest.header("x-target-instance");
     if (!mOptions.mIsEndless || !mIsUp || aRequest.path() == "/healthz" ||
-        (!target.empty() && target != id()) ||
-        !mOptions.mIsEndless(aRequest)) {
+        (!target.empty() && target != id()) || !mOptions.mIsEndless(aRequest)) {
       return false;
     }
     const std::string requestId = aRequest.header("x-request-id");
@@ -1018,7 +1025,9 @@
     }
   }
 
-  Machine& add(const std::string& aService, int aNumber, Worker::Options aOptions)
+  Machine& add(const std::string& aService,
+               int aNumber,
+               Worker::Options aOptions)
   {
     Machine& machine = mMachines.emplace_back();
     machine.mName = "sidecar-" + aService + "-" + std::to_string(aNumber);
@@ -1082,7 +1091,10 @@
     }
     arguments.push_back(nullptr);
     const std::string log = mFolder + "/" + aMachine.mName + ".log";
-    const std::string path = std::string("PATH=") + std::getenv("PATH");
+    const char* searchPath = std::getenv("PATH");
+    const std::string path =
+      std::string("PATH=") +
+      (searchPath == nullptr ? "/usr/bin:/bin" : searchPath);
     const std::string link = "RADISHROAD_LINK_MBPS=1000.0";
     std::vector<char*> environment{ const_cast<char*>(path.c_str()),
                                     const_cast<char*>(link.c_str()),
@@ -1095,8 +1107,7 @@
       if (::getppid() != parent) {
         ::_exit(2);
       }
-      const int out =
-        ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       ::dup2(out, 1);
       ::dup2(out, 2);
       ::execve(arguments[0], arguments.data(), environment.data());
--- a/review/common-3/suspect.cpp
+++ b/review/common-3/suspect.cpp
@@ -19,10 +19,9 @@
 {
   limitTime(115);
   Site site(aArguments[1]);
-  site.publish(
-    { { "browse", "/browse/", "idempotent", "catalog", 2000, 300 },
-      { "status", "/status/", "idempotent", "library", 2000, 300 } },
-    { { "catalog", false }, { "library", true } });
+  site.publish({ { "browse", "/browse/", "idempotent", "catalog", 2000, 300 },
+                 { "status", "/status/", "idempotent", "library", 2000, 300 } },
+               { { "catalog", false }, { "library", true } });
   if (!site.mStore->open()) {
     return 2;
   }
@@ -54,8 +53,8 @@
       return 2;
     }
   }
-  if (!site.waitFor(
-        [&] { return holds->heldRuns("") == 65536 / Holds::kStep; }, 20000)) {
+  if (!site.waitFor([&] { return holds->heldRuns("") == 65536 / Holds::kStep; },
+                    20000)) {
     return 2;
   }
   sleepMs(4000);
@@ -105,11 +104,10 @@
   }
   stopped = true;
   traffic.join();
-  const std::string summary =
-    "status: sent " + std::to_string(status.mSent) + ", served " +
-    std::to_string(status.mServed) + "; browse: sent " +
-    std::to_string(browse.mSent) + ", served " +
-    std::to_string(browse.mServed);
+  const std::string summary = "status: sent " + std::to_string(status.mSent) +
+                              ", served " + std::to_string(status.mServed) +
+                              "; browse: sent " + std::to_string(browse.mSent) +
+                              ", served " + std::to_string(browse.mServed);
   site.mRecord.line(summary);
   std::printf("%s\n", summary.c_str());
   if (!wasServed || browse.mServed == 0) {
--- a/review/common-3/zone.cpp
+++ b/review/common-3/zone.cpp
@@ -19,10 +19,9 @@
 {
   limitTime(115);
   Site site(aArguments[1]);
-  site.publish(
-    { { "archive", "/archive/", "idempotent", "library" },
-      { "nightly", "/nightly/", "idempotent", "library" } },
-    { { "library", false } });
+  site.publish({ { "archive", "/archive/", "idempotent", "library" },
+                 { "nightly", "/nightly/", "idempotent", "library" } },
+               { { "library", false } });
   if (!site.mStore->open()) {
     return 2;
   }
@@ -130,10 +129,10 @@
   }
   stopped = true;
   traffic.join();
-  const std::string summary =
-    "nightly: sent " + std::to_string(askedLater) + ", served " +
-    std::to_string(servedLater) + "; archive: sent " + std::to_string(sent) +
-    ", served " + std::to_string(served);
+  const std::string summary = "nightly: sent " + std::to_string(askedLater) +
+                              ", served " + std::to_string(servedLater) +
+                              "; archive: sent " + std::to_string(sent) +
+                              ", served " + std::to_string(served);
   site.mRecord.line(summary);
   std::printf("%s\n", summary.c_str());
   if (served == 0 || zone->second < 2) {
