--- a/review/common-3/rig.h
+++ b/review/common-3/rig.h
@@ -678,8 +678,16 @@
     /// Time for which it is cold after a crash.
     std::int64_t mCold = 0;
     std::shared_ptr<Holds> mHolds;
+    /// Whether it starts again under the id that it had.
+    bool mKeepsId = false;
+    /// Called when a report arrives, with the process that sent it.
+    std::function<void(const std::string& aProcess, std::uint64_t aSequence)>
+      mOnReport;
   };
 
+  /// Reports sent from now on arrive later by so many milliseconds.
+  void delayReports(std::int64_t aDelay) { mReportDelay = aDelay; }
+
   explicit Worker(Options aOptions)
     : mOptions(std::move(aOptions))
     , mServer(mOptions.mIp, 8403, [this](const Request& aRequest) {
@@ -707,6 +715,7 @@
     mIsUp = true;
     if (!mReporter.joinable()) {
       mReporter = std::thread([this] { report(); });
+      mDeliverer = std::thread([this] { deliver(); });
       mReviver = std::thread([this] { revive(); });
     }
     return true;
@@ -718,28 +727,51 @@
     mServer.close();
     if (mReporter.joinable()) {
       mReporter.join();
+      mDeliverer.join();
       mReviver.join();
     }
   }
   /// Ends the worker; it is back after mBackAfter with a new id.
   void crash()
   {
-    if (mIsUp.exchange(false)) {
-      if (mOptions.mOnCrash) {
-        mOptions.mOnCrash(mOptions.mName);
+    {
+      const std::lock_guard<std::mutex> lock(mMutex);
+      if (!mIsUp.exchange(false)) {
+        return;
+      }
+      if (mOptions.mHolds) {
+        mOptions.mHolds->onReleased(process(), 0, 65535);
       }
-      mCrashedAt = now();
-      mMustEnd = true;
     }
+    if (mOptions.mOnCrash) {
+      mOptions.mOnCrash(mOptions.mName);
+    }
+    mCrashedAt = now();
+    mMustEnd = true;
   }
   std::string id() const
   {
-    return "i-" + mOptions.mName + "-" + std::to_string(mLife.load());
+    return "i-" + mOptions.mName + "-" +
+           std::to_string(mOptions.mKeepsId ? 1 : mLife.load());
+  }
+  /// Names the process, also where its id is that of the one before.
+  std::string process() const
+  {
+    return mOptions.mName + "/" + std::to_string(mLife.load());
   }
   bool isUp() const { return mIsUp; }
   const Options& options() const { return mOptions; }
 
 private:
+  struct Report
+  {
+    std::int64_t mAt = 0;
+    int mLife = 0;
+    std::uint64_t mSequence = 0;
+    std::string mId;
+    std::string mBody;
+  };
+
   struct Key
   {
     std::uint64_t mHighest = 0;
@@ -787,6 +819,9 @@
     const std::uint64_t epoch = aOrder.at("fence");
     const std::int64_t until = now() + aOrder.at("HoldMs").get<std::int64_t>();
     const std::lock_guard<std::mutex> lock(mMutex);
+    if (!mIsUp) {
+      return std::nullopt;
+    }
     for (std::size_t n = first; n <= last; ++n) {
       if (mKeys.at(n).mHighest > epoch) {
         return response("409 Conflict", "", "");
@@ -797,7 +832,7 @@
       mKeys[n].mUntil = until;
     }
     if (mOptions.mHolds) {
-      mOptions.mHolds->onGranted(mOptions.mName, first, last, epoch, until);
+      mOptions.mHolds->onGranted(process(), first, last, epoch, until);
     }
     return response("200 OK", "", "");
   }
@@ -814,7 +849,7 @@
       mDone.wait(lock, [&] { return mKeys[n].mRunning == 0; });
     }
     if (mOptions.mHolds) {
-      mOptions.mHolds->onReleased(mOptions.mName, first, last);
+      mOptions.mHolds->onReleased(process(), first, last);
     }
     return response("200 OK",
                     "X-Handover: h" + mOptions.mName + "-" +
@@ -923,6 +958,7 @@
         continue;
       }
       next = now() + 870;
+      const int life = mLife;
       Json body;
       {
         const std::lock_guard<std::mutex> lock(mMutex);
@@ -938,12 +974,38 @@
                      { "Seq", ++mSequence },
                      { "WarmupLeftMs", coldLeft() } } } };
       }
+      const std::lock_guard<std::mutex> lock(mReportMutex);
+      mReports.push_back(
+        { now() + mReportDelay, life, mSequence, id(), body.dump() });
+    }
+  }
+
+  /// What has been sent arrives, also when its sender has ended.
+  void deliver()
+  {
+    while (!mStopped) {
+      sleepMs(5);
+      std::optional<Report> report;
+      {
+        const std::lock_guard<std::mutex> lock(mReportMutex);
+        if (!mReports.empty() && mReports.front().mAt <= now()) {
+          report = mReports.front();
+          mReports.pop_front();
+        }
+      }
+      if (!report) {
+        continue;
+      }
+      if (mOptions.mOnReport) {
+        mOptions.mOnReport(mOptions.mName + "/" + std::to_string(report->mLife),
+                           report->mSequence);
+      }
       call(mOptions.mIp,
            8407,
            "POST",
-           "/api/rpc?call=instances.heartbeat&of=" + id(),
+           "/api/rpc?call=instances.heartbeat&of=" + report->mId,
            "Host: " + mOptions.mIp + "\r\nContent-Type: application/json\r\n",
-           body.dump(),
+           report->mBody,
            1000);
     }
   }
@@ -980,7 +1042,11 @@
   std::uint64_t mTokens = 0;
   std::int64_t mBorn = 0;
   Server mServer;
+  std::mutex mReportMutex;
+  std::deque<Report> mReports;
+  std::atomic<std::int64_t> mReportDelay{ 0 };
   std::thread mReporter;
+  std::thread mDeliverer;
   std::thread mReviver;
 };
 
