--- a/review/common-3/rig.h
+++ b/review/common-3/rig.h
@@ -174,6 +174,8 @@
   /// Writes to the socket by itself, if it returns true, and ends the
   /// connection then.
   std::function<bool(const Request&, int aSocket)> mRaw;
+  /// After how many milliseconds an answer is given a second time; 0 for never.
+  std::function<std::int64_t(const Request&)> mSecondAfter;
 
   bool open()
   {
@@ -233,6 +235,16 @@
     }
   }
 
+  static void sendLater(int aSocket, std::string aBytes, std::int64_t aDelay)
+  {
+    const int copy = ::fcntl(aSocket, F_DUPFD_CLOEXEC, 0);
+    std::thread([copy, bytes = std::move(aBytes), aDelay] {
+      sleepMs(aDelay);
+      static_cast<void>(::send(copy, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+      ::close(copy);
+    }).detach();
+  }
+
   void serve(int aSocket)
   {
     std::string buffer;
@@ -252,6 +264,10 @@
         break;
       }
       const std::optional<std::string> answer = mHandler(*request);
+      if (answer && answer->empty()) {
+        // Left without an answer; the connection stays.
+        continue;
+      }
       goesOn = answer.has_value();
       for (std::size_t at = 0; goesOn && at < answer->size();) {
         const ssize_t n = ::send(
@@ -259,6 +275,11 @@
         goesOn = n > 0;
         at += goesOn ? static_cast<std::size_t>(n) : 0;
       }
+      if (goesOn && mSecondAfter) {
+        if (const std::int64_t delay = mSecondAfter(*request); delay > 0) {
+          sendLater(aSocket, *answer, delay);
+        }
+      }
       // A body without a length ends with the connection.
       goesOn = goesOn && answer->find("Content-Length: ") != std::string::npos;
     }
@@ -680,11 +701,31 @@
     std::shared_ptr<Holds> mHolds;
     /// Whether it starts again under the id that it had.
     bool mKeepsId = false;
+    /// After how many milliseconds an order (grant) is carried out; it is not
+    /// answered then. 0: at once.
+    std::function<std::int64_t(const Request&)> mCarriedOutAfter;
+    /// After how many milliseconds an answer is given a second time; 0: never.
+    std::function<std::int64_t(const Request&)> mSecondAfter;
     /// Called when a report arrives, with the process that sent it.
     std::function<void(const std::string& aProcess, std::uint64_t aSequence)>
       mOnReport;
   };
 
+  /// Says from now on that it leaves; it goes on serving.
+  void drain() { mIsDraining = true; }
+  /// Ends after it has said so; the next one is there after mBackAfter.
+  void leave()
+  {
+    call(mOptions.mIp,
+         8407,
+         "POST",
+         "/api/rpc?call=instances.deregister&of=" + id(),
+         "Host: " + mOptions.mIp + "\r\nContent-Type: application/json\r\n",
+         Json{ { "born", mBorn.load() } }.dump(),
+         1000);
+    crash();
+  }
+
   /// Reports sent from now on arrive later by so many milliseconds.
   void delayReports(std::int64_t aDelay) { mReportDelay = aDelay; }
 
@@ -694,6 +735,7 @@
       return handle(aRequest);
     })
   {
+    mServer.mSecondAfter = mOptions.mSecondAfter;
     mServer.mRaw = [this](const Request& aRequest, int aSocket) {
       return sendEndless(aRequest, aSocket);
     };
@@ -707,6 +749,7 @@
       ++mLife;
       mKeys.assign(65536, {});
       mSequence = 0;
+      mIsDraining = false;
       mBorn = clockMs(CLOCK_REALTIME);
     }
     if (!mServer.open()) {
@@ -772,6 +815,14 @@
     std::string mBody;
   };
 
+  struct LateOrder
+  {
+    std::int64_t mArrivedAt = 0;
+    std::int64_t mAt = 0;
+    int mLife = 0;
+    Json mOrder;
+  };
+
   struct Key
   {
     std::uint64_t mHighest = 0;
@@ -787,13 +838,21 @@
     const std::string path = aRequest.path();
     if (path == "/healthz") {
       return response(
-        "200 OK",
+        mIsDraining ? "503 Service Unavailable" : "200 OK",
         "X-Instance-Id: " + id() + "\r\nX-Upstream-Load: " + load() +
           "\r\nX-Warmup-Ms: " + std::to_string(coldLeft()) + "\r\n",
         "");
     }
     if (path == "/api/grant") {
-      return grant(Json::parse(aRequest.mBody));
+      const Json order = Json::parse(aRequest.mBody);
+      const std::int64_t late =
+        mOptions.mCarriedOutAfter ? mOptions.mCarriedOutAfter(aRequest) : 0;
+      if (late == 0) {
+        return grant(order, now());
+      }
+      const std::lock_guard<std::mutex> lock(mReportMutex);
+      mLateOrders.push_back({ now(), now() + late, mLife, order });
+      return std::string();
     }
     if (path == "/api/release") {
       return release(Json::parse(aRequest.mBody));
@@ -812,12 +871,13 @@
            std::to_string(mOptions.mSlots) + ",100";
   }
 
-  std::optional<std::string> grant(const Json& aOrder)
+  std::optional<std::string> grant(const Json& aOrder, std::int64_t aArrivedAt)
   {
     const std::size_t first = aOrder.at("From");
     const std::size_t last = aOrder.at("To");
     const std::uint64_t epoch = aOrder.at("fence");
-    const std::int64_t until = now() + aOrder.at("HoldMs").get<std::int64_t>();
+    const std::int64_t until =
+      aArrivedAt + aOrder.at("HoldMs").get<std::int64_t>();
     const std::lock_guard<std::mutex> lock(mMutex);
     if (!mIsUp) {
       return std::nullopt;
@@ -827,6 +887,9 @@
         return response("409 Conflict", "", "");
       }
     }
+    if (until <= now()) {
+      return response("200 OK", "", "");
+    }
     for (std::size_t n = first; n <= last; ++n) {
       mKeys[n].mHighest = epoch;
       mKeys[n].mUntil = until;
@@ -912,7 +975,8 @@
     }
     return response("200 OK",
                     echo + "X-Upstream-Signature: s-" + requestId +
-                      "\r\nX-Upstream-Load: " + load() + "\r\n",
+                      "\r\nX-Upstream-Load: " + load() + "\r\n" +
+                      (mIsDraining ? "Server-Leaving: 1\r\n" : ""),
                     mOptions.mBody ? mOptions.mBody(aRequest)
                                    : "body of " + requestId);
   }
@@ -963,14 +1027,14 @@
       {
         const std::lock_guard<std::mutex> lock(mMutex);
         body = { { "Address", mOptions.mIp + ":8403" },
-                 { "born", mBorn },
+                 { "born", mBorn.load() },
                  { "Info",
                    { { "Service", mOptions.mService },
                      { "Version", "v1" },
                      { "Zone", mOptions.mZone },
                      { "Slots", mOptions.mSlots } } },
                  { "Status",
-                   { { "State", "ready" },
+                   { { "State", mIsDraining ? "draining" : "ready" },
                      { "Seq", ++mSequence },
                      { "WarmupLeftMs", coldLeft() } } } };
       }
@@ -980,6 +1044,24 @@
     }
   }
 
+  void carryOutLateOrders()
+  {
+    std::vector<LateOrder> due;
+    {
+      const std::lock_guard<std::mutex> lock(mReportMutex);
+      std::erase_if(mLateOrders, [&](const LateOrder& aOrder) {
+        const bool isDue = aOrder.mAt <= now();
+        if (isDue && aOrder.mLife == mLife) {
+          due.push_back(aOrder);
+        }
+        return isDue;
+      });
+    }
+    for (const LateOrder& order : due) {
+      grant(order.mOrder, order.mArrivedAt);
+    }
+  }
+
   /// What has been sent arrives, also when its sender has ended.
   void deliver()
   {
@@ -993,6 +1075,7 @@
           mReports.pop_front();
         }
       }
+      carryOutLateOrders();
       if (!report) {
         continue;
       }
@@ -1040,10 +1123,12 @@
   std::atomic<std::int64_t> mColdUntil{ 0 };
   std::uint64_t mSequence = 0;
   std::uint64_t mTokens = 0;
-  std::int64_t mBorn = 0;
+  std::atomic<std::int64_t> mBorn{ 0 };
   Server mServer;
   std::mutex mReportMutex;
   std::deque<Report> mReports;
+  std::vector<LateOrder> mLateOrders;
+  std::atomic<bool> mIsDraining{ false };
   std::atomic<std::int64_t> mReportDelay{ 0 };
   std::thread mReporter;
   std::thread mDeliverer;
