Review case 12: eight rounds, so that each run shows it

Second answers come sooner (20 to 120 ms), late orders only in the last 1.5 s before the workers leave, and all of it eight times.

--- a/review/common-3/twice.cpp
+++ b/review/common-3/twice.cpp
@@ -11,15 +11,15 @@
 
 constexpr int kMachines = 7;
 constexpr std::size_t kRuns = 65536 / Holds::kStep;
-/// The first four workers give answers twice, then the last four.
-constexpr int kRounds = 2;
+/// The first four workers give answers twice, then the last four, and so on.
+constexpr int kRounds = 8;
 constexpr int kStuttering = 4;
 /// So many of these leave at the end of a round.
 constexpr int kLeaving = 3;
 /// Share of the answers that are given twice, the second time late.
 constexpr double kTwice = 0.03;
 /// Share of the orders that get no answer and are carried out late.
-constexpr double kLate = 0.015;
+constexpr double kLate = 0.02;
 
 }
 
@@ -40,7 +40,7 @@
   std::atomic<bool> isTardy{ false };
   std::atomic<int> round{ 0 };
   const auto isOfRound = [&](int aNumber, int aCount) {
-    return round == 0 ? aNumber <= aCount : aNumber > kMachines - aCount;
+    return round % 2 == 0 ? aNumber <= aCount : aNumber > kMachines - aCount;
   };
   std::atomic<int> late{ 0 };
   std::atomic<int> twice{ 0 };
@@ -69,7 +69,7 @@
         return 0;
       }
       ++late;
-      return between(2500, 3200);
+      return between(2300, 2900);
     };
     options.mSecondAfter = [&, n](const Request&) -> std::int64_t {
       if (!isStuttering || !isTwice || !isOfRound(n, kStuttering) ||
@@ -77,7 +77,7 @@
         return 0;
       }
       ++twice;
-      return between(150, 290);
+      return between(20, 120);
     };
     Machine& machine = site.add("catalog", n, options);
     if (!machine.mWorker->start() || !site.startDaemon(machine)) {
@@ -111,10 +111,10 @@
   while (round < kRounds) {
     site.mRecord.line("some answers are given twice from now on");
     isStuttering = true;
-    sleepMs(2700);
+    sleepMs(1000);
     site.mRecord.line("some orders are carried out late from now on");
     isTardy = true;
-    sleepMs(2300);
+    sleepMs(1500);
     isTardy = false;
     isStuttering = false;
     site.mRecord.line("orders since then " + std::to_string(orders) +
@@ -129,14 +129,14 @@
         worker.drain();
       }
     }
-    sleepMs(10000);
+    sleepMs(4000);
     for (int n = 1; n <= kMachines; ++n) {
       if (isOfRound(n, kLeaving)) {
         site.mRecord.line(site.mMachines[n - 1].mWorker->process() + " ends");
         site.mMachines[n - 1].mWorker->leave();
       }
     }
-    sleepMs(10000);
+    sleepMs(4000);
     ++round;
   }
   stopped = true;
