--- a/review/common-3/twice.cpp
+++ b/review/common-3/twice.cpp
@@ -1,5 +1,5 @@
 // Workers give some answers twice, the second time late, and carry out some
-// orders late without an answer. Then some of them leave.
+// orders late without an answer. Then a zone is emptied and taken back.
 #include "rig.h"
 
 #include <algorithm>
@@ -11,11 +11,9 @@
 
 constexpr int kMachines = 7;
 constexpr std::size_t kRuns = 65536 / Holds::kStep;
-/// The first four workers give answers twice, then the last four, and so on.
 constexpr int kRounds = 8;
+/// So many workers give answers twice, those of the zone among them.
 constexpr int kStuttering = 4;
-/// So many of these leave at the end of a round.
-constexpr int kLeaving = 3;
 /// Share of the answers that are given twice, the second time late.
 constexpr double kTwice = 0.03;
 /// Share of the orders that get no answer and are carried out late.
@@ -39,12 +37,24 @@
   std::atomic<bool> isStuttering{ false };
   std::atomic<bool> isTardy{ false };
   std::atomic<int> round{ 0 };
-  const auto isOfRound = [&](int aNumber, int aCount) {
-    return round % 2 == 0 ? aNumber <= aCount : aNumber > kMachines - aCount;
+  const auto zone = [&] { return "z" + std::to_string(1 + round % 3); };
+  const auto isInZone = [&](int aNumber) {
+    return (aNumber - 1) % 3 == round % 3;
   };
   std::atomic<int> late{ 0 };
   std::atomic<int> twice{ 0 };
   std::atomic<int> orders{ 0 };
+  const auto isStutterer = [&](int aNumber) {
+    int others = kStuttering;
+    for (int n = 1; n <= kMachines; ++n) {
+      others -= isInZone(n) ? 1 : 0;
+    }
+    int before = 0;
+    for (int n = 1; n < aNumber; ++n) {
+      before += isInZone(n) ? 0 : 1;
+    }
+    return isInZone(aNumber) || before < others;
+  };
   std::mutex randomMutex;
   std::mt19937 random(std::random_device{}());
   const auto draw = [&](double aShare) {
@@ -59,7 +69,6 @@
     Worker::Options options;
     options.mKeyed = true;
     options.mHolds = holds;
-    options.mBackAfter = 1000;
     options.mCarriedOutAfter = [&](const Request&) -> std::int64_t {
       if (!isTardy) {
         return 0;
@@ -72,8 +81,7 @@
       return between(2300, 2900);
     };
     options.mSecondAfter = [&, n](const Request&) -> std::int64_t {
-      if (!isStuttering || !isTwice || !isOfRound(n, kStuttering) ||
-          !draw(kTwice)) {
+      if (!isStuttering || !isTwice || !isStutterer(n) || !draw(kTwice)) {
         return 0;
       }
       ++twice;
@@ -120,23 +128,12 @@
     site.mRecord.line("orders since then " + std::to_string(orders) +
                       ", carried out late " + std::to_string(late) +
                       ", answers given twice " + std::to_string(twice));
-    for (int n = 1; n <= kMachines; ++n) {
-      Worker& worker = *site.mMachines[n - 1].mWorker;
-      if (isOfRound(n, kLeaving)) {
-        site.mRecord.line(worker.process() + " says that it leaves, holds " +
-                          std::to_string(holds->heldRuns(worker.process())) +
-                          " runs of keys");
-        worker.drain();
-      }
-    }
-    sleepMs(4000);
-    for (int n = 1; n <= kMachines; ++n) {
-      if (isOfRound(n, kLeaving)) {
-        site.mRecord.line(site.mMachines[n - 1].mWorker->process() + " ends");
-        site.mMachines[n - 1].mWorker->leave();
-      }
-    }
-    sleepMs(4000);
+    site.mRecord.line("zone " + zone() + " is emptied");
+    site.mStore->put("evacuate/" + zone(), "{}");
+    sleepMs(5000);
+    site.mRecord.line("zone " + zone() + " is taken back");
+    site.mStore->put("evacuate/" + zone(), "");
+    sleepMs(3000);
     ++round;
   }
   stopped = true;
