Review case 11: reports 4 s late; the report with the last runs

With reports 3 s late one of ten runs held, as the next life's connection was opened one report later.

--- a/review/common-3/late.cpp
+++ b/review/common-3/late.cpp
@@ -10,7 +10,7 @@
 
 constexpr int kMachines = 7;
 constexpr std::size_t kRuns = 65536 / Holds::kStep;
-constexpr std::int64_t kLate = 3000;
+constexpr std::int64_t kLate = 4000;
 constexpr std::int64_t kDown = 500;
 
 }
